Serve a request end to end over separate processes

Cause: nothing existed.

What it does: callers reach a node over HTTP, the node authenticates, charges a local token bucket, ranks upstreams by rendezvous hash and hands the request to the upstream's owner over framed FlatBuffers; the owner loads the adapter and relays the answer. Release notes are objects on the platform.

Conclusion: the path stands; the mechanisms can be built beside each other.

--- /dev/null
+++ b/fakes/fake_server.cc
@@ -0,0 +1,55 @@
+#include "fake_server.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace marigoldladder::fakes {
+
+namespace {
+
+    constexpr auto serverThreads = std::size_t { 256 };
+    constexpr auto keepAliveRequests = std::size_t { 1'000'000 };
+    constexpr auto keepAliveSeconds = 60;
+
+} // namespace
+
+auto configureFakeServer(httplib::Server& server) -> void
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    server.new_task_queue = [] { return new httplib::ThreadPool(serverThreads); };
+    server.set_tcp_nodelay(true);
+    server.set_keep_alive_max_count(keepAliveRequests);
+    server.set_keep_alive_timeout(keepAliveSeconds);
+}
+
+auto serveUntilKilled(httplib::Server& server, const Address& address) -> int
+{
+    auto port = address.m_port;
+    if (port == 0)
+        port = server.bind_to_any_port(address.m_host);
+    else if (!server.bind_to_port(address.m_host, port))
+        port = -1;
+    if (port <= 0) {
+        std::cerr << "can't listen on " << formatAddress(address) << "\n";
+        return 1;
+    }
+    const auto line
+        = nlohmann::json { { "event", "ready" }, { "address", formatAddress({ address.m_host, port }) } };
+    std::cout << line.dump() << std::endl;
+    server.listen_after_bind();
+    return 0;
+}
+
+auto answerJson(httplib::Response& response, const nlohmann::json& json, int status) -> void
+{
+    response.status = status;
+    response.set_content(json.dump(), "application/json");
+}
+
+auto bodyOf(const httplib::Request& request) -> nlohmann::json
+{
+    auto json = nlohmann::json::parse(request.body, nullptr, false);
+    return json.is_object() ? json : nlohmann::json::object();
+}
+
+} // namespace marigoldladder::fakes
--- /dev/null
+++ b/src/core/log.h
@@ -0,0 +1,24 @@
+// Structured log lines, one for each change of state. No line may carry a key or another secret.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace marigoldladder {
+
+// Sets up logging to standard error; call once, in a daemon. `level` is as in the settings.
+auto initialiseLog(const std::string& level, const std::string& vm) -> void;
+
+struct LogField {
+    std::string_view m_name;
+    std::string m_value;
+};
+
+// Writes one JSON line at level info: the event's name and its fields.
+auto logChange(std::string_view event, std::initializer_list<LogField> = {}) -> void;
+
+// The same at level warn, for changes an operator may have to act on.
+auto logWarning(std::string_view event, std::initializer_list<LogField> = {}) -> void;
+
+} // namespace marigoldladder
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,180 @@
+#include "marigoldladder/node.h"
+
+#include "core/log.h"
+#include "core/periodic_task.h"
+#include "fleet/configuration_controller.h"
+#include "fleet/discovery_controller.h"
+#include "fleet/membership_controller.h"
+#include "fleet/peer_links.h"
+#include "limits/allowance.h"
+#include "limits/share_controller.h"
+#include "ops/operator_server.h"
+#include "routing/owner_client.h"
+#include "routing/ownership_controller.h"
+#include "serving/caller_server.h"
+#include "wire/peer_server.h"
+
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace marigoldladder {
+
+namespace {
+
+    constexpr auto configurationPeriod = std::chrono::milliseconds(300);
+    constexpr auto fleetPeriod = std::chrono::milliseconds(500);
+    constexpr auto addressExpiry = std::chrono::milliseconds(2500);
+    constexpr auto drainPoll = std::chrono::milliseconds(20);
+
+    auto listenOrThrow(const Address& address) -> Socket
+    {
+        auto listener = listenOn(address);
+        if (!listener)
+            throw std::runtime_error(listener.error().m_message);
+        return std::move(listener.value());
+    }
+
+} // namespace
+
+struct Node::Implementation {
+    explicit Implementation(NodeSettings settings)
+        : m_settings(std::move(settings))
+        , m_platform(m_settings.m_platformAddress, m_blackboard.m_metrics)
+        , m_log(m_platform)
+        , m_identity { m_settings.m_vm, makeIncarnation(), m_settings.m_fleetSecret }
+        , m_links(m_blackboard, m_identity)
+        , m_owner(m_blackboard)
+        , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
+        , m_allowance(m_blackboard)
+        , m_runner(m_blackboard, m_owners)
+        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
+        , m_operators(m_settings, m_blackboard, m_log)
+    {
+        startPeerServer();
+        m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
+        m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
+    }
+
+    auto startPeerServer() -> void;
+    auto setOwnMember(MemberState) -> Member;
+    auto followConfiguration() -> void;
+    auto followFleet() -> void;
+    auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
+
+    NodeSettings m_settings;
+    Blackboard m_blackboard;
+    PlatformClient m_platform;
+    ReleaseLog m_log;
+    PeerIdentity m_identity;
+    PeerLinks m_links;
+    Owner m_owner;
+    OwnerClient m_owners;
+    Allowance m_allowance;
+    RequestRunner m_runner;
+    CallerServer m_callers;
+    OperatorServer m_operators;
+    NodeAddresses m_addresses;
+    std::optional<PeerServer> m_peers;
+    bool m_published = false;
+    std::optional<PeriodicTask> m_configurationTask;
+    std::optional<PeriodicTask> m_fleetTask;
+};
+
+auto Node::Implementation::startPeerServer() -> void
+{
+    auto listener = listenOrThrow(m_settings.m_peerAddress);
+    m_addresses.m_peer = boundAddress(listener);
+    m_addresses.m_caller = { m_settings.m_callerAddress.m_host, m_callers.port() };
+    m_addresses.m_operator = { m_settings.m_operatorAddress.m_host, m_operators.port() };
+    setOwnMember(MemberState::Alive);
+    m_peers.emplace(
+        std::move(listener), m_identity, m_blackboard.m_metrics,
+        [this](const auto& connection, auto& envelope) { handlePeer(connection, envelope); },
+        [this](const auto&) { m_blackboard.m_metrics.add(Counter::PeerConnectionsLost); });
+}
+
+// Writes this node's own record to the membership and returns it.
+auto Node::Implementation::setOwnMember(MemberState state) -> Member
+{
+    auto self = Member();
+    self.m_vm = m_settings.m_vm;
+    self.m_dataCentre = m_settings.m_dataCentre;
+    self.m_incarnation = m_identity.m_incarnation;
+    self.m_callerAddress = m_settings.m_advertisedCallerAddress;
+    if (self.m_callerAddress.m_port == 0)
+        self.m_callerAddress = m_addresses.m_caller;
+    self.m_peerAddress = m_settings.m_advertisedPeerAddress;
+    if (self.m_peerAddress.m_port == 0)
+        self.m_peerAddress = m_addresses.m_peer;
+    self.m_state = state;
+    m_blackboard.m_membership.write([&](Membership& value) { value.m_members[self.m_vm] = self; });
+    return self;
+}
+
+auto Node::Implementation::followConfiguration() -> void
+{
+    const auto followed = followReleaseLog(m_blackboard, m_log);
+    const auto changed = m_blackboard.m_health.write([&](NodeHealth& health) {
+        const auto before = std::exchange(health.m_platformReachable, followed.has_value());
+        health.m_configured = health.m_configured || followed.has_value();
+        return before != followed.has_value();
+    });
+    if (changed)
+        logChange(followed ? "platform_reachable" : "platform_unreachable");
+}
+
+auto Node::Implementation::followFleet() -> void
+{
+    if (!m_published)
+        m_published = publishMember(m_platform, setOwnMember(MemberState::Alive)).has_value();
+    (void)refreshMembership(m_blackboard, m_platform, m_settings.m_vm);
+    (void)refreshUpstreams(m_blackboard, m_platform);
+    refreshShares(m_blackboard);
+    refreshAssignments(m_blackboard);
+}
+
+auto Node::Implementation::handlePeer(
+    const std::shared_ptr<PeerConnection>& connection, wire::EnvelopeT& envelope) -> void
+{
+    switch (envelope.body.type) {
+    case wire::Body::ServeRequest:
+        handleServeRequest(m_owner, connection, envelope);
+        break;
+    case wire::Body::ServeCancel:
+        m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
+        break;
+    default:
+        break;
+    }
+}
+
+Node::Node(NodeSettings settings)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings)))
+{
+}
+
+Node::~Node() = default;
+
+auto Node::addresses() const -> NodeAddresses
+{
+    return m_implementation->m_addresses;
+}
+
+auto Node::drain(std::chrono::milliseconds atMost) -> void
+{
+    auto& node = *m_implementation;
+    const auto begun = std::chrono::steady_clock::now();
+    node.m_blackboard.m_health.write([](NodeHealth& health) { health.m_draining = true; });
+    logChange("draining");
+    (void)publishMember(node.m_platform, node.setOwnMember(MemberState::Draining));
+    const auto inFlight = [&] { return node.m_blackboard.m_health.copy().m_requestsInFlight; };
+    while (std::chrono::steady_clock::now() < begun + atMost) {
+        if (std::chrono::steady_clock::now() >= begun + addressExpiry && inFlight() == 0)
+            break;
+        std::this_thread::sleep_for(drainPoll);
+    }
+    logChange("drained");
+}
+
+} // namespace marigoldladder
--- /dev/null
+++ b/src/ops/operator_server.h
@@ -0,0 +1,27 @@
+// The HTTP interface for operators: hand over release notes, read the log and the node's state.
+#pragma once
+
+#include "fleet/configuration_controller.h"
+
+#include <memory>
+
+namespace marigoldladder {
+
+// Serves operators from construction until `stop`. Every call needs `Authorization: Bearer NAME.CREDENTIAL`.
+class OperatorServer {
+public:
+    OperatorServer(const NodeSettings&, Blackboard&, ReleaseLog&);
+    OperatorServer(const OperatorServer&) = delete;
+    auto operator=(const OperatorServer&) -> OperatorServer& = delete;
+    ~OperatorServer();
+
+    auto port() const -> int;
+    auto stop() -> void;
+
+private:
+    struct Implementation;
+
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace marigoldladder
--- /dev/null
+++ b/src/serving/caller_server.cc
@@ -0,0 +1,355 @@
+#include "serving/caller_server.h"
+
+#include "core/posix_thread.h"
+#include "serving/caller_request.h"
+#include "serving/http_answer.h"
+#include "serving/idempotency.h"
+
+#include <algorithm>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <xxhash.h>
+
+namespace marigoldladder {
+
+namespace {
+
+    constexpr auto addressTimeToLive = std::chrono::milliseconds(2000);
+    constexpr auto keepAliveRequests = std::size_t { 100'000 };
+    constexpr auto keepAliveTimeout = std::chrono::seconds(30);
+    constexpr auto completionsPattern = "/v1/(chat/)?completions";
+    constexpr auto servicesPattern = R"(/services/([^/?]+)(/.*)?)";
+
+    // A request that passed authentication, with what it was charged.
+    struct AdmittedCall {
+        ServeCall m_call;
+        PoolName m_pool;
+        Reservation m_reservation;
+    };
+
+    auto fingerprintOf(const std::string& path, const std::string& body) -> std::uint64_t
+    {
+        return XXH3_64bits_withSeed(body.data(), body.size(), XXH3_64bits(path.data(), path.size()));
+    }
+
+} // namespace
+
+struct CallerServer::Implementation {
+    Implementation(const NodeSettings& settings, Blackboard& blackboard, Allowance& allowance,
+        RequestRunner& runner, PlatformClient& platform)
+        : m_settings(settings)
+        , m_blackboard(blackboard)
+        , m_allowance(allowance)
+        , m_runner(runner)
+        , m_platform(platform)
+    {
+    }
+
+    auto configureServer() -> void;
+    auto addRoutes() -> void;
+    auto listen() -> void;
+
+    auto answerAddresses(httplib::Response&) const -> void;
+    auto answerHealth(httplib::Response&) const -> void;
+    auto serveCompletion(const httplib::Request&, httplib::Response&) -> void;
+    auto serveService(const httplib::Request&, httplib::Response&) -> void;
+
+    auto admitCompletion(const httplib::Request&) -> Result<AdmittedCall>;
+    auto admitService(const httplib::Request&) -> Result<AdmittedCall>;
+    auto charge(AdmittedCall) -> Result<AdmittedCall>;
+    auto run(httplib::Response&, Result<AdmittedCall>) -> void;
+    auto fail(httplib::Response&, const Failure&, const RequestId&) -> void;
+    auto countEnd(const AnswerEnd&) -> void;
+    auto finish(const Reservation&, const AnswerEnd&) -> void;
+    auto countInFlight(int change) -> void;
+
+    const NodeSettings& m_settings;
+    Blackboard& m_blackboard;
+    Allowance& m_allowance;
+    RequestRunner& m_runner;
+    PlatformClient& m_platform;
+    httplib::Server m_server;
+    int m_port = 0;
+    PosixThread m_thread;
+};
+
+auto CallerServer::Implementation::configureServer() -> void
+{
+    const auto threads = m_settings.m_limits.m_maxConnections;
+    m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    m_server.set_tcp_nodelay(true);
+    m_server.set_keep_alive_max_count(keepAliveRequests);
+    m_server.set_keep_alive_timeout(keepAliveTimeout.count());
+    m_server.set_read_timeout(m_settings.m_limits.m_readTimeout);
+    m_server.set_write_timeout(m_settings.m_limits.m_readTimeout);
+    m_server.set_payload_max_length(m_settings.m_limits.m_maxRequestBytes);
+}
+
+auto CallerServer::Implementation::addRoutes() -> void
+{
+    m_server.Get("/v1/addresses", [this](const auto&, auto& response) { answerAddresses(response); });
+    m_server.Get("/healthz", [this](const auto&, auto& response) { answerHealth(response); });
+    m_server.Get("/metrics", [this](const auto&, auto& response) {
+        response.set_content(m_blackboard.m_metrics.formatForPrometheus(), "text/plain; version=0.0.4");
+    });
+    m_server.Post(completionsPattern,
+        [this](const auto& request, auto& response) { serveCompletion(request, response); });
+    const auto service = [this](const auto& request, auto& response) { serveService(request, response); };
+    m_server.Get(servicesPattern, service);
+    m_server.Post(servicesPattern, service);
+    m_server.Put(servicesPattern, service);
+    m_server.Patch(servicesPattern, service);
+    m_server.Delete(servicesPattern, service);
+    m_server.set_error_handler([](const auto&, auto& response) {
+        if (!response.body.empty())
+            return;
+        const auto type = response.status == httpStatus(FailureType::NotFound) ? FailureType::NotFound
+                                                                               : FailureType::BadRequest;
+        const auto status = response.status;
+        writeFailure(response, notRun(type, "no such path, or a request that can't be read"), RequestId());
+        response.status = status;
+    });
+}
+
+auto CallerServer::Implementation::listen() -> void
+{
+    configureServer();
+    addRoutes();
+    const auto& address = m_settings.m_callerAddress;
+    if (address.m_port == 0)
+        m_port = m_server.bind_to_any_port(address.m_host);
+    else
+        m_port = m_server.bind_to_port(address.m_host, address.m_port) ? address.m_port : -1;
+    if (m_port <= 0)
+        throw std::runtime_error("can't listen on " + formatAddress(address));
+    m_thread = PosixThread("caller-accept", [this] { m_server.listen_after_bind(); });
+}
+
+auto CallerServer::Implementation::answerAddresses(httplib::Response& response) const -> void
+{
+    auto json = nlohmann::json { { "ttl_ms", addressTimeToLive.count() },
+        { "addresses", nlohmann::json::array() } };
+    const auto membership = m_blackboard.m_membership.copy();
+    m_blackboard.m_configuration.read([&](const Configuration& configuration) {
+        for (const auto& [vm, member] : membership.m_members) {
+            if (member.m_state != MemberState::Alive || isOut(configuration, vm, member.m_dataCentre))
+                continue;
+            json["addresses"].push_back({
+                { "address", formatAddress(member.m_callerAddress) },
+                { "data_centre", member.m_dataCentre.value() },
+                { "key_prefix", vm.value() + "." + std::to_string(member.m_incarnation) + "." },
+            });
+        }
+    });
+    response.set_content(json.dump(), "application/json");
+}
+
+auto CallerServer::Implementation::answerHealth(httplib::Response& response) const -> void
+{
+    const auto health = m_blackboard.m_health.copy();
+    const auto serving = health.m_configured && !health.m_draining;
+    response.status = serving ? 200 : httpStatus(FailureType::Unavailable);
+    const auto json = nlohmann::json {
+        { "configured", health.m_configured },
+        { "draining", health.m_draining },
+        { "platform_reachable", health.m_platformReachable },
+        { "requests_in_flight", health.m_requestsInFlight },
+    };
+    response.set_content(json.dump(), "application/json");
+}
+
+auto CallerServer::Implementation::admitCompletion(const httplib::Request& request) -> Result<AdmittedCall>
+{
+    auto parsed = parseCompletionRequest(request.body);
+    auto admitted = AdmittedCall();
+    auto& call = admitted.m_call;
+    const auto checked = m_blackboard.m_configuration.read(
+        [&](const Configuration& configuration) -> Result<void> {
+            const auto organisation = authenticate(configuration, request.get_header_value("Authorization"));
+            if (!organisation)
+                return organisation.error();
+            if (!parsed)
+                return parsed.error();
+            const auto found = configuration.m_adapters.find(parsed.value().m_adapter);
+            if (found == configuration.m_adapters.end())
+                return notRun(FailureType::NotFound, "there is no such adapter and version");
+            const auto& adapter = found->second;
+            const auto& allowed = adapter.m_organisations;
+            if (!allowed.empty()
+                && std::find(allowed.begin(), allowed.end(), organisation.value()) == allowed.end())
+                return notRun(FailureType::Forbidden, "the adapter is not for this organisation");
+            call.m_organisation = organisation.value();
+            const auto owner = configuration.m_organisations.find(call.m_organisation);
+            call.m_weight = owner == configuration.m_organisations.end() ? 1 : owner->second.m_weight;
+            call.m_adapterPath = adapter.m_path;
+            admitted.m_pool = adapter.m_pool;
+            return boost::outcome_v2::success();
+        });
+    if (!checked)
+        return checked.error();
+    call.m_requestId = makeRequestId();
+    call.m_adapter = parsed.value().m_adapter;
+    call.m_method = request.method;
+    call.m_path = request.path;
+    call.m_contentType = "application/json";
+    call.m_body = std::move(parsed.value().m_engineBody);
+    call.m_idempotent = true;
+    call.m_stream = parsed.value().m_stream;
+    call.m_priority = parsed.value().m_priority;
+    call.m_costTokens = parsed.value().m_costTokens;
+    call.m_fingerprint = fingerprintOf(call.m_path, call.m_body);
+    return charge(std::move(admitted));
+}
+
+auto CallerServer::Implementation::admitService(const httplib::Request& request) -> Result<AdmittedCall>
+{
+    const auto routeName = RouteName(request.matches[1].str());
+    auto admitted = AdmittedCall();
+    auto& call = admitted.m_call;
+    const auto checked
+        = m_blackboard.m_configuration.read([&](const Configuration& configuration) -> Result<void> {
+              const auto found = configuration.m_routes.find(routeName);
+              if (found == configuration.m_routes.end())
+                  return notRun(FailureType::NotFound, "there is no such route");
+              const auto& route = found->second;
+              if (!route.m_openToAll) {
+                  const auto organisation
+                      = authenticate(configuration, request.get_header_value("Authorization"));
+                  if (!organisation)
+                      return organisation.error();
+                  call.m_organisation = organisation.value();
+                  call.m_costTokens = route.m_costTokens;
+              }
+              call.m_idempotent = route.m_idempotent;
+              admitted.m_pool = route.m_pool;
+              return boost::outcome_v2::success();
+          });
+    if (!checked)
+        return checked.error();
+    call.m_requestId = makeRequestId();
+    call.m_method = request.method;
+    call.m_path = request.matches[2].matched ? request.matches[2].str() : "/";
+    call.m_contentType = request.get_header_value("Content-Type");
+    call.m_body = request.body;
+    call.m_idempotencyKey = IdempotencyKey(request.get_header_value("Idempotency-Key"));
+    if (!call.m_idempotent && call.m_idempotencyKey.empty())
+        return notRun(FailureType::BadRequest, "this route needs the header Idempotency-Key");
+    return charge(std::move(admitted));
+}
+
+auto CallerServer::Implementation::charge(AdmittedCall admitted) -> Result<AdmittedCall>
+{
+    const auto& call = admitted.m_call;
+    if (call.m_organisation.empty())
+        return admitted;
+    const auto now = std::chrono::steady_clock::now();
+    auto reservation = m_allowance.admit(call.m_organisation, call.m_costTokens, now);
+    if (!reservation)
+        return reservation.error();
+    admitted.m_reservation = std::move(reservation.value());
+    if (call.m_idempotent)
+        return admitted;
+    const auto claimed = claimIdempotencyKey(m_platform, call.m_organisation, call.m_idempotencyKey);
+    if (claimed)
+        return admitted;
+    m_blackboard.m_metrics.add(Counter::IdempotencyRefusals);
+    m_allowance.settle(admitted.m_reservation, 0);
+    return claimed.error();
+}
+
+auto CallerServer::Implementation::serveCompletion(
+    const httplib::Request& request, httplib::Response& response) -> void
+{
+    run(response, admitCompletion(request));
+}
+
+auto CallerServer::Implementation::serveService(const httplib::Request& request, httplib::Response& response)
+    -> void
+{
+    run(response, admitService(request));
+}
+
+auto CallerServer::Implementation::run(httplib::Response& response, Result<AdmittedCall> admitted) -> void
+{
+    if (!admitted) {
+        if (admitted.error().m_type == FailureType::Unauthorised)
+            m_blackboard.m_metrics.add(Counter::AuthenticationRefusals);
+        fail(response, admitted.error(), makeRequestId());
+        return;
+    }
+    const auto& [call, pool, reservation] = admitted.value();
+    countInFlight(1);
+    const auto begun = std::chrono::steady_clock::now();
+    const auto deadline = begun + m_settings.m_limits.m_requestDeadline;
+    auto started = m_runner.start(call, pool, deadline);
+    if (!started) {
+        fail(response, started.error(), call.m_requestId);
+        m_allowance.settle(
+            reservation, started.error().m_verdict == Verdict::NotRun ? 0 : reservation.m_tokens);
+        countInFlight(-1);
+        return;
+    }
+    const auto waited = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun);
+    m_blackboard.m_metrics.observe(Latency::FirstToken, waited.count());
+    const auto stream = call.m_stream && started.value().m_head.m_status == 200;
+    writeAnswer(response, std::move(started.value()), call.m_requestId, stream, deadline,
+        [this, charged = reservation](const AnswerEnd& end) { finish(charged, end); });
+}
+
+auto CallerServer::Implementation::finish(const Reservation& reservation, const AnswerEnd& end) -> void
+{
+    m_allowance.settle(reservation, end.m_completed ? end.m_usedTokens : reservation.m_tokens);
+    countEnd(end);
+    countInFlight(-1);
+}
+
+auto CallerServer::Implementation::fail(
+    httplib::Response& response, const Failure& failure, const RequestId& id) -> void
+{
+    writeFailure(response, failure, id);
+    countEnd(failedEnd(failure));
+}
+
+auto CallerServer::Implementation::countEnd(const AnswerEnd& end) -> void
+{
+    auto counter = Counter::RequestsServed;
+    if (!end.m_completed && end.m_failure.m_verdict == Verdict::NotRun)
+        counter = Counter::RequestsRefusedNotRun;
+    else if (!end.m_completed && end.m_failure.m_verdict == Verdict::Ran)
+        counter = Counter::RequestsRefusedRan;
+    else if (!end.m_completed)
+        counter = Counter::RequestsRefusedMayHaveRun;
+    m_blackboard.m_metrics.add(counter);
+}
+
+auto CallerServer::Implementation::countInFlight(int change) -> void
+{
+    m_blackboard.m_health.write(
+        [&](NodeHealth& health) { health.m_requestsInFlight += static_cast<std::uint32_t>(change); });
+}
+
+CallerServer::CallerServer(const NodeSettings& settings, Blackboard& blackboard, Allowance& allowance,
+    RequestRunner& runner, PlatformClient& platform)
+    : m_implementation(std::make_unique<Implementation>(settings, blackboard, allowance, runner, platform))
+{
+    m_implementation->listen();
+}
+
+CallerServer::~CallerServer()
+{
+    stop();
+}
+
+auto CallerServer::port() const -> int
+{
+    return m_implementation->m_port;
+}
+
+auto CallerServer::stop() -> void
+{
+    m_implementation->m_server.stop();
+    m_implementation->m_thread.join();
+}
+
+} // namespace marigoldladder
--- /dev/null
+++ b/test/harness/child_process.cc
@@ -0,0 +1,142 @@
+#include "harness/child_process.h"
+
+#include <array>
+#include <chrono>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace marigoldladder::harness {
+
+namespace {
+
+    constexpr auto readyTimeoutMilliseconds = 20'000;
+    constexpr auto waitStep = std::chrono::milliseconds(5);
+
+    struct StartedProgram {
+        pid_t m_pid = -1;
+        int m_output = -1;
+    };
+
+    auto start(const std::string& program, const std::vector<std::string>& arguments) -> StartedProgram
+    {
+        const auto path = std::string(MARIGOLDLADDER_BUILD) + "/" + program;
+        auto pipeEnds = std::array<int, 2> {};
+        if (pipe2(pipeEnds.data(), O_CLOEXEC) != 0)
+            throw std::runtime_error("no pipe");
+        auto argv = std::vector<char*> { const_cast<char*>(path.c_str()) };
+        for (const auto& argument : arguments)
+            argv.push_back(const_cast<char*>(argument.c_str()));
+        argv.push_back(nullptr);
+        const auto pid = fork();
+        if (pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            dup2(pipeEnds[1], STDOUT_FILENO);
+            execv(path.c_str(), argv.data());
+            _exit(127);
+        }
+        close(pipeEnds[1]);
+        return { pid, pipeEnds[0] };
+    }
+
+    // Reads until a line ends, the program ends, or the time is over; returns the line.
+    auto readLine(int descriptor) -> std::string
+    {
+        auto line = std::string();
+        auto waiting = pollfd { descriptor, POLLIN, 0 };
+        while (poll(&waiting, 1, readyTimeoutMilliseconds) == 1) {
+            auto letter = '\0';
+            if (read(descriptor, &letter, 1) != 1 || letter == '\n')
+                break;
+            line.push_back(letter);
+        }
+        return line;
+    }
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments)
+{
+    const auto started = start(program, arguments);
+    m_pid = started.m_pid;
+    m_output = started.m_output;
+    m_ready = nlohmann::json::parse(readLine(m_output), nullptr, false);
+    if (m_ready.is_discarded()) {
+        kill();
+        throw std::runtime_error(program + " did not become ready");
+    }
+}
+
+ChildProcess::ChildProcess(ChildProcess&& other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1))
+    , m_output(std::exchange(other.m_output, -1))
+    , m_ready(std::move(other.m_ready))
+{
+}
+
+auto ChildProcess::operator=(ChildProcess&& other) noexcept -> ChildProcess&
+{
+    std::swap(m_pid, other.m_pid);
+    std::swap(m_output, other.m_output);
+    std::swap(m_ready, other.m_ready);
+    return *this;
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+    if (m_output >= 0)
+        close(m_output);
+}
+
+auto ChildProcess::signal(int number) const -> void
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+auto ChildProcess::kill() -> void
+{
+    if (m_pid <= 0)
+        return;
+    ::kill(m_pid, SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+    m_pid = -1;
+}
+
+auto ChildProcess::terminate(int milliseconds) -> int
+{
+    signal(SIGTERM);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+    while (m_pid > 0 && std::chrono::steady_clock::now() < end) {
+        auto status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_pid = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        std::this_thread::sleep_for(waitStep);
+    }
+    return -1;
+}
+
+auto runCommand(const std::string& program, const std::vector<std::string>& arguments) -> CommandOutcome
+{
+    const auto started = start(program, arguments);
+    auto outcome = CommandOutcome();
+    auto buffer = std::array<char, 4096> {};
+    for (auto size = read(started.m_output, buffer.data(), buffer.size()); size > 0;
+         size = read(started.m_output, buffer.data(), buffer.size()))
+        outcome.m_output.append(buffer.data(), static_cast<std::size_t>(size));
+    close(started.m_output);
+    auto status = 0;
+    waitpid(started.m_pid, &status, 0);
+    outcome.m_exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return outcome;
+}
+
+} // namespace marigoldladder::harness
--- /dev/null
+++ b/test/harness/deployment.h
@@ -0,0 +1,116 @@
+// A whole deployment over real processes on loopback: platform, upstreams and nodes.
+#pragma once
+
+#include "harness/child_process.h"
+#include "marigoldladder/settings.h"
+
+#include <chrono>
+#include <functional>
+#include <httplib.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace marigoldladder::harness {
+
+struct NodePlan {
+    std::string m_vm;
+    std::string m_dataCentre;
+    nlohmann::json m_extraSettings = nlohmann::json::object(); // Merged over the usual settings.
+};
+
+struct UpstreamPlan {
+    std::string m_name;
+    std::string m_pool;
+    std::string m_dataCentre;
+    std::string m_kind; // "engine" or "service".
+    std::vector<std::string> m_arguments; // For the stand-in program.
+    bool m_checksFencing = false;
+};
+
+struct DeploymentPlan {
+    std::vector<NodePlan> m_nodes;
+    std::vector<UpstreamPlan> m_upstreams;
+};
+
+// Two nodes and two engines in two data centres, and one plain service.
+auto smallPlan() -> DeploymentPlan;
+
+// A node as it runs.
+struct RunningNode {
+    NodePlan m_plan;
+    ChildProcess m_process;
+    Address m_caller;
+    Address m_operator;
+    Address m_peer;
+};
+
+// The operator that every deployment knows.
+inline constexpr auto operatorCredential = "anna.operator-credential-1";
+inline constexpr auto operatorName = "anna";
+
+// Starts everything on construction and ends it on destruction.
+class Deployment {
+public:
+    explicit Deployment(DeploymentPlan);
+    Deployment(const Deployment&) = delete;
+    auto operator=(const Deployment&) -> Deployment& = delete;
+    ~Deployment();
+
+    auto platform() const -> const Address& { return m_platformAddress; }
+    auto node(std::size_t index) -> RunningNode& { return m_nodes.at(index); }
+    auto nodeCount() const -> std::size_t { return m_nodes.size(); }
+    auto upstream(const std::string& name) -> ChildProcess& { return m_upstreams.at(name); }
+    auto upstreamAddress(const std::string& name) const -> Address;
+
+    // Starts the node again, as a new process with the same name.
+    auto restartNode(std::size_t index) -> void;
+
+    // Starts the upstream again at the same address, with everything it had loaded lost.
+    auto restartUpstream(const std::string& name) -> void;
+
+    // Hands a release note to a node as the known operator; returns the HTTP answer.
+    auto applyNote(std::size_t nodeIndex, const nlohmann::json& note) -> httplib::Result;
+
+    // Sets faults of the platform, for example `{"mode":"down"}`.
+    auto setPlatformFault(const nlohmann::json& fault) -> void;
+
+    // Returns what the platform counted.
+    auto platformStats() -> nlohmann::json;
+
+    // Waits until every node answers /healthz with 200.
+    auto waitUntilServing() -> bool;
+
+    // Returns the records of an upstream: everything that it was asked.
+    auto upstreamRecords(const std::string& name) -> nlohmann::json;
+
+private:
+    auto startNode(const NodePlan&) -> RunningNode;
+    auto startUpstream(const UpstreamPlan&) -> void;
+    auto announce(const UpstreamPlan&, const Address&) -> void;
+
+    DeploymentPlan m_plan;
+    std::string m_folder;
+    ChildProcess m_platform;
+    Address m_platformAddress;
+    std::map<std::string, ChildProcess> m_upstreams;
+    std::map<std::string, Address> m_upstreamAddresses;
+    std::vector<RunningNode> m_nodes;
+};
+
+// Waits until the condition holds; false when it did not within the time.
+auto waitUntil(std::chrono::milliseconds atMost, const std::function<bool()>& condition) -> bool;
+
+// A client for a node's caller port, with the key given.
+auto makeCaller(const Address&, const std::string& key) -> httplib::Client;
+
+// A release note with one organisation "aare" (key `aare-1.secret`), adapters adapter-0@1 to
+// adapter-(count-1)@1 in the pool triage-models, and the routes appointments and slots to booking-app.
+auto basicNote(std::size_t adapters) -> nlohmann::json;
+inline constexpr auto basicKey = "aare-1.secret";
+
+// A completion request's body.
+auto completionBody(const std::string& model, int maxTokens, bool stream) -> std::string;
+
+} // namespace marigoldladder::harness
