Split the owner role, gossip members, and add a fault proxy

Cause: the owner held queueing and adapter slots in one class, and tests of failures need cuts and silence between any two processes.

Ruled out: picking a free port by binding and closing, since the library keeps the socket bound; the harness draws an address from 127/8 instead.

Conclusion: queueing, adapters, gossip and limits can now change beside each other.

--- a/daemons/marigoldctl.cc
+++ b/daemons/marigoldctl.cc
@@ -74,7 +74,7 @@
     while (!credential->empty() && credential->back() == '\n')
         credential->pop_back();
     auto client = httplib::Client(address->m_host, address->m_port);
-    client.set_bearer_token_auth(credential->c_str());
+    client.set_bearer_token_auth(*credential);
     return client;
 }
 
--- /dev/null
+++ b/fakes/fault_proxy.cc
@@ -0,0 +1,221 @@
+// A TCP proxy between any two processes that does to their connections what networks do.
+//
+// `POST /fault` on the control port sets `mode`:
+//   pass          forward everything,
+//   refuse        close every connection and each new one at once,
+//   drop_replies  swallow everything that the target sends,
+//   hang          accept connections and forward nothing,
+// and `delay_ms`, which slows each piece forwarded. `POST /cut` closes the connections there are;
+// `POST /silence` makes them silent for good without closing them, while new ones work.
+#include "fake_server.h"
+
+#include "core/posix_thread.h"
+#include "wire/socket.h"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <list>
+#include <mutex>
+#include <sys/socket.h>
+#include <thread>
+
+namespace marigoldladder::fakes {
+
+namespace {
+
+    constexpr auto usage = R"(fault-proxy - a TCP proxy that cuts, delays and silences connections.
+
+Usage:
+  fault-proxy --target ADDRESS [--listen ADDRESS] [--control ADDRESS]
+
+Options:
+  --target ADDRESS   Where to forward to.
+  --listen ADDRESS   Where to take connections [default: 127.0.0.1:0].
+  --control ADDRESS  Where to take orders over HTTP [default: 127.0.0.1:0].
+)";
+
+    constexpr auto connectTimeout = std::chrono::milliseconds(500);
+    constexpr auto pieceBytes = std::size_t { 16384 };
+    constexpr auto silentStep = std::chrono::milliseconds(20);
+
+    enum class ProxyMode {
+        Pass,
+        Refuse,
+        DropReplies,
+        Hang,
+    };
+
+    constexpr auto proxyModeNames = std::array {
+        EnumName<ProxyMode> { ProxyMode::Pass, "pass" },
+        EnumName<ProxyMode> { ProxyMode::Refuse, "refuse" },
+        EnumName<ProxyMode> { ProxyMode::DropReplies, "drop_replies" },
+        EnumName<ProxyMode> { ProxyMode::Hang, "hang" },
+    };
+
+    // The two halves of one proxied connection.
+    struct Pair {
+        Socket m_client;
+        Socket m_target;
+        std::atomic<bool> m_silent { false };
+
+        auto cut() const -> void
+        {
+            m_client.shutDown();
+            m_target.shutDown();
+        }
+    };
+
+    class FaultProxy {
+    public:
+        explicit FaultProxy(Address target)
+            : m_target(std::move(target))
+        {
+        }
+
+        auto addRoutes(httplib::Server&) -> void;
+        auto acceptLoop(const Socket& listener) -> void;
+
+    private:
+        auto proxy(Socket client) -> void;
+        auto forward(const std::shared_ptr<Pair>&, bool isReply) -> void;
+        auto mayForward(const Pair&, bool isReply) const -> bool;
+        auto forEachPair(const std::function<void(Pair&)>&) -> std::size_t;
+        auto setFault(const httplib::Request&, httplib::Response&) -> void;
+
+        Address m_target;
+        std::atomic<ProxyMode> m_mode { ProxyMode::Pass };
+        std::atomic<int> m_delayMilliseconds { 0 };
+        std::mutex m_mutex;
+        std::list<std::weak_ptr<Pair>> m_pairs;
+    };
+
+    auto FaultProxy::acceptLoop(const Socket& listener) -> void
+    {
+        while (true) {
+            auto client = std::make_shared<Socket>(acceptFrom(listener));
+            if (!client->valid())
+                return;
+            if (m_mode != ProxyMode::Refuse)
+                runDetached("proxy", [this, client] { proxy(std::move(*client)); });
+        }
+    }
+
+    auto FaultProxy::proxy(Socket client) -> void
+    {
+        auto target = connectTo(m_target, connectTimeout);
+        if (!target)
+            return;
+        auto pair = std::make_shared<Pair>();
+        pair->m_client = std::move(client);
+        pair->m_target = std::move(target.value());
+        {
+            const auto lock = std::lock_guard(m_mutex);
+            m_pairs.remove_if([](const auto& weak) { return weak.expired(); });
+            m_pairs.push_back(pair);
+        }
+        runDetached("proxy-reply", [this, pair] { forward(pair, true); });
+        forward(pair, false);
+    }
+
+    auto FaultProxy::mayForward(const Pair& pair, bool isReply) const -> bool
+    {
+        return !pair.m_silent && m_mode != ProxyMode::Hang && !(isReply && m_mode == ProxyMode::DropReplies);
+    }
+
+    auto FaultProxy::forward(const std::shared_ptr<Pair>& pair, bool isReply) -> void
+    {
+        const auto& from = isReply ? pair->m_target : pair->m_client;
+        const auto& to = isReply ? pair->m_client : pair->m_target;
+        auto piece = std::array<std::uint8_t, pieceBytes> {};
+        while (true) {
+            const auto size = recv(from.descriptor(), piece.data(), piece.size(), 0);
+            while (pair->m_silent)
+                std::this_thread::sleep_for(silentStep); // For good: not even an end is told.
+            if (size <= 0)
+                break;
+            std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
+            if (mayForward(*pair, isReply) && !sendAll(to, piece.data(), static_cast<std::size_t>(size)))
+                break;
+        }
+        pair->cut();
+    }
+
+    auto FaultProxy::forEachPair(const std::function<void(Pair&)>& action) -> std::size_t
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        auto count = std::size_t { 0 };
+        for (const auto& weak : m_pairs) {
+            if (const auto pair = weak.lock()) {
+                action(*pair);
+                ++count;
+            }
+        }
+        return count;
+    }
+
+    auto FaultProxy::setFault(const httplib::Request& request, httplib::Response& response) -> void
+    {
+        const auto body = bodyOf(request);
+        const auto mode = valueNamed(proxyModeNames, body.value("mode", "pass"));
+        if (!mode) {
+            answerJson(response, { { "message", "no such mode" } }, 400);
+            return;
+        }
+        m_mode = *mode;
+        m_delayMilliseconds = body.value("delay_ms", 0);
+        if (*mode == ProxyMode::Refuse)
+            forEachPair([](Pair& pair) { pair.cut(); });
+        answerJson(response, nlohmann::json::object());
+    }
+
+    auto FaultProxy::addRoutes(httplib::Server& server) -> void
+    {
+        server.Post("/fault", [this](const auto& request, auto& response) { setFault(request, response); });
+        server.Post("/cut", [this](const auto&, auto& response) {
+            answerJson(response, { { "connections", forEachPair([](Pair& pair) { pair.cut(); }) } });
+        });
+        server.Post("/silence", [this](const auto&, auto& response) {
+            answerJson(
+                response, { { "connections", forEachPair([](Pair& pair) { pair.m_silent = true; }) } });
+        });
+    }
+
+} // namespace
+
+} // namespace marigoldladder::fakes
+
+auto main(int argc, char** argv) -> int
+{
+    using namespace marigoldladder;
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto arguments = docopt::docopt(fakes::usage, { argv + 1, argv + argc });
+    const auto target = parseAddress(arguments.at("--target").asString());
+    const auto listen = parseAddress(arguments.at("--listen").asString());
+    const auto control = parseAddress(arguments.at("--control").asString());
+    if (!target || !listen || !control)
+        return 2;
+    auto listener = listenOn(*listen);
+    if (!listener)
+        return 1;
+    auto proxy = fakes::FaultProxy(*target);
+    auto server = httplib::Server();
+    proxy.addRoutes(server);
+    const auto controlPort
+        = control->m_port == 0 ? server.bind_to_any_port(control->m_host) : control->m_port;
+    if (control->m_port != 0 && !server.bind_to_port(control->m_host, controlPort))
+        return 1;
+    const auto ready = nlohmann::json {
+        { "event", "ready" },
+        { "address", formatAddress(boundAddress(listener.value())) },
+        { "control_address", formatAddress({ control->m_host, controlPort }) },
+    };
+    std::cout << ready.dump() << std::endl;
+    auto accepting = PosixThread("proxy-accept", [&] { proxy.acceptLoop(listener.value()); });
+    server.listen_after_bind();
+    listener.value().shutDown();
+    return 0;
+}
--- a/fakes/loadgen.cc
+++ b/fakes/loadgen.cc
@@ -78,7 +78,7 @@
         auto client = httplib::Client(address.m_host, address.m_port);
         client.set_keep_alive(true);
         client.set_tcp_nodelay(true);
-        client.set_bearer_token_auth(plan.m_key.c_str());
+        client.set_bearer_token_auth(plan.m_key);
         const auto end = std::chrono::steady_clock::now() + plan.m_duration;
         while (std::chrono::steady_clock::now() < end) {
             const auto adapter = random() % static_cast<unsigned>(plan.m_adapters);
--- a/include/marigoldladder/ids.h
+++ b/include/marigoldladder/ids.h
@@ -22,7 +22,7 @@
 
     auto value() const -> const std::string& { return m_value; }
     auto empty() const -> bool { return m_value.empty(); }
-    auto operator<=>(const StrongString&) const = default;
+    auto operator<=>(const StrongString&) const = default; // NOLINT(modernize-use-nullptr): a false alarm.
 
 private:
     std::string m_value;
--- a/src/fleet/membership_controller.cc
+++ b/src/fleet/membership_controller.cc
@@ -66,7 +66,7 @@
             if (member.m_vm == self)
                 continue;
             auto& known = membership.m_members[member.m_vm];
-            if (member.m_incarnation >= known.m_incarnation)
+            if (member.m_incarnation > known.m_incarnation)
                 known = std::move(member);
         }
     });
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 #include "core/periodic_task.h"
 #include "fleet/configuration_controller.h"
 #include "fleet/discovery_controller.h"
+#include "fleet/gossip.h"
 #include "fleet/membership_controller.h"
 #include "fleet/peer_links.h"
 #include "limits/allowance.h"
@@ -14,6 +15,7 @@
 #include "serving/caller_server.h"
 #include "wire/peer_server.h"
 
+#include <random>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -24,6 +26,7 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(300);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
+    constexpr auto gossipPeriod = std::chrono::milliseconds(200);
     constexpr auto addressExpiry = std::chrono::milliseconds(2500);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
@@ -54,6 +57,8 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
+        m_gossipTask.emplace("gossip", gossipPeriod,
+            [this] { gossipRound(m_blackboard, m_links, m_settings.m_vm, m_gossipRandom); });
     }
 
     auto startPeerServer() -> void;
@@ -79,6 +84,8 @@
     bool m_published = false;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_fleetTask;
+    std::mt19937_64 m_gossipRandom { std::random_device()() }; // Used by the gossip task only.
+    std::optional<PeriodicTask> m_gossipTask;
 };
 
 auto Node::Implementation::startPeerServer() -> void
@@ -108,7 +115,10 @@
     if (self.m_peerAddress.m_port == 0)
         self.m_peerAddress = m_addresses.m_peer;
     self.m_state = state;
-    m_blackboard.m_membership.write([&](Membership& value) { value.m_members[self.m_vm] = self; });
+    m_blackboard.m_membership.write([&](Membership& value) {
+        self.m_heartbeat = value.m_members[self.m_vm].m_heartbeat + 1;
+        value.m_members[self.m_vm] = self;
+    });
     return self;
 }
 
@@ -141,6 +151,11 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::Gossip: {
+        thread_local auto random = std::mt19937_64(std::random_device()());
+        handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
+        break;
+    }
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -10,7 +10,7 @@
 
     constexpr auto concurrencyCap = std::size_t { 16 };
     constexpr auto maxQueuedCalls = std::size_t { 256 };
-    constexpr auto adapterSlotsPerEngine = std::size_t { 16 };
+    constexpr auto sweepPeriod = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -18,23 +18,25 @@
     ServeCall m_call;
     AnswerSink m_sink;
     MonotonicTime m_deadline;
+    PinHandle m_pin; // Null for plain services.
     CancelFlag m_cancelled { false };
 };
 
 struct Owner::UpstreamState {
-    UpstreamName m_name;
     std::deque<std::shared_ptr<PendingCall>> m_queue;
     std::size_t m_inFlight = 0;
-    AdapterSlots m_slots { adapterSlotsPerEngine, {} };
 };
 
 Owner::Owner(Blackboard& blackboard)
     : m_blackboard(blackboard)
+    , m_adapters(blackboard, [this](const UpstreamName&) { startAllCalls(); })
+    , m_sweep("owner-sweep", sweepPeriod, [this] { startAllCalls(); })
 {
 }
 
 Owner::~Owner()
 {
+    m_sweep.stop();
     auto lock = std::unique_lock(m_mutex);
     for (const auto& [id, pending] : m_calls)
         pending->m_cancelled = true;
@@ -49,35 +51,34 @@
     });
 }
 
-auto Owner::fencingOf(const UpstreamName& name) const -> FencingNumber
-{
-    return m_blackboard.m_assignments.read([&](const AssignmentTable& table) {
-        const auto found = table.m_assignments.find(name);
-        return found == table.m_assignments.end() ? FencingNumber { 0 } : found->second.m_fencing;
-    });
-}
-
 auto Owner::serve(ServeCall call, AnswerSink sink) -> void
 {
     auto pending = std::make_shared<PendingCall>();
     pending->m_deadline = std::chrono::steady_clock::now() + call.m_deadline;
     pending->m_call = std::move(call);
     pending->m_sink = std::move(sink);
-    {
-        const auto lock = std::lock_guard(m_mutex);
-        auto& state = m_states[pending->m_call.m_upstream];
-        if (!state)
-            state = std::make_unique<UpstreamState>();
-        state->m_name = pending->m_call.m_upstream;
-        if (state->m_queue.size() < maxQueuedCalls) {
-            state->m_queue.push_back(pending);
-            m_calls[pending->m_call.m_requestId] = pending;
-            startCalls(*state);
-            return;
-        }
+    if (!enqueue(pending)) {
+        m_blackboard.m_metrics.add(Counter::QueueRefusals);
+        pending->m_sink(failedEnd(notRun(FailureType::Overloaded, "the upstream's queue is full")));
+        return;
     }
-    m_blackboard.m_metrics.add(Counter::QueueRefusals);
-    pending->m_sink(failedEnd(notRun(FailureType::Overloaded, "the upstream's queue is full")));
+    startAllCalls();
+}
+
+auto Owner::enqueue(const std::shared_ptr<PendingCall>& pending) -> bool
+{
+    const auto& call = pending->m_call;
+    if (!call.m_adapter.m_name.empty())
+        pending->m_pin = m_adapters.want(call.m_upstream, call.m_adapter, call.m_adapterPath);
+    const auto lock = std::lock_guard(m_mutex);
+    auto& state = m_states[call.m_upstream];
+    if (!state)
+        state = std::make_unique<UpstreamState>();
+    if (state->m_queue.size() >= maxQueuedCalls)
+        return false;
+    state->m_queue.push_back(pending);
+    m_calls[call.m_requestId] = pending;
+    return true;
 }
 
 auto Owner::cancel(const RequestId& id) -> void
@@ -86,15 +87,34 @@
     const auto found = m_calls.find(id);
     if (found != m_calls.end())
         found->second->m_cancelled = true;
-    m_changed.notify_all();
+}
+
+auto Owner::startAllCalls() -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    for (const auto& [name, state] : m_states)
+        startCalls(*state);
+}
+
+// Whether the call has what it needs to run, or has failed and only needs its answer.
+auto Owner::readyToStart(const PendingCall& pending) -> bool
+{
+    if (pending.m_cancelled || std::chrono::steady_clock::now() >= pending.m_deadline)
+        return true;
+    return !pending.m_pin || m_adapters.stateOf(*pending.m_pin) != PinState::Waiting;
 }
 
 // Starts queued calls while the upstream bears more; call it with the lock held.
 auto Owner::startCalls(UpstreamState& state) -> void
 {
-    while (!state.m_queue.empty() && state.m_inFlight < concurrencyCap) {
-        auto pending = std::move(state.m_queue.front());
-        state.m_queue.pop_front();
+    for (auto next = state.m_queue.begin();
+         next != state.m_queue.end() && state.m_inFlight < concurrencyCap;) {
+        if (!readyToStart(**next)) {
+            ++next;
+            continue;
+        }
+        auto pending = *next;
+        next = state.m_queue.erase(next);
         ++state.m_inFlight;
         ++m_running;
         runDetached("owner-call", [this, &state, pending] { runPending(state, pending); });
@@ -103,96 +123,29 @@
 
 auto Owner::runPending(UpstreamState& state, const std::shared_ptr<PendingCall>& pending) -> void
 {
-    const auto& call = pending->m_call;
-    const auto usesAdapter = !call.m_adapter.m_name.empty();
-    auto failure = usesAdapter ? prepareAdapter(state, *pending) : std::nullopt;
-    const auto pinned = usesAdapter && !failure;
-    const auto upstream = findUpstream(call.m_upstream);
-    if (!failure && !upstream)
-        failure = notRun(FailureType::Unavailable, "the upstream is gone");
-    auto end = failure
-        ? failedEnd(*failure)
-        : runCall(*upstream, call, pending->m_cancelled, m_blackboard.m_metrics, pending->m_sink);
-    if (pinned)
-        unpin(state, call.m_adapter);
+    auto end = runAdmitted(*pending);
+    pending->m_pin.reset();
     pending->m_sink(std::move(end));
     const auto lock = std::lock_guard(m_mutex);
-    m_calls.erase(call.m_requestId);
+    m_calls.erase(pending->m_call.m_requestId);
     --state.m_inFlight;
-    --m_running;
     startCalls(state);
+    --m_running;
     m_changed.notify_all();
 }
 
-// Pins the call's adapter once the engine has it, loading it if need be.
-auto Owner::prepareAdapter(UpstreamState& state, const PendingCall& pending) -> std::optional<Failure>
-{
-    const auto& ref = pending.m_call.m_adapter;
-    auto lock = std::unique_lock(m_mutex);
-    while (std::chrono::steady_clock::now() < pending.m_deadline && !pending.m_cancelled) {
-        const auto upstream = findUpstream(state.m_name);
-        if (!upstream)
-            return notRun(FailureType::Unavailable, "the upstream is gone");
-        const auto plan = planSlot(state.m_slots, ref);
-        switch (plan.m_step) {
-        case SlotStep::Use: {
-            auto& slot = state.m_slots.m_slots[ref];
-            ++slot.m_pins;
-            slot.m_usedAt = std::chrono::steady_clock::now();
-            return std::nullopt;
-        }
-        case SlotStep::Load:
-            if (auto failure = load(lock, state, pending))
-                return failure;
-            break;
-        case SlotStep::Evict:
-            evict(lock, state, *upstream, plan.m_victim);
-            break;
-        case SlotStep::Wait:
-        case SlotStep::Full:
-            m_changed.wait_until(lock, pending.m_deadline);
-            break;
-        }
-    }
-    return notRun(FailureType::DeadlineExceeded, "the adapter was not loaded in time");
-}
-
-auto Owner::load(std::unique_lock<std::mutex>& lock, UpstreamState& state, const PendingCall& pending)
-    -> std::optional<Failure>
-{
-    const auto& ref = pending.m_call.m_adapter;
-    const auto upstream = findUpstream(state.m_name);
-    state.m_slots.m_slots[ref].m_state = SlotState::Loading;
-    lock.unlock();
-    const auto loaded = orderLoad(*upstream, ref, pending.m_call.m_adapterPath, fencingOf(state.m_name));
-    lock.lock();
-    m_changed.notify_all();
-    m_blackboard.m_metrics.add(loaded ? Counter::AdapterLoads : Counter::AdapterLoadFailures);
-    if (loaded) {
-        state.m_slots.m_slots[ref].m_state = SlotState::Ready;
-        return std::nullopt;
-    }
-    state.m_slots.m_slots.erase(ref);
-    return notRun(FailureType::UpstreamFailed, "the adapter can't be loaded: " + loaded.error().m_message);
-}
-
-auto Owner::evict(std::unique_lock<std::mutex>& lock, UpstreamState& state, const Upstream& upstream,
-    const AdapterRef& victim) -> void
-{
-    state.m_slots.m_slots[victim].m_state = SlotState::Evicting;
-    lock.unlock();
-    const auto evicted = orderEvict(upstream, victim, fencingOf(state.m_name));
-    lock.lock();
-    m_changed.notify_all();
-    m_blackboard.m_metrics.add(Counter::AdapterEvictions);
-    state.m_slots.m_slots.erase(victim);
-}
-
-auto Owner::unpin(UpstreamState& state, const AdapterRef& ref) -> void
+auto Owner::runAdmitted(const PendingCall& pending) -> AnswerEnd
 {
-    const auto lock = std::lock_guard(m_mutex);
-    --state.m_slots.m_slots[ref].m_pins;
-    m_changed.notify_all();
+    if (pending.m_cancelled)
+        return failedEnd(notRun(FailureType::UpstreamFailed, "the caller hung up"));
+    if (std::chrono::steady_clock::now() >= pending.m_deadline)
+        return failedEnd(notRun(FailureType::DeadlineExceeded, "no upstream was free in time"));
+    if (pending.m_pin && m_adapters.stateOf(*pending.m_pin) == PinState::Failed)
+        return failedEnd(m_adapters.failureOf(*pending.m_pin));
+    const auto upstream = findUpstream(pending.m_call.m_upstream);
+    if (!upstream)
+        return failedEnd(notRun(FailureType::Unavailable, "the upstream is gone"));
+    return runCall(*upstream, pending.m_call, pending.m_cancelled, m_blackboard.m_metrics, pending.m_sink);
 }
 
 } // namespace marigoldladder
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -1,8 +1,9 @@
-// The owner role: admits work to the upstreams this node owns, loads adapters and evicts them.
+// The owner role: queues calls for the upstreams this node owns and admits them as the upstreams bear.
 #pragma once
 
 #include "core/blackboard.h"
-#include "routing/adapter_slots.h"
+#include "core/periodic_task.h"
+#include "routing/adapter_manager.h"
 #include "routing/serve_call.h"
 #include "routing/upstream_client.h"
 
@@ -12,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <unordered_map>
+#include <vector>
 
 namespace marigoldladder {
 
@@ -36,20 +38,21 @@
     struct UpstreamState;
 
     auto findUpstream(const UpstreamName&) const -> std::optional<Upstream>;
-    auto fencingOf(const UpstreamName&) const -> FencingNumber;
+    auto enqueue(const std::shared_ptr<PendingCall>&) -> bool;
     auto startCalls(UpstreamState&) -> void;
+    auto startAllCalls() -> void;
+    auto readyToStart(const PendingCall&) -> bool;
     auto runPending(UpstreamState&, const std::shared_ptr<PendingCall>&) -> void;
-    auto prepareAdapter(UpstreamState&, const PendingCall&) -> std::optional<Failure>;
-    auto load(std::unique_lock<std::mutex>&, UpstreamState&, const PendingCall&) -> std::optional<Failure>;
-    auto evict(std::unique_lock<std::mutex>&, UpstreamState&, const Upstream&, const AdapterRef&) -> void;
-    auto unpin(UpstreamState&, const AdapterRef&) -> void;
+    auto runAdmitted(const PendingCall&) -> AnswerEnd;
 
     Blackboard& m_blackboard;
     std::mutex m_mutex;
-    std::condition_variable m_changed; // A slot, a call or an adapter changed its state.
+    std::condition_variable m_changed; // A call ended.
     std::map<UpstreamName, std::unique_ptr<UpstreamState>> m_states;
     std::unordered_map<RequestId, std::shared_ptr<PendingCall>> m_calls;
     std::size_t m_running = 0;
+    AdapterManager m_adapters;
+    PeriodicTask m_sweep; // Last: ends calls whose deadline passed while they were queued.
 };
 
 } // namespace marigoldladder
--- a/src/serving/http_answer.cc
+++ b/src/serving/http_answer.cc
@@ -68,7 +68,7 @@
         }
     };
 
-    auto writeStream(httplib::Response& response, std::shared_ptr<StreamWriter> writer) -> void
+    auto writeStream(httplib::Response& response, const std::shared_ptr<StreamWriter>& writer) -> void
     {
         response.set_chunked_content_provider(
             eventStreamType,
@@ -109,7 +109,7 @@
     if (stream) {
         auto writer = std::make_shared<StreamWriter>();
         *writer = { std::move(answer), id, deadline, std::move(finish) };
-        writeStream(response, std::move(writer));
+        writeStream(response, writer);
         return;
     }
     auto body = std::string();
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -57,6 +57,11 @@
     m_exchanges.erase(correlation);
 }
 
+auto PeerLink::makeCallSlot() -> std::shared_ptr<CallSlot>
+{
+    return std::make_shared<CallSlot>();
+}
+
 auto PeerLink::slotHandler(const std::shared_ptr<CallSlot>& slot) -> AnswerHandler
 {
     return [slot](wire::EnvelopeT* answer) {
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -55,7 +55,7 @@
     template <typename Message>
     auto call(Message message, std::chrono::milliseconds timeout) -> Result<wire::EnvelopeT>
     {
-        auto slot = std::make_shared<CallSlot>();
+        auto slot = makeCallSlot();
         const auto correlation = open(std::move(message), slotHandler(slot));
         if (!correlation)
             return mayHaveRun(FailureType::Unavailable, "connection to " + peerVm().value() + " lost");
@@ -65,6 +65,7 @@
 private:
     struct CallSlot;
 
+    static auto makeCallSlot() -> std::shared_ptr<CallSlot>;
     static auto slotHandler(const std::shared_ptr<CallSlot>&) -> AnswerHandler;
     auto registerExchange(AnswerHandler) -> std::uint64_t;
     auto awaitCall(CallSlot&, std::uint64_t correlation, std::chrono::milliseconds timeout)
--- a/test/harness/deployment.cc
+++ b/test/harness/deployment.cc
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -43,6 +44,19 @@
         return parseAddress(ready.value(field, "")).value_or(Address {});
     }
 
+    // An address that nobody listens on. It is drawn from the whole of 127/8, so that programs running beside
+    // each other do not draw the same.
+    auto freeAddress() -> Address
+    {
+        constexpr auto mostPerPart = 253U;
+        constexpr auto leastPort = 20'000U;
+        constexpr auto portCount = 10'000U; // Below those that the system gives out by itself.
+        auto random = std::random_device();
+        const auto part = [&] { return std::to_string(random() % mostPerPart + 1); };
+        const auto host = "127." + part() + "." + part() + "." + part();
+        return { host, static_cast<int>(leastPort + random() % portCount) };
+    }
+
 } // namespace
 
 auto smallPlan() -> DeploymentPlan
@@ -55,6 +69,33 @@
     };
 }
 
+FaultProxy::FaultProxy(const Address& target)
+    : m_process("fakes/fault-proxy", { "--target", formatAddress(target) })
+    , m_address(addressFrom(m_process.ready(), "address"))
+    , m_control(addressFrom(m_process.ready(), "control_address"))
+{
+}
+
+auto FaultProxy::post(const std::string& path, const nlohmann::json& body) const -> void
+{
+    httplib::Client(m_control.m_host, m_control.m_port).Post(path, body.dump(), "application/json");
+}
+
+auto FaultProxy::setMode(const std::string& mode, int delayMilliseconds) const -> void
+{
+    post("/fault", { { "mode", mode }, { "delay_ms", delayMilliseconds } });
+}
+
+auto FaultProxy::cut() const -> void
+{
+    post("/cut", nlohmann::json::object());
+}
+
+auto FaultProxy::silence() const -> void
+{
+    post("/silence", nlohmann::json::object());
+}
+
 Deployment::Deployment(DeploymentPlan plan)
     : m_plan(std::move(plan))
     , m_folder(std::filesystem::temp_directory_path() / ("marigoldladder-" + randomHex(8)))
@@ -62,6 +103,8 @@
     , m_platformAddress(addressFrom(m_platform.ready(), "address"))
 {
     std::filesystem::create_directories(m_folder);
+    if (m_plan.m_proxyPlatform)
+        m_platformProxy = FaultProxy(m_platformAddress);
     for (const auto& upstream : m_plan.m_upstreams)
         startUpstream(upstream);
     for (const auto& node : m_plan.m_nodes)
@@ -77,8 +120,19 @@
 auto Deployment::startNode(const NodePlan& plan) -> RunningNode
 {
     const auto path = m_folder + "/" + plan.m_vm + ".json";
-    std::ofstream(path) << nodeSettings(plan, m_platformAddress).dump(2);
-    auto node = RunningNode { plan, ChildProcess("marigoldladderd", { "--settings", path }), {}, {}, {} };
+    const auto platform = m_plan.m_proxyPlatform ? m_platformProxy.address() : m_platformAddress;
+    auto settings = nodeSettings(plan, platform);
+    auto proxy = FaultProxy();
+    if (m_plan.m_proxyPeers) {
+        // The node listens at an address picked before its start, so that the proxy can point to it.
+        const auto peer = freeAddress();
+        proxy = FaultProxy(peer);
+        settings["peer_address"] = formatAddress(peer);
+        settings["advertised_peer_address"] = formatAddress(proxy.address());
+    }
+    std::ofstream(path) << settings.dump(2);
+    auto node = RunningNode { plan, ChildProcess("marigoldladderd", { "--settings", path }), {}, {}, {}, {} };
+    node.m_peerProxy = std::move(proxy);
     node.m_caller = addressFrom(node.m_process.ready(), "caller_address");
     node.m_operator = addressFrom(node.m_process.ready(), "operator_address");
     node.m_peer = addressFrom(node.m_process.ready(), "peer_address");
@@ -96,10 +150,18 @@
     const auto address = addressFrom(process.ready(), "address");
     m_upstreams[plan.m_name] = std::move(process);
     if (known == m_upstreamAddresses.end())
-        announce(plan, address);
+        announce(plan, proxied(plan, address));
     m_upstreamAddresses[plan.m_name] = address;
 }
 
+auto Deployment::proxied(const UpstreamPlan& plan, const Address& address) -> Address
+{
+    if (!m_plan.m_proxyUpstreams)
+        return address;
+    auto& proxy = m_upstreamProxies[plan.m_name] = FaultProxy(address);
+    return proxy.address();
+}
+
 auto Deployment::announce(const UpstreamPlan& plan, const Address& address) -> void
 {
     auto client = httplib::Client(m_platformAddress.m_host, m_platformAddress.m_port);
@@ -128,6 +190,21 @@
     node = startNode(node.m_plan);
 }
 
+auto Deployment::addNode(const NodePlan& plan) -> std::size_t
+{
+    m_nodes.push_back(startNode(plan));
+    return m_nodes.size() - 1;
+}
+
+auto Deployment::setUpstreamState(const std::string& name, const std::string& state) -> void
+{
+    auto client = httplib::Client(m_platformAddress.m_host, m_platformAddress.m_port);
+    const auto path = "/api/v1/vms/" + name;
+    auto object = nlohmann::json::parse(client.Get(path)->body);
+    object["spec"]["state"] = state;
+    client.Put(path, object.dump(), "application/json");
+}
+
 auto Deployment::restartUpstream(const std::string& name) -> void
 {
     m_upstreams.at(name).kill();
@@ -195,7 +272,7 @@
     client.set_tcp_nodelay(true);
     client.set_read_timeout(std::chrono::seconds(20));
     if (!key.empty())
-        client.set_bearer_token_auth(key.c_str());
+        client.set_bearer_token_auth(key);
     return client;
 }
 
--- a/test/harness/deployment.h
+++ b/test/harness/deployment.h
@@ -29,9 +29,37 @@
     bool m_checksFencing = false;
 };
 
+// A fault proxy in front of one address.
+class FaultProxy {
+public:
+    FaultProxy() = default;
+    explicit FaultProxy(const Address& target);
+
+    auto address() const -> const Address& { return m_address; }
+
+    // Sets the mode: "pass", "refuse", "drop_replies" or "hang".
+    auto setMode(const std::string& mode, int delayMilliseconds = 0) const -> void;
+
+    // Closes the connections there are.
+    auto cut() const -> void;
+
+    // Makes the connections there are silent for good; new ones work.
+    auto silence() const -> void;
+
+private:
+    auto post(const std::string& path, const nlohmann::json& body) const -> void;
+
+    ChildProcess m_process;
+    Address m_address;
+    Address m_control;
+};
+
 struct DeploymentPlan {
     std::vector<NodePlan> m_nodes;
     std::vector<UpstreamPlan> m_upstreams;
+    bool m_proxyPlatform = false; // Nodes reach the platform through a fault proxy.
+    bool m_proxyPeers = false; // Nodes reach each other through fault proxies, one before each node.
+    bool m_proxyUpstreams = false; // Nodes reach upstreams through fault proxies, one before each.
 };
 
 // Two nodes and two engines in two data centres, and one plain service.
@@ -44,6 +72,7 @@
     Address m_caller;
     Address m_operator;
     Address m_peer;
+    FaultProxy m_peerProxy; // Runs only where the plan asks for it.
 };
 
 // The operator that every deployment knows.
@@ -64,9 +93,19 @@
     auto upstream(const std::string& name) -> ChildProcess& { return m_upstreams.at(name); }
     auto upstreamAddress(const std::string& name) const -> Address;
 
+    // The proxies that the plan asked for.
+    auto platformProxy() -> FaultProxy& { return m_platformProxy; }
+    auto upstreamProxy(const std::string& name) -> FaultProxy& { return m_upstreamProxies.at(name); }
+
     // Starts the node again, as a new process with the same name.
     auto restartNode(std::size_t index) -> void;
 
+    // Starts a node that the plan did not name; returns its index.
+    auto addNode(const NodePlan&) -> std::size_t;
+
+    // Sets the state that the platform lists for an upstream: "live" or "leaving".
+    auto setUpstreamState(const std::string& name, const std::string& state) -> void;
+
     // Starts the upstream again at the same address, with everything it had loaded lost.
     auto restartUpstream(const std::string& name) -> void;
 
@@ -88,6 +127,7 @@
 private:
     auto startNode(const NodePlan&) -> RunningNode;
     auto startUpstream(const UpstreamPlan&) -> void;
+    auto proxied(const UpstreamPlan&, const Address&) -> Address;
     auto announce(const UpstreamPlan&, const Address&) -> void;
 
     DeploymentPlan m_plan;
@@ -95,7 +135,9 @@
     ChildProcess m_platform;
     Address m_platformAddress;
     std::map<std::string, ChildProcess> m_upstreams;
+    FaultProxy m_platformProxy;
     std::map<std::string, Address> m_upstreamAddresses;
+    std::map<std::string, FaultProxy> m_upstreamProxies;
     std::vector<RunningNode> m_nodes;
 };
 
