--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -2,6 +2,7 @@
 //
 // The text it generates is a function of adapter, version, prompt and position, so that whoever asked can
 // check every token. `GET /records` returns all it was asked, with the headers that came along.
+#include "expected_text.h"
 #include "fake_server.h"
 
 #include "core/random_bytes.h"
@@ -52,9 +53,7 @@
     // The token that a model gives at a position of the answer to a prompt.
     auto tokenAt(const Generation& generation, int position) -> std::string
     {
-        const auto hash = std::hash<std::string>()(generation.m_model + "|" + generation.m_prompt);
-        constexpr auto shownDigits = 100'000U;
-        return "t" + std::to_string((hash + static_cast<unsigned>(position)) % shownDigits) + " ";
+        return expectedToken(generation.m_model, generation.m_prompt, position);
     }
 
     class FakeEngine {
@@ -90,7 +89,8 @@
         for (const auto& [name, value] : request.headers)
             headers[name] = value;
         const auto lock = std::lock_guard(m_mutex);
-        m_records.push_back({ { "path", request.path }, { "headers", headers }, { "body", request.body } });
+        m_records.push_back({ { "at_ms", wallClockMilliseconds() }, { "path", request.path },
+            { "headers", headers }, { "body", request.body } });
     }
 
     auto FakeEngine::refusesFencing(const httplib::Request& request, httplib::Response& response) -> bool
--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -1,5 +1,6 @@
 #include "fake_server.h"
 
+#include <chrono>
 #include <csignal>
 #include <iostream>
 
@@ -46,6 +47,12 @@
     response.set_content(json.dump(), "application/json");
 }
 
+auto wallClockMilliseconds() -> std::int64_t
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 auto bodyOf(const httplib::Request& request) -> nlohmann::json
 {
     auto json = nlohmann::json::parse(request.body, nullptr, false);
--- a/fakes/fake_server.h
+++ b/fakes/fake_server.h
@@ -3,6 +3,7 @@
 
 #include "marigoldladder/settings.h"
 
+#include <cstdint>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -18,6 +19,9 @@
 // Writes JSON as the whole answer.
 auto answerJson(httplib::Response&, const nlohmann::json&, int status = 200) -> void;
 
+// Returns the time of day in milliseconds since 1970, for records that are compared between processes.
+auto wallClockMilliseconds() -> std::int64_t;
+
 // Reads the request's body as a JSON object; an empty object when it is none.
 auto bodyOf(const httplib::Request&) -> nlohmann::json;
 
--- a/fakes/fake_service.cc
+++ b/fakes/fake_service.cc
@@ -37,7 +37,8 @@
                 headers[name] = value;
             const auto key = request.get_header_value("Idempotency-Key");
             const auto lock = std::lock_guard(m_mutex);
-            m_records.push_back({ { "path", request.path }, { "headers", headers } });
+            m_records.push_back(
+                { { "at_ms", wallClockMilliseconds() }, { "path", request.path }, { "headers", headers } });
             if (!key.empty())
                 ++m_runs[key];
             answerJson(response, { { "path", request.path }, { "runs", key.empty() ? 0 : m_runs[key] } });
--- a/test/harness/deployment.cc
+++ b/test/harness/deployment.cc
@@ -16,6 +16,7 @@
     constexpr auto loopback = "127.0.0.1:0";
     constexpr auto fleetSecret = "fleet-secret-for-tests-only";
     constexpr auto startTimeout = std::chrono::milliseconds(15'000);
+    constexpr auto statusTimeout = std::chrono::milliseconds(500);
     constexpr auto pollStep = std::chrono::milliseconds(10);
 
     auto nodeSettings(const NodePlan& plan, const Address& platform) -> nlohmann::json
@@ -103,6 +104,7 @@
     , m_platformAddress(addressFrom(m_platform.ready(), "address"))
 {
     std::filesystem::create_directories(m_folder);
+    std::ofstream(credentialFile()) << operatorCredential << "\n";
     if (m_plan.m_proxyPlatform)
         m_platformProxy = FaultProxy(m_platformAddress);
     for (const auto& upstream : m_plan.m_upstreams)
@@ -117,6 +119,11 @@
     std::filesystem::remove_all(m_folder, ignored);
 }
 
+auto Deployment::credentialFile() const -> std::string
+{
+    return m_folder + "/credential";
+}
+
 auto Deployment::startNode(const NodePlan& plan) -> RunningNode
 {
     const auto path = m_folder + "/" + plan.m_vm + ".json";
@@ -223,6 +230,30 @@
     return client.Post("/v1/notes", note.dump(), "application/json");
 }
 
+auto Deployment::revisionAt(std::size_t nodeIndex) -> std::optional<Revision>
+{
+    const auto& address = m_nodes.at(nodeIndex).m_operator;
+    auto client = httplib::Client(address.m_host, address.m_port);
+    client.set_bearer_token_auth(operatorCredential);
+    client.set_connection_timeout(statusTimeout);
+    client.set_read_timeout(statusTimeout);
+    const auto answer = client.Get("/v1/status");
+    if (!answer || answer->status != 200)
+        return std::nullopt;
+    return nlohmann::json::parse(answer->body).value("revision", Revision { 0 });
+}
+
+auto Deployment::waitUntilInForce(Revision revision, std::chrono::milliseconds atMost) -> bool
+{
+    return waitUntil(atMost, [&] {
+        for (auto i = std::size_t { 0 }; i < m_nodes.size(); ++i) {
+            if (revisionAt(i).value_or(0) < revision)
+                return false;
+        }
+        return true;
+    });
+}
+
 auto Deployment::setPlatformFault(const nlohmann::json& fault) -> void
 {
     httplib::Client(m_platformAddress.m_host, m_platformAddress.m_port)
--- a/test/harness/deployment.h
+++ b/test/harness/deployment.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "harness/child_process.h"
+#include "marigoldladder/ids.h"
 #include "marigoldladder/settings.h"
 
 #include <chrono>
@@ -9,6 +10,7 @@
 #include <httplib.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -87,6 +89,9 @@
     auto operator=(const Deployment&) -> Deployment& = delete;
     ~Deployment();
 
+    // A file with the known operator's credential, for marigoldctl.
+    auto credentialFile() const -> std::string;
+
     auto platform() const -> const Address& { return m_platformAddress; }
     auto node(std::size_t index) -> RunningNode& { return m_nodes.at(index); }
     auto nodeCount() const -> std::size_t { return m_nodes.size(); }
@@ -112,6 +117,12 @@
     // Hands a release note to a node as the known operator; returns the HTTP answer.
     auto applyNote(std::size_t nodeIndex, const nlohmann::json& note) -> httplib::Result;
 
+    // Returns the revision that a node says is in force there; nothing when it does not answer.
+    auto revisionAt(std::size_t nodeIndex) -> std::optional<Revision>;
+
+    // Waits until every node says that at least this revision is in force; false when one did not in time.
+    auto waitUntilInForce(Revision, std::chrono::milliseconds atMost) -> bool;
+
     // Sets faults of the platform, for example `{"mode":"down"}`.
     auto setPlatformFault(const nlohmann::json& fault) -> void;
 
