--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -41,6 +41,8 @@
         return std::nullopt;
     auto envelope = wire::EnvelopeT();
     root->UnPackTo(&envelope);
+    if (envelope.body.type == wire::Body::NONE || !envelope.body.value)
+        return std::nullopt; // A body whose type is missing or of a later version.
     return envelope;
 }
 
--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -100,6 +100,13 @@
         ::kill(m_pid, number);
 }
 
+auto ChildProcess::hasEnded() -> bool
+{
+    if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid)
+        m_pid = -1;
+    return m_pid <= 0;
+}
+
 auto ChildProcess::kill() -> void
 {
     if (m_pid <= 0)
--- a/test/harness/child_process.h
+++ b/test/harness/child_process.h
@@ -27,6 +27,10 @@
     // The ready line's JSON.
     auto ready() const -> const nlohmann::json& { return m_ready; }
     auto running() const -> bool { return m_pid > 0; }
+
+    // Whether the process has ended by itself; from then on it counts as not running.
+    auto hasEnded() -> bool;
+
     auto pid() const -> pid_t { return m_pid; }
 
     // Sends a signal; SIGSTOP and SIGCONT freeze and resume the process.
--- a/test/harness/deployment.h
+++ b/test/harness/deployment.h
@@ -92,6 +92,7 @@
     // A file with the known operator's credential, for marigoldctl.
     auto credentialFile() const -> std::string;
 
+    auto plan() const -> const DeploymentPlan& { return m_plan; }
     auto platform() const -> const Address& { return m_platformAddress; }
     auto node(std::size_t index) -> RunningNode& { return m_nodes.at(index); }
     auto nodeCount() const -> std::size_t { return m_nodes.size(); }
