Spread release notes by peers, and keep the log whole

Withdrawals and drains are in force ahead of their record when the platform is away, and enter the log once by note id.

--- a/include/marigoldladder/configuration.h
+++ b/include/marigoldladder/configuration.h
@@ -4,9 +4,12 @@
 #include "marigoldladder/enum_names.h"
 #include "marigoldladder/ids.h"
 
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace marigoldladder {
@@ -66,17 +69,36 @@
 // Returns the key under which a drain is kept: scope and name.
 auto drainKey(DrainScope, const std::string& name) -> std::string;
 
+// Where a release note came from, so that a refusal can show whose change stands against it.
+struct NoteOrigin {
+    NoteId m_id;
+    std::string m_author;
+    std::string m_office;
+};
+
+// The newest notes whose ids and withdrawals are remembered. A note that comes back later is taken as new.
+inline constexpr auto rememberedNotes = std::size_t { 20'000 };
+
+struct ReleaseNote;
+
 // Everything in force after `m_revision` release notes.
 struct Configuration {
     Revision m_revision = 0;
+    bool m_complete = false; // Came whole from the log or from a peer; until then nothing is served.
     std::unordered_map<OrganisationName, Organisation> m_organisations;
     std::unordered_map<KeyId, KeyGrant> m_keys;
     std::unordered_map<AdapterRef, Adapter> m_adapters;
     std::unordered_map<RouteName, Route> m_routes;
     std::unordered_map<std::string, Drain> m_drains; // By `drainKey`.
-    std::unordered_set<NoteId> m_appliedNotes; // Notes never to be applied a second time.
+    std::unordered_map<std::string, Revision> m_withdrawals; // Items withdrawn of late, by `itemKey`.
+    std::unordered_map<NoteId, Revision> m_appliedNotes; // Notes never to be applied a second time.
+    std::deque<NoteOrigin> m_recentNotes; // One for each of the newest revisions, the last one's at the back.
+    std::map<NoteId, std::shared_ptr<const ReleaseNote>> m_pending; // Restrictions not yet in the log.
 };
 
+// Returns the origin of the note that made `revision`, or a null pointer when it is no longer remembered.
+auto originOf(const Configuration&, Revision) -> const NoteOrigin*;
+
 // Whether operators took this VM, or the data centre it stands in, out of service.
 auto isOut(const Configuration&, const VmName&, const DataCentreName&) -> bool;
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -126,6 +127,13 @@
     double m_defaultFraction = 0; // For organisations without a row.
 };
 
+// The newest release notes as JSON texts, for peers that are behind.
+struct NoteHistory {
+    Revision m_first = 1; // The revision of the first text.
+    std::deque<std::string> m_texts;
+    std::size_t m_bytes = 0;
+};
+
 // How this node itself is doing.
 struct NodeHealth {
     bool m_configured = false; // A configuration is in force; until then nothing is served.
@@ -136,6 +144,7 @@
 
 struct Blackboard {
     Section<Configuration> m_configuration; // Written by the configuration controller (fleet).
+    Section<NoteHistory> m_noteHistory; // Written by the configuration controller (fleet).
     Section<Membership> m_membership; // Written by the membership controller (fleet).
     Section<UpstreamTable> m_upstreams; // Written by the discovery controller (fleet).
     Section<AssignmentTable> m_assignments; // Written by the ownership controller (routing).
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include "fleet/discovery_controller.h"
 #include "fleet/gossip.h"
 #include "fleet/membership_controller.h"
+#include "fleet/note_spreader.h"
 #include "fleet/peer_links.h"
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
@@ -24,7 +25,8 @@
 
 namespace {
 
-    constexpr auto configurationPeriod = std::chrono::milliseconds(300);
+    constexpr auto configurationPeriod = std::chrono::milliseconds(100);
+    constexpr auto notesPeriod = std::chrono::milliseconds(150);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto gossipPeriod = std::chrono::milliseconds(200);
     constexpr auto addressExpiry = std::chrono::milliseconds(2500);
@@ -46,16 +48,19 @@
         , m_platform(m_settings.m_platformAddress, m_blackboard.m_metrics)
         , m_log(m_platform)
         , m_identity { m_settings.m_vm, makeIncarnation(), m_settings.m_fleetSecret }
+        , m_follower(m_blackboard, m_log, m_settings.m_vm, m_settings.m_dataCentre)
+        , m_notes(m_blackboard, m_links, m_identity, m_settings.m_dataCentre, m_settings.m_seedPeers)
         , m_links(m_blackboard, m_identity)
         , m_owner(m_blackboard)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(m_blackboard)
         , m_runner(m_blackboard, m_owners)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
-        , m_operators(m_settings, m_blackboard, m_log)
+        , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
+        m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings.m_vm, m_gossipRandom); });
@@ -64,6 +69,7 @@
     auto startPeerServer() -> void;
     auto setOwnMember(MemberState) -> Member;
     auto followConfiguration() -> void;
+    auto spreadNotes() -> void;
     auto followFleet() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
@@ -72,6 +78,8 @@
     PlatformClient m_platform;
     ReleaseLog m_log;
     PeerIdentity m_identity;
+    ConfigurationController m_follower; // Used by the configuration task only.
+    NoteSpreader m_notes; // Before the links, whose threads call it until they end.
     PeerLinks m_links;
     Owner m_owner;
     OwnerClient m_owners;
@@ -83,6 +91,7 @@
     std::optional<PeerServer> m_peers;
     bool m_published = false;
     std::optional<PeriodicTask> m_configurationTask;
+    std::optional<PeriodicTask> m_notesTask;
     std::optional<PeriodicTask> m_fleetTask;
     std::mt19937_64 m_gossipRandom { std::random_device()() }; // Used by the gossip task only.
     std::optional<PeriodicTask> m_gossipTask;
@@ -124,14 +133,24 @@
 
 auto Node::Implementation::followConfiguration() -> void
 {
-    const auto followed = followReleaseLog(m_blackboard, m_log);
+    const auto reached = m_follower.step();
+    const auto complete
+        = m_blackboard.m_configuration.read([](const Configuration& value) { return value.m_complete; });
     const auto changed = m_blackboard.m_health.write([&](NodeHealth& health) {
-        const auto before = std::exchange(health.m_platformReachable, followed.has_value());
-        health.m_configured = health.m_configured || followed.has_value();
-        return before != followed.has_value();
+        health.m_configured = complete;
+        return reached && std::exchange(health.m_platformReachable, *reached) != *reached;
     });
     if (changed)
-        logChange(followed ? "platform_reachable" : "platform_unreachable");
+        logChange(*reached ? "platform_reachable" : "platform_unreachable");
+}
+
+// A node that got its configuration from a peer serves from then on, also while the platform hangs.
+auto Node::Implementation::spreadNotes() -> void
+{
+    m_notes.round();
+    const auto complete
+        = m_blackboard.m_configuration.read([](const Configuration& value) { return value.m_complete; });
+    m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
 auto Node::Implementation::followFleet() -> void
@@ -156,6 +175,9 @@
         handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
         break;
     }
+    case wire::Body::NotesRequest:
+        m_notes.handleRequest(connection, envelope);
+        break;
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
--- a/src/ops/operator_server.cc
+++ b/src/ops/operator_server.cc
@@ -5,6 +5,7 @@
 #include "core/secret_digest.h"
 
 #include <algorithm>
+#include <charconv>
 #include <ctime>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -19,6 +20,8 @@
     constexpr auto readTimeout = std::chrono::milliseconds(5000);
     constexpr auto bearerPrefix = std::string_view("Bearer ");
     constexpr auto jsonType = "application/json";
+    constexpr auto statusAccepted = 202;
+    constexpr auto mostLogEntries = std::uint64_t { 1000 };
 
     auto nowAsText() -> std::string
     {
@@ -42,47 +45,106 @@
         response.set_content(json.dump(), jsonType);
     }
 
+    auto writeReceipt(httplib::Response& response, const NoteReceipt& receipt) -> void
+    {
+        auto json = nlohmann::json { { "result", nameOf(noteResultNames, receipt.m_result) } };
+        if (receipt.m_revision != 0)
+            json["revision"] = receipt.m_revision;
+        if (receipt.m_result == NoteResult::InForceUnrecorded) {
+            response.status = statusAccepted;
+            json["peers_told"] = receipt.m_peersTold;
+        }
+        response.set_content(json.dump(), jsonType);
+    }
+
     auto writeFaults(httplib::Response& response, const std::vector<FieldFault>& faults) -> void
     {
-        auto json = nlohmann::json { { "error", { { "type", "bad_request" }, { "verdict", "not_run" } } } };
+        auto json = nlohmann::json { { "result", nameOf(noteResultNames, NoteResult::Refused) },
+            { "error", { { "type", "bad_request" }, { "verdict", "not_run" } } } };
         for (const auto& fault : faults)
             json["error"]["faults"].push_back({ { "path", fault.m_path }, { "message", fault.m_message } });
         response.status = httpStatus(FailureType::BadRequest);
         response.set_content(json.dump(), jsonType);
     }
 
+    // Returns an entry of the audit trail without what is derived from secrets.
+    auto describeEntry(const LogEntry& entry) -> nlohmann::json
+    {
+        auto json = nlohmann::json::parse(formatReleaseNote(entry.m_note));
+        json["revision"] = entry.m_revision;
+        for (auto& change : json["changes"]) {
+            change.erase("salt");
+            change.erase("secret_digest");
+        }
+        return json;
+    }
+
+    // Reads a whole number from the query; the fallback when it is missing or none.
+    auto queryNumber(const httplib::Request& request, const char* name, std::uint64_t fallback)
+        -> std::uint64_t
+    {
+        const auto text = request.get_param_value(name);
+        auto number = fallback;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
+    }
+
 } // namespace
 
 struct OperatorServer::Implementation {
-    Implementation(const NodeSettings& settings, Blackboard& blackboard, ReleaseLog& log)
+    Implementation(
+        const NodeSettings& settings, Blackboard& blackboard, ReleaseLog& log, NoteSpreader& spreader)
         : m_settings(settings)
         , m_blackboard(blackboard)
         , m_log(log)
+        , m_acceptance(blackboard, log, spreader)
     {
     }
 
+    // Answers a call of an operator who has proved who they are.
+    using Handler
+        = auto(Implementation::*)(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
+
     auto listen() -> void;
     auto authenticated(const httplib::Request&) const -> const OperatorGrant*;
-    auto applyNote(const httplib::Request&, httplib::Response&) -> void;
-    auto answerStatus(const httplib::Request&, httplib::Response&) -> void;
+    auto guarded(Handler) -> httplib::Server::Handler;
+    auto applyNote(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
+    auto answerLog(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
+    auto answerStatus(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
+    auto describeConfiguration() const -> nlohmann::json;
 
     const NodeSettings& m_settings;
     Blackboard& m_blackboard;
     ReleaseLog& m_log;
+    NoteAcceptance m_acceptance;
     httplib::Server m_server;
     int m_port = 0;
     PosixThread m_thread;
 };
 
+// Wraps a handler so that it runs only for operators with a right credential.
+auto OperatorServer::Implementation::guarded(Handler handler) -> httplib::Server::Handler
+{
+    return [this, handler](const httplib::Request& request, httplib::Response& response) {
+        if (const auto* grant = authenticated(request)) {
+            (this->*handler)(*grant, request, response);
+            return;
+        }
+        m_blackboard.m_metrics.add(Counter::AuthenticationRefusals);
+        writeError(
+            response, notRun(FailureType::Unauthorised, "the operator's credential is missing or wrong"));
+    };
+}
+
 auto OperatorServer::Implementation::listen() -> void
 {
     m_server.new_task_queue = [] { return new httplib::ThreadPool(operatorThreads); };
     m_server.set_tcp_nodelay(true);
     m_server.set_payload_max_length(maxNoteBytes);
     m_server.set_read_timeout(readTimeout);
-    m_server.Post("/v1/notes", [this](const auto& request, auto& response) { applyNote(request, response); });
-    m_server.Get(
-        "/v1/status", [this](const auto& request, auto& response) { answerStatus(request, response); });
+    m_server.Post("/v1/notes", guarded(&Implementation::applyNote));
+    m_server.Get("/v1/notes", guarded(&Implementation::answerLog));
+    m_server.Get("/v1/status", guarded(&Implementation::answerStatus));
     const auto& address = m_settings.m_operatorAddress;
     if (address.m_port == 0)
         m_port = m_server.bind_to_any_port(address.m_host);
@@ -112,57 +174,85 @@
     return nullptr;
 }
 
-auto OperatorServer::Implementation::applyNote(const httplib::Request& request, httplib::Response& response)
-    -> void
+auto OperatorServer::Implementation::applyNote(
+    const OperatorGrant& grant, const httplib::Request& request, httplib::Response& response) -> void
 {
-    const auto* grant = authenticated(request);
-    if (!grant) {
-        writeError(
-            response, notRun(FailureType::Unauthorised, "the operator's credential is missing or wrong"));
-        return;
-    }
     auto parsed = parseReleaseNote(request.body);
     if (!parsed) {
         writeFaults(response, parsed.error().m_faults);
         return;
     }
     auto& note = parsed.value();
-    note.m_author = grant->m_name;
-    note.m_office = grant->m_office;
+    note.m_author = grant.m_name;
+    note.m_office = grant.m_office;
     note.m_acceptedAt = nowAsText();
-    const auto revision = recordReleaseNote(m_blackboard, m_log, note);
-    if (!revision) {
-        writeError(response, revision.error());
-        return;
-    }
-    logChange("note_recorded",
+    const auto receipt = m_acceptance.accept(note);
+    logChange("note_handled",
         { { "note_id", note.m_id.value() }, { "author", note.m_author }, { "office", note.m_office },
-            { "revision", std::to_string(revision.value()) } });
-    response.set_content(nlohmann::json { { "revision", revision.value() } }.dump(), jsonType);
+            { "result", std::string(nameOf(noteResultNames, receipt.m_result)) } });
+    if (receipt.m_result == NoteResult::Refused)
+        writeFaults(response, receipt.m_faults);
+    else if (receipt.m_result == NoteResult::Failed)
+        writeError(response, receipt.m_failure);
+    else
+        writeReceipt(response, receipt);
 }
 
-auto OperatorServer::Implementation::answerStatus(
-    const httplib::Request& request, httplib::Response& response) -> void
+auto OperatorServer::Implementation::answerLog(
+    const OperatorGrant&, const httplib::Request& request, httplib::Response& response) -> void
 {
-    if (!authenticated(request)) {
-        writeError(
-            response, notRun(FailureType::Unauthorised, "the operator's credential is missing or wrong"));
+    const auto after = queryNumber(request, "after", 0);
+    const auto most = std::min(queryNumber(request, "limit", mostLogEntries), mostLogEntries);
+    const auto entries = m_log.history(after, most);
+    if (!entries) {
+        writeError(response, entries.error());
         return;
     }
-    auto json = nlohmann::json { { "vm", m_settings.m_vm.value() }, { "members", nlohmann::json::array() } };
-    json["revision"] = m_blackboard.m_configuration.read([](const auto& value) { return value.m_revision; });
-    for (const auto& [vm, member] : m_blackboard.m_membership.copy().m_members)
+    auto json = nlohmann::json { { "notes", nlohmann::json::array() } };
+    for (const auto& entry : entries.value())
+        json["notes"].push_back(describeEntry(entry));
+    response.set_content(json.dump(), jsonType);
+}
+
+auto OperatorServer::Implementation::describeConfiguration() const -> nlohmann::json
+{
+    return m_blackboard.m_configuration.read([](const Configuration& value) {
+        auto json = nlohmann::json { { "revision", value.m_revision }, { "configured", value.m_complete },
+            { "unrecorded", nlohmann::json::array() }, { "drains", nlohmann::json::array() } };
+        for (const auto& [id, note] : value.m_pending)
+            json["unrecorded"].push_back(id.value());
+        for (const auto& [key, drain] : value.m_drains)
+            json["drains"].push_back({ { "scope", nameOf(drainScopeNames, drain.m_scope) },
+                { "name", drain.m_name }, { "changed_in", drain.m_changedIn } });
+        return json;
+    });
+}
+
+auto OperatorServer::Implementation::answerStatus(
+    const OperatorGrant&, const httplib::Request&, httplib::Response& response) -> void
+{
+    auto json = describeConfiguration();
+    const auto health = m_blackboard.m_health.copy();
+    json["vm"] = m_settings.m_vm.value();
+    json["platform_reachable"] = health.m_platformReachable;
+    json["draining"] = health.m_draining;
+    json["requests_in_flight"] = health.m_requestsInFlight;
+    json["members"] = nlohmann::json::array();
+    for (const auto& [vm, member] : m_blackboard.m_membership.copy().m_members) {
+        const auto own = vm == m_settings.m_vm;
         json["members"].push_back({
             { "vm", vm.value() },
             { "data_centre", member.m_dataCentre.value() },
             { "state", nameOf(memberStateNames, member.m_state) },
-            { "revision", member.m_revision },
+            { "revision", own ? json["revision"].get<Revision>() : member.m_revision },
         });
+    }
     response.set_content(json.dump(), jsonType);
 }
 
-OperatorServer::OperatorServer(const NodeSettings& settings, Blackboard& blackboard, ReleaseLog& log)
-    : m_implementation(std::make_unique<Implementation>(settings, blackboard, log))
+OperatorServer::OperatorServer(
+    const NodeSettings& settings, Blackboard& blackboard, ReleaseLog& log, NoteSpreader& spreader)
+    : m_implementation(std::make_unique<Implementation>(settings, blackboard, log, spreader))
 {
     m_implementation->listen();
 }
--- a/src/ops/operator_server.h
+++ b/src/ops/operator_server.h
@@ -1,7 +1,7 @@
 // The HTTP interface for operators: hand over release notes, read the log and the node's state.
 #pragma once
 
-#include "fleet/configuration_controller.h"
+#include "ops/note_acceptance.h"
 
 #include <memory>
 
@@ -10,7 +10,7 @@
 // Serves operators from construction until `stop`. Every call needs `Authorization: Bearer NAME.CREDENTIAL`.
 class OperatorServer {
 public:
-    OperatorServer(const NodeSettings&, Blackboard&, ReleaseLog&);
+    OperatorServer(const NodeSettings&, Blackboard&, ReleaseLog&, NoteSpreader&);
     OperatorServer(const OperatorServer&) = delete;
     auto operator=(const OperatorServer&) -> OperatorServer& = delete;
     ~OperatorServer();
