Give operators a client library, lines for faults, drains and the log

marigoldctl knew one node and printed bare answers. Tried by hand: a file with four faults prints four lines.

--- a/daemons/marigoldctl.cc
+++ b/daemons/marigoldctl.cc
@@ -1,14 +1,15 @@
 // The operators' client.
-#include "marigoldladder/release_note.h"
+#include "marigoldladder/operator_client.h"
+#include "ops/report_text.h"
 
+#include <charconv>
 #include <docopt/docopt.h>
 #include <fstream>
-#include <httplib.h>
 #include <iostream>
 #include <iterator>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 
 namespace {
 
@@ -17,14 +18,20 @@
 constexpr auto usage = R"(marigoldctl - hands release notes to the fleet and shows its state.
 
 Usage:
-  marigoldctl note check FILE
-  marigoldctl note apply FILE --node ADDRESS --credential-file PATH
-  marigoldctl status --node ADDRESS --credential-file PATH
+  marigoldctl note check FILE [--json]
+  marigoldctl note apply FILE --node ADDRESSES... --credential-file PATH [--json]
+  marigoldctl note log --node ADDRESSES... --credential-file PATH [--after REVISION] [--json]
+  marigoldctl dc (out | in) NAME --node ADDRESSES... --credential-file PATH [--json]
+  marigoldctl vm (out | in) NAME --node ADDRESSES... --credential-file PATH [--json]
+  marigoldctl status --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl (-h | --help)
 
 Options:
-  --node ADDRESS          The operator address of any node, such as 127.0.0.1:7002.
+  --node ADDRESSES        Operator addresses such as 127.0.0.1:7002, separated by commas; may be given
+                          several times. They are tried in turn.
   --credential-file PATH  A file with NAME.CREDENTIAL.
+  --after REVISION        Show the notes after this revision [default: 0].
+  --json                  Print one JSON object.
   -h --help               Print this text.
 
 Exit codes: 0 done, 1 refused, 2 usage, 3 outcome unknown, 4 in force but not yet recorded.
@@ -33,88 +40,129 @@
 // The command line as docopt reads it.
 using Arguments = std::map<std::string, docopt::value>;
 
-constexpr auto exitRefused = 1;
-constexpr auto exitUsage = 2;
-constexpr auto exitUnknown = 3;
-constexpr auto statusServerError = 500;
+// A command line that can't be carried out; its text says why.
+struct UsageError {
+    std::string m_message;
+};
 
-auto readFile(const std::string& path) -> std::optional<std::string>
+auto readFile(const std::string& path) -> std::string
 {
     auto file = std::ifstream(path);
-    if (!file) {
-        std::cerr << path << ": can't be read\n";
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(file), {});
+    if (!file)
+        throw UsageError { path + " can't be read" };
+    return { std::istreambuf_iterator<char>(file), {} };
 }
 
-// Reads and checks a note by itself; prints every fault.
-auto readNote(const std::string& path) -> std::optional<ReleaseNote>
+auto readNodes(const Arguments& arguments) -> std::vector<Address>
 {
-    const auto text = readFile(path);
-    if (!text)
-        return std::nullopt;
-    auto note = parseReleaseNote(*text);
-    if (note)
-        return std::move(note.value());
-    for (const auto& fault : note.error().m_faults)
-        std::cerr << path << ": " << fault.m_path << " " << fault.m_message << "\n";
-    return std::nullopt;
+    auto nodes = std::vector<Address>();
+    for (const auto& group : arguments.at("--node").asStringList()) {
+        auto rest = std::istringstream(group);
+        for (auto text = std::string(); std::getline(rest, text, ',');) {
+            const auto address = parseAddress(text);
+            if (!address)
+                throw UsageError { "--node must name an IP number and a port, not " + text };
+            nodes.push_back(*address);
+        }
+    }
+    return nodes;
 }
 
-// A client for the node's operator port that proves who the operator is.
-auto makeClient(const Arguments& arguments) -> std::optional<httplib::Client>
+auto makeClient(const Arguments& arguments) -> OperatorClient
 {
-    const auto address = parseAddress(arguments.at("--node").asString());
     auto credential = readFile(arguments.at("--credential-file").asString());
-    if (!address || !credential) {
-        std::cerr << "--node must be an IP number and a port\n";
-        return std::nullopt;
-    }
-    while (!credential->empty() && credential->back() == '\n')
-        credential->pop_back();
-    auto client = httplib::Client(address->m_host, address->m_port);
-    client.set_bearer_token_auth(*credential);
-    return client;
+    while (!credential.empty() && credential.back() == '\n')
+        credential.pop_back();
+    return { readNodes(arguments), credential };
 }
 
-auto report(const httplib::Result& answer) -> int
+auto readRevision(const Arguments& arguments) -> Revision
 {
-    if (!answer) {
-        std::cerr << "no answer from the node\n";
-        return answer.error() == httplib::Error::Connection ? exitRefused : exitUnknown;
-    }
-    std::cout << answer->body << "\n";
-    if (answer->status < 400)
-        return 0;
-    return answer->status >= statusServerError ? exitUnknown : exitRefused;
+    const auto text = arguments.at("--after").asString();
+    auto revision = Revision { 0 };
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), revision);
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size())
+        throw UsageError { "--after must be a whole number" };
+    return revision;
+}
+
+auto styleOf(const Arguments& arguments) -> OutputStyle
+{
+    return arguments.at("--json").asBool() ? OutputStyle::Json : OutputStyle::Text;
+}
+
+auto checkNote(const Arguments& arguments) -> CommandResult
+{
+    const auto file = arguments.at("FILE").asString();
+    auto report = ApplyReport();
+    report.m_faults = checkNoteText(readFile(file));
+    report.m_result = report.m_faults.empty() ? CommandResult::Done : CommandResult::Refused;
+    const auto silent = report.m_faults.empty() && styleOf(arguments) == OutputStyle::Text;
+    std::cout << (silent ? "no fault\n" : formatReport(file, report, styleOf(arguments)));
+    return report.m_result;
+}
+
+auto printReport(const Arguments& arguments, const std::string& file, const ApplyReport& report)
+    -> CommandResult
+{
+    std::cout << formatReport(file, report, styleOf(arguments));
+    return report.m_result;
+}
+
+auto setDrain(const Arguments& arguments, DrainScope scope) -> CommandResult
+{
+    const auto name = arguments.at("NAME").asString();
+    return printReport(
+        arguments, name, makeClient(arguments).setDrain(scope, name, arguments.at("out").asBool()));
 }
 
-auto applyNote(const Arguments& arguments) -> int
+auto run(const Arguments& arguments) -> CommandResult
 {
-    const auto note = readNote(arguments.at("FILE").asString());
-    if (!note)
-        return exitRefused;
-    auto client = makeClient(arguments);
-    if (!client)
-        return exitUsage;
-    return report(client->Post("/v1/notes", formatReleaseNote(*note), "application/json"));
+    if (arguments.at("check").asBool())
+        return checkNote(arguments);
+    if (arguments.at("apply").asBool()) {
+        const auto file = arguments.at("FILE").asString();
+        return printReport(arguments, file, makeClient(arguments).apply(readFile(file)));
+    }
+    if (arguments.at("log").asBool()) {
+        const auto report = makeClient(arguments).log(readRevision(arguments));
+        std::cout << formatLog(report, styleOf(arguments));
+        return report.m_result;
+    }
+    if (arguments.at("dc").asBool())
+        return setDrain(arguments, DrainScope::DataCentre);
+    if (arguments.at("vm").asBool())
+        return setDrain(arguments, DrainScope::Vm);
+    const auto report = makeClient(arguments).status();
+    std::cout << formatStatus(report, styleOf(arguments));
+    return report.m_result;
 }
 
-auto showStatus(const Arguments& arguments) -> int
+// Reads the command line; a wrong one ends the program with the exit code for usage.
+auto readArguments(int argc, char** argv) -> std::optional<Arguments>
 {
-    auto client = makeClient(arguments);
-    return client ? report(client->Get("/v1/status")) : exitUsage;
+    try {
+        return docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, false);
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        std::exit(static_cast<int>(CommandResult::Done));
+    } catch (const std::exception&) {
+        std::cerr << usage;
+        return std::nullopt;
+    }
 }
 
 } // namespace
 
 auto main(int argc, char** argv) -> int
 {
-    const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
-    if (arguments.at("status").asBool())
-        return showStatus(arguments);
-    if (arguments.at("apply").asBool())
-        return applyNote(arguments);
-    return readNote(arguments.at("FILE").asString()) ? 0 : exitRefused;
+    const auto arguments = readArguments(argc, argv);
+    if (!arguments)
+        return static_cast<int>(CommandResult::Usage);
+    try {
+        return static_cast<int>(run(*arguments));
+    } catch (const UsageError& error) {
+        std::cerr << error.m_message << "\n";
+        return static_cast<int>(CommandResult::Usage);
+    }
 }
