Answer the address question by a function of its own

The answer named every live node: at 350 nodes that is 350 rows for each caller, and one organisation's storm reaches every node. Nodes that were only listed by the platform and never heard of are not named.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -115,6 +115,7 @@
     if (self.m_peerAddress.m_port == 0)
         self.m_peerAddress = m_addresses.m_peer;
     self.m_state = state;
+    self.m_heardAt = std::chrono::steady_clock::now();
     m_blackboard.m_membership.write([&](Membership& value) {
         self.m_heartbeat = value.m_members[self.m_vm].m_heartbeat + 1;
         value.m_members[self.m_vm] = self;
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -1,6 +1,7 @@
 #include "serving/caller_server.h"
 
 #include "core/posix_thread.h"
+#include "serving/address_answer.h"
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
 #include "serving/idempotency.h"
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <utility>
 #include <xxhash.h>
 
@@ -15,7 +17,6 @@
 
 namespace {
 
-    constexpr auto addressTimeToLive = std::chrono::milliseconds(2000);
     constexpr auto keepAliveRequests = std::size_t { 100'000 };
     constexpr auto keepAliveTimeout = std::chrono::seconds(30);
     constexpr auto completionsPattern = "/v1/(chat/)?completions";
@@ -50,7 +51,7 @@
     auto addRoutes() -> void;
     auto listen() -> void;
 
-    auto answerAddresses(httplib::Response&) const -> void;
+    auto answerAddresses(const httplib::Request&, httplib::Response&) const -> void;
     auto answerHealth(httplib::Response&) const -> void;
     auto serveCompletion(const httplib::Request&, httplib::Response&) -> void;
     auto serveService(const httplib::Request&, httplib::Response&) -> void;
@@ -88,7 +89,8 @@
 
 auto CallerServer::Implementation::addRoutes() -> void
 {
-    m_server.Get("/v1/addresses", [this](const auto&, auto& response) { answerAddresses(response); });
+    m_server.Get(
+        "/v1/addresses", [this](const auto& request, auto& response) { answerAddresses(request, response); });
     m_server.Get("/healthz", [this](const auto&, auto& response) { answerHealth(response); });
     m_server.Get("/metrics", [this](const auto&, auto& response) {
         response.set_content(m_blackboard.m_metrics.formatForPrometheus(), "text/plain; version=0.0.4");
@@ -126,23 +128,19 @@
     m_thread = PosixThread("caller-accept", [this] { m_server.listen_after_bind(); });
 }
 
-auto CallerServer::Implementation::answerAddresses(httplib::Response& response) const -> void
+auto CallerServer::Implementation::answerAddresses(
+    const httplib::Request& request, httplib::Response& response) const -> void
 {
-    auto json = nlohmann::json { { "ttl_ms", addressTimeToLive.count() },
-        { "addresses", nlohmann::json::array() } };
+    thread_local auto random = std::mt19937_64(std::random_device()());
+    auto question = AddressQuestion { OrganisationName(), random() };
     const auto membership = m_blackboard.m_membership.copy();
-    m_blackboard.m_configuration.read([&](const Configuration& configuration) {
-        for (const auto& [vm, member] : membership.m_members) {
-            if (member.m_state != MemberState::Alive || isOut(configuration, vm, member.m_dataCentre))
-                continue;
-            json["addresses"].push_back({
-                { "address", formatAddress(member.m_callerAddress) },
-                { "data_centre", member.m_dataCentre.value() },
-                { "key_prefix", vm.value() + "." + std::to_string(member.m_incarnation) + "." },
-            });
-        }
+    const auto answer = m_blackboard.m_configuration.read([&](const Configuration& configuration) {
+        const auto organisation = authenticate(configuration, request.get_header_value("Authorization"));
+        if (organisation)
+            question.m_organisation = organisation.value();
+        return chooseAddresses(membership, configuration, question);
     });
-    response.set_content(json.dump(), "application/json");
+    response.set_content(formatAddressAnswer(answer), "application/json");
 }
 
 auto CallerServer::Implementation::answerHealth(httplib::Response& response) const -> void
