Probe peers, spread suspicion, and read the platform by a few nodes

A node's record never aged: a frozen or killed one stayed named for ever, and each node listed nodes and vms twice a second, 1,400 reads/s at 350 nodes. Suspicions are refuted by their subject with a number that only it raises; Gone needs a goodbye or the platform's list. Ruled out: heartbeats of all to all, and ageing by heartbeat, whose bytes grow with the fleet. Four readers watch the platform; the others pull changes of the upstream table from peers, also in an outage. A leaving node tells peers at once, serves until the answers that name it have expired, asks callers to close, and ends when neither callers' requests nor owner calls are left.

Handshakes are bounded in time as a whole, in bytes and in number. The stand-in now gives a deleted object the version of its deletion, as the API that it imitates does.

--- a/daemons/marigoldladderd.cc
+++ b/daemons/marigoldladderd.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <fstream>
 #include <iostream>
@@ -31,7 +32,7 @@
 
 constexpr auto exitUsage = 2;
 constexpr auto exitFailed = 1;
-constexpr auto longestDrain = std::chrono::milliseconds(60'000);
+constexpr auto drainSlack = std::chrono::milliseconds(10'000); // Beyond the longest request.
 
 auto readSettings(const std::string& path) -> std::optional<NodeSettings>
 {
@@ -82,8 +83,10 @@
         printReady(node.addresses());
         auto received = 0;
         sigwait(&signals, &received);
-        node.drain(longestDrain);
-        return 0;
+        node.drain(settings.m_limits.m_requestDeadline + drainSlack);
+        // Nothing is left to serve. Destroying the node would wait for idle connections to time out; the
+        // system closes them at once.
+        std::quick_exit(0);
     } catch (const std::exception& error) {
         std::cerr << "marigoldladderd: " << error.what() << "\n";
         return exitFailed;
--- a/fakes/fake_platform.cc
+++ b/fakes/fake_platform.cc
@@ -272,7 +272,7 @@
                 return;
             }
             ++m_version;
-            record("DELETED", kind, name, found->second);
+            record("DELETED", kind, name, { m_version, found->second.m_spec });
             m_kinds[kind].erase(found);
             answerJson(response, nlohmann::json::object());
         }
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -50,8 +50,8 @@
 enum class MemberState {
     Alive,
     Draining,
-    Suspect, // Did not answer probes for a while.
-    Gone, // The platform's list says that the VM is gone, or its process said goodbye.
+    Suspect, // Did not answer probes. It may be frozen or cut off, run on, and come back: still a holder.
+    Gone, // Never comes back: the platform's list says that the VM is gone, or its process said goodbye.
 };
 
 inline constexpr auto memberStateNames = std::array {
@@ -72,7 +72,9 @@
     Revision m_revision = 0; // The configuration in force there.
     std::uint32_t m_requestsInFlight = 0;
     std::uint64_t m_heartbeat = 0; // Raised by the member itself; a higher one is newer.
-    MonotonicTime m_heardAt {};
+    std::uint32_t m_refutation = 0; // Raised by the member when it changes its state or is suspected.
+    MonotonicTime m_heardAt {}; // When it was last heard, or heard of by a peer; zero: never.
+    MonotonicTime m_changedAt {}; // When its state last changed here.
 };
 
 struct Membership {
@@ -98,10 +100,13 @@
     UpstreamKind m_kind = UpstreamKind::Engine;
     bool m_leaving = false;
     bool m_checksFencing = false; // Whether it refuses orders with an old fencing number.
+    std::uint64_t m_version = 0; // The platform's version of the entry.
 };
 
 struct UpstreamTable {
     std::map<UpstreamName, Upstream> m_upstreams;
+    std::map<UpstreamName, std::uint64_t> m_removed; // Those that left the list, with the version then.
+    std::uint64_t m_version = 0; // The highest version above.
 };
 
 // Who orders loads at an upstream and admits work to it.
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -1,5 +1,10 @@
 #include "fleet/gossip.h"
 
+#include "fleet/member_merge.h"
+#include "fleet/member_record.h"
+#include "fleet/peer_probe.h"
+#include "fleet/upstream_exchange.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,79 +12,106 @@
 
 namespace {
 
-    constexpr auto gossipTimeout = std::chrono::milliseconds(300);
+    constexpr auto roundsPerSuspect = std::uint64_t { 5 };
+    constexpr auto announcedPeers = std::size_t { 4 };
 
-    auto encodeMember(const Member& member) -> std::unique_ptr<wire::MemberRecordT>
-    {
-        auto record = std::make_unique<wire::MemberRecordT>();
-        record->vm = member.m_vm.value();
-        record->data_centre = member.m_dataCentre.value();
-        record->incarnation = member.m_incarnation;
-        record->caller_address = formatAddress(member.m_callerAddress);
-        record->peer_address = formatAddress(member.m_peerAddress);
-        record->state = static_cast<std::uint8_t>(member.m_state);
-        record->revision = member.m_revision;
-        record->requests_in_flight = member.m_requestsInFlight;
-        record->heartbeat = member.m_heartbeat;
-        return record;
-    }
+    using Candidates = std::vector<const Member*>;
 
-    auto decodeMember(const wire::MemberRecordT& record) -> Member
+    // Picks up to `count` of the candidates at random.
+    auto sample(Candidates candidates, std::size_t count, std::mt19937_64& random) -> Candidates
     {
-        auto member = Member();
-        member.m_vm = VmName(record.vm);
-        member.m_dataCentre = DataCentreName(record.data_centre);
-        member.m_incarnation = record.incarnation;
-        member.m_callerAddress = parseAddress(record.caller_address).value_or(Address {});
-        member.m_peerAddress = parseAddress(record.peer_address).value_or(Address {});
-        member.m_state = record.state <= static_cast<std::uint8_t>(MemberState::Gone)
-            ? static_cast<MemberState>(record.state)
-            : MemberState::Suspect;
-        member.m_revision = record.revision;
-        member.m_requestsInFlight = record.requests_in_flight;
-        member.m_heartbeat = record.heartbeat;
-        return member;
+        auto picked = Candidates();
+        std::sample(candidates.begin(), candidates.end(), std::back_inserter(picked), count, random);
+        return picked;
     }
 
-    auto isNewer(const Member& told, const Member& known) -> bool
+    // What is told of others: recent changes first, then a sample of the rest. Members that were only
+    // listed by the platform are not told of, since nobody has heard them.
+    auto chooseTold(const Membership& membership, const VmName& self, const VmName& peer, MonotonicTime now,
+        std::mt19937_64& random) -> Candidates
     {
-        if (told.m_incarnation != known.m_incarnation)
-            return told.m_incarnation > known.m_incarnation;
-        return told.m_heartbeat > known.m_heartbeat;
+        auto news = Candidates();
+        auto rest = Candidates();
+        auto told = Candidates();
+        for (const auto& [vm, member] : membership.m_members) {
+            if (vm == self || member.m_heardAt == MonotonicTime())
+                continue;
+            if (vm == peer) {
+                if (member.m_state != MemberState::Alive)
+                    told.push_back(&member);
+                continue;
+            }
+            const auto recent = now - member.m_changedAt < gossipNewsLifetime;
+            (recent ? news : rest).push_back(&member);
+        }
+        const auto toldNews = sample(news, maxGossipNews, random);
+        const auto toldRest = sample(rest, gossipSamples, random);
+        told.insert(told.end(), toldNews.begin(), toldNews.end());
+        told.insert(told.end(), toldRest.begin(), toldRest.end());
+        return told;
     }
 
-    auto peersOf(const Membership& membership, const VmName& self) -> std::vector<VmName>
+    auto probeCandidates(const Membership& membership, const VmName& self, bool suspects)
+        -> std::vector<VmName>
     {
-        auto peers = std::vector<VmName>();
+        auto names = std::vector<VmName>();
         for (const auto& [vm, member] : membership.m_members) {
-            if (vm != self && member.m_state != MemberState::Gone)
-                peers.push_back(vm);
+            const auto wanted
+                = member.m_state != MemberState::Gone && (member.m_state == MemberState::Suspect) == suspects;
+            if (vm != self && wanted)
+                names.push_back(vm);
         }
-        return peers;
+        return names;
+    }
+
+    auto raiseHeartbeat(Blackboard& blackboard, const VmName& self) -> void
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto inFlight
+            = blackboard.m_health.read([](const NodeHealth& value) { return value.m_requestsInFlight; });
+        const auto revision
+            = blackboard.m_configuration.read([](const Configuration& value) { return value.m_revision; });
+        blackboard.m_membership.write([&](Membership& membership) {
+            auto& own = membership.m_members[self];
+            ++own.m_heartbeat;
+            own.m_heardAt = now;
+            own.m_requestsInFlight = inFlight;
+            own.m_revision = revision;
+            forgetGoneMembers(membership, now);
+        });
+    }
+
+    auto askSeedPeer(
+        Blackboard& blackboard, PeerLinks& links, const NodeSettings& settings, GossipState& state) -> void
+    {
+        const auto& seeds = settings.m_seedPeers;
+        if (seeds.empty() || blackboard.m_membership.read([&](const Membership& value) {
+                return hasHeardOfPeers(value, settings.m_vm);
+            }))
+            return;
+        const auto link = links.toAddress(seeds[state.m_round % seeds.size()]);
+        if (link)
+            (void)exchangeGossip(blackboard, *link.value(), settings.m_vm, state.m_random);
     }
 
 } // namespace
 
-auto makeGossip(const Blackboard& blackboard, const VmName& self, std::mt19937_64& random) -> wire::GossipT
+auto makeGossip(const Blackboard& blackboard, const VmName& self, const VmName& peer, std::mt19937_64& random)
+    -> wire::GossipT
 {
     auto gossip = wire::GossipT();
     gossip.revision
         = blackboard.m_configuration.read([](const Configuration& value) { return value.m_revision; });
-    const auto inFlight
-        = blackboard.m_health.read([](const NodeHealth& value) { return value.m_requestsInFlight; });
-    const auto membership = blackboard.m_membership.copy();
-    auto others = peersOf(membership, self);
-    std::shuffle(others.begin(), others.end(), random);
-    others.resize(std::min(others.size(), maxGossipMembers - 1));
-    others.push_back(self);
-    for (const auto& vm : others) {
-        auto record = encodeMember(membership.m_members.at(vm));
-        if (vm == self) {
-            record->revision = gossip.revision;
-            record->requests_in_flight = inFlight;
-        }
-        gossip.members.push_back(std::move(record));
-    }
+    gossip.upstreams_version
+        = blackboard.m_upstreams.read([](const UpstreamTable& table) { return table.m_version; });
+    const auto now = std::chrono::steady_clock::now();
+    blackboard.m_membership.read([&](const Membership& membership) {
+        const auto own = membership.m_members.find(self);
+        if (own != membership.m_members.end())
+            gossip.members.push_back(encodeMember(own->second));
+        for (const auto* member : chooseTold(membership, self, peer, now, random))
+            gossip.members.push_back(encodeMember(*member));
+    });
     return gossip;
 }
 
@@ -87,16 +119,8 @@
 {
     const auto now = std::chrono::steady_clock::now();
     blackboard.m_membership.write([&](Membership& membership) {
-        for (const auto& record : gossip.members) {
-            auto told = decodeMember(*record);
-            if (told.m_vm == self)
-                continue;
-            auto& known = membership.m_members[told.m_vm];
-            if (!isNewer(told, known))
-                continue;
-            known = std::move(told);
-            known.m_heardAt = now;
-        }
+        for (const auto& record : gossip.members)
+            mergeMember(membership, self, decodeMember(*record), now);
     });
 }
 
@@ -105,36 +129,79 @@
     std::mt19937_64& random) -> void
 {
     mergeGossip(blackboard, self, *envelope.body.AsGossip());
-    auto own = makeGossip(blackboard, self, random);
+    auto own = makeGossip(blackboard, self, connection->peerVm(), random);
     auto answer = wire::GossipAnswerT();
     answer.members = std::move(own.members);
     answer.revision = own.revision;
     answer.pending = std::move(own.pending);
+    answer.upstreams_version = own.upstreams_version;
     connection->send(makeEnvelope(envelope.correlation, std::move(answer)));
 }
 
-auto gossipRound(Blackboard& blackboard, PeerLinks& links, const VmName& self, std::mt19937_64& random)
+auto nextProbeTarget(GossipState& state, const Membership& membership, const VmName& self) -> VmName
+{
+    const auto round = ++state.m_round;
+    if (round % roundsPerSuspect == 0) {
+        const auto suspects = probeCandidates(membership, self, true);
+        if (!suspects.empty())
+            return suspects[state.m_random() % suspects.size()];
+    }
+    if (state.m_turns.empty()) {
+        state.m_turns = probeCandidates(membership, self, false);
+        std::shuffle(state.m_turns.begin(), state.m_turns.end(), state.m_random);
+    }
+    if (state.m_turns.empty())
+        return {};
+    auto next = std::move(state.m_turns.back());
+    state.m_turns.pop_back();
+    return next;
+}
+
+auto exchangeGossip(Blackboard& blackboard, PeerLink& link, const VmName& self, std::mt19937_64& random)
+    -> bool
+{
+    auto answer = link.call(makeGossip(blackboard, self, link.peerVm(), random), probeTimeout);
+    auto* told = answer ? answer.value().body.AsGossipAnswer() : nullptr;
+    if (!told)
+        return false;
+    auto gossip = wire::GossipT();
+    gossip.members = std::move(told->members);
+    mergeGossip(blackboard, self, gossip);
+    pullUpstreams(blackboard, link, told->upstreams_version);
+    return true;
+}
+
+auto gossipRound(Blackboard& blackboard, PeerLinks& links, const NodeSettings& settings, GossipState& state)
     -> void
 {
-    blackboard.m_membership.write([&](Membership& membership) {
-        auto& own = membership.m_members[self];
-        ++own.m_heartbeat;
-        own.m_heardAt = std::chrono::steady_clock::now();
-    });
-    auto peers = peersOf(blackboard.m_membership.copy(), self);
+    const auto& self = settings.m_vm;
+    raiseHeartbeat(blackboard, self);
+    links.dropIdle();
+    askSeedPeer(blackboard, links, settings, state);
+    const auto target = blackboard.m_membership.read(
+        [&](const Membership& membership) { return nextProbeTarget(state, membership, self); });
+    if (target.empty())
+        return;
+    const auto exchange
+        = [&](PeerLink& link) { return exchangeGossip(blackboard, link, self, state.m_random); };
+    if (probeMember(blackboard, links, self, target, exchange, state.m_random))
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    blackboard.m_membership.write([&](Membership& membership) { suspectMember(membership, target, now); });
+}
+
+auto announceSelf(Blackboard& blackboard, PeerLinks& links, const VmName& self, std::mt19937_64& random)
+    -> void
+{
+    auto peers = blackboard.m_membership.read(
+        [&](const Membership& membership) { return probeCandidates(membership, self, false); });
     std::shuffle(peers.begin(), peers.end(), random);
-    peers.resize(std::min(peers.size(), gossipFanout));
+    peers.resize(std::min(peers.size(), announcedPeers));
     for (const auto& vm : peers) {
-        const auto link = links.to(vm);
-        if (!link)
-            continue;
-        auto answer = link.value()->call(makeGossip(blackboard, self, random), gossipTimeout);
-        auto* told = answer ? answer.value().body.AsGossipAnswer() : nullptr;
-        if (!told)
-            continue;
-        auto gossip = wire::GossipT();
-        gossip.members = std::move(told->members);
-        mergeGossip(blackboard, self, gossip);
+        const auto link = links.to(vm, probeTimeout);
+        if (link)
+            (void)link.value()->open(
+                makeGossip(blackboard, self, vm, random), [](wire::EnvelopeT*) { return false; });
     }
 }
 
--- a/src/fleet/membership_controller.cc
+++ b/src/fleet/membership_controller.cc
@@ -1,5 +1,8 @@
 #include "fleet/membership_controller.h"
 
+#include "fleet/member_merge.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace marigoldladder {
@@ -7,6 +10,8 @@
 namespace {
 
     constexpr auto nodeKind = "nodes";
+    constexpr auto publishAttempts = 5;
+    constexpr auto loneListPause = std::chrono::milliseconds(2000);
 
     auto writeMember(const Member& member) -> nlohmann::json
     {
@@ -36,7 +41,8 @@
 
 auto publishMember(PlatformClient& platform, const Member& member) -> Result<void>
 {
-    while (true) {
+    auto last = notRun(FailureType::Conflict, "the record kept changing");
+    for (auto i = 0; i < publishAttempts; ++i) {
         const auto found = platform.get(nodeKind, member.m_vm.value());
         if (!found)
             return found.error();
@@ -52,7 +58,19 @@
             return boost::outcome_v2::success();
         if (written.error().m_type != FailureType::Conflict)
             return written.error();
+        last = written.error();
     }
+    return last;
+}
+
+auto withdrawMember(PlatformClient& platform, const Member& member) -> Result<void>
+{
+    const auto found = platform.get(nodeKind, member.m_vm.value());
+    if (!found)
+        return found.error();
+    if (!found.value() || readMember(*found.value()).m_incarnation != member.m_incarnation)
+        return boost::outcome_v2::success();
+    return platform.remove(nodeKind, member.m_vm.value());
 }
 
 auto refreshMembership(Blackboard& blackboard, PlatformClient& platform, const VmName& self) -> Result<void>
@@ -61,16 +79,32 @@
     if (!list)
         return list.error();
     blackboard.m_membership.write([&](Membership& membership) {
-        for (const auto& object : list.value().m_objects) {
-            auto member = readMember(object);
-            if (member.m_vm == self)
-                continue;
-            auto& known = membership.m_members[member.m_vm];
-            if (member.m_incarnation > known.m_incarnation)
-                known = std::move(member);
-        }
+        for (const auto& object : list.value().m_objects)
+            mergeListedMember(membership, self, readMember(object));
     });
     return boost::outcome_v2::success();
 }
 
+auto followMembers(
+    Blackboard& blackboard, PlatformClient& platform, const VmName& self, MembershipState& state) -> void
+{
+    if (std::chrono::steady_clock::now() < state.m_notBefore)
+        return;
+    const auto membership = blackboard.m_membership.copy();
+    if (state.m_published && state.m_listed && hasHeardOfPeers(membership, self))
+        return;
+    auto done = state.m_published ? Result<void>(boost::outcome_v2::success())
+                                  : publishMember(platform, membership.m_members.at(self));
+    state.m_published = done.has_value();
+    if (done)
+        done = refreshMembership(blackboard, platform, self);
+    state.m_listed = state.m_listed || done.has_value();
+    auto pause = loneListPause;
+    if (done)
+        noteSuccess(state.m_backoff);
+    else
+        pause = waitAfterFailure(state.m_backoff, state.m_random);
+    state.m_notBefore = std::chrono::steady_clock::now() + pause;
+}
+
 } // namespace marigoldladder
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,14 +4,18 @@
 #include "core/periodic_task.h"
 #include "fleet/configuration_controller.h"
 #include "fleet/discovery_controller.h"
+#include "fleet/drain.h"
 #include "fleet/gossip.h"
 #include "fleet/membership_controller.h"
 #include "fleet/peer_links.h"
+#include "fleet/peer_probe.h"
+#include "fleet/upstream_exchange.h"
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
 #include "ops/operator_server.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
+#include "serving/address_answer.h"
 #include "serving/caller_server.h"
 #include "wire/peer_server.h"
 
@@ -26,8 +30,7 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(300);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
-    constexpr auto gossipPeriod = std::chrono::milliseconds(200);
-    constexpr auto addressExpiry = std::chrono::milliseconds(2500);
+    constexpr auto platformPeriod = std::chrono::milliseconds(50);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -47,6 +50,7 @@
         , m_log(m_platform)
         , m_identity { m_settings.m_vm, makeIncarnation(), m_settings.m_fleetSecret }
         , m_links(m_blackboard, m_identity)
+        , m_probes(m_blackboard, m_links, m_settings.m_vm)
         , m_owner(m_blackboard)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(m_blackboard)
@@ -57,12 +61,19 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
+        m_membersTask.emplace("members", platformPeriod,
+            [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
+        m_discoveryTask.emplace("discovery", platformPeriod,
+            [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_gossipTask.emplace("gossip", gossipPeriod,
-            [this] { gossipRound(m_blackboard, m_links, m_settings.m_vm, m_gossipRandom); });
+            [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
     }
 
     auto startPeerServer() -> void;
-    auto setOwnMember(MemberState) -> Member;
+    auto addOwnMember() -> void;
+    auto changeOwnState(MemberState) -> Member;
+    auto observeDrain(MonotonicTime begun, MonotonicTime& busyAt) -> DrainObservation;
+    auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
     auto followFleet() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
@@ -73,6 +84,7 @@
     ReleaseLog m_log;
     PeerIdentity m_identity;
     PeerLinks m_links;
+    ProbeService m_probes;
     Owner m_owner;
     OwnerClient m_owners;
     Allowance m_allowance;
@@ -81,10 +93,13 @@
     OperatorServer m_operators;
     NodeAddresses m_addresses;
     std::optional<PeerServer> m_peers;
-    bool m_published = false;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_fleetTask;
-    std::mt19937_64 m_gossipRandom { std::random_device()() }; // Used by the gossip task only.
+    MembershipState m_membershipState; // Each state is used by the task below it only.
+    std::optional<PeriodicTask> m_membersTask;
+    DiscoveryState m_discoveryState;
+    std::optional<PeriodicTask> m_discoveryTask;
+    GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
 
@@ -94,15 +109,15 @@
     m_addresses.m_peer = boundAddress(listener);
     m_addresses.m_caller = { m_settings.m_callerAddress.m_host, m_callers.port() };
     m_addresses.m_operator = { m_settings.m_operatorAddress.m_host, m_operators.port() };
-    setOwnMember(MemberState::Alive);
+    addOwnMember();
     m_peers.emplace(
         std::move(listener), m_identity, m_blackboard.m_metrics,
         [this](const auto& connection, auto& envelope) { handlePeer(connection, envelope); },
         [this](const auto&) { m_blackboard.m_metrics.add(Counter::PeerConnectionsLost); });
 }
 
-// Writes this node's own record to the membership and returns it.
-auto Node::Implementation::setOwnMember(MemberState state) -> Member
+// Writes this node's own record to the membership.
+auto Node::Implementation::addOwnMember() -> void
 {
     auto self = Member();
     self.m_vm = m_settings.m_vm;
@@ -114,13 +129,21 @@
     self.m_peerAddress = m_settings.m_advertisedPeerAddress;
     if (self.m_peerAddress.m_port == 0)
         self.m_peerAddress = m_addresses.m_peer;
-    self.m_state = state;
     self.m_heardAt = std::chrono::steady_clock::now();
-    m_blackboard.m_membership.write([&](Membership& value) {
-        self.m_heartbeat = value.m_members[self.m_vm].m_heartbeat + 1;
-        value.m_members[self.m_vm] = self;
+    self.m_changedAt = self.m_heardAt;
+    m_blackboard.m_membership.write([&](Membership& value) { value.m_members[self.m_vm] = self; });
+}
+
+// Changes this node's own state so that it outweighs all that was told of it before; returns the record.
+auto Node::Implementation::changeOwnState(MemberState state) -> Member
+{
+    return m_blackboard.m_membership.write([&](Membership& value) {
+        auto& self = value.m_members[m_settings.m_vm];
+        self.m_state = state;
+        ++self.m_refutation;
+        self.m_changedAt = std::chrono::steady_clock::now();
+        return self;
     });
-    return self;
 }
 
 auto Node::Implementation::followConfiguration() -> void
@@ -137,10 +160,6 @@
 
 auto Node::Implementation::followFleet() -> void
 {
-    if (!m_published)
-        m_published = publishMember(m_platform, setOwnMember(MemberState::Alive)).has_value();
-    (void)refreshMembership(m_blackboard, m_platform, m_settings.m_vm);
-    (void)refreshUpstreams(m_blackboard, m_platform);
     refreshShares(m_blackboard);
     refreshAssignments(m_blackboard);
 }
@@ -157,6 +176,12 @@
         handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
         break;
     }
+    case wire::Body::ProbeRequest:
+        m_probes.handle(connection, envelope);
+        break;
+    case wire::Body::UpstreamsRequest:
+        handleUpstreamsRequest(m_blackboard, connection, envelope);
+        break;
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
@@ -177,19 +202,46 @@
     return m_implementation->m_addresses;
 }
 
+auto Node::Implementation::observeDrain(MonotonicTime begun, MonotonicTime& busyAt) -> DrainObservation
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto seen = DrainObservation();
+    seen.m_openRequests = m_callers.openRequests();
+    seen.m_ownerCalls = m_owner.callsInProgress();
+    if (seen.m_openRequests > 0 || seen.m_ownerCalls > 0)
+        busyAt = now;
+    seen.m_elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - begun);
+    seen.m_quiet = std::chrono::duration_cast<std::chrono::milliseconds>(now - busyAt);
+    return seen;
+}
+
+// Tells that this process ends, so that others need not wait for the platform's list to say so.
+auto Node::Implementation::sayGoodbye() -> void
+{
+    m_gossipTask->stop();
+    const auto self = changeOwnState(MemberState::Gone);
+    announceSelf(m_blackboard, m_links, m_settings.m_vm, m_gossipState.m_random);
+    (void)withdrawMember(m_platform, self);
+}
+
 auto Node::drain(std::chrono::milliseconds atMost) -> void
 {
     auto& node = *m_implementation;
     const auto begun = std::chrono::steady_clock::now();
     node.m_blackboard.m_health.write([](NodeHealth& health) { health.m_draining = true; });
     logChange("draining");
-    (void)publishMember(node.m_platform, node.setOwnMember(MemberState::Draining));
-    const auto inFlight = [&] { return node.m_blackboard.m_health.copy().m_requestsInFlight; };
-    while (std::chrono::steady_clock::now() < begun + atMost) {
-        if (std::chrono::steady_clock::now() >= begun + addressExpiry && inFlight() == 0)
-            break;
+    node.changeOwnState(MemberState::Draining);
+    auto random = std::mt19937_64(std::random_device()());
+    announceSelf(node.m_blackboard, node.m_links, node.m_settings.m_vm, random);
+    auto busyAt = begun;
+    auto step = DrainStep::ServeOn;
+    while (step != DrainStep::Leave && std::chrono::steady_clock::now() < begun + atMost) {
+        step = drainStep(node.observeDrain(begun, busyAt), addressTimeToLive);
+        if (step == DrainStep::CloseListener)
+            node.m_callers.closeListener();
         std::this_thread::sleep_for(drainPoll);
     }
+    node.sayGoodbye();
     logChange("drained");
 }
 
--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -89,6 +89,12 @@
         found->second->m_cancelled = true;
 }
 
+auto Owner::callsInProgress() -> std::size_t
+{
+    const auto lock = std::lock_guard(m_mutex);
+    return m_calls.size();
+}
+
 auto Owner::startAllCalls() -> void
 {
     const auto lock = std::lock_guard(m_mutex);
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -33,6 +33,9 @@
     // Gives up on a call, queued or running.
     auto cancel(const RequestId&) -> void;
 
+    // Calls that wait or run here.
+    auto callsInProgress() -> std::size_t;
+
 private:
     struct PendingCall;
     struct UpstreamState;
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -7,6 +7,7 @@
 #include "serving/idempotency.h"
 
 #include <algorithm>
+#include <atomic>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -64,6 +65,7 @@
     auto countEnd(const AnswerEnd&) -> void;
     auto finish(const Reservation&, const AnswerEnd&) -> void;
     auto countInFlight(int change) -> void;
+    auto countOpenRequests() -> void;
 
     const NodeSettings& m_settings;
     Blackboard& m_blackboard;
@@ -72,6 +74,7 @@
     PlatformClient& m_platform;
     httplib::Server m_server;
     int m_port = 0;
+    std::atomic<std::size_t> m_openRequests { 0 };
     PosixThread m_thread;
 };
 
@@ -87,8 +90,29 @@
     m_server.set_payload_max_length(m_settings.m_limits.m_maxRequestBytes);
 }
 
+// Counts requests from their first handler to the last byte of their answer. While the node leaves, each
+// answer asks the caller to come back on another connection.
+auto CallerServer::Implementation::countOpenRequests() -> void
+{
+    thread_local auto open = false; // A connection keeps its thread, so this is the connection's state.
+    m_server.set_pre_routing_handler([this](const auto&, auto&) {
+        m_openRequests += open ? 0 : 1;
+        open = true;
+        return httplib::Server::HandlerResponse::Unhandled;
+    });
+    m_server.set_post_routing_handler([this](const auto&, auto& response) {
+        if (m_blackboard.m_health.read([](const NodeHealth& health) { return health.m_draining; }))
+            response.set_header("Connection", "close");
+    });
+    m_server.set_logger([this](const auto&, const auto&) {
+        m_openRequests -= open ? 1 : 0;
+        open = false;
+    });
+}
+
 auto CallerServer::Implementation::addRoutes() -> void
 {
+    countOpenRequests();
     m_server.Get(
         "/v1/addresses", [this](const auto& request, auto& response) { answerAddresses(request, response); });
     m_server.Get("/healthz", [this](const auto&, auto& response) { answerHealth(response); });
@@ -344,6 +368,16 @@
     return m_implementation->m_port;
 }
 
+auto CallerServer::openRequests() const -> std::size_t
+{
+    return m_implementation->m_openRequests;
+}
+
+auto CallerServer::closeListener() -> void
+{
+    m_implementation->m_server.stop();
+}
+
 auto CallerServer::stop() -> void
 {
     m_implementation->m_server.stop();
--- a/src/wire/frame.cc
+++ b/src/wire/frame.cc
@@ -63,4 +63,22 @@
     return ReadOutcome::Complete;
 }
 
+auto receiveEnvelopeBefore(
+    const Socket& socket, SocketDeadline deadline, std::size_t maxBytes, wire::EnvelopeT& envelope) -> bool
+{
+    auto header = std::array<std::uint8_t, lengthBytes> {};
+    if (!receiveBefore(socket, deadline, header.data(), header.size()))
+        return false;
+    const auto length = decodeLength(header);
+    if (length == 0 || length > maxBytes)
+        return false;
+    auto bytes = std::vector<std::uint8_t>(length);
+    if (!receiveBefore(socket, deadline, bytes.data(), bytes.size()))
+        return false;
+    auto decoded = decodeEnvelope(bytes.data(), bytes.size());
+    if (decoded)
+        envelope = std::move(*decoded);
+    return decoded.has_value();
+}
+
 } // namespace marigoldladder
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -23,6 +23,9 @@
 // Reads one frame. On `Complete` the envelope is filled in; bytes that are no frame count as `Closed`.
 auto receiveEnvelope(const Socket&, wire::EnvelopeT&) -> ReadOutcome;
 
+// Reads one frame of at most `maxBytes` before the deadline; false when none came.
+auto receiveEnvelopeBefore(const Socket&, SocketDeadline, std::size_t maxBytes, wire::EnvelopeT&) -> bool;
+
 // Makes an envelope from a message.
 template <typename Message> auto makeEnvelope(std::uint64_t correlation, Message message) -> wire::EnvelopeT
 {
--- a/src/wire/peer_connection.cc
+++ b/src/wire/peer_connection.cc
@@ -11,7 +11,6 @@
 
     constexpr auto nonceBytes = std::size_t { 16 };
     constexpr auto sendTimeout = std::chrono::milliseconds(2000);
-    constexpr auto handshakeTimeout = std::chrono::milliseconds(2000);
 
     // The text that a side proves: its role, both nonces and who it says it is.
     auto proofText(const std::string& role, const std::string& serverNonce, const std::string& clientNonce,
@@ -27,18 +26,21 @@
     : m_socket(std::move(socket))
     , m_metrics(metrics)
 {
-    setTimeouts(m_socket, handshakeTimeout, sendTimeout);
+    setTimeouts(m_socket, pingPeriod, sendTimeout);
 }
 
-auto PeerConnection::receiveHandshake(wire::Body expected, wire::EnvelopeT& envelope) -> bool
+auto PeerConnection::receiveHandshake(wire::Body expected, SocketDeadline deadline, wire::EnvelopeT& envelope)
+    -> bool
 {
-    return receiveEnvelope(m_socket, envelope) == ReadOutcome::Complete && envelope.body.type == expected;
+    return receiveEnvelopeBefore(m_socket, deadline, maxHandshakeBytes, envelope)
+        && envelope.body.type == expected;
 }
 
-auto PeerConnection::handshakeAsClient(const PeerIdentity& self) -> bool
+auto PeerConnection::handshakeAsClient(const PeerIdentity& self, std::chrono::milliseconds timeout) -> bool
 {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
     auto envelope = wire::EnvelopeT();
-    if (!receiveHandshake(wire::Body::Challenge, envelope))
+    if (!receiveHandshake(wire::Body::Challenge, deadline, envelope))
         return false;
     const auto serverNonce = envelope.body.AsChallenge()->nonce;
     auto hello = wire::HelloT();
@@ -48,7 +50,8 @@
     const auto helloText = proofText("hello", serverNonce, hello.nonce, hello.vm, hello.incarnation);
     hello.proof = messageProof(self.m_fleetSecret, helloText);
     const auto clientNonce = hello.nonce;
-    if (!send(makeEnvelope(0, std::move(hello))) || !receiveHandshake(wire::Body::Welcome, envelope))
+    if (!send(makeEnvelope(0, std::move(hello)))
+        || !receiveHandshake(wire::Body::Welcome, deadline, envelope))
         return false;
     const auto& welcome = *envelope.body.AsWelcome();
     const auto welcomeText = proofText("welcome", serverNonce, clientNonce, welcome.vm, welcome.incarnation);
@@ -56,24 +59,23 @@
         return false;
     m_peerVm = VmName(welcome.vm);
     m_peerIncarnation = welcome.incarnation;
-    setTimeouts(m_socket, pingPeriod, sendTimeout);
     return true;
 }
 
-auto PeerConnection::handshakeAsServer(const PeerIdentity& self) -> bool
+auto PeerConnection::handshakeAsServer(const PeerIdentity& self, std::chrono::milliseconds timeout) -> bool
 {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
     auto challenge = wire::ChallengeT();
     challenge.nonce = randomHex(nonceBytes);
     const auto serverNonce = challenge.nonce;
     auto envelope = wire::EnvelopeT();
-    if (!send(makeEnvelope(0, std::move(challenge))) || !receiveHandshake(wire::Body::Hello, envelope))
+    if (!send(makeEnvelope(0, std::move(challenge)))
+        || !receiveHandshake(wire::Body::Hello, deadline, envelope))
         return false;
     const auto& hello = *envelope.body.AsHello();
     const auto helloText = proofText("hello", serverNonce, hello.nonce, hello.vm, hello.incarnation);
-    if (!equalInConstantTime(hello.proof, messageProof(self.m_fleetSecret, helloText))) {
-        m_metrics.add(Counter::PeerHandshakesRefused);
+    if (!equalInConstantTime(hello.proof, messageProof(self.m_fleetSecret, helloText)))
         return false;
-    }
     m_peerVm = VmName(hello.vm);
     m_peerIncarnation = hello.incarnation;
     auto welcome = wire::WelcomeT();
@@ -81,7 +83,6 @@
     welcome.incarnation = self.m_incarnation;
     const auto text = proofText("welcome", serverNonce, hello.nonce, welcome.vm, welcome.incarnation);
     welcome.proof = messageProof(self.m_fleetSecret, text);
-    setTimeouts(m_socket, pingPeriod, sendTimeout);
     return send(makeEnvelope(0, std::move(welcome)));
 }
 
--- a/src/wire/peer_connection.h
+++ b/src/wire/peer_connection.h
@@ -30,14 +30,20 @@
 // How long a connection may be silent before it is given up.
 inline constexpr auto silenceBound = std::chrono::milliseconds(2000);
 
+// How long a handshake may take as a whole, however slowly its bytes come in.
+inline constexpr auto handshakeTimeout = std::chrono::milliseconds(2000);
+
+// The largest frame taken in from a side that has not proved itself.
+inline constexpr auto maxHandshakeBytes = std::size_t { 4096 };
+
 // Frames over one socket after the handshake. Sending is thread-safe; one thread receives.
 class PeerConnection {
 public:
     PeerConnection(Socket, Metrics&);
 
     // Runs the client's side of the handshake; the peer's name and incarnation are known afterwards.
-    auto handshakeAsClient(const PeerIdentity&) -> bool;
-    auto handshakeAsServer(const PeerIdentity&) -> bool;
+    auto handshakeAsClient(const PeerIdentity&, std::chrono::milliseconds timeout = handshakeTimeout) -> bool;
+    auto handshakeAsServer(const PeerIdentity&, std::chrono::milliseconds timeout = handshakeTimeout) -> bool;
 
     auto peerVm() const -> const VmName& { return m_peerVm; }
     auto peerIncarnation() const -> Incarnation { return m_peerIncarnation; }
@@ -52,7 +58,7 @@
     auto alive() const -> bool { return m_alive; }
 
 private:
-    auto receiveHandshake(wire::Body expected, wire::EnvelopeT&) -> bool;
+    auto receiveHandshake(wire::Body expected, SocketDeadline, wire::EnvelopeT&) -> bool;
     auto answerPing(const wire::EnvelopeT&) -> bool;
 
     Socket m_socket;
--- a/src/wire/peer_link.cc
+++ b/src/wire/peer_link.cc
@@ -1,5 +1,6 @@
 #include "wire/peer_link.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <utility>
 
@@ -20,14 +21,14 @@
     wire::EnvelopeT m_answer;
 };
 
-auto PeerLink::connect(const Address& address, const PeerIdentity& self, Metrics& metrics)
-    -> Result<std::shared_ptr<PeerLink>>
+auto PeerLink::connect(const Address& address, const PeerIdentity& self, Metrics& metrics,
+    std::chrono::milliseconds timeout) -> Result<std::shared_ptr<PeerLink>>
 {
-    auto socket = connectTo(address, connectTimeout);
+    auto socket = connectTo(address, std::min(connectTimeout, timeout));
     if (!socket)
         return socket.error();
     auto connection = std::make_shared<PeerConnection>(std::move(socket.value()), metrics);
-    if (!connection->handshakeAsClient(self))
+    if (!connection->handshakeAsClient(self, timeout))
         return notRun(FailureType::Unavailable, "no handshake with the peer at " + formatAddress(address));
     return std::make_shared<PeerLink>(std::move(connection));
 }
@@ -43,6 +44,12 @@
     m_connection->close();
 }
 
+auto PeerLink::busy() -> bool
+{
+    const auto lock = std::lock_guard(m_mutex);
+    return !m_exchanges.empty();
+}
+
 auto PeerLink::registerExchange(AnswerHandler handler) -> std::uint64_t
 {
     const auto lock = std::lock_guard(m_mutex);
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -19,7 +19,8 @@
 class PeerLink {
 public:
     // Connects and proves itself; fails with `NotRun`, as no request has been sent.
-    static auto connect(const Address&, const PeerIdentity&, Metrics&) -> Result<std::shared_ptr<PeerLink>>;
+    static auto connect(const Address&, const PeerIdentity&, Metrics&,
+        std::chrono::milliseconds timeout = handshakeTimeout) -> Result<std::shared_ptr<PeerLink>>;
 
     explicit PeerLink(std::shared_ptr<PeerConnection>);
     PeerLink(const PeerLink&) = delete;
@@ -30,6 +31,9 @@
     auto peerIncarnation() const -> Incarnation { return m_connection->peerIncarnation(); }
     auto alive() const -> bool { return m_connection->alive(); }
 
+    // Whether an exchange is open.
+    auto busy() -> bool;
+
     // Opens an exchange and sends its first message. Returns its correlation number, or nothing when the
     // connection was lost before or while sending; the handler is then not called.
     template <typename Message>
--- a/src/wire/peer_server.cc
+++ b/src/wire/peer_server.cc
@@ -1,5 +1,6 @@
 #include "wire/peer_server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marigoldladder {
@@ -30,27 +31,31 @@
         if (!socket.valid())
             return;
         removeEndedSessions();
-        startSession(std::move(socket));
+        if (makeRoom())
+            startSession(std::move(socket));
     }
 }
 
 auto PeerServer::startSession(Socket socket) -> void
 {
     auto connection = std::make_shared<PeerConnection>(std::move(socket), m_metrics);
-    auto ended = std::make_shared<std::atomic<bool>>(false);
-    auto body = [this, connection, ended] {
-        runSession(connection);
-        *ended = true;
+    auto state = std::make_shared<std::atomic<SessionState>>(SessionState::Handshake);
+    auto body = [this, connection, state] {
+        runSession(connection, *state);
+        *state = SessionState::Ended;
     };
-    m_sessions.push_back({ connection, ended, PosixThread("peer-session", std::move(body)) });
+    m_sessions.push_back({ connection, state, PosixThread("peer-session", std::move(body)) });
 }
 
-auto PeerServer::runSession(const std::shared_ptr<PeerConnection>& connection) -> void
+auto PeerServer::runSession(
+    const std::shared_ptr<PeerConnection>& connection, std::atomic<SessionState>& state) -> void
 {
     if (!connection->handshakeAsServer(m_self)) {
+        m_metrics.add(Counter::PeerHandshakesRefused);
         connection->close();
         return;
     }
+    state = SessionState::Established;
     auto envelope = wire::EnvelopeT();
     while (connection->receive(envelope))
         m_handler(connection, envelope);
@@ -59,7 +64,25 @@
 
 auto PeerServer::removeEndedSessions() -> void
 {
-    m_sessions.remove_if([](const Session& session) { return session.m_ended->load(); });
+    m_sessions.remove_if(
+        [](const Session& session) { return session.m_state->load() == SessionState::Ended; });
+}
+
+// Sees to it that one more connection is within the bounds; false when it has to be refused.
+auto PeerServer::makeRoom() -> bool
+{
+    const auto inHandshake
+        = [](const Session& session) { return *session.m_state == SessionState::Handshake; };
+    const auto handshakes = std::count_if(m_sessions.begin(), m_sessions.end(), inHandshake);
+    const auto full = m_sessions.size() >= maxPeerSessions;
+    if (!full && static_cast<std::size_t>(handshakes) < maxPeerHandshakes)
+        return true;
+    const auto oldest = std::find_if(m_sessions.begin(), m_sessions.end(), inHandshake);
+    if (oldest == m_sessions.end())
+        return false;
+    oldest->m_connection->close();
+    m_sessions.erase(oldest); // Waits for its thread, which the close has woken.
+    return true;
 }
 
 } // namespace marigoldladder
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -16,6 +16,11 @@
 // Called once when a connection that had passed the handshake is lost.
 using PeerLossHandler = std::function<void(const std::shared_ptr<PeerConnection>&)>;
 
+// The most connections at once, and how many of them may still be in their handshake. At either bound the
+// oldest handshake is given up for a new connection, so that strangers keep no peer out for long.
+inline constexpr auto maxPeerSessions = std::size_t { 2048 };
+inline constexpr auto maxPeerHandshakes = std::size_t { 64 };
+
 // Listens from construction until destruction, one thread for each connection.
 class PeerServer {
 public:
@@ -25,16 +30,23 @@
     ~PeerServer();
 
 private:
+    enum class SessionState {
+        Handshake,
+        Established,
+        Ended,
+    };
+
     struct Session {
         std::shared_ptr<PeerConnection> m_connection;
-        std::shared_ptr<std::atomic<bool>> m_ended;
+        std::shared_ptr<std::atomic<SessionState>> m_state;
         PosixThread m_thread;
     };
 
     auto acceptLoop() -> void;
     auto startSession(Socket) -> void;
-    auto runSession(const std::shared_ptr<PeerConnection>&) -> void;
+    auto runSession(const std::shared_ptr<PeerConnection>&, std::atomic<SessionState>&) -> void;
     auto removeEndedSessions() -> void;
+    auto makeRoom() -> bool;
 
     Socket m_listener;
     PeerIdentity m_self;
--- a/src/wire/socket.cc
+++ b/src/wire/socket.cc
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -17,6 +18,7 @@
 namespace {
 
     constexpr auto listenBacklog = 256;
+    constexpr auto acceptRetryPause = std::chrono::milliseconds(10);
     constexpr auto millisecondsPerSecond = 1000;
     constexpr auto microsecondsPerMillisecond = 1000;
 
@@ -53,6 +55,15 @@
         return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
     }
 
+    // Waits until bytes can be read; false when the deadline passed before.
+    auto waitUntilReadable(int descriptor, SocketDeadline deadline) -> bool
+    {
+        const auto left
+            = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
+        auto waiting = pollfd { descriptor, POLLIN, 0 };
+        return left.count() > 0 && poll(&waiting, 1, static_cast<int>(left.count())) == 1;
+    }
+
     auto setBlocking(int descriptor) -> void
     {
         auto off = 0;
@@ -125,6 +136,7 @@
         const auto passing = errno == EINTR || errno == ECONNABORTED || errno == EMFILE || errno == ENFILE;
         if (!passing)
             return {};
+        std::this_thread::sleep_for(acceptRetryPause);
     }
 }
 
@@ -184,4 +196,21 @@
     return ReadOutcome::Complete;
 }
 
+auto receiveBefore(const Socket& socket, SocketDeadline deadline, std::uint8_t* bytes, std::size_t size)
+    -> bool
+{
+    auto received = std::size_t { 0 };
+    while (received < size) {
+        if (!waitUntilReadable(socket.descriptor(), deadline))
+            return false;
+        const auto count = recv(socket.descriptor(), bytes + received, size - received, MSG_DONTWAIT);
+        if (count < 0 && (errno == EINTR || errno == EAGAIN))
+            continue;
+        if (count <= 0)
+            return false;
+        received += static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
 } // namespace marigoldladder
--- a/src/wire/socket.h
+++ b/src/wire/socket.h
@@ -56,4 +56,9 @@
 // Receives exactly `size` bytes. A time-out after the first byte counts as `Closed`.
 auto receiveExactly(const Socket&, std::uint8_t* bytes, std::size_t size) -> ReadOutcome;
 
+using SocketDeadline = std::chrono::steady_clock::time_point;
+
+// Receives exactly `size` bytes before the deadline, however they are spread; false when that fails.
+auto receiveBefore(const Socket&, SocketDeadline, std::uint8_t* bytes, std::size_t size) -> bool;
+
 } // namespace marigoldladder
