Move the admission of requests out of the caller server

caller_server.cc held authentication, charging and claiming beside its HTTP routes. Admission is now a class of its own on a plain struct, so that it can be measured and tested without HTTP.

--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -1,15 +1,13 @@
 #include "serving/caller_server.h"
 
 #include "core/posix_thread.h"
-#include "serving/caller_request.h"
+#include "serving/admission.h"
 #include "serving/http_answer.h"
 #include "serving/idempotency.h"
 
-#include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <utility>
-#include <xxhash.h>
 
 namespace marigoldladder {
 
@@ -21,16 +19,11 @@
     constexpr auto completionsPattern = "/v1/(chat/)?completions";
     constexpr auto servicesPattern = R"(/services/([^/?]+)(/.*)?)";
 
-    // A request that passed authentication, with what it was charged.
-    struct AdmittedCall {
-        ServeCall m_call;
-        PoolName m_pool;
-        Reservation m_reservation;
-    };
-
-    auto fingerprintOf(const std::string& path, const std::string& body) -> std::uint64_t
+    auto callerRequestOf(const httplib::Request& request) -> CallerRequest
     {
-        return XXH3_64bits_withSeed(body.data(), body.size(), XXH3_64bits(path.data(), path.size()));
+        return { request.method, request.path, request.get_header_value("Authorization"),
+            request.get_header_value("Content-Type"), request.get_header_value("Idempotency-Key"),
+            request.body };
     }
 
 } // namespace
@@ -40,7 +33,7 @@
         RequestRunner& runner, PlatformClient& platform)
         : m_settings(settings)
         , m_blackboard(blackboard)
-        , m_allowance(allowance)
+        , m_admission(blackboard, allowance)
         , m_runner(runner)
         , m_platform(platform)
     {
@@ -55,9 +48,7 @@
     auto serveCompletion(const httplib::Request&, httplib::Response&) -> void;
     auto serveService(const httplib::Request&, httplib::Response&) -> void;
 
-    auto admitCompletion(const httplib::Request&) -> Result<AdmittedCall>;
-    auto admitService(const httplib::Request&) -> Result<AdmittedCall>;
-    auto charge(AdmittedCall) -> Result<AdmittedCall>;
+    auto claim(Result<AdmittedCall>) -> Result<AdmittedCall>;
     auto run(httplib::Response&, Result<AdmittedCall>) -> void;
     auto fail(httplib::Response&, const Failure&, const RequestId&) -> void;
     auto countEnd(const AnswerEnd&) -> void;
@@ -66,7 +57,7 @@
 
     const NodeSettings& m_settings;
     Blackboard& m_blackboard;
-    Allowance& m_allowance;
+    Admission m_admission;
     RequestRunner& m_runner;
     PlatformClient& m_platform;
     httplib::Server m_server;
@@ -159,117 +150,34 @@
     response.set_content(json.dump(), "application/json");
 }
 
-auto CallerServer::Implementation::admitCompletion(const httplib::Request& request) -> Result<AdmittedCall>
+auto CallerServer::Implementation::serveCompletion(
+    const httplib::Request& request, httplib::Response& response) -> void
 {
-    auto parsed = parseCompletionRequest(request.body);
-    auto admitted = AdmittedCall();
-    auto& call = admitted.m_call;
-    const auto checked = m_blackboard.m_configuration.read(
-        [&](const Configuration& configuration) -> Result<void> {
-            const auto organisation = authenticate(configuration, request.get_header_value("Authorization"));
-            if (!organisation)
-                return organisation.error();
-            if (!parsed)
-                return parsed.error();
-            const auto found = configuration.m_adapters.find(parsed.value().m_adapter);
-            if (found == configuration.m_adapters.end())
-                return notRun(FailureType::NotFound, "there is no such adapter and version");
-            const auto& adapter = found->second;
-            const auto& allowed = adapter.m_organisations;
-            if (!allowed.empty()
-                && std::find(allowed.begin(), allowed.end(), organisation.value()) == allowed.end())
-                return notRun(FailureType::Forbidden, "the adapter is not for this organisation");
-            call.m_organisation = organisation.value();
-            const auto owner = configuration.m_organisations.find(call.m_organisation);
-            call.m_weight = owner == configuration.m_organisations.end() ? 1 : owner->second.m_weight;
-            call.m_adapterPath = adapter.m_path;
-            admitted.m_pool = adapter.m_pool;
-            return boost::outcome_v2::success();
-        });
-    if (!checked)
-        return checked.error();
-    call.m_requestId = makeRequestId();
-    call.m_adapter = parsed.value().m_adapter;
-    call.m_method = request.method;
-    call.m_path = request.path;
-    call.m_contentType = "application/json";
-    call.m_body = std::move(parsed.value().m_engineBody);
-    call.m_idempotent = true;
-    call.m_stream = parsed.value().m_stream;
-    call.m_priority = parsed.value().m_priority;
-    call.m_costTokens = parsed.value().m_costTokens;
-    call.m_fingerprint = fingerprintOf(call.m_path, call.m_body);
-    return charge(std::move(admitted));
+    run(response, m_admission.admitCompletion(callerRequestOf(request)));
 }
 
-auto CallerServer::Implementation::admitService(const httplib::Request& request) -> Result<AdmittedCall>
+auto CallerServer::Implementation::serveService(const httplib::Request& request, httplib::Response& response)
+    -> void
 {
-    const auto routeName = RouteName(request.matches[1].str());
-    auto admitted = AdmittedCall();
-    auto& call = admitted.m_call;
-    const auto checked
-        = m_blackboard.m_configuration.read([&](const Configuration& configuration) -> Result<void> {
-              const auto found = configuration.m_routes.find(routeName);
-              if (found == configuration.m_routes.end())
-                  return notRun(FailureType::NotFound, "there is no such route");
-              const auto& route = found->second;
-              if (!route.m_openToAll) {
-                  const auto organisation
-                      = authenticate(configuration, request.get_header_value("Authorization"));
-                  if (!organisation)
-                      return organisation.error();
-                  call.m_organisation = organisation.value();
-                  call.m_costTokens = route.m_costTokens;
-              }
-              call.m_idempotent = route.m_idempotent;
-              admitted.m_pool = route.m_pool;
-              return boost::outcome_v2::success();
-          });
-    if (!checked)
-        return checked.error();
-    call.m_requestId = makeRequestId();
-    call.m_method = request.method;
-    call.m_path = request.matches[2].matched ? request.matches[2].str() : "/";
-    call.m_contentType = request.get_header_value("Content-Type");
-    call.m_body = request.body;
-    call.m_idempotencyKey = IdempotencyKey(request.get_header_value("Idempotency-Key"));
-    if (!call.m_idempotent && call.m_idempotencyKey.empty())
-        return notRun(FailureType::BadRequest, "this route needs the header Idempotency-Key");
-    return charge(std::move(admitted));
+    const auto route = RouteName(request.matches[1].str());
+    const auto path = request.matches[2].matched ? request.matches[2].str() : "/";
+    run(response, claim(m_admission.admitService(callerRequestOf(request), route, path)));
 }
 
-auto CallerServer::Implementation::charge(AdmittedCall admitted) -> Result<AdmittedCall>
+// Claims the key of a call that must not run twice.
+auto CallerServer::Implementation::claim(Result<AdmittedCall> admitted) -> Result<AdmittedCall>
 {
-    const auto& call = admitted.m_call;
-    if (call.m_organisation.empty())
-        return admitted;
-    const auto now = std::chrono::steady_clock::now();
-    auto reservation = m_allowance.admit(call.m_organisation, call.m_costTokens, now);
-    if (!reservation)
-        return reservation.error();
-    admitted.m_reservation = std::move(reservation.value());
-    if (call.m_idempotent)
+    if (!admitted || admitted.value().m_call.m_idempotent)
         return admitted;
+    const auto& call = admitted.value().m_call;
     const auto claimed = claimIdempotencyKey(m_platform, call.m_organisation, call.m_idempotencyKey);
     if (claimed)
         return admitted;
     m_blackboard.m_metrics.add(Counter::IdempotencyRefusals);
-    m_allowance.settle(admitted.m_reservation, 0);
+    m_admission.settle(admitted.value().m_reservation, 0);
     return claimed.error();
 }
 
-auto CallerServer::Implementation::serveCompletion(
-    const httplib::Request& request, httplib::Response& response) -> void
-{
-    run(response, admitCompletion(request));
-}
-
-auto CallerServer::Implementation::serveService(const httplib::Request& request, httplib::Response& response)
-    -> void
-{
-    run(response, admitService(request));
-}
-
 auto CallerServer::Implementation::run(httplib::Response& response, Result<AdmittedCall> admitted) -> void
 {
     if (!admitted) {
@@ -278,14 +186,14 @@
         fail(response, admitted.error(), makeRequestId());
         return;
     }
-    const auto& [call, pool, reservation] = admitted.value();
+    const auto& [call, pool, route, reservation] = admitted.value();
     countInFlight(1);
     const auto begun = std::chrono::steady_clock::now();
     const auto deadline = begun + m_settings.m_limits.m_requestDeadline;
     auto started = m_runner.start(call, pool, deadline);
     if (!started) {
         fail(response, started.error(), call.m_requestId);
-        m_allowance.settle(
+        m_admission.settle(
             reservation, started.error().m_verdict == Verdict::NotRun ? 0 : reservation.m_tokens);
         countInFlight(-1);
         return;
@@ -299,7 +207,7 @@
 
 auto CallerServer::Implementation::finish(const Reservation& reservation, const AnswerEnd& end) -> void
 {
-    m_allowance.settle(reservation, end.m_completed ? end.m_usedTokens : reservation.m_tokens);
+    m_admission.settle(reservation, end.m_completed ? end.m_usedTokens : reservation.m_tokens);
     countEnd(end);
     countInFlight(-1);
 }
