Share allowances over the fleet by escrow

A static part of 1/N refused callers that meet at one node, and every count was kept twice when a node restarted: its bucket came back full. Now a platform object names the holder of each of 512 slots (64 groups of organisations, 8 slots each). Holders give slots away by conditional update, lowered locally first; a lost reply is tried again until it is certain. A part taken over starts empty. What a request lacks is asked of the other holders by message; the giver debits first and holds the room until the taker can no longer spend it. Refunds go to the bucket that paid, less what its refill made up for meanwhile.

--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -116,14 +116,9 @@
     std::map<UpstreamName, Assignment> m_assignments;
 };
 
-// The part of an organisation's rate and burst that this node may spend by itself.
-struct Share {
-    double m_fraction = 0; // 0 to 1; over all VMs the fractions sum to at most 1.
-};
-
+// Which VM holds which part of the organisations' rates and bursts, as this node last read it.
 struct ShareTable {
-    std::map<OrganisationName, Share> m_shares;
-    double m_defaultFraction = 0; // For organisations without a row.
+    std::vector<VmName> m_slots; // The holder of each slot (limits/share_slots.h); empty: not known yet.
 };
 
 // How this node itself is doing.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -9,6 +9,7 @@
 #include "fleet/peer_links.h"
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
+#include "limits/token_exchange.h"
 #include "ops/operator_server.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
@@ -26,6 +27,7 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(300);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
+    constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto gossipPeriod = std::chrono::milliseconds(200);
     constexpr auto addressExpiry = std::chrono::milliseconds(2500);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
@@ -49,7 +51,9 @@
         , m_links(m_blackboard, m_identity)
         , m_owner(m_blackboard)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
-        , m_allowance(m_blackboard)
+        , m_allowance(
+              m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
+        , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
         , m_operators(m_settings, m_blackboard, m_log)
@@ -57,6 +61,7 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
+        m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings.m_vm, m_gossipRandom); });
     }
@@ -76,6 +81,7 @@
     Owner m_owner;
     OwnerClient m_owners;
     Allowance m_allowance;
+    ShareController m_shares;
     RequestRunner m_runner;
     CallerServer m_callers;
     OperatorServer m_operators;
@@ -85,6 +91,7 @@
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_fleetTask;
     std::mt19937_64 m_gossipRandom { std::random_device()() }; // Used by the gossip task only.
+    std::optional<PeriodicTask> m_shareTask;
     std::optional<PeriodicTask> m_gossipTask;
 };
 
@@ -140,7 +147,6 @@
         m_published = publishMember(m_platform, setOwnMember(MemberState::Alive)).has_value();
     (void)refreshMembership(m_blackboard, m_platform, m_settings.m_vm);
     (void)refreshUpstreams(m_blackboard, m_platform);
-    refreshShares(m_blackboard);
     refreshAssignments(m_blackboard);
 }
 
@@ -151,6 +157,12 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::TokenRequest:
+        handleTokenRequest(m_allowance, connection, envelope);
+        break;
+    case wire::Body::TokenReturn:
+        handleTokenReturn(m_allowance, envelope);
+        break;
     case wire::Body::Gossip: {
         thread_local auto random = std::mt19937_64(std::random_device()());
         handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
@@ -189,6 +201,7 @@
             break;
         std::this_thread::sleep_for(drainPoll);
     }
+    (void)node.m_shares.release();
     logChange("drained");
 }
 
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -120,8 +120,7 @@
     const auto& call = admitted.m_call;
     if (call.m_organisation.empty())
         return admitted;
-    auto reservation
-        = m_allowance.admit(call.m_organisation, call.m_costTokens, std::chrono::steady_clock::now());
+    auto reservation = m_allowance.admit(call.m_organisation, call.m_costTokens);
     if (!reservation)
         return reservation.error();
     admitted.m_reservation = std::move(reservation.value());
