Carry an answer whole over lost connections, owners and upstreams

An answer was cut whenever one of its hops was lost, and an owner started all queued calls of an upstream at once up to a fixed cap. The entry now keeps one answer over several tries and goes on at the offset it reached; owners admit by a ramp and a fair queue, run suspects of a crash alone, and tell what became of a try.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -47,10 +47,11 @@
         , m_log(m_platform)
         , m_identity { m_settings.m_vm, makeIncarnation(), m_settings.m_fleetSecret }
         , m_links(m_blackboard, m_identity)
-        , m_owner(m_blackboard)
+        , m_poison(m_blackboard, m_links, m_settings.m_vm)
+        , m_owner(m_blackboard, m_poison)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(m_blackboard)
-        , m_runner(m_blackboard, m_owners)
+        , m_runner(m_blackboard, m_owners, m_poison)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
         , m_operators(m_settings, m_blackboard, m_log)
     {
@@ -73,6 +74,7 @@
     ReleaseLog m_log;
     PeerIdentity m_identity;
     PeerLinks m_links;
+    PoisonWatch m_poison;
     Owner m_owner;
     OwnerClient m_owners;
     Allowance m_allowance;
@@ -159,6 +161,12 @@
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
+    case wire::Body::ResolveRequest:
+        handleResolveRequest(m_owner, connection, envelope);
+        break;
+    case wire::Body::PoisonNotice:
+        m_poison.handleNotice(connection, envelope);
+        break;
     default:
         break;
     }
--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -8,29 +8,69 @@
 
 namespace {
 
-    constexpr auto concurrencyCap = std::size_t { 16 };
-    constexpr auto maxQueuedCalls = std::size_t { 256 };
     constexpr auto sweepPeriod = std::chrono::milliseconds(50);
 
+    // Slots that overnight and batch calls leave to interactive ones: one in this many.
+    constexpr auto slotsPerReserved = std::size_t { 4 };
+
+    auto now() -> MonotonicTime
+    {
+        return std::chrono::steady_clock::now();
+    }
+
+    auto secondsSince(MonotonicTime begun) -> double
+    {
+        return std::chrono::duration<double>(now() - begun).count();
+    }
+
+    auto poisonRefusal() -> Failure
+    {
+        auto failure = notRun(
+            FailureType::UpstreamFailed, "upstreams crashed under this request; it is refused for now");
+        failure.m_retryAfter = refusalTime;
+        return failure;
+    }
+
+    auto queueRefusal(std::chrono::milliseconds retryAfter) -> Failure
+    {
+        auto failure = notRun(FailureType::Overloaded, "the upstream's queue is full");
+        failure.m_retryAfter = retryAfter;
+        return failure;
+    }
+
 } // namespace
 
 struct Owner::PendingCall {
     ServeCall m_call;
+    RequestId m_id; // Of this try.
     AnswerSink m_sink;
+    WantedCheck m_wanted;
+    MonotonicTime m_queuedAt;
     MonotonicTime m_deadline;
+    MonotonicTime m_startedAt;
     PinHandle m_pin; // Null for plain services.
-    CancelFlag m_cancelled { false };
+    CallControl m_control;
+    bool m_started = false;
+    bool m_alone = false; // Nothing else runs on its upstream, as it is suspect.
+    bool m_answered = false; // Its upstream began to answer.
+    std::uint64_t m_epoch = 0; // Of the upstream's ramp.
+    std::uint32_t m_progress = 0; // Events of the stream up to now, those before a resumption included.
+    std::uint32_t m_clearAt = 0; // The progress at which a suspect is cleared.
 };
 
 struct Owner::UpstreamState {
-    std::deque<std::shared_ptr<PendingCall>> m_queue;
+    FairQueue m_queue;
+    Ramp m_ramp = makeRamp({});
     std::size_t m_inFlight = 0;
+    PendingHandle m_reserved; // A suspect that waits until nothing else runs.
+    bool m_alone = false; // A suspect runs.
 };
 
-Owner::Owner(Blackboard& blackboard)
+Owner::Owner(Blackboard& blackboard, PoisonWatch& poison)
     : m_blackboard(blackboard)
+    , m_poison(poison)
     , m_adapters(blackboard, [this](const UpstreamName&) { startAllCalls(); })
-    , m_sweep("owner-sweep", sweepPeriod, [this] { startAllCalls(); })
+    , m_sweep("owner-sweep", sweepPeriod, [this] { sweep(); })
 {
 }
 
@@ -39,8 +79,13 @@
     m_sweep.stop();
     auto lock = std::unique_lock(m_mutex);
     for (const auto& [id, pending] : m_calls)
-        pending->m_cancelled = true;
+        pending->m_control.cancel();
     m_changed.wait(lock, [this] { return m_running == 0; });
+    auto queued = std::exchange(m_calls, {}); // Their pins go before the adapter manager does.
+    for (const auto& [name, state] : m_states)
+        state->m_reserved.reset();
+    lock.unlock();
+    queued.clear();
 }
 
 auto Owner::findUpstream(const UpstreamName& name) const -> std::optional<Upstream>
@@ -51,42 +96,115 @@
     });
 }
 
-auto Owner::serve(ServeCall call, AnswerSink sink) -> void
+auto Owner::serve(ServeCall call, AnswerSink sink, WantedCheck wanted) -> void
 {
     auto pending = std::make_shared<PendingCall>();
-    pending->m_deadline = std::chrono::steady_clock::now() + call.m_deadline;
+    pending->m_queuedAt = now();
+    pending->m_deadline = pending->m_queuedAt + call.m_deadline;
+    pending->m_id = attemptId(call);
+    pending->m_progress = call.m_resumeOffset;
     pending->m_call = std::move(call);
     pending->m_sink = std::move(sink);
-    if (!enqueue(pending)) {
-        m_blackboard.m_metrics.add(Counter::QueueRefusals);
-        pending->m_sink(failedEnd(notRun(FailureType::Overloaded, "the upstream's queue is full")));
+    pending->m_wanted = std::move(wanted);
+    if (!enterCall(pending))
         return;
+    const auto& entered = pending->m_call;
+    if (!entered.m_adapter.m_name.empty())
+        pending->m_pin = m_adapters.want(entered.m_upstream, entered.m_adapter, entered.m_adapterPath);
+    enqueue(pending);
+}
+
+// Returns false for a call that is dead or known already.
+auto Owner::enterCall(const PendingHandle& pending) -> bool
+{
+    auto known = std::optional<AttemptState>();
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        known = enterAttempt(m_attempts, pending->m_id, pending->m_queuedAt);
+        if (!known)
+            m_calls[pending->m_id] = pending;
     }
-    startAllCalls();
+    if (known == AttemptState::Dead)
+        pending->m_sink(failedEnd(notRun(FailureType::Unavailable, "the entry gave this try up")));
+    return !known;
 }
 
-auto Owner::enqueue(const std::shared_ptr<PendingCall>& pending) -> bool
+auto Owner::enqueue(const PendingHandle& pending) -> void
 {
     const auto& call = pending->m_call;
-    if (!call.m_adapter.m_name.empty())
-        pending->m_pin = m_adapters.want(call.m_upstream, call.m_adapter, call.m_adapterPath);
     const auto lock = std::lock_guard(m_mutex);
     auto& state = m_states[call.m_upstream];
     if (!state)
         state = std::make_unique<UpstreamState>();
-    if (state->m_queue.size() >= maxQueuedCalls)
+    const auto queued = QueuedCall { pending->m_id, call.m_organisation, call.m_weight, call.m_priority,
+        call.m_costTokens, pending->m_deadline };
+    const auto decision = enqueueCall(state->m_queue, queued, pending->m_queuedAt);
+    if (!decision.m_accepted)
+        refuseQueued(pending, queueRefusal(decision.m_retryAfter));
+    if (decision.m_displaced)
+        refuseQueued(m_calls.at(*decision.m_displaced), queueRefusal(decision.m_retryAfter));
+    startCalls(*state);
+}
+
+// Ends a call that is in no queue any longer and never ran; call it with the lock held.
+auto Owner::refuseQueued(const PendingHandle& pending, Failure failure) -> void
+{
+    if (failure.m_type == FailureType::Overloaded)
+        m_blackboard.m_metrics.add(Counter::QueueRefusals);
+    noteAttempt(m_attempts, pending->m_id, AttemptState::EndedNotRun);
+    m_calls.erase(pending->m_id);
+    ++m_running;
+    // The sink may have to wait for the network, so it gets a thread of its own.
+    runDetached("owner-refuse", [this, pending, end = failedEnd(std::move(failure))] {
+        pending->m_pin.reset();
+        pending->m_sink(end);
+        const auto lock = std::lock_guard(m_mutex);
+        --m_running;
+        m_changed.notify_all();
+    });
+}
+
+// Returns whether the call was queued; call it with the lock held.
+auto Owner::takeFromQueue(const PendingHandle& pending) -> bool
+{
+    const auto state = m_states.find(pending->m_call.m_upstream);
+    if (pending->m_started || state == m_states.end())
         return false;
-    state->m_queue.push_back(pending);
-    m_calls[call.m_requestId] = pending;
-    return true;
+    if (state->second->m_reserved == pending) {
+        state->second->m_reserved.reset();
+        return true;
+    }
+    return removeCall(state->second->m_queue, pending->m_id);
 }
 
-auto Owner::cancel(const RequestId& id) -> void
+auto Owner::cancel(const RequestId& attempt) -> void
+{
+    auto running = PendingHandle();
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        const auto found = m_calls.find(attempt);
+        if (found == m_calls.end())
+            return;
+        const auto pending = found->second;
+        if (takeFromQueue(pending))
+            refuseQueued(pending, notRun(FailureType::UpstreamFailed, "the caller hung up"));
+        else if (pending->m_call.m_idempotent)
+            running = pending;
+    }
+    if (running)
+        running->m_control.cancel();
+}
+
+auto Owner::resolve(const RequestId& attempt) -> Verdict
 {
     const auto lock = std::lock_guard(m_mutex);
-    const auto found = m_calls.find(id);
-    if (found != m_calls.end())
-        found->second->m_cancelled = true;
+    const auto found = m_calls.find(attempt);
+    if (found != m_calls.end()) {
+        const auto pending = found->second;
+        if (takeFromQueue(pending))
+            refuseQueued(pending, notRun(FailureType::Unavailable, "the entry withdrew this try"));
+    }
+    return resolveAttempt(m_attempts, attempt, now());
 }
 
 auto Owner::startAllCalls() -> void
@@ -96,56 +214,214 @@
         startCalls(*state);
 }
 
+auto Owner::mayStartCall(const UpstreamState& state) const -> bool
+{
+    if (state.m_alone)
+        return false;
+    return state.m_reserved ? state.m_inFlight == 0 : state.m_inFlight < rampLimit(state.m_ramp);
+}
+
 // Whether the call has what it needs to run, or has failed and only needs its answer.
-auto Owner::readyToStart(const PendingCall& pending) -> bool
+auto Owner::readyToStart(const UpstreamState& state, const QueuedCall& queued) const -> bool
 {
-    if (pending.m_cancelled || std::chrono::steady_clock::now() >= pending.m_deadline)
-        return true;
+    const auto limit = rampLimit(state.m_ramp);
+    if (queued.m_priority != Priority::Interactive && state.m_inFlight >= limit - limit / slotsPerReserved)
+        return false;
+    const auto& pending = *m_calls.at(queued.m_id);
     return !pending.m_pin || m_adapters.stateOf(*pending.m_pin) != PinState::Waiting;
 }
 
+auto Owner::nextCall(UpstreamState& state) -> PendingHandle
+{
+    if (state.m_reserved)
+        return std::exchange(state.m_reserved, nullptr);
+    const auto next
+        = takeNextCall(state.m_queue, [&](const QueuedCall& queued) { return readyToStart(state, queued); });
+    return next ? m_calls.at(next->m_id) : nullptr;
+}
+
 // Starts queued calls while the upstream bears more; call it with the lock held.
 auto Owner::startCalls(UpstreamState& state) -> void
 {
-    for (auto next = state.m_queue.begin();
-         next != state.m_queue.end() && state.m_inFlight < concurrencyCap;) {
-        if (!readyToStart(**next)) {
-            ++next;
-            continue;
+    while (mayStartCall(state)) {
+        const auto pending = nextCall(state);
+        if (!pending)
+            return;
+        pending->m_alone = m_poison.stateOf(pending->m_call.m_fingerprint) == PoisonState::Suspect;
+        if (pending->m_alone && state.m_inFlight > 0) {
+            state.m_reserved = pending;
+            return;
         }
-        auto pending = *next;
-        next = state.m_queue.erase(next);
-        ++state.m_inFlight;
-        ++m_running;
-        runDetached("owner-call", [this, &state, pending] { runPending(state, pending); });
+        startCall(state, pending);
     }
 }
 
-auto Owner::runPending(UpstreamState& state, const std::shared_ptr<PendingCall>& pending) -> void
+auto Owner::startCall(UpstreamState& state, const PendingHandle& pending) -> void
 {
-    auto end = runAdmitted(*pending);
+    pending->m_started = true;
+    pending->m_startedAt = now();
+    pending->m_clearAt = m_poison.clearingProgressOf(pending->m_call.m_fingerprint);
+    pending->m_epoch = rampStarted(state.m_ramp, state.m_inFlight, pending->m_startedAt);
+    state.m_alone = pending->m_alone;
+    noteAttempt(m_attempts, pending->m_id, AttemptState::Started);
+    ++state.m_inFlight;
+    ++m_running;
+    runDetached("owner-call", [this, &state, pending] { runPending(state, pending); });
+}
+
+auto Owner::runPending(UpstreamState& state, const PendingHandle& pending) -> void
+{
+    m_blackboard.m_metrics.observe(Latency::QueueWait, secondsSince(pending->m_queuedAt));
+    auto end = runAdmitted(state, *pending);
     pending->m_pin.reset();
+    finishCall(state, pending, std::move(end));
+}
+
+auto Owner::finishCall(UpstreamState& state, const PendingHandle& pending, AnswerEnd end) -> void
+{
+    const auto notRun = !end.m_completed && end.m_failure.m_verdict == Verdict::NotRun;
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        noteAttempt(m_attempts, pending->m_id, notRun ? AttemptState::EndedNotRun : AttemptState::Ended);
+    }
     pending->m_sink(std::move(end));
     const auto lock = std::lock_guard(m_mutex);
-    m_calls.erase(pending->m_call.m_requestId);
-    --state.m_inFlight;
+    m_calls.erase(pending->m_id);
+    if (pending->m_alone)
+        state.m_alone = false;
+    if (--state.m_inFlight == 0)
+        rampIdle(state.m_ramp, now());
     startCalls(state);
     --m_running;
     m_changed.notify_all();
 }
 
-auto Owner::runAdmitted(const PendingCall& pending) -> AnswerEnd
+auto Owner::runAdmitted(UpstreamState& state, PendingCall& pending) -> AnswerEnd
 {
-    if (pending.m_cancelled)
+    if (pending.m_control.cancelled())
         return failedEnd(notRun(FailureType::UpstreamFailed, "the caller hung up"));
-    if (std::chrono::steady_clock::now() >= pending.m_deadline)
+    if (now() >= pending.m_deadline)
         return failedEnd(notRun(FailureType::DeadlineExceeded, "no upstream was free in time"));
     if (pending.m_pin && m_adapters.stateOf(*pending.m_pin) == PinState::Failed)
         return failedEnd(m_adapters.failureOf(*pending.m_pin));
+    if (m_poison.stateOf(pending.m_call.m_fingerprint) == PoisonState::Refused) {
+        m_blackboard.m_metrics.add(Counter::PoisonRefusals);
+        return failedEnd(poisonRefusal());
+    }
     const auto upstream = findUpstream(pending.m_call.m_upstream);
     if (!upstream)
         return failedEnd(notRun(FailureType::Unavailable, "the upstream is gone"));
-    return runCall(*upstream, pending.m_call, pending.m_cancelled, m_blackboard.m_metrics, pending.m_sink);
+    return runExchange(state, pending, *upstream);
+}
+
+auto Owner::runExchange(UpstreamState& state, PendingCall& pending, const Upstream& upstream) -> AnswerEnd
+{
+    const auto sink = [&](AnswerEvent event) {
+        observe(state, pending, event);
+        pending.m_sink(std::move(event));
+    };
+    auto call = pending.m_call;
+    call.m_deadline = std::chrono::duration_cast<std::chrono::milliseconds>(pending.m_deadline - now());
+    auto exchange = runCall(upstream, call, pending.m_control, m_blackboard.m_metrics, sink);
+    noteEnd(state, pending, upstream, exchange);
+    return std::move(exchange.m_end);
+}
+
+// Learns from an event on its way to the entry.
+auto Owner::observe(UpstreamState& state, PendingCall& pending, const AnswerEvent& event) -> void
+{
+    if (const auto* head = std::get_if<AnswerHead>(&event))
+        noteBoot(state, pending, head->m_bootId);
+    if (const auto* chunk = std::get_if<AnswerChunk>(&event))
+        pending.m_progress = chunk->m_offset;
+    if (pending.m_alone && pending.m_call.m_stream && pending.m_progress >= pending.m_clearAt)
+        endSolitude(state, pending);
+}
+
+auto Owner::noteBoot(UpstreamState& state, PendingCall& pending, const std::string& bootId) -> void
+{
+    if (std::exchange(pending.m_answered, true))
+        return;
+    auto restarted = false;
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        restarted = rampAnswered(state.m_ramp, pending.m_epoch, bootId, secondsSince(pending.m_startedAt));
+        startCalls(state);
+    }
+    if (restarted)
+        m_adapters.forgetAll(pending.m_call.m_upstream);
+}
+
+// Clears a suspect that survived, and lets others run beside it.
+auto Owner::endSolitude(UpstreamState& state, PendingCall& pending) -> void
+{
+    m_poison.reportCleared(pending.m_call.m_fingerprint);
+    const auto lock = std::lock_guard(m_mutex);
+    pending.m_alone = false;
+    state.m_alone = false;
+    startCalls(state);
+}
+
+auto Owner::noteEnd(
+    UpstreamState& state, PendingCall& pending, const Upstream& upstream, ExchangeEnd& exchange) -> void
+{
+    if (!exchange.m_bootId.empty())
+        noteBoot(state, pending, exchange.m_bootId);
+    auto bootId = std::string();
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        bootId = state.m_ramp.m_bootId;
+        const auto took = secondsSince(pending.m_startedAt);
+        if (exchange.m_end.m_completed) {
+            noteServed(state.m_queue, pending.m_call.m_costTokens, took, state.m_inFlight);
+            rampSucceeded(state.m_ramp, pending.m_epoch);
+        } else if (exchange.m_outcome == ExchangeOutcome::Overloaded
+            || exchange.m_outcome == ExchangeOutcome::Silent) {
+            rampOverloaded(state.m_ramp, pending.m_epoch);
+        } else if (exchange.m_outcome == ExchangeOutcome::Lost
+            || exchange.m_outcome == ExchangeOutcome::Unreachable) {
+            rampBroken(state.m_ramp, pending.m_epoch);
+        }
+    }
+    if (exchange.m_notLoaded)
+        m_adapters.forget(pending.m_call.m_upstream, pending.m_call.m_adapter);
+    if (exchange.m_end.m_completed && pending.m_alone)
+        m_poison.reportCleared(pending.m_call.m_fingerprint);
+    if (exchange.m_outcome == ExchangeOutcome::Lost && noteLoss(pending, upstream, bootId))
+        exchange.m_end = failedEnd(mayHaveRun(FailureType::Unavailable, "the upstream went down"));
+}
+
+// Finds out whether the upstream went down under the call, or just the connection was lost.
+auto Owner::noteLoss(PendingCall& pending, const Upstream& upstream, const std::string& bootId) -> bool
+{
+    const auto probe = probeUpstream(upstream);
+    const auto restarted = !probe.m_bootId.empty() && !bootId.empty() && probe.m_bootId != bootId;
+    const auto crashed = probe.m_refused || restarted;
+    if (crashed && pending.m_call.m_fingerprint != 0)
+        m_poison.reportCrash(pending.m_call.m_fingerprint, pending.m_progress);
+    return crashed;
+}
+
+auto Owner::sweep() -> void
+{
+    auto unwanted = std::vector<PendingHandle>();
+    {
+        const auto lock = std::lock_guard(m_mutex);
+        auto calls = std::vector<PendingHandle>();
+        for (const auto& [id, pending] : m_calls)
+            calls.push_back(pending);
+        for (const auto& pending : calls) {
+            const auto wanted = !pending->m_control.cancelled() && pending->m_wanted();
+            const auto late = now() >= pending->m_deadline;
+            if ((!wanted || late) && takeFromQueue(pending))
+                refuseQueued(pending, notRun(FailureType::DeadlineExceeded, "no upstream was free in time"));
+            else if (!wanted && pending->m_call.m_idempotent)
+                unwanted.push_back(pending);
+        }
+    }
+    for (const auto& pending : unwanted)
+        pending->m_control.cancel();
+    startAllCalls();
 }
 
 } // namespace marigoldladder
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -4,11 +4,14 @@
 #include "core/blackboard.h"
 #include "core/periodic_task.h"
 #include "routing/adapter_manager.h"
+#include "routing/fair_queue.h"
+#include "routing/poison_watch.h"
+#include "routing/ramp.h"
+#include "routing/resolve.h"
 #include "routing/serve_call.h"
 #include "routing/upstream_client.h"
 
 #include <condition_variable>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,42 +20,69 @@
 
 namespace marigoldladder {
 
+// Tells whether somebody still waits for a call's answer.
+using WantedCheck = std::function<bool()>;
+
 // Thread-safe. Each running call has a thread of its own, at most the concurrency cap for an upstream.
 class Owner {
 public:
-    explicit Owner(Blackboard&);
+    Owner(Blackboard&, PoisonWatch&);
     Owner(const Owner&) = delete;
     auto operator=(const Owner&) -> Owner& = delete;
 
     // Waits for the end of all calls.
     ~Owner();
 
-    // Queues the call and returns at once; its answer goes to the sink from other threads.
-    auto serve(ServeCall, AnswerSink) -> void;
+    // Queues the call and returns at once; its answer goes to the sink from other threads. A doubled call is
+    // dropped, a dead one (see `resolve`) refused. A call that nobody wants any longer is given up.
+    auto serve(ServeCall, AnswerSink, WantedCheck) -> void;
+
+    // Gives up on a try of a request, queued or running; one that can't be repeated runs on if it started.
+    auto cancel(const RequestId& attempt) -> void;
 
-    // Gives up on a call, queued or running.
-    auto cancel(const RequestId&) -> void;
+    // Tells whether a try may have run. One that is queued is withdrawn, and one never seen is refused from
+    // then on, so that `NotRun` stays true.
+    auto resolve(const RequestId& attempt) -> Verdict;
 
 private:
     struct PendingCall;
     struct UpstreamState;
+    using PendingHandle = std::shared_ptr<PendingCall>;
 
     auto findUpstream(const UpstreamName&) const -> std::optional<Upstream>;
-    auto enqueue(const std::shared_ptr<PendingCall>&) -> bool;
-    auto startCalls(UpstreamState&) -> void;
+    auto enterCall(const PendingHandle&) -> bool;
+    auto enqueue(const PendingHandle&) -> void;
+    auto refuseQueued(const PendingHandle&, Failure) -> void;
+    auto takeFromQueue(const PendingHandle&) -> bool;
+
     auto startAllCalls() -> void;
-    auto readyToStart(const PendingCall&) -> bool;
-    auto runPending(UpstreamState&, const std::shared_ptr<PendingCall>&) -> void;
-    auto runAdmitted(const PendingCall&) -> AnswerEnd;
+    auto startCalls(UpstreamState&) -> void;
+    auto mayStartCall(const UpstreamState&) const -> bool;
+    auto readyToStart(const UpstreamState&, const QueuedCall&) const -> bool;
+    auto nextCall(UpstreamState&) -> PendingHandle;
+    auto startCall(UpstreamState&, const PendingHandle&) -> void;
+
+    auto runPending(UpstreamState&, const PendingHandle&) -> void;
+    auto runAdmitted(UpstreamState&, PendingCall&) -> AnswerEnd;
+    auto runExchange(UpstreamState&, PendingCall&, const Upstream&) -> AnswerEnd;
+    auto observe(UpstreamState&, PendingCall&, const AnswerEvent&) -> void;
+    auto noteBoot(UpstreamState&, PendingCall&, const std::string& bootId) -> void;
+    auto noteEnd(UpstreamState&, PendingCall&, const Upstream&, ExchangeEnd&) -> void;
+    auto noteLoss(PendingCall&, const Upstream&, const std::string& bootId) -> bool;
+    auto endSolitude(UpstreamState&, PendingCall&) -> void;
+    auto finishCall(UpstreamState&, const PendingHandle&, AnswerEnd) -> void;
+    auto sweep() -> void;
 
     Blackboard& m_blackboard;
-    std::mutex m_mutex;
+    PoisonWatch& m_poison;
+    mutable std::mutex m_mutex;
     std::condition_variable m_changed; // A call ended.
     std::map<UpstreamName, std::unique_ptr<UpstreamState>> m_states;
-    std::unordered_map<RequestId, std::shared_ptr<PendingCall>> m_calls;
-    std::size_t m_running = 0;
+    std::unordered_map<RequestId, PendingHandle> m_calls; // Queued or running, by their try.
+    AttemptLog m_attempts;
+    std::size_t m_running = 0; // Threads that serve or refuse calls.
     AdapterManager m_adapters;
-    PeriodicTask m_sweep; // Last: ends calls whose deadline passed while they were queued.
+    PeriodicTask m_sweep; // Last: gives up calls whose deadline passed or that nobody wants.
 };
 
 } // namespace marigoldladder
--- a/src/routing/owner_client.h
+++ b/src/routing/owner_client.h
@@ -14,6 +14,8 @@
 struct OwnedCall {
     std::shared_ptr<AnswerStream> m_answer;
     std::function<void()> m_cancel; // Tells the owner that nobody waits any longer.
+    std::function<Verdict()>
+        m_resolve; // Asks the owner, over a new connection, whether the call may have run.
 };
 
 class OwnerClient {
@@ -26,6 +28,7 @@
 private:
     auto startHere(const ServeCall&) -> OwnedCall;
     auto startAt(const VmName& owner, const ServeCall&) -> Result<OwnedCall>;
+    auto resolve(const VmName& owner, Incarnation, const RequestId& attempt) -> Verdict;
 
     Blackboard& m_blackboard;
     PeerLinks& m_links;
@@ -36,4 +39,7 @@
 // Serves calls that peers send to this node's owner role.
 auto handleServeRequest(Owner&, const std::shared_ptr<PeerConnection>&, const wire::EnvelopeT&) -> void;
 
+// Answers a peer that asks what became of a call.
+auto handleResolveRequest(Owner&, const std::shared_ptr<PeerConnection>&, const wire::EnvelopeT&) -> void;
+
 } // namespace marigoldladder
--- a/src/routing/serve_call.cc
+++ b/src/routing/serve_call.cc
@@ -33,6 +33,7 @@
         message.status = static_cast<std::uint16_t>(head.m_status);
         message.content_type = head.m_contentType;
         message.upstream = head.m_upstream.value();
+        message.adapter = head.m_adapter.m_name.empty() ? "" : formatAdapterRef(head.m_adapter);
         return makeEnvelope(correlation, std::move(message));
     }
 
@@ -70,6 +71,13 @@
 
 } // namespace
 
+auto attemptId(const ServeCall& call) -> RequestId
+{
+    if (call.m_attempt == 0)
+        return call.m_requestId;
+    return RequestId(call.m_requestId.value() + "#" + std::to_string(call.m_attempt));
+}
+
 auto encodeServeCall(const ServeCall& call) -> wire::ServeRequestT
 {
     auto message = wire::ServeRequestT();
@@ -92,6 +100,7 @@
     message.cost_tokens = call.m_costTokens;
     message.resume_offset = call.m_resumeOffset;
     message.fingerprint = call.m_fingerprint;
+    message.attempt = call.m_attempt;
     return message;
 }
 
@@ -116,6 +125,7 @@
     call.m_costTokens = message.cost_tokens;
     call.m_resumeOffset = message.resume_offset;
     call.m_fingerprint = message.fingerprint;
+    call.m_attempt = message.attempt;
     return call;
 }
 
@@ -127,7 +137,8 @@
 auto decodeAnswerEvent(const wire::EnvelopeT& envelope) -> std::optional<AnswerEvent>
 {
     if (const auto* head = envelope.body.AsServeHead())
-        return AnswerHead { head->status, head->content_type, UpstreamName(head->upstream) };
+        return AnswerHead { head->status, head->content_type, UpstreamName(head->upstream),
+            parseAdapterRef(head->adapter).value_or(AdapterRef {}), {} };
     if (const auto* chunk = envelope.body.AsServeChunk())
         return AnswerChunk { chunk->offset, toText(chunk->data) };
     if (const auto* end = envelope.body.AsServeEnd())
@@ -137,7 +148,7 @@
 
 auto failedEnd(Failure failure) -> AnswerEnd
 {
-    return AnswerEnd { false, std::move(failure), 0 };
+    return AnswerEnd { false, std::move(failure), 0, false };
 }
 
 } // namespace marigoldladder
--- a/src/routing/serve_call.h
+++ b/src/routing/serve_call.h
@@ -45,12 +45,19 @@
     double m_costTokens = 0;
     std::uint32_t m_resumeOffset = 0; // Stream events the caller already has.
     std::uint64_t m_fingerprint = 0; // Hash of adapter and body, the same for a request sent again.
+    std::uint32_t m_attempt = 0; // How often the entry has tried this request before.
 };
 
+// Names one try of a request: owners tell a new try from a late or doubled frame of an earlier one by it.
+// Upstreams and callers see the request's own id.
+auto attemptId(const ServeCall&) -> RequestId;
+
 struct AnswerHead {
     int m_status = 0;
     std::string m_contentType;
     UpstreamName m_upstream;
+    AdapterRef m_adapter; // What answers; empty for plain services.
+    std::string m_bootId; // Names the engine's run, where it tells; known to the owner only.
 };
 
 struct AnswerChunk {
@@ -63,6 +70,7 @@
     bool m_completed = false;
     Failure m_failure;
     double m_usedTokens = 0;
+    bool m_ownerLost = false; // The connection to the owner was lost, which may not even have the call.
 };
 
 using AnswerEvent = std::variant<AnswerHead, AnswerChunk, AnswerEnd>;
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -1,5 +1,6 @@
 #include "routing/upstream_client.h"
 
+#include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -12,7 +13,13 @@
     constexpr auto orderTimeout = std::chrono::milliseconds(10'000);
     constexpr auto statusOk = 200;
     constexpr auto statusNotFound = 404;
+    constexpr auto statusTooManyRequests = 429;
     constexpr auto statusServerError = 500;
+    constexpr auto probeTimeout = std::chrono::milliseconds(300);
+    constexpr auto engineSilence = std::chrono::milliseconds(2000);
+    constexpr auto serviceSilence = std::chrono::milliseconds(10'000);
+    constexpr auto promptTimePerToken = std::chrono::milliseconds(1);
+    constexpr auto answerTimePerToken = std::chrono::milliseconds(100);
     constexpr auto eventPrefix = std::string_view("data: ");
     constexpr auto eventEnd = std::string_view("\n\n");
     constexpr auto streamDone = std::string_view("[DONE]");
@@ -28,9 +35,15 @@
         return client;
     }
 
+    // Whether no connection came about, so that no byte of the request was sent.
+    auto isUnreachable(httplib::Error error) -> bool
+    {
+        return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+    }
+
     auto failureOf(httplib::Error error) -> Failure
     {
-        if (error == httplib::Error::Connection)
+        if (isUnreachable(error))
             return notRun(FailureType::Unavailable, "the upstream can't be reached");
         return mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was lost");
     }
@@ -68,58 +81,76 @@
         {
         }
 
-        auto takeHead(const httplib::Response& response) -> bool
+        auto takeHead(const httplib::Response& response) -> void
         {
+            m_heardAt = std::chrono::steady_clock::now();
             m_status = response.status;
             m_contentType = response.get_header_value("Content-Type");
+            m_bootId = response.get_header_value("X-Engine-Boot");
             m_isStream = m_call.m_stream && m_status == statusOk;
             if (m_isStream)
                 passHead();
-            return true;
         }
 
+        // Returns false to break off, because the answer can't go on from here.
         auto takeBytes(const char* data, std::size_t size) -> bool
         {
+            m_heardAt = std::chrono::steady_clock::now();
             m_pending.append(data, size);
             if (!m_isStream)
                 return true;
-            for (auto end = m_pending.find(eventEnd); end != std::string::npos;
+            for (auto end = m_pending.find(eventEnd); end != std::string::npos && !m_gap;
                  end = m_pending.find(eventEnd)) {
                 auto event = m_pending.substr(0, end + eventEnd.size());
                 m_pending.erase(0, end + eventEnd.size());
                 takeEvent(std::move(event));
             }
-            return true;
+            return !m_gap && !m_done;
         }
 
-        // Returns the last event of an answer received to its end.
-        auto finish() -> AnswerEnd
+        auto done() const -> bool { return m_done; }
+
+        // Returns what an answer received to its end came to.
+        auto finish() -> ExchangeEnd
         {
+            if (m_isStream && m_done)
+                return { ExchangeOutcome::Answered, { true, {}, m_usedTokens, false }, m_bootId, false };
             if (m_isStream)
-                return m_done ? AnswerEnd { true, {}, m_usedTokens } : failedEnd(streamCut());
+                return lost();
             if (m_call.m_adapter.m_name.empty())
-                return passWhole(m_call.m_costTokens);
+                return { ExchangeOutcome::Answered, passWhole(m_call.m_costTokens), m_bootId, false };
             return finishCompletion();
         }
 
-        auto failure(httplib::Error error) const -> Failure
+        // Returns what a broken exchange came to.
+        auto broken(httplib::Error error, std::chrono::milliseconds bound) const -> ExchangeEnd
         {
-            return m_status == 0 ? failureOf(error) : streamCut();
+            if (isUnreachable(error))
+                return { ExchangeOutcome::Unreachable, failedEnd(failureOf(error)), {}, false };
+            if (std::chrono::steady_clock::now() - m_heardAt < bound)
+                return lost();
+            return { ExchangeOutcome::Silent,
+                failedEnd(mayHaveRun(FailureType::UpstreamFailed, "the upstream went silent")), {}, false };
         }
 
     private:
-        static auto streamCut() -> Failure
+        static auto lost() -> ExchangeEnd
         {
-            return mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was cut short");
+            return { ExchangeOutcome::Lost,
+                failedEnd(mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was cut short")), {},
+                false };
         }
 
-        auto passHead() -> void { m_sink(AnswerHead { m_status, m_contentType, m_upstream.m_name }); }
+        auto passHead() -> void
+        {
+            m_sink(AnswerHead { m_status, m_contentType, m_upstream.m_name, m_call.m_adapter, m_bootId });
+        }
 
         auto passWhole(double usedTokens) -> AnswerEnd
         {
             passHead();
             m_sink(AnswerChunk { 0, std::move(m_pending) });
-            return AnswerEnd { true, {}, usedTokens };
+            return AnswerEnd { true, {}, usedTokens, false };
         }
 
         auto takeEvent(std::string event) -> void
@@ -131,7 +162,10 @@
                 return;
             }
             const auto json = nlohmann::json::parse(payload, nullptr, false);
-            if (json.is_discarded() || !belongsTo(m_call, json)) {
+            const auto ours = json.is_object() && belongsTo(m_call, json);
+            const auto offset = ours ? json.value("offset", m_offset) : m_offset;
+            m_gap = offset > m_offset;
+            if (!ours || offset != m_offset) {
                 m_metrics.add(Counter::AnswersDropped);
                 return;
             }
@@ -140,38 +174,50 @@
             ++m_offset;
         }
 
-        auto finishCompletion() -> AnswerEnd
+        auto finishCompletion() -> ExchangeEnd
         {
-            if (m_status == statusNotFound)
-                return failedEnd(notRun(FailureType::UpstreamFailed, "the engine does not have the adapter"));
             if (m_status != statusOk)
-                return failedEnd(refusal());
+                return refusal();
             const auto json = nlohmann::json::parse(m_pending, nullptr, false);
-            if (json.is_discarded() || !belongsTo(m_call, json)) {
+            if (!json.is_object() || !belongsTo(m_call, json)) {
                 m_metrics.add(Counter::AnswersDropped);
-                return failedEnd(
-                    mayHaveRun(FailureType::UpstreamFailed, "the engine gave another request's answer"));
+                return { ExchangeOutcome::Answered,
+                    failedEnd(
+                        mayHaveRun(FailureType::UpstreamFailed, "the engine gave another request's answer")),
+                    m_bootId, false };
             }
             const auto usage = json.value("usage", nlohmann::json::object());
-            return passWhole(usage.value("total_tokens", m_call.m_costTokens));
+            return { ExchangeOutcome::Answered, passWhole(usage.value("total_tokens", m_call.m_costTokens)),
+                m_bootId, false };
         }
 
-        auto refusal() const -> Failure
+        auto refusal() const -> ExchangeEnd
         {
             const auto text = "the engine answers " + std::to_string(m_status) + ": " + m_pending;
-            if (m_status < statusServerError)
-                return notRun(FailureType::BadRequest, text);
-            return mayHaveRun(FailureType::UpstreamFailed, text);
+            auto end = ExchangeEnd { ExchangeOutcome::Answered, {}, m_bootId, m_status == statusNotFound };
+            const auto busy = m_status == statusTooManyRequests;
+            if (busy || m_status >= statusServerError)
+                end.m_outcome = ExchangeOutcome::Overloaded;
+            if (m_status >= statusServerError)
+                end.m_end = failedEnd(mayHaveRun(FailureType::UpstreamFailed, text));
+            else if (end.m_notLoaded)
+                end.m_end = failedEnd(notRun(FailureType::UpstreamFailed, text));
+            else
+                end.m_end = failedEnd(notRun(busy ? FailureType::Overloaded : FailureType::BadRequest, text));
+            return end;
         }
 
         const Upstream& m_upstream;
         const ServeCall& m_call;
         Metrics& m_metrics;
         const AnswerSink& m_sink;
+        MonotonicTime m_heardAt = std::chrono::steady_clock::now();
         int m_status = 0;
         std::string m_contentType;
+        std::string m_bootId;
         bool m_isStream = false;
         bool m_done = false;
+        bool m_gap = false; // An event is missing before the last one.
         std::string m_pending;
         std::uint32_t m_offset;
         double m_usedTokens = 0;
@@ -209,20 +255,62 @@
     return order(upstream, "/v1/unload_lora_adapter", body, fencing);
 }
 
-auto runCall(const Upstream& upstream, const ServeCall& call, const CancelFlag& cancelled, Metrics& metrics,
-    const AnswerSink& sink) -> AnswerEnd
+auto CallControl::cancel() -> void
 {
-    auto client = makeClient(upstream, call.m_deadline);
+    const auto lock = std::lock_guard(m_mutex);
+    m_cancelled = true;
+    if (m_breaker)
+        m_breaker();
+}
+
+auto CallControl::setBreaker(std::function<void()> breaker) -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    m_breaker = std::move(breaker);
+}
+
+auto silenceBoundOf(const ServeCall& call) -> std::chrono::milliseconds
+{
+    if (!call.m_idempotent)
+        return call.m_deadline; // It can't be sent again, so there is nothing to gain by giving up.
+    if (call.m_adapter.m_name.empty())
+        return std::min(call.m_deadline, serviceSilence);
+    const auto perToken = call.m_stream ? promptTimePerToken : answerTimePerToken;
+    const auto expected = perToken * static_cast<std::int64_t>(call.m_costTokens);
+    return std::min(call.m_deadline, engineSilence + expected);
+}
+
+auto runCall(const Upstream& upstream, const ServeCall& call, CallControl& control, Metrics& metrics,
+    const AnswerSink& sink) -> ExchangeEnd
+{
+    const auto bound = silenceBoundOf(call);
+    auto client = makeClient(upstream, bound);
     auto reader = AnswerReader(upstream, call, metrics, sink);
     auto request = makeRequest(call);
-    request.response_handler = [&](const httplib::Response& response) { return reader.takeHead(response); };
+    request.response_handler = [&](const httplib::Response& response) {
+        reader.takeHead(response);
+        return !control.cancelled();
+    };
     request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return !cancelled && reader.takeBytes(data, size);
+        return !control.cancelled() && reader.takeBytes(data, size);
     };
+    control.setBreaker([&client] { client.stop(); });
     const auto answer = client.send(request);
+    control.setBreaker(nullptr);
+    if (answer || reader.done())
+        return reader.finish();
+    auto end = reader.broken(answer.error(), bound);
+    if (control.cancelled())
+        end.m_outcome = ExchangeOutcome::Cancelled;
+    return end;
+}
+
+auto probeUpstream(const Upstream& upstream) -> UpstreamProbe
+{
+    const auto answer = makeClient(upstream, probeTimeout).Get("/health");
     if (!answer)
-        return failedEnd(reader.failure(answer.error()));
-    return reader.finish();
+        return { answer.error() == httplib::Error::Connection, {} };
+    return { false, answer->get_header_value("X-Engine-Boot") };
 }
 
 } // namespace marigoldladder
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -4,6 +4,7 @@
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
 #include "serving/idempotency.h"
+#include "serving/stream_server.h"
 
 #include <algorithm>
 #include <httplib.h>
@@ -69,7 +70,7 @@
     Allowance& m_allowance;
     RequestRunner& m_runner;
     PlatformClient& m_platform;
-    httplib::Server m_server;
+    StreamServer m_server;
     int m_port = 0;
     PosixThread m_thread;
 };
@@ -293,7 +294,7 @@
     const auto waited = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun);
     m_blackboard.m_metrics.observe(Latency::FirstToken, waited.count());
     const auto stream = call.m_stream && started.value().m_head.m_status == 200;
-    writeAnswer(response, std::move(started.value()), call.m_requestId, stream, deadline,
+    writeAnswer(response, std::move(started.value()), call.m_requestId, stream,
         [this, charged = reservation](const AnswerEnd& end) { finish(charged, end); });
 }
 
--- a/src/serving/http_answer.cc
+++ b/src/serving/http_answer.cc
@@ -1,5 +1,7 @@
 #include "serving/http_answer.h"
 
+#include "serving/stream_server.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -23,16 +25,25 @@
             } } };
     }
 
-    auto deadlineEnd() -> AnswerEnd
+    auto hungUpEnd() -> AnswerEnd
+    {
+        return failedEnd(mayHaveRun(FailureType::UpstreamFailed, "the caller hung up"));
+    }
+
+    // Waits for the next event, as long as the caller is there.
+    auto awaitEvent(StreamAnswer& answer) -> std::optional<AnswerEvent>
     {
-        return failedEnd(mayHaveRun(FailureType::DeadlineExceeded, "the answer was not complete in time"));
+        while (!callerHungUp()) {
+            if (auto event = answer.next(std::chrono::steady_clock::now() + hangUpCheck))
+                return event;
+        }
+        return std::nullopt;
     }
 
     // One event stream on its way to the caller; httplib asks for it piece by piece.
     struct StreamWriter {
         StartedAnswer m_answer;
         RequestId m_id;
-        MonotonicTime m_deadline;
         AnswerFinish m_finish;
         bool m_finished = false;
 
@@ -45,10 +56,12 @@
         // Writes the next event; returns false to break the connection.
         auto writeNext(httplib::DataSink& sink) -> bool
         {
-            const auto event = m_answer.m_call.m_answer->pop(m_deadline);
-            if (const auto* chunk = event ? std::get_if<AnswerChunk>(&*event) : nullptr)
+            const auto event = awaitEvent(*m_answer.m_answer);
+            if (!event)
+                return false;
+            if (const auto* chunk = std::get_if<AnswerChunk>(&*event))
                 return sink.write(chunk->m_data.data(), chunk->m_data.size());
-            const auto end = event ? std::get<AnswerEnd>(*event) : deadlineEnd();
+            const auto& end = std::get<AnswerEnd>(*event);
             if (!end.m_completed) {
                 const auto text = "data: " + failureJson(end.m_failure, m_id).dump() + "\n\n";
                 sink.write(text.data(), text.size());
@@ -61,10 +74,8 @@
         // Called when the connection is done with, whether or not all was written.
         auto release() -> void
         {
-            if (m_finished)
-                return;
-            m_answer.m_call.m_cancel();
-            finishOnce(failedEnd(mayHaveRun(FailureType::UpstreamFailed, "the caller hung up")));
+            m_answer.m_answer.reset();
+            finishOnce(hungUpEnd());
         }
     };
 
@@ -76,15 +87,15 @@
             [writer](bool) { writer->release(); });
     }
 
-    auto collectBody(AnswerStream& answer, MonotonicTime deadline, std::string& body) -> AnswerEnd
+    auto collectBody(StreamAnswer& answer, std::string& body) -> AnswerEnd
     {
-        while (auto event = answer.pop(deadline)) {
+        while (auto event = awaitEvent(answer)) {
             if (const auto* end = std::get_if<AnswerEnd>(&*event))
                 return *end;
             if (const auto* chunk = std::get_if<AnswerChunk>(&*event))
                 body += chunk->m_data;
         }
-        return deadlineEnd();
+        return hungUpEnd();
     }
 
 } // namespace
@@ -103,22 +114,21 @@
 }
 
 auto writeAnswer(httplib::Response& response, StartedAnswer answer, const RequestId& id, bool stream,
-    MonotonicTime deadline, AnswerFinish finish) -> void
+    AnswerFinish finish) -> void
 {
     response.set_header("X-Request-Id", id.value());
     if (stream) {
         auto writer = std::make_shared<StreamWriter>();
-        *writer = { std::move(answer), id, deadline, std::move(finish) };
+        *writer = { std::move(answer), id, std::move(finish) };
         writeStream(response, writer);
         return;
     }
     auto body = std::string();
-    const auto end = collectBody(*answer.m_call.m_answer, deadline, body);
+    const auto end = collectBody(*answer.m_answer, body);
     if (end.m_completed) {
         response.status = answer.m_head.m_status;
         response.set_content(body, answer.m_head.m_contentType);
     } else {
-        answer.m_call.m_cancel();
         writeFailure(response, end.m_failure, id);
     }
     finish(end);
--- a/src/serving/http_answer.h
+++ b/src/serving/http_answer.h
@@ -16,7 +16,7 @@
 using AnswerFinish = std::function<void(const AnswerEnd&)>;
 
 // Writes the answer that was started, as it comes in or at once, and calls `finish` at its end.
-auto writeAnswer(httplib::Response&, StartedAnswer, const RequestId&, bool stream, MonotonicTime deadline,
-    AnswerFinish finish) -> void;
+auto writeAnswer(httplib::Response&, StartedAnswer, const RequestId&, bool stream, AnswerFinish finish)
+    -> void;
 
 } // namespace marigoldladder
