--- a/src/serving/stream_answer.cc
+++ b/src/serving/stream_answer.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+    constexpr auto streamDone = std::string_view("data: [DONE]");
     constexpr auto maxTriesUnanswered = std::uint32_t { 6 }; // Before the answer began.
     constexpr auto maxTries = std::uint32_t { 40 };
     constexpr auto firstPause = std::chrono::milliseconds(20); // Once all upstreams have been tried.
@@ -172,6 +173,7 @@
             failedEnd(mayHaveRun(FailureType::UpstreamFailed, "part of the answer was lost")));
     }
     ++m_call.m_resumeOffset;
+    m_complete = !m_call.m_stream || chunk.m_data.starts_with(streamDone);
     return chunk;
 }
 
@@ -180,6 +182,8 @@
     if (end.m_ownerLost && m_try && !m_call.m_idempotent)
         end.m_failure.m_verdict = m_try->m_resolve();
     giveUpTry();
+    if (m_complete)
+        return finish({ true, {}, m_call.m_costTokens, false }); // Only the note of its end was lost.
     m_mayHaveRun = m_mayHaveRun || end.m_failure.m_verdict != Verdict::NotRun;
     if (!mayTryAgain(end.m_failure))
         return finish(std::move(end));
--- a/src/serving/stream_answer.h
+++ b/src/serving/stream_answer.h
@@ -61,6 +61,7 @@
     bool m_sameUpstream = false; // The next try goes to the same upstream.
     bool m_mayHaveRun = false; // An earlier try may have run the request.
     bool m_headPassed = false;
+    bool m_complete = false; // The caller has all of the answer.
     std::uint32_t m_tries = 0;
     std::optional<AnswerEnd> m_end;
     std::minstd_rand m_random { std::random_device()() };
