--- a/fakes/engine_completions.cc
+++ b/fakes/engine_completions.cc
@@ -25,6 +25,7 @@
     int m_position = 0;
     int m_priority = 0;
     bool m_finished = false;
+    bool m_ended = false; // It runs no longer.
 
     // The token that the model gives at a position of the answer to the prompt.
     auto tokenAt(int position) const -> std::string
@@ -111,8 +112,10 @@
     return true;
 }
 
-auto EngineCompletions::end(const Generation& generation) -> void
+auto EngineCompletions::end(Generation& generation) -> void
 {
+    if (std::exchange(generation.m_ended, true))
+        return;
     m_release(generation.m_model);
     const auto lock = std::lock_guard(m_mutex);
     --m_running;
@@ -148,7 +151,9 @@
 {
     if (generation.m_position >= generation.m_maxTokens) {
         const auto done = std::string("data: [DONE]\n\n");
-        generation.m_finished = sink.write(done.data(), done.size());
+        generation.m_finished = true;
+        end(generation); // Before its caller can know.
+        sink.write(done.data(), done.size());
         sink.done();
         return true;
     }
--- a/fakes/engine_completions.h
+++ b/fakes/engine_completions.h
@@ -52,7 +52,7 @@
     auto setFaults(const httplib::Request&, httplib::Response&) -> void;
     auto record(const httplib::Request&) -> void;
     auto begin(const Generation&) -> bool;
-    auto end(const Generation&) -> void;
+    auto end(Generation&) -> void;
     auto answerWhole(Generation&, httplib::Response&) -> void;
     auto writeEvent(Generation&, httplib::DataSink&) -> bool;
     auto eventAt(const Generation&, int position, const std::string& id) const -> std::string;
