--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -6,6 +6,7 @@
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
 #include "serving/idempotency.h"
+#include "serving/stream_server.h"
 
 #include <algorithm>
 #include <atomic>
@@ -65,7 +66,7 @@
     Admission m_admission;
     RequestRunner& m_runner;
     PlatformClient& m_platform;
-    httplib::Server m_server;
+    StreamServer m_server;
     int m_port = 0;
     std::atomic<std::size_t> m_openRequests { 0 };
     PosixThread m_thread;
@@ -225,7 +226,7 @@
     const auto waited = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun);
     m_blackboard.m_metrics.observe(Latency::FirstToken, waited.count());
     const auto stream = call.m_stream && started.value().m_head.m_status == 200;
-    writeAnswer(response, std::move(started.value()), call.m_requestId, stream, deadline,
+    writeAnswer(response, std::move(started.value()), call.m_requestId, stream,
         [this, charged = reservation](const AnswerEnd& end) { finish(charged, end); });
 }
 
