Own upstreams by lease and record, and doubt what an engine has loaded

Cause: every node took itself or another for an upstream's owner from its own view of the members, so two could evict at once; a slot whose order got no answer counted as free; nothing held loads to the store's rate.

What changed: ownership records with fencing numbers, one object for each data centre, and one lease a node; slots in doubt until the engine's own list was read; adapters whose eviction got no answer are condemned; pins carry the generation of their load; a load budget in shares; failed loads back off with jitter and fail their requests as not_run, so that the entry tries another replica. Orders to engines moved to engine_orders, the adapter half of the stand-in engine to engine_adapters.

Ruled out: evicting after the lease and a margin on engines that check fencing: the number holds off late orders, not the earlier owner's running requests, so eviction waits for proof that it stopped.

Seen to fail without the mechanism: pins ignored (NeverEvictsAPinnedAdapter, the property and two more), an unanswered eviction taken for undone (UsesNoAdapterWhoseEvictionMayStillLand), generations ignored (IgnoresAPinOfAnEarlierLoad), doubts of a running load ignored (DoubtsALoadThatEndedAfterARestart), earlier owners ignored (EvictsNothingWhileTheEarlierOwnerMayStillRun), clearing ignored (ServesNothingWhileTheEarlierOwnersLeaseWasRenewed).

--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -2,6 +2,7 @@
 //
 // The text it generates is a function of adapter, version, prompt and position, so that whoever asked can
 // check every token. `GET /records` returns all it was asked, with the headers that came along.
+#include "engine_adapters.h"
 #include "fake_server.h"
 
 #include "core/random_bytes.h"
@@ -30,14 +31,11 @@
   --check-fencing    Refuse orders with an old fencing number.
 )";
 
-    constexpr auto statusConflict = 409;
     constexpr auto statusNotFound = 404;
 
     struct EngineSettings {
-        std::size_t m_slots = 16;
-        std::chrono::milliseconds m_loadTime { 250 };
+        EngineAdapterSettings m_adapters;
         std::chrono::milliseconds m_tokenTime { 5 };
-        bool m_checkFencing = false;
     };
 
     // One answer being generated.
@@ -61,15 +59,13 @@
     public:
         explicit FakeEngine(EngineSettings settings)
             : m_settings(settings)
+            , m_adapters(settings.m_adapters)
         {
         }
 
         auto addRoutes(httplib::Server&) -> void;
 
     private:
-        auto refusesFencing(const httplib::Request&, httplib::Response&) -> bool;
-        auto load(const httplib::Request&, httplib::Response&) -> void;
-        auto unload(const httplib::Request&, httplib::Response&) -> void;
         auto complete(const httplib::Request&, httplib::Response&) -> void;
         auto record(const httplib::Request&) -> void;
         auto answerWhole(const Generation&, httplib::Response&) const -> void;
@@ -78,10 +74,8 @@
         EngineSettings m_settings;
         std::string m_bootId = randomHex(8);
         std::mutex m_mutex;
-        std::map<std::string, int> m_adapters; // With the number of requests that run on each.
-        std::uint64_t m_fencing = 0;
+        EngineAdapters m_adapters;
         nlohmann::json m_records = nlohmann::json::array();
-        std::uint64_t m_evictedInUse = 0;
     };
 
     auto FakeEngine::record(const httplib::Request& request) -> void
@@ -93,55 +87,6 @@
         m_records.push_back({ { "path", request.path }, { "headers", headers }, { "body", request.body } });
     }
 
-    auto FakeEngine::refusesFencing(const httplib::Request& request, httplib::Response& response) -> bool
-    {
-        const auto text = request.get_header_value("X-Fencing-Number");
-        const auto fencing = text.empty() ? std::uint64_t { 0 } : std::uint64_t { std::stoull(text) };
-        if (m_settings.m_checkFencing && fencing < m_fencing) {
-            answerJson(response, { { "message", "an older owner's order" } }, statusConflict);
-            return true;
-        }
-        m_fencing = std::max(m_fencing, fencing);
-        return false;
-    }
-
-    auto FakeEngine::load(const httplib::Request& request, httplib::Response& response) -> void
-    {
-        record(request);
-        const auto name = bodyOf(request).value("lora_name", "");
-        {
-            const auto lock = std::lock_guard(m_mutex);
-            if (refusesFencing(request, response))
-                return;
-            if (m_adapters.size() >= m_settings.m_slots && !m_adapters.contains(name)) {
-                answerJson(response, { { "message", "no free slot" } }, statusConflict);
-                return;
-            }
-        }
-        std::this_thread::sleep_for(m_settings.m_loadTime);
-        const auto lock = std::lock_guard(m_mutex);
-        m_adapters.try_emplace(name, 0);
-        answerJson(response, { { "message", "loaded" } });
-    }
-
-    auto FakeEngine::unload(const httplib::Request& request, httplib::Response& response) -> void
-    {
-        record(request);
-        const auto name = bodyOf(request).value("lora_name", "");
-        const auto lock = std::lock_guard(m_mutex);
-        if (refusesFencing(request, response))
-            return;
-        const auto found = m_adapters.find(name);
-        if (found == m_adapters.end()) {
-            answerJson(response, { { "message", "not loaded" } }, statusNotFound);
-            return;
-        }
-        if (found->second > 0)
-            ++m_evictedInUse;
-        m_adapters.erase(found);
-        answerJson(response, { { "message", "unloaded" } });
-    }
-
     auto FakeEngine::answerWhole(const Generation& generation, httplib::Response& response) const -> void
     {
         auto text = std::string();
@@ -187,20 +132,11 @@
         const auto offset = request.get_header_value("X-Resume-Offset");
         generation->m_position = offset.empty() ? 0 : std::stoi(offset);
         response.set_header("X-Engine-Boot", m_bootId);
-        {
-            const auto lock = std::lock_guard(m_mutex);
-            if (!m_adapters.contains(generation->m_model)) {
-                answerJson(response, { { "message", "the model does not exist" } }, statusNotFound);
-                return;
-            }
-            ++m_adapters[generation->m_model];
+        if (!m_adapters.acquire(generation->m_model)) {
+            answerJson(response, { { "message", "the model does not exist" } }, statusNotFound);
+            return;
         }
-        const auto release = [this, model = generation->m_model](bool) {
-            const auto lock = std::lock_guard(m_mutex);
-            const auto found = m_adapters.find(model);
-            if (found != m_adapters.end())
-                --found->second;
-        };
+        const auto release = [this, model = generation->m_model](bool) { m_adapters.release(model); };
         if (body.value("stream", false)) {
             response.set_chunked_content_provider(
                 "text/event-stream",
@@ -215,20 +151,18 @@
 
     auto FakeEngine::addRoutes(httplib::Server& server) -> void
     {
-        server.Post("/v1/load_lora_adapter",
-            [this](const auto& request, auto& response) { load(request, response); });
-        server.Post("/v1/unload_lora_adapter",
-            [this](const auto& request, auto& response) { unload(request, response); });
+        m_adapters.addRoutes(server);
         server.Post("/v1/(chat/)?completions",
             [this](const auto& request, auto& response) { complete(request, response); });
         server.Get("/health", [this](const auto&, auto& response) {
             answerJson(response, { { "boot", m_bootId } });
         });
         server.Get("/records", [this](const auto&, auto& response) {
+            auto records = nlohmann::json::object();
+            m_adapters.addRecords(records);
             const auto lock = std::lock_guard(m_mutex);
-            answerJson(response,
-                { { "requests", m_records }, { "evicted_in_use", m_evictedInUse },
-                    { "adapters", m_adapters } });
+            records["requests"] = m_records;
+            answerJson(response, records);
         });
     }
 
@@ -242,10 +176,10 @@
     const auto arguments = docopt::docopt(fakes::usage, { argv + 1, argv + argc });
     const auto address = parseAddress(arguments.at("--address").asString());
     auto settings = fakes::EngineSettings();
-    settings.m_slots = static_cast<std::size_t>(arguments.at("--slots").asLong());
-    settings.m_loadTime = std::chrono::milliseconds(arguments.at("--load-ms").asLong());
+    settings.m_adapters.m_slots = static_cast<std::size_t>(arguments.at("--slots").asLong());
+    settings.m_adapters.m_loadTime = std::chrono::milliseconds(arguments.at("--load-ms").asLong());
     settings.m_tokenTime = std::chrono::milliseconds(arguments.at("--token-ms").asLong());
-    settings.m_checkFencing = arguments.at("--check-fencing").asBool();
+    settings.m_adapters.m_checkFencing = arguments.at("--check-fencing").asBool();
     auto server = httplib::Server();
     fakes::configureFakeServer(server);
     auto engine = fakes::FakeEngine(settings);
--- a/include/marigoldladder/settings.h
+++ b/include/marigoldladder/settings.h
@@ -43,6 +43,12 @@
     std::chrono::milliseconds m_readTimeout { 5'000 };
 };
 
+// What the weight store bears from the whole fleet.
+struct WeightStoreLimits {
+    double m_loadsPerSecond = 4;
+    std::size_t m_maxInFlight = 8;
+};
+
 struct NodeSettings {
     VmName m_vm;
     DataCentreName m_dataCentre;
@@ -58,6 +64,7 @@
     bool m_entryRole = true;
     bool m_ownerRole = true;
     IntakeLimits m_limits;
+    WeightStoreLimits m_weightStore;
     std::string m_logLevel = "info";
 };
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -109,7 +109,9 @@
     VmName m_owner;
     Incarnation m_incarnation = 0;
     FencingNumber m_fencing = 0;
+    bool m_servedHere = false; // Whether this node admits work to it, as its owner or in the owner's stead.
     bool m_mayEvict = false; // False while an earlier owner may still give orders.
+    MonotonicTime m_ordersUntil {}; // Until when this node's lease lets it order evictions.
 };
 
 struct AssignmentTable {
@@ -126,6 +128,12 @@
     double m_defaultFraction = 0; // For organisations without a row.
 };
 
+// How many adapters this node may load.
+struct LoadShare {
+    double m_loadsPerSecond = 0;
+    std::size_t m_inFlight = 0;
+};
+
 // How this node itself is doing.
 struct NodeHealth {
     bool m_configured = false; // A configuration is in force; until then nothing is served.
@@ -140,6 +148,7 @@
     Section<UpstreamTable> m_upstreams; // Written by the discovery controller (fleet).
     Section<AssignmentTable> m_assignments; // Written by the ownership controller (routing).
     Section<ShareTable> m_shares; // Written by the share controller (limits).
+    Section<LoadShare> m_loadShare; // Written by the load budget's controller (routing).
     Section<NodeHealth> m_health; // Written by the node's start and drain (node).
     Metrics m_metrics; // Added to by all.
 };
--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -11,6 +11,8 @@
     constexpr auto minFleetSecretLength = std::size_t { 16 };
     constexpr auto requestBytesRange = NumberRange { 1024, 64.0 * 1024 * 1024 };
     constexpr auto connectionsRange = NumberRange { 8, 10000 };
+    constexpr auto loadRateRange = NumberRange { 0.01, 100'000 };
+    constexpr auto loadsInFlightRange = NumberRange { 1, 100'000 };
     constexpr auto millisecondsRange = NumberRange { 10, 3'600'000 };
 
     auto readOperators(JsonReader& reader, std::vector<FieldFault>& faults) -> std::vector<OperatorGrant>
@@ -74,6 +76,21 @@
         return limits;
     }
 
+    auto readWeightStore(JsonReader& reader, std::vector<FieldFault>& faults) -> WeightStoreLimits
+    {
+        auto limits = WeightStoreLimits();
+        const auto* object = reader.child("weight_store");
+        if (!object)
+            return limits;
+        auto item = JsonReader(*object, reader.pathOf("weight_store"), faults);
+        limits.m_loadsPerSecond
+            = item.optionalNumber("loads_per_second", limits.m_loadsPerSecond, loadRateRange);
+        limits.m_maxInFlight = static_cast<std::size_t>(item.optionalNumber(
+            "max_in_flight", static_cast<double>(limits.m_maxInFlight), loadsInFlightRange));
+        item.rejectUnknownFields();
+        return limits;
+    }
+
     auto readSeedPeers(JsonReader& reader) -> std::vector<Address>
     {
         auto peers = std::vector<Address>();
@@ -122,6 +139,7 @@
     settings.m_seedPeers = readSeedPeers(reader);
     readRoles(reader, settings);
     settings.m_limits = readLimits(reader, faults);
+    settings.m_weightStore = readWeightStore(reader, faults);
     settings.m_logLevel = readLogLevel(reader);
     reader.rejectUnknownFields();
     if (!faults.empty())
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -10,6 +10,7 @@
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
 #include "ops/operator_server.h"
+#include "routing/load_budget.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
 #include "serving/caller_server.h"
@@ -26,6 +27,8 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(300);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
+    constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
+    constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
     constexpr auto gossipPeriod = std::chrono::milliseconds(200);
     constexpr auto addressExpiry = std::chrono::milliseconds(2500);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
@@ -48,6 +51,8 @@
         , m_identity { m_settings.m_vm, makeIncarnation(), m_settings.m_fleetSecret }
         , m_links(m_blackboard, m_identity)
         , m_owner(m_blackboard)
+        , m_ownership(m_blackboard, m_platform, m_owner.adapters(),
+              { m_settings.m_vm, m_identity.m_incarnation }, m_settings)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(m_blackboard)
         , m_runner(m_blackboard, m_owners)
@@ -57,6 +62,7 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings.m_vm, m_gossipRandom); });
     }
@@ -65,6 +71,7 @@
     auto setOwnMember(MemberState) -> Member;
     auto followConfiguration() -> void;
     auto followFleet() -> void;
+    auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -74,6 +81,8 @@
     PeerIdentity m_identity;
     PeerLinks m_links;
     Owner m_owner;
+    OwnershipController m_ownership; // Used by the ownership task only.
+    LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
     RequestRunner m_runner;
@@ -84,6 +93,7 @@
     bool m_published = false;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_fleetTask;
+    std::optional<PeriodicTask> m_ownershipTask;
     std::mt19937_64 m_gossipRandom { std::random_device()() }; // Used by the gossip task only.
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -141,7 +151,12 @@
     (void)refreshMembership(m_blackboard, m_platform, m_settings.m_vm);
     (void)refreshUpstreams(m_blackboard, m_platform);
     refreshShares(m_blackboard);
-    refreshAssignments(m_blackboard);
+}
+
+auto Node::Implementation::followOwnership() -> void
+{
+    refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
+    m_ownership.refresh();
 }
 
 auto Node::Implementation::handlePeer(
@@ -189,6 +204,8 @@
             break;
         std::this_thread::sleep_for(drainPoll);
     }
+    node.m_ownershipTask.reset();
+    node.m_ownership.leave(leaveTimeout);
     logChange("drained");
 }
 
--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -124,6 +124,7 @@
 auto Owner::runPending(UpstreamState& state, const std::shared_ptr<PendingCall>& pending) -> void
 {
     auto end = runAdmitted(*pending);
+    doubtAdapter(*pending, end);
     pending->m_pin.reset();
     pending->m_sink(std::move(end));
     const auto lock = std::lock_guard(m_mutex);
@@ -134,6 +135,15 @@
     m_changed.notify_all();
 }
 
+// An engine that does not have an adapter loaded for the call has restarted or lost it.
+auto Owner::doubtAdapter(const PendingCall& pending, const AnswerEnd& end) -> void
+{
+    const auto refused = !end.m_completed && end.m_failure.m_type == FailureType::UpstreamFailed
+        && end.m_failure.m_verdict == Verdict::NotRun;
+    if (refused && pending.m_pin && m_adapters.stateOf(*pending.m_pin) == PinState::Ready)
+        m_adapters.forgetAll(pending.m_call.m_upstream);
+}
+
 auto Owner::runAdmitted(const PendingCall& pending) -> AnswerEnd
 {
     if (pending.m_cancelled)
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -33,6 +33,9 @@
     // Gives up on a call, queued or running.
     auto cancel(const RequestId&) -> void;
 
+    // The adapters of the upstreams that this node serves.
+    auto adapters() -> AdapterManager& { return m_adapters; }
+
 private:
     struct PendingCall;
     struct UpstreamState;
@@ -43,6 +46,7 @@
     auto startAllCalls() -> void;
     auto readyToStart(const PendingCall&) -> bool;
     auto runPending(UpstreamState&, const std::shared_ptr<PendingCall>&) -> void;
+    auto doubtAdapter(const PendingCall&, const AnswerEnd&) -> void;
     auto runAdmitted(const PendingCall&) -> AnswerEnd;
 
     Blackboard& m_blackboard;
--- /dev/null
+++ b/src/routing/ownership_store.cc
@@ -0,0 +1,121 @@
+#include "routing/ownership_store.h"
+
+#include <utility>
+
+namespace marigoldladder {
+
+namespace {
+
+    constexpr auto leaseKind = "nodeleases";
+    constexpr auto ownershipKind = "ownerships";
+
+    auto writeStart(const NodeStart& start) -> nlohmann::json
+    {
+        return { { "vm", start.m_vm.value() }, { "incarnation", start.m_incarnation } };
+    }
+
+    auto readStart(const nlohmann::json& json) -> NodeStart
+    {
+        return { VmName(json.value("vm", "")), json.value("incarnation", Incarnation { 0 }) };
+    }
+
+    auto writeRecord(const OwnershipRecord& record) -> nlohmann::json
+    {
+        auto earlier = nlohmann::json::array();
+        for (const auto& start : record.m_earlierOwners)
+            earlier.push_back(writeStart(start));
+        return { { "owner", writeStart(record.m_owner) }, { "fencing", record.m_fencing },
+            { "earlier_owners", earlier } };
+    }
+
+    auto readRecord(const nlohmann::json& json) -> OwnershipRecord
+    {
+        auto record = OwnershipRecord();
+        record.m_owner = readStart(json.value("owner", nlohmann::json::object()));
+        record.m_fencing = json.value("fencing", FencingNumber { 0 });
+        for (const auto& start : json.value("earlier_owners", nlohmann::json::array()))
+            record.m_earlierOwners.push_back(readStart(start));
+        return record;
+    }
+
+    auto leaseSpec(const LeaseRecord& lease) -> nlohmann::json
+    {
+        return { { "incarnation", lease.m_holder.m_incarnation },
+            { "duration_ms", lease.m_duration.count() } };
+    }
+
+    auto readLease(const PlatformObject& object) -> LeaseRecord
+    {
+        auto lease = LeaseRecord();
+        lease.m_holder = { VmName(object.m_name), object.m_spec.value("incarnation", Incarnation { 0 }) };
+        lease.m_duration = std::chrono::milliseconds(object.m_spec.value("duration_ms", std::int64_t { 0 }));
+        lease.m_version = object.m_version;
+        return lease;
+    }
+
+} // namespace
+
+auto readOwnerships(PlatformClient& platform) -> Result<OwnershipObjects>
+{
+    const auto list = platform.list(ownershipKind);
+    if (!list)
+        return list.error();
+    auto objects = OwnershipObjects();
+    for (const auto& object : list.value().m_objects) {
+        auto& read = objects[DataCentreName(object.m_name)];
+        read.m_version = object.m_version;
+        const auto upstreams = object.m_spec.value("upstreams", nlohmann::json::object());
+        for (const auto& [name, json] : upstreams.items())
+            read.m_records.emplace(UpstreamName(name), readRecord(json));
+    }
+    return objects;
+}
+
+auto writeOwnerships(
+    PlatformClient& platform, const DataCentreName& dataCentre, const OwnershipObject& object) -> Result<void>
+{
+    auto upstreams = nlohmann::json::object();
+    for (const auto& [name, record] : object.m_records)
+        upstreams[name.value()] = writeRecord(record);
+    const auto spec = nlohmann::json { { "upstreams", upstreams } };
+    const auto written = object.m_version == 0
+        ? platform.create(ownershipKind, dataCentre.value(), spec)
+        : platform.update(ownershipKind, { dataCentre.value(), object.m_version, spec });
+    if (!written)
+        return written.error();
+    return boost::outcome_v2::success();
+}
+
+auto readLeases(PlatformClient& platform) -> Result<std::vector<LeaseRecord>>
+{
+    const auto list = platform.list(leaseKind);
+    if (!list)
+        return list.error();
+    auto leases = std::vector<LeaseRecord>();
+    for (const auto& object : list.value().m_objects)
+        leases.push_back(readLease(object));
+    return leases;
+}
+
+auto renewLease(PlatformClient& platform, const LeaseRecord& lease) -> Result<void>
+{
+    const auto& vm = lease.m_holder.m_vm;
+    const auto found = platform.get(leaseKind, vm.value());
+    if (!found)
+        return found.error();
+    if (found.value() && readLease(*found.value()).m_holder.m_incarnation > lease.m_holder.m_incarnation)
+        return notRun(FailureType::Conflict, "a later process of this VM holds the lease");
+    const auto written = found.value()
+        ? platform.update(leaseKind, { vm.value(), found.value()->m_version, leaseSpec(lease) })
+        : platform.create(leaseKind, vm.value(), leaseSpec(lease));
+    if (!written)
+        return written.error();
+    return boost::outcome_v2::success();
+}
+
+auto removeLease(PlatformClient& platform, const VmName& vm) -> Result<void>
+{
+    return platform.remove(leaseKind, vm.value());
+}
+
+} // namespace marigoldladder
--- /dev/null
+++ b/src/routing/ownership_store.h
@@ -0,0 +1,33 @@
+// Reads and writes leases and ownership records on the platform.
+#pragma once
+
+#include "platform/platform_client.h"
+#include "routing/ownership.h"
+
+#include <map>
+#include <vector>
+
+namespace marigoldladder {
+
+// The ownership records of one data centre's upstreams, kept in one object.
+struct OwnershipObject {
+    ObjectVersion m_version = 0; // Zero: there is none yet.
+    OwnershipRecords m_records;
+};
+
+using OwnershipObjects = std::map<DataCentreName, OwnershipObject>;
+
+auto readOwnerships(PlatformClient&) -> Result<OwnershipObjects>;
+
+// Writes the object if it is still as read; `Conflict` when another node changed it.
+auto writeOwnerships(PlatformClient&, const DataCentreName&, const OwnershipObject&) -> Result<void>;
+
+auto readLeases(PlatformClient&) -> Result<std::vector<LeaseRecord>>;
+
+// Creates or renews the lease. Fails with `Conflict` when a later process of this VM holds it.
+auto renewLease(PlatformClient&, const LeaseRecord&) -> Result<void>;
+
+// Gives the lease back, which says that this process uses no upstream any more.
+auto removeLease(PlatformClient&, const VmName&) -> Result<void>;
+
+} // namespace marigoldladder
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -9,14 +9,12 @@
 namespace {
 
     constexpr auto connectTimeout = std::chrono::milliseconds(500);
-    constexpr auto orderTimeout = std::chrono::milliseconds(10'000);
     constexpr auto statusOk = 200;
     constexpr auto statusNotFound = 404;
     constexpr auto statusServerError = 500;
     constexpr auto eventPrefix = std::string_view("data: ");
     constexpr auto eventEnd = std::string_view("\n\n");
     constexpr auto streamDone = std::string_view("[DONE]");
-    constexpr auto jsonType = "application/json";
 
     auto makeClient(const Upstream& upstream, std::chrono::milliseconds timeout) -> httplib::Client
     {
@@ -35,19 +33,6 @@
         return mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was lost");
     }
 
-    auto order(const Upstream& upstream, const char* path, const nlohmann::json& body, FencingNumber fencing)
-        -> Result<void>
-    {
-        auto client = makeClient(upstream, orderTimeout);
-        const auto headers = httplib::Headers { { "X-Fencing-Number", std::to_string(fencing) } };
-        const auto answer = client.Post(path, headers, body.dump(), jsonType);
-        if (!answer)
-            return failureOf(answer.error());
-        if (answer->status != statusOk)
-            return notRun(FailureType::UpstreamFailed, "the engine refuses the order: " + answer->body);
-        return boost::outcome_v2::success();
-    }
-
     // Checks that an answer's JSON is for this request: engines repeat adapter and request id.
     auto belongsTo(const ServeCall& call, const nlohmann::json& answer) -> bool
     {
@@ -196,19 +181,6 @@
 
 } // namespace
 
-auto orderLoad(const Upstream& upstream, const AdapterRef& ref, const std::string& path,
-    FencingNumber fencing) -> Result<void>
-{
-    const auto body = nlohmann::json { { "lora_name", formatAdapterRef(ref) }, { "lora_path", path } };
-    return order(upstream, "/v1/load_lora_adapter", body, fencing);
-}
-
-auto orderEvict(const Upstream& upstream, const AdapterRef& ref, FencingNumber fencing) -> Result<void>
-{
-    const auto body = nlohmann::json { { "lora_name", formatAdapterRef(ref) } };
-    return order(upstream, "/v1/unload_lora_adapter", body, fencing);
-}
-
 auto runCall(const Upstream& upstream, const ServeCall& call, const CancelFlag& cancelled, Metrics& metrics,
     const AnswerSink& sink) -> AnswerEnd
 {
--- a/src/routing/upstream_client.h
+++ b/src/routing/upstream_client.h
@@ -1,4 +1,4 @@
-// Speaks to one upstream over HTTP: orders to load and evict adapters, and requests with their answers.
+// Speaks to one upstream over HTTP: requests with their answers.
 #pragma once
 
 #include "core/blackboard.h"
@@ -9,10 +9,6 @@
 
 namespace marigoldladder {
 
-// Orders the engine to load an adapter; `NotRun` when it refuses or certainly did not hear of it.
-auto orderLoad(const Upstream&, const AdapterRef&, const std::string& path, FencingNumber) -> Result<void>;
-auto orderEvict(const Upstream&, const AdapterRef&, FencingNumber) -> Result<void>;
-
 // Whether the exchange should be given up, because the caller hung up or the node gives up on it.
 using CancelFlag = std::atomic<bool>;
 
