--- a/fakes/demo_site.cc
+++ b/fakes/demo_site.cc
@@ -42,6 +42,7 @@
         group.m_callers = organisation.at("callers").get<std::size_t>();
         group.m_priority = organisation.at("priority").get<std::string>();
         group.m_maxTokens = organisation.at("max_tokens").get<int>();
+        group.m_meanThinkTime = std::chrono::milliseconds(organisation.at("think_ms").get<int>());
         return group;
     }
 
@@ -52,9 +53,9 @@
     const auto json = readJson(path);
     auto site = Site();
     site.m_dataCentres = json.at("data_centres").get<std::vector<std::string>>();
+    const auto settings = json.value("node_settings", nlohmann::json::object());
     for (const auto& node : json.at("nodes"))
-        site.m_deployment.m_nodes.push_back(
-            { node.at("vm"), node.at("data_centre"), nlohmann::json::object() });
+        site.m_deployment.m_nodes.push_back({ node.at("vm"), node.at("data_centre"), settings });
     for (const auto& pool : json.at("pools"))
         readPool(pool, site);
     for (const auto& organisation : json.at("organisations")) {
