--- a/include/marigoldladder/operator_client.h
+++ b/include/marigoldladder/operator_client.h
@@ -86,8 +86,7 @@
 private:
     struct Answer;
 
-    auto post(const std::string& path, const std::string& body) -> Answer;
-    auto get(const std::string& path) -> Answer;
+    auto call(const char* method, const std::string& target, const std::string& body) -> Answer;
     auto applyNote(const ReleaseNote&) -> ApplyReport;
     auto waitForCoverage(Revision, std::chrono::steady_clock::time_point begun) -> Coverage;
 
--- a/src/ops/operator_client.cc
+++ b/src/ops/operator_client.cc
@@ -4,6 +4,7 @@
 #include "core/random_bytes.h"
 #include "marigoldladder/verdict.h"
 #include "ops/json_lines.h"
+#include "ops/operator_auth.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -85,31 +86,37 @@
         return answer && answer->status < statusServerError;
     }
 
-    // Calls the nodes in turn until one gives a definite answer.
-    template <typename Answer, typename Call>
-    auto callInTurn(const std::vector<Address>& nodes, const std::string& credential, Call call) -> Answer
+    // One call to be made to whichever node can be reached.
+    struct OperatorCall {
+        const char* m_method;
+        std::string m_target;
+        std::string m_body;
+    };
+
+    // Makes the call on one node: asks for a challenge and proves the credential without sending it.
+    auto callNode(const Address& node, const std::string& credential, const OperatorCall& call)
+        -> httplib::Result
     {
-        auto outcome = Answer();
-        outcome.m_message = "no node is named";
-        auto unknown = false;
-        for (const auto& node : nodes) {
-            auto client = httplib::Client(node.m_host, node.m_port);
-            client.set_bearer_token_auth(credential);
-            client.set_connection_timeout(connectTimeout);
-            client.set_read_timeout(answerTimeout);
-            const auto answer = call(client);
-            outcome.m_result = resultOf(answer);
-            outcome.m_status = answer ? answer->status : 0;
-            outcome.m_body = answer ? answer->body : "";
-            outcome.m_message = answer ? parseAnswer(answer->body).value("/error/message"_json_pointer, "")
-                                       : "no answer from " + formatAddress(node);
-            if (isDefinite(answer))
-                return outcome;
-            unknown = unknown || outcome.m_result == CommandResult::OutcomeUnknown;
-        }
-        if (unknown)
-            outcome.m_result = CommandResult::OutcomeUnknown;
-        return outcome;
+        auto client = httplib::Client(node.m_host, node.m_port);
+        client.set_connection_timeout(connectTimeout);
+        client.set_read_timeout(answerTimeout);
+        client.set_keep_alive(true);
+        client.set_tcp_nodelay(true);
+        const auto name = credential.substr(0, credential.find('.'));
+        const auto asked = client.Get("/v1/challenge", httplib::Params { { "name", name } }, {});
+        if (!asked || asked->status != statusOk)
+            return { nullptr, httplib::Error::Connection }; // The call itself has not been sent.
+        const auto json = parseAnswer(asked->body);
+        const auto challenge = OperatorChallenge { json.value("salt", ""), json.value("nonce", "") };
+        const auto proof
+            = answerChallenge(challenge, credential, { call.m_method, call.m_target, call.m_body });
+        auto request = httplib::Request();
+        request.method = call.m_method;
+        request.path = call.m_target;
+        request.body = call.m_body;
+        request.headers.emplace("Authorization", proof);
+        request.headers.emplace("Content-Type", "application/json");
+        return client.send(request);
     }
 
 } // namespace
@@ -117,7 +124,6 @@
 // What came back of one call, from whichever node answered.
 struct OperatorClient::Answer {
     CommandResult m_result = CommandResult::Refused;
-    int m_status = 0; // 0: no node gave an answer.
     std::string m_body;
     std::string m_message;
 };
@@ -128,16 +134,25 @@
 {
 }
 
-auto OperatorClient::post(const std::string& path, const std::string& body) -> Answer
-{
-    return callInTurn<Answer>(m_nodes, m_credential,
-        [&](httplib::Client& client) { return client.Post(path, body, "application/json"); });
-}
-
-auto OperatorClient::get(const std::string& path) -> Answer
+// Calls the nodes in turn until one gives a definite answer.
+auto OperatorClient::call(const char* method, const std::string& target, const std::string& body) -> Answer
 {
-    return callInTurn<Answer>(
-        m_nodes, m_credential, [&](httplib::Client& client) { return client.Get(path); });
+    auto outcome = Answer();
+    outcome.m_message = "no node is named";
+    auto unknown = false;
+    for (const auto& node : m_nodes) {
+        const auto answer = callNode(node, m_credential, { method, target, body });
+        outcome.m_result = resultOf(answer);
+        outcome.m_body = answer ? answer->body : "";
+        outcome.m_message = answer ? parseAnswer(answer->body).value("/error/message"_json_pointer, "")
+                                   : "no answer from " + formatAddress(node);
+        if (isDefinite(answer))
+            return outcome;
+        unknown = unknown || outcome.m_result == CommandResult::OutcomeUnknown;
+    }
+    if (unknown)
+        outcome.m_result = CommandResult::OutcomeUnknown;
+    return outcome;
 }
 
 auto checkNoteText(std::string_view text) -> std::vector<LocatedFault>
@@ -166,7 +181,7 @@
 auto OperatorClient::applyNote(const ReleaseNote& note) -> ApplyReport
 {
     const auto begun = std::chrono::steady_clock::now();
-    const auto answer = post("/v1/notes", formatReleaseNote(note));
+    const auto answer = call("POST", "/v1/notes", formatReleaseNote(note));
     const auto json = parseAnswer(answer.m_body);
     auto report = ApplyReport();
     report.m_result = answer.m_result;
@@ -186,7 +201,7 @@
 {
     auto coverage = Coverage();
     while (std::chrono::steady_clock::now() < begun + coverageTimeout) {
-        const auto answer = get("/v1/status");
+        const auto answer = call("GET", "/v1/status", "");
         if (answer.m_result == CommandResult::Done)
             coverage = coverageFrom(parseAnswer(answer.m_body), revision);
         coverage.m_after
@@ -202,7 +217,7 @@
 {
     auto change = Change { out ? ChangeAction::Put : ChangeAction::Withdraw, Drain { scope, name, 0 }, {} };
     if (!out) {
-        const auto status = get("/v1/status");
+        const auto status = call("GET", "/v1/status", "");
         if (status.m_result != CommandResult::Done)
             return { status.m_result, 0, false, 0, {}, {}, status.m_message };
         for (const auto& drain : parseAnswer(status.m_body).value("drains", nlohmann::json::array())) {
@@ -220,13 +235,13 @@
 
 auto OperatorClient::log(Revision after) -> ReadReport
 {
-    auto answer = get("/v1/notes?after=" + std::to_string(after));
+    auto answer = call("GET", "/v1/notes?after=" + std::to_string(after), "");
     return { answer.m_result, std::move(answer.m_body), std::move(answer.m_message) };
 }
 
 auto OperatorClient::status() -> ReadReport
 {
-    auto answer = get("/v1/status");
+    auto answer = call("GET", "/v1/status", "");
     return { answer.m_result, std::move(answer.m_body), std::move(answer.m_message) };
 }
 
--- a/src/ops/operator_server.cc
+++ b/src/ops/operator_server.cc
@@ -2,7 +2,7 @@
 
 #include "core/log.h"
 #include "core/posix_thread.h"
-#include "core/secret_digest.h"
+#include "ops/operator_auth.h"
 
 #include <algorithm>
 #include <charconv>
@@ -18,7 +18,6 @@
     constexpr auto operatorThreads = std::size_t { 16 };
     constexpr auto maxNoteBytes = std::size_t { 16 } * 1024 * 1024;
     constexpr auto readTimeout = std::chrono::milliseconds(5000);
-    constexpr auto bearerPrefix = std::string_view("Bearer ");
     constexpr auto jsonType = "application/json";
     constexpr auto statusAccepted = 202;
     constexpr auto mostLogEntries = std::uint64_t { 1000 };
@@ -97,6 +96,7 @@
         : m_settings(settings)
         , m_blackboard(blackboard)
         , m_log(log)
+        , m_authenticator(settings)
         , m_acceptance(blackboard, log, spreader)
     {
     }
@@ -106,7 +106,7 @@
         = auto(Implementation::*)(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
 
     auto listen() -> void;
-    auto authenticated(const httplib::Request&) const -> const OperatorGrant*;
+    auto answerChallengeRequest(const httplib::Request&, httplib::Response&) const -> void;
     auto guarded(Handler) -> httplib::Server::Handler;
     auto applyNote(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto answerLog(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
@@ -116,6 +116,7 @@
     const NodeSettings& m_settings;
     Blackboard& m_blackboard;
     ReleaseLog& m_log;
+    OperatorAuthenticator m_authenticator;
     NoteAcceptance m_acceptance;
     httplib::Server m_server;
     int m_port = 0;
@@ -126,7 +127,9 @@
 auto OperatorServer::Implementation::guarded(Handler handler) -> httplib::Server::Handler
 {
     return [this, handler](const httplib::Request& request, httplib::Response& response) {
-        if (const auto* grant = authenticated(request)) {
+        const auto call = ProvenCall { request.method, request.target, request.body };
+        const auto* grant = m_authenticator.authenticate(request.get_header_value("Authorization"), call);
+        if (grant) {
             (this->*handler)(*grant, request, response);
             return;
         }
@@ -142,6 +145,8 @@
     m_server.set_tcp_nodelay(true);
     m_server.set_payload_max_length(maxNoteBytes);
     m_server.set_read_timeout(readTimeout);
+    m_server.Get("/v1/challenge",
+        [this](const auto& request, auto& response) { answerChallengeRequest(request, response); });
     m_server.Post("/v1/notes", guarded(&Implementation::applyNote));
     m_server.Get("/v1/notes", guarded(&Implementation::answerLog));
     m_server.Get("/v1/status", guarded(&Implementation::answerStatus));
@@ -155,23 +160,12 @@
     m_thread = PosixThread("operator-accept", [this] { m_server.listen_after_bind(); });
 }
 
-auto OperatorServer::Implementation::authenticated(const httplib::Request& request) const
-    -> const OperatorGrant*
+auto OperatorServer::Implementation::answerChallengeRequest(
+    const httplib::Request& request, httplib::Response& response) const -> void
 {
-    const auto header = request.get_header_value("Authorization");
-    if (!header.starts_with(bearerPrefix))
-        return nullptr;
-    const auto credential = std::string_view(header).substr(bearerPrefix.size());
-    const auto stop = credential.find('.');
-    if (stop == std::string_view::npos)
-        return nullptr;
-    for (const auto& grant : m_settings.m_operators) {
-        const auto digest = saltedDigest(grant.m_salt, credential.substr(stop + 1));
-        if (grant.m_name == credential.substr(0, stop)
-            && equalInConstantTime(digest, grant.m_credentialDigest))
-            return &grant;
-    }
-    return nullptr;
+    const auto challenge = m_authenticator.challenge(request.get_param_value("name"));
+    const auto json = nlohmann::json { { "salt", challenge.m_salt }, { "nonce", challenge.m_nonce } };
+    response.set_content(json.dump(), jsonType);
 }
 
 auto OperatorServer::Implementation::applyNote(
--- a/src/ops/operator_server.h
+++ b/src/ops/operator_server.h
@@ -7,7 +7,8 @@
 
 namespace marigoldladder {
 
-// Serves operators from construction until `stop`. Every call needs `Authorization: Bearer NAME.CREDENTIAL`.
+// Serves operators from construction until `stop`. Every call needs a header `Authorization`
+// that proves an operator, except the one that asks for a challenge.
 class OperatorServer {
 public:
     OperatorServer(const NodeSettings&, Blackboard&, ReleaseLog&, NoteSpreader&);
--- a/src/ops/report_text.cc
+++ b/src/ops/report_text.cc
@@ -56,6 +56,12 @@
         return nlohmann::json::parse(report.m_json, nullptr, false);
     }
 
+    // Returns an array of the answer; empty when there is none of that name.
+    auto elementsOf(const nlohmann::json& json, const char* field) -> nlohmann::json
+    {
+        return json.is_object() ? json.value(field, nlohmann::json::array()) : nlohmann::json::array();
+    }
+
     // Returns the text for a report that holds nothing to show, or nothing when it can be shown.
     auto describeFailure(const ReadReport& report, OutputStyle style) -> std::optional<std::string>
     {
@@ -103,12 +109,13 @@
 {
     if (auto failure = describeFailure(report, style))
         return *failure;
+    const auto log = parseReport(report);
     auto text = std::ostringstream();
-    for (const auto& note : parseReport(report)["notes"]) {
+    for (const auto& note : elementsOf(log, "notes")) {
         text << note.value("revision", Revision { 0 }) << "  " << note.value("accepted_at", "") << "  "
              << note.value("office", "") << "  " << note.value("author", "") << "  "
              << note.value("note_id", "") << "\n";
-        for (const auto& change : note["changes"])
+        for (const auto& change : elementsOf(note, "changes"))
             text << describeChange(change);
     }
     return text.str();
@@ -123,13 +130,13 @@
     text << "node " << status.value("vm", "") << ", revision " << status.value("revision", Revision { 0 })
          << ", platform " << (status.value("platform_reachable", false) ? "reachable" : "not reachable")
          << "\n";
-    for (const auto& member : status["members"])
+    for (const auto& member : elementsOf(status, "members"))
         text << "  " << member.value("vm", "") << "  " << member.value("data_centre", "") << "  "
              << member.value("state", "") << "  revision " << member.value("revision", Revision { 0 })
              << "\n";
-    for (const auto& drain : status["drains"])
+    for (const auto& drain : elementsOf(status, "drains"))
         text << "out of service: " << drain.value("scope", "") << " " << drain.value("name", "") << "\n";
-    for (const auto& note : status["unrecorded"])
+    for (const auto& note : elementsOf(status, "unrecorded"))
         text << "in force, not yet recorded: " << note.get<std::string>() << "\n";
     return text.str();
 }
