--- a/bench/notes_bench.cc
+++ b/bench/notes_bench.cc
@@ -7,7 +7,12 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <utility>
 
 namespace {
 
@@ -100,6 +105,102 @@
     return printFigure("quiet_exchange_per_node", bytes, "B/s", bytesPerSecond);
 }
 
+// A fleet in one process, run in lockstep: in each round every node asks the neighbours whose turn it is, as
+// NoteSpreader does over connections.
+struct SimulatedNode {
+    VmName m_vm;
+    std::vector<VmName> m_neighbours;
+    Blackboard m_blackboard;
+    std::size_t m_newsFor = 0; // Rounds left in which the node asks often.
+    std::optional<VmName> m_ahead;
+};
+
+using Fleet = std::map<VmName, std::unique_ptr<SimulatedNode>>;
+
+auto makeFleet(unsigned size) -> Fleet
+{
+    constexpr auto dataCentres = 19U;
+    auto membership = Membership();
+    for (auto i = 0U; i < size; ++i) {
+        auto member = Member();
+        member.m_vm = VmName("vm-" + std::to_string(i));
+        member.m_dataCentre = DataCentreName("dc-" + std::to_string(i % dataCentres));
+        membership.m_members.emplace(member.m_vm, member);
+    }
+    auto fleet = Fleet();
+    for (const auto& [vm, member] : membership.m_members) {
+        auto node = std::make_unique<SimulatedNode>();
+        node->m_vm = vm;
+        node->m_neighbours = noteNeighbours(membership, vm, member.m_dataCentre);
+        putConfigurationInForce(node->m_blackboard, Configuration());
+        fleet.emplace(vm, std::move(node));
+    }
+    return fleet;
+}
+
+auto revisionOf(const SimulatedNode& node) -> Revision
+{
+    return node.m_blackboard.m_configuration.read(
+        [](const Configuration& value) { return value.m_revision; });
+}
+
+auto askPeer(SimulatedNode& node, SimulatedNode& peer) -> void
+{
+    constexpr auto newsRounds = std::size_t { 13 };
+    const auto request = makeNotesRequest(node.m_blackboard);
+    if (request.after > revisionOf(peer))
+        peer.m_ahead = node.m_vm;
+    if (takeNotesAnswer(node.m_blackboard, makeNotesAnswer(peer.m_blackboard, request)))
+        node.m_newsFor = newsRounds;
+}
+
+auto runRound(Fleet& fleet, std::mt19937_64& random) -> void
+{
+    constexpr auto fanout = 2;
+    for (auto& [vm, node] : fleet) {
+        if (const auto ahead = std::exchange(node->m_ahead, std::nullopt))
+            askPeer(*node, *fleet.at(*ahead));
+        if (node->m_newsFor == 0)
+            continue;
+        --node->m_newsFor;
+        for (auto i = 0; i < fanout; ++i)
+            askPeer(*node, *fleet.at(node->m_neighbours[random() % node->m_neighbours.size()]));
+    }
+}
+
+// Returns the seconds until a note recorded at one node is in force everywhere, without the platform and
+// without gossip of members; the worst of several seeds.
+auto spreadSeconds(unsigned size) -> double
+{
+    constexpr auto seeds = 5U;
+    constexpr auto mostRounds = 200;
+    constexpr auto secondsPerRound = 0.15;
+    auto worst = 0;
+    for (auto seed = 0U; seed < seeds; ++seed) {
+        auto random = std::mt19937_64(seed);
+        auto fleet = makeFleet(size);
+        auto& first = *fleet.begin()->second;
+        putNoteInForce(first.m_blackboard, adapterNote("line", 1), 1);
+        first.m_newsFor = mostRounds;
+        const auto behind = [](const auto& entry) { return revisionOf(*entry.second) == 0; };
+        auto rounds = 0;
+        while (rounds < mostRounds && std::any_of(fleet.begin(), fleet.end(), behind)) {
+            runRound(fleet, random);
+            ++rounds;
+        }
+        worst = std::max(worst, rounds);
+    }
+    return worst * secondsPerRound;
+}
+
+auto measureSpread() -> bool
+{
+    constexpr auto boundSeconds = 4.0;
+    const auto small = printFigure("note_on_9_nodes", spreadSeconds(9), "s", boundSeconds);
+    const auto large = printFigure("note_on_350_nodes", spreadSeconds(350), "s", boundSeconds);
+    return small && large;
+}
+
 } // namespace
 
 auto main() -> int
@@ -111,5 +212,6 @@
     withinBounds = measureOneLine(blackboard) && withinBounds;
     withinBounds = measureExchange(blackboard) && withinBounds;
     withinBounds = measureSnapshot(blackboard.m_configuration.copy()) && withinBounds;
+    withinBounds = measureSpread() && withinBounds;
     return withinBounds ? 0 : 1;
 }
--- a/src/fleet/note_spreader.cc
+++ b/src/fleet/note_spreader.cc
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr auto newsTime = std::chrono::milliseconds(2000);
+    constexpr auto startInterval = std::chrono::milliseconds(400);
     constexpr auto newsFanout = std::size_t { 2 };
     constexpr auto enoughCopies = std::size_t { 2 };
 
@@ -44,19 +45,23 @@
     -> std::vector<VmName>
 {
     auto peers = livingPeers(membership, self);
+    auto neighbours = std::vector<VmName>();
+    if (peers.empty())
+        return neighbours;
+    const auto next
+        = std::find_if(peers.begin(), peers.end(), [&](const auto* peer) { return peer->m_vm > self; });
+    neighbours.push_back(next == peers.end() ? peers.front()->m_vm : (*next)->m_vm);
+    std::erase_if(peers, [&](const auto* peer) { return peer->m_vm == neighbours.front(); });
     std::sort(peers.begin(), peers.end(), [&](const Member* left, const Member* right) {
         return pairHash(self, left->m_vm) < pairHash(self, right->m_vm);
     });
-    auto neighbours = std::vector<VmName>();
     auto nearby = std::size_t { 0 };
     auto anywhere = std::size_t { 0 };
     for (const auto* peer : peers) {
-        if (peer->m_dataCentre == dataCentre && nearby < neighboursNearby)
-            ++nearby;
-        else if (anywhere < neighboursAnywhere)
-            ++anywhere;
-        else
+        auto& taken = peer->m_dataCentre == dataCentre && nearby < neighboursNearby ? nearby : anywhere;
+        if (&taken == &anywhere && anywhere == neighboursAnywhere)
             continue;
+        ++taken;
         neighbours.push_back(peer->m_vm);
     }
     return neighbours;
@@ -80,7 +85,7 @@
         return value.m_revision;
     });
     if (!complete) {
-        askAll();
+        askForConfiguration();
         return;
     }
     if (std::exchange(m_lastRevision, revision) != revision)
@@ -141,16 +146,26 @@
     });
 }
 
-auto NoteSpreader::askAll() -> void
+// Asks two peers at a time, since the answer is a whole configuration.
+auto NoteSpreader::askForConfiguration() -> void
 {
-    for (const auto& vm : drawNeighbours(neighboursNearby + neighboursAnywhere))
+    const auto now = std::chrono::steady_clock::now();
+    if (now < m_nextQuietRound)
+        return;
+    m_nextQuietRound = now + startInterval;
+    const auto peers = drawNeighbours(newsFanout);
+    for (const auto& vm : peers)
         askMember(vm);
-    askSeeds();
+    if (peers.empty())
+        askSeeds();
 }
 
 auto NoteSpreader::askSeeds() -> void
 {
-    for (const auto& address : m_seedPeers) {
+    auto seeds = m_seedPeers;
+    std::shuffle(seeds.begin(), seeds.end(), m_random);
+    seeds.resize(std::min(seeds.size(), newsFanout));
+    for (const auto& address : seeds) {
         if (const auto link = linkToSeed(address))
             ask(link);
     }
--- a/src/fleet/note_spreader.h
+++ b/src/fleet/note_spreader.h
@@ -1,8 +1,8 @@
 // Spreads release notes between nodes, so that few of them have to ask the platform.
 //
 // Each node exchanges revisions with a fixed small set of neighbours: often while there is news, seldom
-// else. Whichever side is behind fetches what it lacks. A node without a configuration asks every peer it
-// can find, seed peers included, so that it can start while the platform is away.
+// else. Whichever side is behind fetches what it lacks. A node without a configuration asks peers for
+// a whole one, seed peers if it knows no other, so that it can start while the platform is away.
 #pragma once
 
 #include "fleet/note_exchange.h"
@@ -13,9 +13,10 @@
 
 namespace marigoldladder {
 
-// Neighbours in this node's own data centre, and in the whole fleet.
+// Neighbours in this node's own data centre, and in the whole fleet, besides the next node by name. Each node
+// is the next of one other, so that no node is left out.
 inline constexpr auto neighboursNearby = std::size_t { 3 };
-inline constexpr auto neighboursAnywhere = std::size_t { 5 };
+inline constexpr auto neighboursAnywhere = std::size_t { 4 };
 
 // How often a node exchanges revisions with one neighbour while there is no news. Gossip of members tells
 // of newer revisions too, so that this is for what it misses.
@@ -44,7 +45,7 @@
 private:
     auto askMember(const VmName&) -> void;
     auto ask(const std::shared_ptr<PeerLink>&) -> void;
-    auto askAll() -> void;
+    auto askForConfiguration() -> void;
     auto askSeeds() -> void;
     auto linkToSeed(const Address&) -> std::shared_ptr<PeerLink>;
     auto memberAhead() -> std::optional<VmName>;
--- a/src/platform/release_log.cc
+++ b/src/platform/release_log.cc
@@ -242,7 +242,7 @@
     head.m_snapshotRevision = revision;
     head.m_snapshot = snapshot.value();
     head.m_previousSnapshot = old.m_snapshot;
-    const auto written = writeHead(head);
+    auto written = writeHead(head);
     if (!written && written.error().m_type == FailureType::Conflict)
         (void)removeLostSnapshot(snapshot.value());
     return written;
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -33,6 +33,15 @@
         return &found->second;
     }
 
+    // A node without a configuration knows no key and no route, so what it found missing says nothing.
+    auto refusalOf(const Blackboard& blackboard, const Failure& found) -> Failure
+    {
+        const auto complete
+            = blackboard.m_configuration.read([](const Configuration& value) { return value.m_complete; });
+        return complete ? found
+                        : notRun(FailureType::Unavailable, "this node has no configuration yet; ask another");
+    }
+
 } // namespace
 
 Admission::Admission(Blackboard& blackboard, Allowance& allowance)
@@ -63,7 +72,7 @@
               return boost::outcome_v2::success();
           });
     if (!checked)
-        return checked.error();
+        return refusalOf(m_blackboard, checked.error());
     call.m_requestId = makeRequestId();
     call.m_adapter = parsed.value().m_adapter;
     call.m_method = request.m_method;
@@ -102,7 +111,7 @@
               return boost::outcome_v2::success();
           });
     if (!checked)
-        return checked.error();
+        return refusalOf(m_blackboard, checked.error());
     call.m_requestId = makeRequestId();
     call.m_method = request.m_method;
     call.m_path = path;
--- a/test/fleet/note_exchange_test.cc
+++ b/test/fleet/note_exchange_test.cc
@@ -4,6 +4,7 @@
 #include "fleet/note_spreader.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace marigoldladder {
 namespace {
@@ -94,6 +95,21 @@
         EXPECT_FALSE(takePendingNotes(m_ahead, told));
     }
 
+    TEST(NoteNeighboursTest, LeaveNoNodeOut)
+    {
+        auto membership = Membership();
+        for (auto i = 0; i < 350; ++i) {
+            const auto name = VmName("vm-" + std::to_string(i));
+            membership.m_members[name].m_vm = name;
+        }
+        auto reached = std::set<VmName>();
+        for (const auto& [vm, member] : membership.m_members) {
+            const auto neighbours = noteNeighbours(membership, vm, member.m_dataCentre);
+            reached.insert(neighbours.begin(), neighbours.end());
+        }
+        EXPECT_EQ(reached.size(), membership.m_members.size());
+    }
+
     TEST(NoteNeighboursTest, AreBoundedAndReachTheOwnDataCentre)
     {
         constexpr auto nodes = 350;
@@ -107,7 +123,7 @@
         }
         const auto self = VmName("vm-0");
         const auto neighbours = noteNeighbours(membership, self, DataCentreName("dc-0"));
-        EXPECT_EQ(neighbours.size(), neighboursNearby + neighboursAnywhere);
+        EXPECT_EQ(neighbours.size(), 1 + neighboursNearby + neighboursAnywhere);
         EXPECT_EQ(neighbours, noteNeighbours(membership, self, DataCentreName("dc-0")));
     }
 
--- a/test/system/release_notes_test.cc
+++ b/test/system/release_notes_test.cc
@@ -264,10 +264,27 @@
         const auto health = makeCaller(m_deployment.node(3).m_caller, "").Get("/healthz");
         ASSERT_TRUE(health);
         EXPECT_EQ(health->status, 503) << "expected no service without a configuration";
+        EXPECT_EQ(callStatus(3), 503) << "expected callers to be sent elsewhere, not their key refused";
         m_deployment.setPlatformFault({ { "mode", "up" } });
         EXPECT_TRUE(waitUntil(startTimeout, [&] { return callStatus(3) == 200; }));
     }
 
+    TEST_F(ReleaseNotesTest, AreLoadedFromASnapshotByANodeThatStartsLate)
+    {
+        constexpr auto notes = 140; // More than a snapshot is due after.
+        for (auto i = 0; i < notes; ++i)
+            ASSERT_EQ(apply(0, bern, noteOf("route-" + std::to_string(i), putRoute("shared")))->status, 200);
+        const auto& platform = m_deployment.platform();
+        ASSERT_TRUE(waitUntil(startTimeout, [&] {
+            const auto head
+                = httplib::Client(platform.m_host, platform.m_port).Get("/api/v1/releaseheads/head");
+            return head && head->status == 200;
+        })) << "expected a snapshot once it is due";
+        const auto late = m_deployment.addNode({ "olten-9", "olten" });
+        EXPECT_TRUE(waitUntil(startTimeout, [&] { return callStatus(late) == 200; }));
+        EXPECT_EQ(logOf(late).size(), std::size_t { notes + 1 });
+    }
+
     TEST_F(ReleaseNotesTest, ReachANodeThatWasFrozenWhileTheyWereWritten)
     {
         m_deployment.node(3).m_process.signal(SIGSTOP);
@@ -276,5 +293,25 @@
         EXPECT_TRUE(waitUntil(withinSeconds, [&] { return callStatus(3) == 401; }));
     }
 
+    // How often nodes without news ask the platform for notes in some seconds.
+    TEST(ReleaseNotesReadersTest, AreTwoInADataCentreHoweverManyNodesItHas)
+    {
+        constexpr auto nodes = 8;
+        constexpr auto seconds = 4;
+        auto plan = DeploymentPlan();
+        for (auto i = 0; i < nodes; ++i)
+            plan.m_nodes.push_back({ "olten-" + std::to_string(i), "olten" });
+        auto deployment = Deployment(plan);
+        ASSERT_TRUE(deployment.waitUntilServing());
+        std::this_thread::sleep_for(std::chrono::seconds(3)); // Until they know each other.
+        const auto count = [&] { return deployment.platformStats()["by_kind"].value("releasenotes", 0); };
+        const auto before = count();
+        std::this_thread::sleep_for(std::chrono::seconds(seconds));
+        const auto readers = 2;
+        const auto mostPerReader = 2 * seconds; // At most one read in three quarters of a second.
+        EXPECT_LE(count() - before, readers * mostPerReader)
+            << "expected reads by " << readers << " nodes only";
+    }
+
 } // namespace
 } // namespace marigoldladder::harness
