Explain a request to operators from what the nodes remember

Seen on the way: docopt reads an upper-case word with an underscore as a command, so the argument is ID. The property over random schedules missed a pending restriction that was not applied again, because no step recorded a note of an office that had not heard of it; such a step is added.

--- a/daemons/marigoldctl.cc
+++ b/daemons/marigoldctl.cc
@@ -23,12 +23,13 @@
   marigoldctl note log --node ADDRESSES... --credential-file PATH [--after REVISION] [--json]
   marigoldctl dc (out | in) NAME --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl vm (out | in) NAME --node ADDRESSES... --credential-file PATH [--json]
+  marigoldctl explain ID --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl status --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl (-h | --help)
 
 Options:
   --node ADDRESSES        Operator addresses such as 127.0.0.1:7002, separated by commas; may be given
-                          several times. They are tried in turn.
+                          several times. They are tried in turn; explain asks them all.
   --credential-file PATH  A file with NAME.CREDENTIAL.
   --after REVISION        Show the notes after this revision [default: 0].
   --json                  Print one JSON object.
@@ -133,6 +134,11 @@
         return setDrain(arguments, DrainScope::DataCentre);
     if (arguments.at("vm").asBool())
         return setDrain(arguments, DrainScope::Vm);
+    if (arguments.at("explain").asBool()) {
+        const auto report = makeClient(arguments).explain(RequestId(arguments.at("ID").asString()));
+        std::cout << formatExplanation(report, styleOf(arguments));
+        return report.m_result;
+    }
     const auto report = makeClient(arguments).status();
     std::cout << formatStatus(report, styleOf(arguments));
     return report.m_result;
--- a/include/marigoldladder/operator_client.h
+++ b/include/marigoldladder/operator_client.h
@@ -80,6 +80,10 @@
     // Returns the entries of the log after a revision, `{"notes": [...]}`.
     auto log(Revision after) -> ReadReport;
 
+    // Returns what each of the nodes knows of a request, `{"nodes": [...]}`. Every node is asked; those that
+    // can't be are named in the message.
+    auto explain(const RequestId&) -> ReadReport;
+
     // Returns what a node says of itself and of the fleet.
     auto status() -> ReadReport;
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "core/request_journal.h"
 #include "marigoldladder/configuration.h"
 #include "marigoldladder/settings.h"
 
@@ -150,6 +151,7 @@
     Section<AssignmentTable> m_assignments; // Written by the ownership controller (routing).
     Section<ShareTable> m_shares; // Written by the share controller (limits).
     Section<NodeHealth> m_health; // Written by the node's start and drain (node).
+    Section<RequestJournal> m_requests; // Written by the caller server (serving).
     Metrics m_metrics; // Added to by all.
 };
 
--- a/src/fleet/note_spreader.cc
+++ b/src/fleet/note_spreader.cc
@@ -106,7 +106,7 @@
 
 auto NoteSpreader::memberAhead() -> std::optional<VmName>
 {
-    const auto told = m_ahead.write([](auto& value) { return std::exchange(value, std::nullopt); });
+    auto told = m_ahead.write([](auto& value) { return std::exchange(value, std::nullopt); });
     if (told)
         return told;
     const auto revision
--- a/src/ops/operator_client.cc
+++ b/src/ops/operator_client.cc
@@ -239,6 +239,23 @@
     return { answer.m_result, std::move(answer.m_body), std::move(answer.m_message) };
 }
 
+auto OperatorClient::explain(const RequestId& id) -> ReadReport
+{
+    auto json = nlohmann::json { { "nodes", nlohmann::json::array() } };
+    auto report = ReadReport { CommandResult::Done, "", "" };
+    for (const auto& node : m_nodes) {
+        auto answer = OperatorClient({ node }, m_credential).call("GET", "/v1/requests/" + id.value(), "");
+        if (answer.m_result == CommandResult::Done) {
+            json["nodes"].push_back(parseAnswer(answer.m_body));
+            continue;
+        }
+        report.m_result = answer.m_result;
+        report.m_message += formatAddress(node) + ": " + answer.m_message + "\n";
+    }
+    report.m_json = json.dump();
+    return report;
+}
+
 auto OperatorClient::status() -> ReadReport
 {
     auto answer = call("GET", "/v1/status", "");
--- a/src/ops/operator_server.cc
+++ b/src/ops/operator_server.cc
@@ -22,9 +22,9 @@
     constexpr auto statusAccepted = 202;
     constexpr auto mostLogEntries = std::uint64_t { 1000 };
 
-    auto nowAsText() -> std::string
+    // Returns a time in UTC as ISO 8601.
+    auto timeAsText(std::time_t now) -> std::string
     {
-        const auto now = std::time(nullptr);
         auto parts = std::tm {};
         gmtime_r(&now, &parts);
         auto text = std::array<char, 32> {};
@@ -78,6 +78,20 @@
         return json;
     }
 
+    auto describeRecord(const RequestRecord& record) -> nlohmann::json
+    {
+        auto json = nlohmann::json { { "request_id", record.m_id.value() },
+            { "ended_at", timeAsText(std::chrono::system_clock::to_time_t(record.m_endedAt)) },
+            { "organisation", record.m_organisation.value() }, { "target", record.m_target },
+            { "upstream", record.m_upstream.value() }, { "completed", !record.m_failure } };
+        if (record.m_failure) {
+            json["type"] = nameOf(failureTypeNames, record.m_failure->m_type);
+            json["verdict"] = nameOf(verdictNames, record.m_failure->m_verdict);
+            json["message"] = record.m_failure->m_message;
+        }
+        return json;
+    }
+
     // Reads a whole number from the query; the fallback when it is missing or none.
     auto queryNumber(const httplib::Request& request, const char* name, std::uint64_t fallback)
         -> std::uint64_t
@@ -110,6 +124,7 @@
     auto guarded(Handler) -> httplib::Server::Handler;
     auto applyNote(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto answerLog(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
+    auto answerRequest(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto answerStatus(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto describeConfiguration() const -> nlohmann::json;
 
@@ -149,6 +164,7 @@
         [this](const auto& request, auto& response) { answerChallengeRequest(request, response); });
     m_server.Post("/v1/notes", guarded(&Implementation::applyNote));
     m_server.Get("/v1/notes", guarded(&Implementation::answerLog));
+    m_server.Get("/v1/requests/([0-9a-zA-Z-]+)", guarded(&Implementation::answerRequest));
     m_server.Get("/v1/status", guarded(&Implementation::answerStatus));
     const auto& address = m_settings.m_operatorAddress;
     if (address.m_port == 0)
@@ -179,7 +195,7 @@
     auto& note = parsed.value();
     note.m_author = grant.m_name;
     note.m_office = grant.m_office;
-    note.m_acceptedAt = nowAsText();
+    note.m_acceptedAt = timeAsText(std::time(nullptr));
     const auto receipt = m_acceptance.accept(note);
     logChange("note_handled",
         { { "note_id", note.m_id.value() }, { "author", note.m_author }, { "office", note.m_office },
@@ -208,6 +224,18 @@
     response.set_content(json.dump(), jsonType);
 }
 
+auto OperatorServer::Implementation::answerRequest(
+    const OperatorGrant&, const httplib::Request& request, httplib::Response& response) -> void
+{
+    const auto id = RequestId(request.matches[1].str());
+    const auto records = m_blackboard.m_requests.read(
+        [&](const RequestJournal& journal) { return findRecords(journal, id); });
+    auto json = nlohmann::json { { "vm", m_settings.m_vm.value() }, { "records", nlohmann::json::array() } };
+    for (const auto& record : records)
+        json["records"].push_back(describeRecord(record));
+    response.set_content(json.dump(), jsonType);
+}
+
 auto OperatorServer::Implementation::describeConfiguration() const -> nlohmann::json
 {
     return m_blackboard.m_configuration.read([](const Configuration& value) {
--- a/src/ops/report_text.cc
+++ b/src/ops/report_text.cc
@@ -141,4 +141,23 @@
     return text.str();
 }
 
+auto formatExplanation(const ReadReport& report, OutputStyle style) -> std::string
+{
+    if (style == OutputStyle::Json)
+        return report.m_json + "\n";
+    auto text = std::ostringstream();
+    const auto answers = parseReport(report);
+    for (const auto& node : elementsOf(answers, "nodes")) {
+        for (const auto& record : elementsOf(node, "records"))
+            text << node.value("vm", "") << "  " << record.value("ended_at", "") << "  "
+                 << record.value("organisation", "") << "  " << record.value("target", "") << "  "
+                 << record.value("upstream", "") << "  "
+                 << (record.value("completed", false) ? "answered whole" : record.value("verdict", ""))
+                 << "  " << record.value("message", "") << "\n";
+    }
+    if (text.str().empty())
+        text << "no node that answered remembers this request\n";
+    return text.str() + report.m_message;
+}
+
 } // namespace marigoldladder
--- a/src/ops/report_text.h
+++ b/src/ops/report_text.h
@@ -20,4 +20,7 @@
 auto formatLog(const ReadReport&, OutputStyle) -> std::string;
 auto formatStatus(const ReadReport&, OutputStyle) -> std::string;
 
+// Returns what each node knows of a request, one line for each record.
+auto formatExplanation(const ReadReport&, OutputStyle) -> std::string;
+
 } // namespace marigoldladder
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -30,6 +30,12 @@
             request.body };
     }
 
+    auto recordOf(const ServeCall& call) -> RequestRecord
+    {
+        const auto target = call.m_adapter.m_name.empty() ? call.m_path : formatAdapterRef(call.m_adapter);
+        return { call.m_requestId, call.m_organisation, target, {}, {}, {} };
+    }
+
 } // namespace
 
 struct CallerServer::Implementation {
@@ -56,7 +62,8 @@
     auto run(httplib::Response&, Result<AdmittedCall>) -> void;
     auto fail(httplib::Response&, const Failure&, const RequestId&) -> void;
     auto countEnd(const AnswerEnd&) -> void;
-    auto finish(const Reservation&, const AnswerEnd&) -> void;
+    auto noteEnd(RequestRecord, const AnswerEnd&) -> void;
+    auto finish(const Reservation&, const RequestRecord&, const AnswerEnd&) -> void;
     auto countInFlight(int change) -> void;
     auto countOpenRequests() -> void;
 
@@ -207,7 +214,9 @@
     if (!admitted) {
         if (admitted.error().m_type == FailureType::Unauthorised)
             m_blackboard.m_metrics.add(Counter::AuthenticationRefusals);
-        fail(response, admitted.error(), makeRequestId());
+        const auto id = makeRequestId();
+        fail(response, admitted.error(), id);
+        noteEnd({ id, {}, {}, {}, {}, {} }, failedEnd(admitted.error()));
         return;
     }
     const auto& [call, pool, route, reservation] = admitted.value();
@@ -217,6 +226,7 @@
     auto started = m_runner.start(call, pool, deadline);
     if (!started) {
         fail(response, started.error(), call.m_requestId);
+        noteEnd(recordOf(call), failedEnd(started.error()));
         m_admission.settle(
             reservation, started.error().m_verdict == Verdict::NotRun ? 0 : reservation.m_tokens);
         countInFlight(-1);
@@ -225,12 +235,16 @@
     const auto waited = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun);
     m_blackboard.m_metrics.observe(Latency::FirstToken, waited.count());
     const auto stream = call.m_stream && started.value().m_head.m_status == 200;
+    auto record = recordOf(call);
+    record.m_upstream = started.value().m_head.m_upstream;
     writeAnswer(response, std::move(started.value()), call.m_requestId, stream, deadline,
-        [this, charged = reservation](const AnswerEnd& end) { finish(charged, end); });
+        [this, charged = reservation, record](const AnswerEnd& end) { finish(charged, record, end); });
 }
 
-auto CallerServer::Implementation::finish(const Reservation& reservation, const AnswerEnd& end) -> void
+auto CallerServer::Implementation::finish(
+    const Reservation& reservation, const RequestRecord& record, const AnswerEnd& end) -> void
 {
+    noteEnd(record, end);
     m_admission.settle(reservation, end.m_completed ? end.m_usedTokens : reservation.m_tokens);
     countEnd(end);
     countInFlight(-1);
@@ -243,6 +257,15 @@
     countEnd(failedEnd(failure));
 }
 
+// Remembers how a request ended, for operators who ask.
+auto CallerServer::Implementation::noteEnd(RequestRecord record, const AnswerEnd& end) -> void
+{
+    if (!end.m_completed)
+        record.m_failure = end.m_failure;
+    record.m_endedAt = std::chrono::system_clock::now();
+    m_blackboard.m_requests.write([&](RequestJournal& journal) { addRecord(journal, std::move(record)); });
+}
+
 auto CallerServer::Implementation::countEnd(const AnswerEnd& end) -> void
 {
     auto counter = Counter::RequestsServed;
--- a/test/core/release_note_property_test.cc
+++ b/test/core/release_note_property_test.cc
@@ -27,11 +27,13 @@
         std::vector<ReleaseNote> m_log;
         std::vector<ReleaseNote> m_handedOver;
         Configuration m_configuration;
+        Configuration m_elsewhere; // Of a node that has heard of no pending note.
 
         auto record(const ReleaseNote& note) -> void
         {
             m_log.push_back(note);
             applyReleaseNote(m_configuration, note, m_log.size());
+            applyReleaseNote(m_elsewhere, note, m_log.size());
         }
 
         // As a node does: nothing is recorded twice, nothing against what stands.
@@ -49,9 +51,14 @@
         {
             const auto route = *rc::gen::inRange(0, routeCount);
             const auto id = "note-" + std::to_string(number);
-            switch (*rc::gen::inRange(0, 4)) {
+            const auto put = noteOf(id, ChangeAction::Put, route);
+            switch (*rc::gen::inRange(0, 5)) {
             case 0:
-                handOver(noteOf(id, ChangeAction::Put, route));
+                handOver(put);
+                break;
+            case 3:
+                if (checkReleaseNote(m_elsewhere, put).empty())
+                    record(put);
                 break;
             case 1:
                 handOver(noteOf(id, ChangeAction::Withdraw, route));
--- a/test/system/operators_test.cc
+++ b/test/system/operators_test.cc
@@ -116,6 +116,24 @@
             << outcome.m_output;
     }
 
+    TEST_F(OperatorsTest, LearnWhatBecameOfARequest)
+    {
+        const auto send = [&](const char* key) {
+            auto caller = makeCaller(m_deployment.node(1).m_caller, key);
+            return caller.Post(
+                "/v1/completions", completionBody("adapter-0@1", 1, false), "application/json");
+        };
+        ASSERT_TRUE(waitUntil(withinSeconds, [&] { return send(basicKey)->status == 200; }));
+        const auto answered = send(basicKey);
+        const auto refused = send("aare-1.wrong");
+        const auto good = control({ "explain", answered->get_header_value("X-Request-Id") });
+        EXPECT_NE(good.m_output.find("aare  adapter-0@1  triage-"), std::string::npos) << good.m_output;
+        EXPECT_NE(good.m_output.find("answered whole"), std::string::npos) << good.m_output;
+        const auto bad = control({ "explain", nlohmann::json::parse(refused->body)["error"]["request_id"] });
+        EXPECT_NE(bad.m_output.find("not_run"), std::string::npos) << bad.m_output;
+        EXPECT_NE(control({ "explain", "0" }).m_output.find("no node"), std::string::npos);
+    }
+
     TEST_F(OperatorsTest, AreToldOfAWrongCommandLine)
     {
         EXPECT_EQ(control({ "note", "burn" }).m_exitCode, 2);
