--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -57,12 +57,13 @@
         , m_notes(m_blackboard, m_links, m_identity, m_settings.m_dataCentre, m_settings.m_seedPeers)
         , m_links(m_blackboard, m_identity)
         , m_probes(m_blackboard, m_links, m_settings.m_vm)
-        , m_owner(m_blackboard)
+        , m_poison(m_blackboard, m_links, m_settings.m_vm)
+        , m_owner(m_blackboard, m_poison)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
         , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
-        , m_runner(m_blackboard, m_owners)
+        , m_runner(m_blackboard, m_owners, m_poison)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
@@ -98,6 +99,7 @@
     NoteSpreader m_notes; // Before the links, whose threads call it until they end.
     PeerLinks m_links;
     ProbeService m_probes;
+    PoisonWatch m_poison;
     Owner m_owner;
     OwnerClient m_owners;
     Allowance m_allowance;
@@ -219,6 +221,12 @@
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
+    case wire::Body::ResolveRequest:
+        handleResolveRequest(m_owner, connection, envelope);
+        break;
+    case wire::Body::PoisonNotice:
+        m_poison.handleNotice(connection, envelope);
+        break;
     default:
         break;
     }
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -6,6 +6,7 @@
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
 #include "serving/idempotency.h"
+#include "serving/stream_server.h"
 
 #include <algorithm>
 #include <atomic>
@@ -72,7 +73,7 @@
     Admission m_admission;
     RequestRunner& m_runner;
     PlatformClient& m_platform;
-    httplib::Server m_server;
+    StreamServer m_server;
     int m_port = 0;
     std::atomic<std::size_t> m_openRequests { 0 };
     PosixThread m_thread;
@@ -237,7 +238,7 @@
     const auto stream = call.m_stream && started.value().m_head.m_status == 200;
     auto record = recordOf(call);
     record.m_upstream = started.value().m_head.m_upstream;
-    writeAnswer(response, std::move(started.value()), call.m_requestId, stream, deadline,
+    writeAnswer(response, std::move(started.value()), call.m_requestId, stream,
         [this, charged = reservation, record](const AnswerEnd& end) { finish(charged, record, end); });
 }
 
