--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "core/request_journal.h"
 #include "marigoldladder/configuration.h"
 #include "marigoldladder/settings.h"
 
@@ -159,6 +160,7 @@
     Section<ShareTable> m_shares; // Written by the share controller (limits).
     Section<LoadShare> m_loadShare; // Written by the load budget's controller (routing).
     Section<NodeHealth> m_health; // Written by the node's start and drain (node).
+    Section<RequestJournal> m_requests; // Written by the caller server (serving).
     Metrics m_metrics; // Added to by all.
 };
 
