Name a node only when it can serve, and end a leaving one when all is served

A restarted node was named as soon as it gossiped, up to half a second before it knew any upstream's owner: 1,007 refusals 'no node owns the upstream' in one run of CutsNoRequestWhileEachNodeInTurnLeavesAndReturns. A node now joins when it is configured and knows its upstreams and their owners. Closing the listener while a stream ran cut the stream (WaitsForAStreamThatRuns failed so): the HTTP library ends its chunked answers then, so the listener stays open until nothing is left.

--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -52,6 +52,7 @@
     Draining,
     Suspect, // Did not answer probes. It may be frozen or cut off, run on, and come back: still a holder.
     Gone, // Never comes back: the platform's list says that the VM is gone, or its process said goodbye.
+    Joining, // Has not yet learnt what it needs to serve.
 };
 
 inline constexpr auto memberStateNames = std::array {
@@ -59,6 +60,7 @@
     EnumName<MemberState> { MemberState::Draining, "draining" },
     EnumName<MemberState> { MemberState::Suspect, "suspect" },
     EnumName<MemberState> { MemberState::Gone, "gone" },
+    EnumName<MemberState> { MemberState::Joining, "joining" },
 };
 
 // One node of the fleet as this node knows it.
@@ -107,6 +109,7 @@
     std::map<UpstreamName, Upstream> m_upstreams;
     std::map<UpstreamName, std::uint64_t> m_removed; // Those that left the list, with the version then.
     std::uint64_t m_version = 0; // The highest version above.
+    bool m_known = false; // Read from the platform, or from a peer that had.
 };
 
 // Who orders loads at an upstream and admits work to it.
--- a/src/fleet/discovery_controller.cc
+++ b/src/fleet/discovery_controller.cc
@@ -169,6 +169,7 @@
     }
     for (const auto& name : missing)
         removeUpstream(table, name, list.m_version);
+    table.m_known = true;
 }
 
 auto applyVmEvent(UpstreamTable& table, const WatchEvent& event) -> void
--- a/src/fleet/drain.cc
+++ b/src/fleet/drain.cc
@@ -2,12 +2,11 @@
 
 namespace marigoldladder {
 
-auto drainStep(const DrainObservation& seen, std::chrono::milliseconds timeToLive) -> DrainStep
+auto mayLeave(const DrainObservation& seen, std::chrono::milliseconds timeToLive) -> bool
 {
-    if (seen.m_elapsed < drainNewsBound + timeToLive)
-        return DrainStep::ServeOn;
+    const auto expired = seen.m_elapsed >= drainNewsBound + timeToLive;
     const auto busy = seen.m_openRequests > 0 || seen.m_ownerCalls > 0;
-    return busy || seen.m_quiet < drainQuietTime ? DrainStep::CloseListener : DrainStep::Leave;
+    return expired && !busy && seen.m_quiet >= drainQuietTime;
 }
 
 } // namespace marigoldladder
--- a/src/fleet/drain.h
+++ b/src/fleet/drain.h
@@ -20,14 +20,9 @@
 // How long nothing may have been served before the node ends. It covers calls that peers have just sent.
 inline constexpr auto drainQuietTime = std::chrono::milliseconds(500);
 
-enum class DrainStep {
-    ServeOn, // Callers may still hold an answer that names this node.
-    CloseListener, // Take no new connections; what is open is served to its end.
-    Leave,
-};
-
-// Decides the next step. Callers come as long as answers given before the news got round are valid, which is
-// `timeToLive` after that; then nothing must be left to serve.
-auto drainStep(const DrainObservation&, std::chrono::milliseconds timeToLive) -> DrainStep;
+// Whether the node may end: callers come as long as answers given before the news got round are valid, which
+// is `timeToLive` after that; then nothing must be left to serve. The listener stays open until then, as one
+// that comes late is better served than refused.
+auto mayLeave(const DrainObservation&, std::chrono::milliseconds timeToLive) -> bool;
 
 } // namespace marigoldladder
--- a/src/fleet/member_merge.cc
+++ b/src/fleet/member_merge.cc
@@ -13,6 +13,7 @@
     auto gravityOf(MemberState state) -> int
     {
         switch (state) {
+        case MemberState::Joining:
         case MemberState::Alive:
             return 0;
         case MemberState::Draining:
@@ -109,7 +110,7 @@
     if (found == membership.m_members.end())
         return;
     auto& member = found->second;
-    if (member.m_state == MemberState::Alive || member.m_state == MemberState::Draining)
+    if (member.m_state != MemberState::Suspect && member.m_state != MemberState::Gone)
         changeState(member, MemberState::Suspect, now);
 }
 
--- a/src/fleet/member_record.cc
+++ b/src/fleet/member_record.cc
@@ -26,7 +26,7 @@
     member.m_incarnation = record.incarnation;
     member.m_callerAddress = parseAddress(record.caller_address).value_or(Address {});
     member.m_peerAddress = parseAddress(record.peer_address).value_or(Address {});
-    member.m_state = record.state <= static_cast<std::uint8_t>(MemberState::Gone)
+    member.m_state = record.state <= static_cast<std::uint8_t>(MemberState::Joining)
         ? static_cast<MemberState>(record.state)
         : MemberState::Suspect;
     member.m_revision = record.revision;
--- a/src/fleet/upstream_exchange.cc
+++ b/src/fleet/upstream_exchange.cc
@@ -110,6 +110,7 @@
         }
     }
     table.m_version = std::max(table.m_version, answer.version);
+    table.m_known = true;
 }
 
 auto pullUpstreams(Blackboard& blackboard, PeerLink& link, std::uint64_t peerVersion) -> void
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include "fleet/discovery_controller.h"
 #include "fleet/drain.h"
 #include "fleet/gossip.h"
+#include "fleet/member_merge.h"
 #include "fleet/membership_controller.h"
 #include "fleet/peer_links.h"
 #include "fleet/peer_probe.h"
@@ -19,6 +20,7 @@
 #include "serving/caller_server.h"
 #include "wire/peer_server.h"
 
+#include <algorithm>
 #include <random>
 #include <stdexcept>
 #include <thread>
@@ -65,12 +67,17 @@
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
-        m_gossipTask.emplace("gossip", gossipPeriod,
-            [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
+        m_gossipTask.emplace("gossip", gossipPeriod, [this] {
+            if (mayJoin())
+                changeOwnState(MemberState::Alive);
+            gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
+        });
     }
 
     auto startPeerServer() -> void;
     auto addOwnMember() -> void;
+    auto mayJoin() const -> bool;
+    auto joinWhenReady() -> void;
     auto changeOwnState(MemberState) -> Member;
     auto observeDrain(MonotonicTime begun, MonotonicTime& busyAt) -> DrainObservation;
     auto sayGoodbye() -> void;
@@ -129,11 +136,41 @@
     self.m_peerAddress = m_settings.m_advertisedPeerAddress;
     if (self.m_peerAddress.m_port == 0)
         self.m_peerAddress = m_addresses.m_peer;
+    self.m_state = MemberState::Joining;
     self.m_heardAt = std::chrono::steady_clock::now();
     self.m_changedAt = self.m_heardAt;
     m_blackboard.m_membership.write([&](Membership& value) { value.m_members[self.m_vm] = self; });
 }
 
+// Whether this node, which is joining, has learnt what it needs to serve, so that it may be named to callers.
+auto Node::Implementation::mayJoin() const -> bool
+{
+    const auto joining = m_blackboard.m_membership.read([&](const Membership& value) {
+        return value.m_members.at(m_settings.m_vm).m_state == MemberState::Joining;
+    });
+    if (!joining || !m_blackboard.m_health.copy().m_configured)
+        return false;
+    const auto upstreams = m_blackboard.m_upstreams.read([](const UpstreamTable& table) {
+        return table.m_known ? std::optional(table.m_upstreams.size()) : std::nullopt;
+    });
+    const auto assigned = m_blackboard.m_assignments.read([](const AssignmentTable& table) {
+        return std::count_if(table.m_assignments.begin(), table.m_assignments.end(),
+            [](const auto& entry) { return !entry.second.m_owner.empty(); });
+    });
+    const auto alone = m_blackboard.m_membership.read(
+        [&](const Membership& value) { return !hasHeardOfPeers(value, m_settings.m_vm); });
+    return upstreams && (alone || static_cast<std::size_t>(assigned) >= *upstreams);
+}
+
+auto Node::Implementation::joinWhenReady() -> void
+{
+    if (!mayJoin())
+        return;
+    changeOwnState(MemberState::Alive);
+    m_fleetTask->wake(); // Now this node counts where upstreams are assigned.
+    logChange("joined");
+}
+
 // Changes this node's own state so that it outweighs all that was told of it before; returns the record.
 auto Node::Implementation::changeOwnState(MemberState state) -> Member
 {
@@ -234,13 +271,9 @@
     auto random = std::mt19937_64(std::random_device()());
     announceSelf(node.m_blackboard, node.m_links, node.m_settings.m_vm, random);
     auto busyAt = begun;
-    auto step = DrainStep::ServeOn;
-    while (step != DrainStep::Leave && std::chrono::steady_clock::now() < begun + atMost) {
-        step = drainStep(node.observeDrain(begun, busyAt), addressTimeToLive);
-        if (step == DrainStep::CloseListener)
-            node.m_callers.closeListener();
+    while (!mayLeave(node.observeDrain(begun, busyAt), addressTimeToLive)
+        && std::chrono::steady_clock::now() < begun + atMost)
         std::this_thread::sleep_for(drainPoll);
-    }
     node.sayGoodbye();
     logChange("drained");
 }
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -373,11 +373,6 @@
     return m_implementation->m_openRequests;
 }
 
-auto CallerServer::closeListener() -> void
-{
-    m_implementation->m_server.stop();
-}
-
 auto CallerServer::stop() -> void
 {
     m_implementation->m_server.stop();
--- a/src/serving/caller_server.h
+++ b/src/serving/caller_server.h
@@ -24,9 +24,6 @@
     // Requests whose answers are not written to their end.
     auto openRequests() const -> std::size_t;
 
-    // Takes no new connections; those there are get their answers and are closed after the next one.
-    auto closeListener() -> void;
-
     // Closes the listener and waits for the requests being served.
     auto stop() -> void;
 
