--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -124,14 +125,16 @@
     std::map<UpstreamName, Assignment> m_assignments;
 };
 
-// The part of an organisation's rate and burst that this node may spend by itself.
-struct Share {
-    double m_fraction = 0; // 0 to 1; over all VMs the fractions sum to at most 1.
+// Which VM holds which part of the organisations' rates and bursts, as this node last read it.
+struct ShareTable {
+    std::vector<VmName> m_slots; // The holder of each slot (limits/share_slots.h); empty: not known yet.
 };
 
-struct ShareTable {
-    std::map<OrganisationName, Share> m_shares;
-    double m_defaultFraction = 0; // For organisations without a row.
+// The newest release notes as JSON texts, for peers that are behind.
+struct NoteHistory {
+    Revision m_first = 1; // The revision of the first text.
+    std::deque<std::string> m_texts;
+    std::size_t m_bytes = 0;
 };
 
 // How this node itself is doing.
@@ -144,6 +147,7 @@
 
 struct Blackboard {
     Section<Configuration> m_configuration; // Written by the configuration controller (fleet).
+    Section<NoteHistory> m_noteHistory; // Written by the configuration controller (fleet).
     Section<Membership> m_membership; // Written by the membership controller (fleet).
     Section<UpstreamTable> m_upstreams; // Written by the discovery controller (fleet).
     Section<AssignmentTable> m_assignments; // Written by the ownership controller (routing).
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,11 +8,13 @@
 #include "fleet/gossip.h"
 #include "fleet/member_merge.h"
 #include "fleet/membership_controller.h"
+#include "fleet/note_spreader.h"
 #include "fleet/peer_links.h"
 #include "fleet/peer_probe.h"
 #include "fleet/upstream_exchange.h"
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
+#include "limits/token_exchange.h"
 #include "ops/operator_server.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
@@ -30,9 +32,11 @@
 
 namespace {
 
-    constexpr auto configurationPeriod = std::chrono::milliseconds(300);
+    constexpr auto configurationPeriod = std::chrono::milliseconds(100);
+    constexpr auto notesPeriod = std::chrono::milliseconds(150);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
+    constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -51,25 +55,31 @@
         , m_platform(m_settings.m_platformAddress, m_blackboard.m_metrics)
         , m_log(m_platform)
         , m_identity { m_settings.m_vm, makeIncarnation(), m_settings.m_fleetSecret }
+        , m_follower(m_blackboard, m_log, m_settings.m_vm, m_settings.m_dataCentre)
+        , m_notes(m_blackboard, m_links, m_identity, m_settings.m_dataCentre, m_settings.m_seedPeers)
         , m_links(m_blackboard, m_identity)
         , m_probes(m_blackboard, m_links, m_settings.m_vm)
-        , m_owner(m_blackboard)
+        , m_poison(m_blackboard, m_links, m_settings.m_vm)
+        , m_owner(m_blackboard, m_poison)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
-        , m_allowance(m_blackboard)
-        , m_runner(m_blackboard, m_owners)
+        , m_allowance(
+              m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
+        , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
+        , m_runner(m_blackboard, m_owners, m_poison)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
-        , m_operators(m_settings, m_blackboard, m_log)
+        , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
+        m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
         m_membersTask.emplace("members", platformPeriod,
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
+        m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
         m_gossipTask.emplace("gossip", gossipPeriod, [this] {
-            if (mayJoin())
-                changeOwnState(MemberState::Alive);
+            joinWhenReady();
             gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
         });
     }
@@ -82,6 +92,7 @@
     auto observeDrain(MonotonicTime begun, MonotonicTime& busyAt) -> DrainObservation;
     auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
+    auto spreadNotes() -> void;
     auto followFleet() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
@@ -90,22 +101,28 @@
     PlatformClient m_platform;
     ReleaseLog m_log;
     PeerIdentity m_identity;
+    ConfigurationController m_follower; // Used by the configuration task only.
+    NoteSpreader m_notes; // Before the links, whose threads call it until they end.
     PeerLinks m_links;
     ProbeService m_probes;
+    PoisonWatch m_poison;
     Owner m_owner;
     OwnerClient m_owners;
     Allowance m_allowance;
+    ShareController m_shares;
     RequestRunner m_runner;
     CallerServer m_callers;
     OperatorServer m_operators;
     NodeAddresses m_addresses;
     std::optional<PeerServer> m_peers;
     std::optional<PeriodicTask> m_configurationTask;
+    std::optional<PeriodicTask> m_notesTask;
     std::optional<PeriodicTask> m_fleetTask;
     MembershipState m_membershipState; // Each state is used by the task below it only.
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
     std::optional<PeriodicTask> m_discoveryTask;
+    std::optional<PeriodicTask> m_shareTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -185,19 +202,28 @@
 
 auto Node::Implementation::followConfiguration() -> void
 {
-    const auto followed = followReleaseLog(m_blackboard, m_log);
+    const auto reached = m_follower.step();
+    const auto complete
+        = m_blackboard.m_configuration.read([](const Configuration& value) { return value.m_complete; });
     const auto changed = m_blackboard.m_health.write([&](NodeHealth& health) {
-        const auto before = std::exchange(health.m_platformReachable, followed.has_value());
-        health.m_configured = health.m_configured || followed.has_value();
-        return before != followed.has_value();
+        health.m_configured = complete;
+        return reached && std::exchange(health.m_platformReachable, *reached) != *reached;
     });
     if (changed)
-        logChange(followed ? "platform_reachable" : "platform_unreachable");
+        logChange(*reached ? "platform_reachable" : "platform_unreachable");
+}
+
+// A node that got its configuration from a peer serves from then on, also while the platform hangs.
+auto Node::Implementation::spreadNotes() -> void
+{
+    m_notes.round();
+    const auto complete
+        = m_blackboard.m_configuration.read([](const Configuration& value) { return value.m_complete; });
+    m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
 auto Node::Implementation::followFleet() -> void
 {
-    refreshShares(m_blackboard);
     refreshAssignments(m_blackboard);
 }
 
@@ -208,11 +234,20 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::TokenRequest:
+        handleTokenRequest(m_allowance, connection, envelope);
+        break;
+    case wire::Body::TokenReturn:
+        handleTokenReturn(m_allowance, envelope);
+        break;
     case wire::Body::Gossip: {
         thread_local auto random = std::mt19937_64(std::random_device()());
         handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
         break;
     }
+    case wire::Body::NotesRequest:
+        m_notes.handleRequest(connection, envelope);
+        break;
     case wire::Body::ProbeRequest:
         m_probes.handle(connection, envelope);
         break;
@@ -222,6 +257,12 @@
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
+    case wire::Body::ResolveRequest:
+        handleResolveRequest(m_owner, connection, envelope);
+        break;
+    case wire::Body::PoisonNotice:
+        m_poison.handleNotice(connection, envelope);
+        break;
     default:
         break;
     }
@@ -274,6 +315,7 @@
     while (!mayLeave(node.observeDrain(begun, busyAt), addressTimeToLive)
         && std::chrono::steady_clock::now() < begun + atMost)
         std::this_thread::sleep_for(drainPoll);
+    (void)node.m_shares.release();
     node.sayGoodbye();
     logChange("drained");
 }
