Run keyed calls at one process only, and replay their answers

A plain key had a claim on the platform and nothing else: a call sent again got a bare refusal, and without the platform no booking was possible. Now a key under a node's prefix is run by that incarnation alone, which remembers it, and other nodes pass the call on. A plain key's claim names the process that may run it. A finished answer is replayed; a duplicate waits for the first; a key with another body is refused; keys older than what is remembered are may_have_run. Prefixes carry an epoch of a minute, so that a node can forget old keys and yet never run one twice.

Ruled out: not_run for a plain key that can't be claimed. An earlier call under the key may have run, and the caller would book again under another key; it is may_have_run now. The charge is made by the node that runs the call, after the key is entered, so that a refusal for lack of allowance is true of the key.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -28,6 +28,7 @@
     constexpr auto configurationPeriod = std::chrono::milliseconds(300);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
+    constexpr auto claimCleaningPeriod = std::chrono::milliseconds(10'000);
     constexpr auto gossipPeriod = std::chrono::milliseconds(200);
     constexpr auto addressExpiry = std::chrono::milliseconds(2500);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
@@ -55,13 +56,18 @@
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
         , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners)
-        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
+        , m_claims(m_blackboard, m_platform, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now)
+        , m_keyed(m_blackboard, m_links, m_allowance, m_claims, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now, makeKeyedDispatch(m_runner))
+        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_keyed)
         , m_operators(m_settings, m_blackboard, m_log)
     {
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
+        m_claimTask.emplace("claims", claimCleaningPeriod, [this] { m_claims.removeExpired(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings.m_vm, m_gossipRandom); });
     }
@@ -83,6 +89,8 @@
     Allowance m_allowance;
     ShareController m_shares;
     RequestRunner m_runner;
+    KeyedClaims m_claims;
+    KeyedService m_keyed;
     CallerServer m_callers;
     OperatorServer m_operators;
     NodeAddresses m_addresses;
@@ -92,6 +100,7 @@
     std::optional<PeriodicTask> m_fleetTask;
     std::mt19937_64 m_gossipRandom { std::random_device()() }; // Used by the gossip task only.
     std::optional<PeriodicTask> m_shareTask;
+    std::optional<PeriodicTask> m_claimTask;
     std::optional<PeriodicTask> m_gossipTask;
 };
 
@@ -157,6 +166,9 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::KeyedCall:
+        m_keyed.handleKeyedCall(connection, envelope);
+        break;
     case wire::Body::TokenRequest:
         handleTokenRequest(m_allowance, connection, envelope);
         break;
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -35,6 +35,12 @@
 
 } // namespace
 
+auto serviceFingerprint(const std::string& method, const std::string& path, const std::string& body)
+    -> std::uint64_t
+{
+    return fingerprintOf(method + " " + path, body);
+}
+
 Admission::Admission(Blackboard& blackboard, Allowance& allowance)
     : m_blackboard(blackboard)
     , m_allowance(allowance)
@@ -109,10 +115,10 @@
     call.m_contentType = request.m_contentType;
     call.m_body = request.m_body;
     call.m_idempotencyKey = IdempotencyKey(request.m_idempotencyKey);
-    call.m_fingerprint = fingerprintOf(call.m_method + " " + call.m_path, call.m_body);
+    call.m_fingerprint = serviceFingerprint(call.m_method, call.m_path, call.m_body);
     if (!call.m_idempotent && call.m_idempotencyKey.empty())
         return notRun(FailureType::BadRequest, "this route needs the header Idempotency-Key");
-    return charge(std::move(admitted));
+    return call.m_idempotent ? charge(std::move(admitted)) : Result<AdmittedCall>(std::move(admitted));
 }
 
 auto Admission::charge(AdmittedCall admitted) -> Result<AdmittedCall>
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -28,6 +28,10 @@
     Reservation m_reservation;
 };
 
+// Hash of a service call, the same for a call sent again.
+auto serviceFingerprint(const std::string& method, const std::string& path, const std::string& body)
+    -> std::uint64_t;
+
 // Thread-safe. Refusals are `NotRun`.
 class Admission {
 public:
@@ -35,7 +39,8 @@
 
     auto admitCompletion(const CallerRequest&) -> Result<AdmittedCall>;
 
-    // Admits a call of a plain service; `path` is the part below the route.
+    // Admits a call of a plain service; `path` is the part below the route. One that must not run twice is
+    // not charged yet: that is for the node that runs it.
     auto admitService(const CallerRequest&, const RouteName&, const std::string& path)
         -> Result<AdmittedCall>;
 
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -3,7 +3,6 @@
 #include "core/posix_thread.h"
 #include "serving/admission.h"
 #include "serving/http_answer.h"
-#include "serving/idempotency.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -30,12 +29,12 @@
 
 struct CallerServer::Implementation {
     Implementation(const NodeSettings& settings, Blackboard& blackboard, Allowance& allowance,
-        RequestRunner& runner, PlatformClient& platform)
+        RequestRunner& runner, KeyedService& keyed)
         : m_settings(settings)
         , m_blackboard(blackboard)
         , m_admission(blackboard, allowance)
         , m_runner(runner)
-        , m_platform(platform)
+        , m_keyed(keyed)
     {
     }
 
@@ -48,7 +47,7 @@
     auto serveCompletion(const httplib::Request&, httplib::Response&) -> void;
     auto serveService(const httplib::Request&, httplib::Response&) -> void;
 
-    auto claim(Result<AdmittedCall>) -> Result<AdmittedCall>;
+    auto runKeyed(httplib::Response&, const AdmittedCall&) -> void;
     auto run(httplib::Response&, Result<AdmittedCall>) -> void;
     auto fail(httplib::Response&, const Failure&, const RequestId&) -> void;
     auto countEnd(const AnswerEnd&) -> void;
@@ -59,7 +58,7 @@
     Blackboard& m_blackboard;
     Admission m_admission;
     RequestRunner& m_runner;
-    PlatformClient& m_platform;
+    KeyedService& m_keyed;
     httplib::Server m_server;
     int m_port = 0;
     PosixThread m_thread;
@@ -122,6 +121,7 @@
     auto json = nlohmann::json { { "ttl_ms", addressTimeToLive.count() },
         { "addresses", nlohmann::json::array() } };
     const auto membership = m_blackboard.m_membership.copy();
+    const auto epoch = keyEpochAt(std::chrono::system_clock::now());
     m_blackboard.m_configuration.read([&](const Configuration& configuration) {
         for (const auto& [vm, member] : membership.m_members) {
             if (member.m_state != MemberState::Alive || isOut(configuration, vm, member.m_dataCentre))
@@ -129,7 +129,7 @@
             json["addresses"].push_back({
                 { "address", formatAddress(member.m_callerAddress) },
                 { "data_centre", member.m_dataCentre.value() },
-                { "key_prefix", vm.value() + "." + std::to_string(member.m_incarnation) + "." },
+                { "key_prefix", makeKeyPrefix(vm, member.m_incarnation, epoch) },
             });
         }
     });
@@ -161,21 +161,28 @@
 {
     const auto route = RouteName(request.matches[1].str());
     const auto path = request.matches[2].matched ? request.matches[2].str() : "/";
-    run(response, claim(m_admission.admitService(callerRequestOf(request), route, path)));
+    auto admitted = m_admission.admitService(callerRequestOf(request), route, path);
+    if (admitted && !admitted.value().m_call.m_idempotent)
+        runKeyed(response, admitted.value());
+    else
+        run(response, std::move(admitted));
 }
 
-// Claims the key of a call that must not run twice.
-auto CallerServer::Implementation::claim(Result<AdmittedCall> admitted) -> Result<AdmittedCall>
+// Answers a call that must not run twice.
+auto CallerServer::Implementation::runKeyed(httplib::Response& response, const AdmittedCall& admitted) -> void
 {
-    if (!admitted || admitted.value().m_call.m_idempotent)
-        return admitted;
-    const auto& call = admitted.value().m_call;
-    const auto claimed = claimIdempotencyKey(m_platform, call.m_organisation, call.m_idempotencyKey);
-    if (claimed)
-        return admitted;
-    m_blackboard.m_metrics.add(Counter::IdempotencyRefusals);
-    m_admission.settle(admitted.value().m_reservation, 0);
-    return claimed.error();
+    countInFlight(1);
+    const auto deadline = std::chrono::steady_clock::now() + m_settings.m_limits.m_requestDeadline;
+    const auto answer = m_keyed.serve({ admitted.m_call, admitted.m_route }, deadline);
+    if (answer) {
+        response.set_header("X-Request-Id", admitted.m_call.m_requestId.value());
+        response.status = answer.value().m_status;
+        response.set_content(answer.value().m_body, answer.value().m_contentType);
+        countEnd(AnswerEnd { true, {}, 0 });
+    } else {
+        fail(response, answer.error(), admitted.m_call.m_requestId);
+    }
+    countInFlight(-1);
 }
 
 auto CallerServer::Implementation::run(httplib::Response& response, Result<AdmittedCall> admitted) -> void
@@ -238,8 +245,8 @@
 }
 
 CallerServer::CallerServer(const NodeSettings& settings, Blackboard& blackboard, Allowance& allowance,
-    RequestRunner& runner, PlatformClient& platform)
-    : m_implementation(std::make_unique<Implementation>(settings, blackboard, allowance, runner, platform))
+    RequestRunner& runner, KeyedService& keyed)
+    : m_implementation(std::make_unique<Implementation>(settings, blackboard, allowance, runner, keyed))
 {
     m_implementation->listen();
 }
--- a/src/serving/caller_server.h
+++ b/src/serving/caller_server.h
@@ -3,7 +3,7 @@
 
 #include "fleet/peer_links.h"
 #include "limits/allowance.h"
-#include "platform/platform_client.h"
+#include "serving/keyed_service.h"
 #include "serving/request_runner.h"
 
 #include <memory>
@@ -13,7 +13,7 @@
 // Serves callers from construction until `stop`, one thread for each open connection.
 class CallerServer {
 public:
-    CallerServer(const NodeSettings&, Blackboard&, Allowance&, RequestRunner&, PlatformClient&);
+    CallerServer(const NodeSettings&, Blackboard&, Allowance&, RequestRunner&, KeyedService&);
     CallerServer(const CallerServer&) = delete;
     auto operator=(const CallerServer&) -> CallerServer& = delete;
     ~CallerServer();
