--- a/src/serving/keyed_call.cc
+++ b/src/serving/keyed_call.cc
@@ -50,15 +50,18 @@
         return;
     }
     const auto& kept = answer.value();
-    connection.send(
-        encodeAnswerEvent(correlation, AnswerHead { kept.m_status, kept.m_contentType, kept.m_upstream }));
+    auto head = AnswerHead();
+    head.m_status = kept.m_status;
+    head.m_contentType = kept.m_contentType;
+    head.m_upstream = kept.m_upstream;
+    connection.send(encodeAnswerEvent(correlation, std::move(head)));
     connection.send(encodeAnswerEvent(correlation, AnswerChunk { 0, kept.m_body }));
     connection.send(encodeAnswerEvent(correlation, AnswerEnd { true, {}, 0 }));
 }
 
-auto collectAnswer(AnswerStream& stream, KeptAnswer begun, MonotonicTime deadline) -> Result<KeptAnswer>
+auto collectAnswer(const NextEvent& next, KeptAnswer begun, MonotonicTime deadline) -> Result<KeptAnswer>
 {
-    while (auto event = stream.pop(deadline)) {
+    while (auto event = next(deadline)) {
         if (const auto* end = std::get_if<AnswerEnd>(&*event))
             return end->m_completed ? Result<KeptAnswer>(std::move(begun)) : end->m_failure;
         if (const auto* head = std::get_if<AnswerHead>(&*event)) {
--- a/src/serving/keyed_service.cc
+++ b/src/serving/keyed_service.cc
@@ -46,8 +46,8 @@
             if (!started)
                 return started.error();
             const auto& head = started.value().m_head;
-            return collectAnswer(*started.value().m_call.m_answer,
-                { head.m_status, head.m_contentType, "", head.m_upstream }, deadline);
+            const auto next = [&](MonotonicTime until) { return started.value().m_answer->next(until); };
+            return collectAnswer(next, { head.m_status, head.m_contentType, "", head.m_upstream }, deadline);
         };
 }
 
@@ -228,7 +228,8 @@
           });
     if (!correlation)
         return holderGone();
-    auto answer = collectAnswer(*stream, {}, deadline);
+    const auto next = [&](MonotonicTime until) { return stream->pop(until); };
+    auto answer = collectAnswer(next, {}, deadline);
     link.closeExchange(*correlation);
     return answer;
 }
