--- a/src/core/secret_digest.cc
+++ b/src/core/secret_digest.cc
@@ -1,6 +1,7 @@
 #include "core/secret_digest.h"
 
 #include <array>
+#include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -23,11 +24,16 @@
 
 auto saltedDigest(std::string_view salt, std::string_view secret) -> std::string
 {
-    auto input = std::string(salt);
-    input.append(secret);
+    // Looking the algorithm up takes longer than a short digest, so that is done once.
+    static const auto* const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    thread_local const auto context
+        = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     auto digest = std::array<unsigned char, EVP_MAX_MD_SIZE> {};
     auto size = 0U;
-    EVP_Digest(input.data(), input.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    EVP_DigestInit_ex(context.get(), algorithm, nullptr);
+    EVP_DigestUpdate(context.get(), salt.data(), salt.size());
+    EVP_DigestUpdate(context.get(), secret.data(), secret.size());
+    EVP_DigestFinal_ex(context.get(), digest.data(), &size);
     return toHex(digest.data(), size);
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -40,6 +40,7 @@
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
     constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
+    constexpr auto claimCleaningPeriod = std::chrono::milliseconds(10'000);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -71,7 +72,11 @@
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
         , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners, m_poison)
-        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
+        , m_claims(m_blackboard, m_platform, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now)
+        , m_keyed(m_blackboard, m_links, m_allowance, m_claims, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now, makeKeyedDispatch(m_runner))
+        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_keyed)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
         startPeerServer();
@@ -84,6 +89,7 @@
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
         m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
+        m_claimTask.emplace("claims", claimCleaningPeriod, [this] { m_claims.removeExpired(); });
         m_gossipTask.emplace("gossip", gossipPeriod, [this] {
             joinWhenReady();
             gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
@@ -120,6 +126,8 @@
     Allowance m_allowance;
     ShareController m_shares;
     RequestRunner m_runner;
+    KeyedClaims m_claims;
+    KeyedService m_keyed;
     CallerServer m_callers;
     OperatorServer m_operators;
     NodeAddresses m_addresses;
@@ -133,6 +141,7 @@
     std::optional<PeriodicTask> m_discoveryTask;
     std::optional<PeriodicTask> m_shareTask;
     std::optional<PeriodicTask> m_ownershipTask;
+    std::optional<PeriodicTask> m_claimTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -249,6 +258,9 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::KeyedCall:
+        m_keyed.handleKeyedCall(connection, envelope);
+        break;
     case wire::Body::TokenRequest:
         handleTokenRequest(m_allowance, connection, envelope);
         break;
--- a/src/serving/address_answer.cc
+++ b/src/serving/address_answer.cc
@@ -103,14 +103,14 @@
     return answer;
 }
 
-auto formatAddressAnswer(const AddressAnswer& answer) -> std::string
+auto formatAddressAnswer(const AddressAnswer& answer, KeyEpoch epoch) -> std::string
 {
     auto rows = nlohmann::json::array();
     for (const auto& row : answer.m_addresses) {
         rows.push_back({
             { "address", formatAddress(row.m_address) },
             { "data_centre", row.m_dataCentre.value() },
-            { "key_prefix", row.m_vm.value() + "." + std::to_string(row.m_incarnation) + "." },
+            { "key_prefix", makeKeyPrefix(row.m_vm, row.m_incarnation, epoch) },
         });
     }
     return nlohmann::json { { "ttl_ms", answer.m_timeToLive.count() }, { "addresses", rows } }.dump();
