--- a/fakes/engine_completions.cc
+++ b/fakes/engine_completions.cc
@@ -1,5 +1,6 @@
 #include "engine_completions.h"
 
+#include "expected_text.h"
 #include "serving/stream_server.h"
 
 #include <algorithm>
@@ -27,13 +28,7 @@
     bool m_finished = false;
     bool m_ended = false; // It runs no longer.
 
-    // The token that the model gives at a position of the answer to the prompt.
-    auto tokenAt(int position) const -> std::string
-    {
-        const auto hash = std::hash<std::string>()(m_model + "|" + m_prompt);
-        constexpr auto shownDigits = 100'000U;
-        return "t" + std::to_string((hash + static_cast<unsigned>(position)) % shownDigits) + " ";
-    }
+    auto tokenAt(int position) const -> std::string { return expectedToken(m_model, m_prompt, position); }
 };
 
 EngineCompletions::EngineCompletions(
@@ -89,7 +84,8 @@
     for (const auto& [name, value] : request.headers)
         headers[name] = value;
     const auto lock = std::lock_guard(m_mutex);
-    m_requests.push_back({ { "path", request.path }, { "headers", headers }, { "body", request.body } });
+    m_requests.push_back({ { "at_ms", wallClockMilliseconds() }, { "path", request.path },
+        { "headers", headers }, { "body", request.body } });
 }
 
 // Waits for a slot; false when the engine is too cold for one more request.
--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -207,6 +207,12 @@
     return resolveAttempt(m_attempts, attempt, now());
 }
 
+auto Owner::callsInProgress() -> std::size_t
+{
+    const auto lock = std::lock_guard(m_mutex);
+    return m_calls.size();
+}
+
 auto Owner::startAllCalls() -> void
 {
     const auto lock = std::lock_guard(m_mutex);
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -44,6 +44,9 @@
     // then on, so that `NotRun` stays true.
     auto resolve(const RequestId& attempt) -> Verdict;
 
+    // Calls that wait or run here.
+    auto callsInProgress() -> std::size_t;
+
 private:
     struct PendingCall;
     struct UpstreamState;
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -1,14 +1,17 @@
 #include "serving/caller_server.h"
 
 #include "core/posix_thread.h"
+#include "serving/address_answer.h"
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
 #include "serving/idempotency.h"
 #include "serving/stream_server.h"
 
 #include <algorithm>
+#include <atomic>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <utility>
 #include <xxhash.h>
 
@@ -16,7 +19,6 @@
 
 namespace {
 
-    constexpr auto addressTimeToLive = std::chrono::milliseconds(2000);
     constexpr auto keepAliveRequests = std::size_t { 100'000 };
     constexpr auto keepAliveTimeout = std::chrono::seconds(30);
     constexpr auto completionsPattern = "/v1/(chat/)?completions";
@@ -51,7 +53,7 @@
     auto addRoutes() -> void;
     auto listen() -> void;
 
-    auto answerAddresses(httplib::Response&) const -> void;
+    auto answerAddresses(const httplib::Request&, httplib::Response&) const -> void;
     auto answerHealth(httplib::Response&) const -> void;
     auto serveCompletion(const httplib::Request&, httplib::Response&) -> void;
     auto serveService(const httplib::Request&, httplib::Response&) -> void;
@@ -64,6 +66,7 @@
     auto countEnd(const AnswerEnd&) -> void;
     auto finish(const Reservation&, const AnswerEnd&) -> void;
     auto countInFlight(int change) -> void;
+    auto countOpenRequests() -> void;
 
     const NodeSettings& m_settings;
     Blackboard& m_blackboard;
@@ -72,6 +75,7 @@
     PlatformClient& m_platform;
     StreamServer m_server;
     int m_port = 0;
+    std::atomic<std::size_t> m_openRequests { 0 };
     PosixThread m_thread;
 };
 
@@ -87,9 +91,31 @@
     m_server.set_payload_max_length(m_settings.m_limits.m_maxRequestBytes);
 }
 
+// Counts requests from their first handler to the last byte of their answer. While the node leaves, each
+// answer asks the caller to come back on another connection.
+auto CallerServer::Implementation::countOpenRequests() -> void
+{
+    thread_local auto open = false; // A connection keeps its thread, so this is the connection's state.
+    m_server.set_pre_routing_handler([this](const auto&, auto&) {
+        m_openRequests += open ? 0 : 1;
+        open = true;
+        return httplib::Server::HandlerResponse::Unhandled;
+    });
+    m_server.set_post_routing_handler([this](const auto&, auto& response) {
+        if (m_blackboard.m_health.read([](const NodeHealth& health) { return health.m_draining; }))
+            response.set_header("Connection", "close");
+    });
+    m_server.set_logger([this](const auto&, const auto&) {
+        m_openRequests -= open ? 1 : 0;
+        open = false;
+    });
+}
+
 auto CallerServer::Implementation::addRoutes() -> void
 {
-    m_server.Get("/v1/addresses", [this](const auto&, auto& response) { answerAddresses(response); });
+    countOpenRequests();
+    m_server.Get(
+        "/v1/addresses", [this](const auto& request, auto& response) { answerAddresses(request, response); });
     m_server.Get("/healthz", [this](const auto&, auto& response) { answerHealth(response); });
     m_server.Get("/metrics", [this](const auto&, auto& response) {
         response.set_content(m_blackboard.m_metrics.formatForPrometheus(), "text/plain; version=0.0.4");
@@ -127,23 +153,19 @@
     m_thread = PosixThread("caller-accept", [this] { m_server.listen_after_bind(); });
 }
 
-auto CallerServer::Implementation::answerAddresses(httplib::Response& response) const -> void
+auto CallerServer::Implementation::answerAddresses(
+    const httplib::Request& request, httplib::Response& response) const -> void
 {
-    auto json = nlohmann::json { { "ttl_ms", addressTimeToLive.count() },
-        { "addresses", nlohmann::json::array() } };
+    thread_local auto random = std::mt19937_64(std::random_device()());
+    auto question = AddressQuestion { OrganisationName(), random() };
     const auto membership = m_blackboard.m_membership.copy();
-    m_blackboard.m_configuration.read([&](const Configuration& configuration) {
-        for (const auto& [vm, member] : membership.m_members) {
-            if (member.m_state != MemberState::Alive || isOut(configuration, vm, member.m_dataCentre))
-                continue;
-            json["addresses"].push_back({
-                { "address", formatAddress(member.m_callerAddress) },
-                { "data_centre", member.m_dataCentre.value() },
-                { "key_prefix", vm.value() + "." + std::to_string(member.m_incarnation) + "." },
-            });
-        }
+    const auto answer = m_blackboard.m_configuration.read([&](const Configuration& configuration) {
+        const auto organisation = authenticate(configuration, request.get_header_value("Authorization"));
+        if (organisation)
+            question.m_organisation = organisation.value();
+        return chooseAddresses(membership, configuration, question);
     });
-    response.set_content(json.dump(), "application/json");
+    response.set_content(formatAddressAnswer(answer), "application/json");
 }
 
 auto CallerServer::Implementation::answerHealth(httplib::Response& response) const -> void
@@ -347,6 +369,16 @@
     return m_implementation->m_port;
 }
 
+auto CallerServer::openRequests() const -> std::size_t
+{
+    return m_implementation->m_openRequests;
+}
+
+auto CallerServer::closeListener() -> void
+{
+    m_implementation->m_server.stop();
+}
+
 auto CallerServer::stop() -> void
 {
     m_implementation->m_server.stop();
