--- a/src/routing/answer_stream.cc
+++ b/src/routing/answer_stream.cc
@@ -25,7 +25,7 @@
     if (m_ended)
         return false;
     const auto size = sizeOf(event);
-    const auto full = m_waitingBytes > 0 && m_waitingBytes + size > maxWaitingBytes;
+    const auto full = size > 0 && m_waitingBytes > 0 && m_waitingBytes + size > maxWaitingBytes;
     if (full)
         event = overflowEnd();
     else
--- a/src/routing/fair_queue.cc
+++ b/src/routing/fair_queue.cc
@@ -30,17 +30,13 @@
         return std::clamp(wanted, leastRetryAfter, mostRetryAfter);
     }
 
-    // An organisation with nothing waiting, and nothing left to pay for, needs no row.
-    auto forgetIfSettled(ClassQueue& queue, const OrganisationName& name) -> void
-    {
-        const auto found = queue.m_organisations.find(name);
-        if (found != queue.m_organisations.end() && found->second.m_calls.empty()
-            && found->second.m_finishTag <= queue.m_virtualTime)
-            queue.m_organisations.erase(found);
-    }
-
+    // Once nothing waits, the time of all that was served is over, and so is every debt.
     auto forgetSettled(ClassQueue& queue) -> void
     {
+        if (queue.m_waiting == 0) {
+            for (const auto& [name, organisation] : queue.m_organisations)
+                queue.m_virtualTime = std::max(queue.m_virtualTime, organisation.m_finishTag);
+        }
         std::erase_if(queue.m_organisations, [&](const auto& row) {
             return row.second.m_calls.empty() && row.second.m_finishTag <= queue.m_virtualTime;
         });
@@ -202,8 +198,8 @@
             for (auto i = std::size_t { 0 }; i < organisation.m_calls.size(); ++i) {
                 if (organisation.m_calls[i].m_id != id)
                     continue;
-                const auto call = eraseAt(queue, inClass, organisation, i);
-                forgetIfSettled(inClass, call.m_organisation);
+                eraseAt(queue, inClass, organisation, i);
+                forgetSettled(inClass);
                 return true;
             }
         }
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <thread>
 #include <utility>
 
 namespace marigoldladder {
@@ -16,6 +17,8 @@
     constexpr auto statusTooManyRequests = 429;
     constexpr auto statusServerError = 500;
     constexpr auto probeTimeout = std::chrono::milliseconds(300);
+    constexpr auto probeCount = 5;
+    constexpr auto probePause = std::chrono::milliseconds(50);
     constexpr auto engineSilence = std::chrono::milliseconds(2000);
     constexpr auto serviceSilence = std::chrono::milliseconds(10'000);
     constexpr auto promptTimePerToken = std::chrono::milliseconds(1);
@@ -307,10 +310,16 @@
 
 auto probeUpstream(const Upstream& upstream) -> UpstreamProbe
 {
-    const auto answer = makeClient(upstream, probeTimeout).Get("/health");
-    if (!answer)
-        return { answer.error() == httplib::Error::Connection, {} };
-    return { false, answer->get_header_value("X-Engine-Boot") };
+    for (auto probe = 0; probe < probeCount; ++probe) {
+        const auto answer = makeClient(upstream, probeTimeout).Get("/health");
+        if (answer)
+            return { false, answer->get_header_value("X-Engine-Boot") };
+        if (answer.error() == httplib::Error::Connection)
+            return { true, {} };
+        // A process that is just ending may take a connection and drop it: ask again.
+        std::this_thread::sleep_for(probePause);
+    }
+    return {};
 }
 
 } // namespace marigoldladder
