--- a/fakes/engine_completions.cc
+++ b/fakes/engine_completions.cc
@@ -28,6 +28,7 @@
     bool m_finished = false;
     bool m_ended = false; // It runs no longer.
 
+    // The token that the model gives at a position of the answer to the prompt.
     auto tokenAt(int position) const -> std::string { return expectedToken(m_model, m_prompt, position); }
 };
 
--- a/fakes/faults/fault_actions.h
+++ b/fakes/faults/fault_actions.h
@@ -27,9 +27,6 @@
     nlohmann::json m_records;
 };
 
-// The prompt that brings a stand-in engine down.
-inline constexpr auto crashPrompt = "crash the engine";
-
 // The second key of an organisation, which the runs withdraw: its id, and as callers send it.
 auto spareKeyId(const OrganisationName&) -> std::string;
 auto spareKey(const OrganisationName&) -> std::string;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -13,6 +13,7 @@
 #include "fleet/upstream_exchange.h"
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
+#include "limits/token_exchange.h"
 #include "ops/operator_server.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
@@ -33,6 +34,7 @@
     constexpr auto notesPeriod = std::chrono::milliseconds(150);
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
+    constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -58,7 +60,9 @@
         , m_poison(m_blackboard, m_links, m_settings.m_vm)
         , m_owner(m_blackboard, m_poison)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
-        , m_allowance(m_blackboard)
+        , m_allowance(
+              m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
+        , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners, m_poison)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
@@ -71,6 +75,7 @@
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
+        m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
     }
@@ -98,6 +103,7 @@
     Owner m_owner;
     OwnerClient m_owners;
     Allowance m_allowance;
+    ShareController m_shares;
     RequestRunner m_runner;
     CallerServer m_callers;
     OperatorServer m_operators;
@@ -110,6 +116,7 @@
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
     std::optional<PeriodicTask> m_discoveryTask;
+    std::optional<PeriodicTask> m_shareTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -181,7 +188,6 @@
 
 auto Node::Implementation::followFleet() -> void
 {
-    refreshShares(m_blackboard);
     refreshAssignments(m_blackboard);
 }
 
@@ -192,6 +198,12 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::TokenRequest:
+        handleTokenRequest(m_allowance, connection, envelope);
+        break;
+    case wire::Body::TokenReturn:
+        handleTokenReturn(m_allowance, envelope);
+        break;
     case wire::Body::Gossip: {
         thread_local auto random = std::mt19937_64(std::random_device()());
         handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
@@ -272,6 +284,7 @@
         std::this_thread::sleep_for(drainPoll);
     }
     node.sayGoodbye();
+    (void)node.m_shares.release();
     logChange("drained");
 }
 
