Keep batch calls moving beside a crowd of interactive ones

Overnight and batch calls were held back while three quarters of an upstream's slots were taken by anything, so under a steady crowd of interactive callers they never ran: the test of it ran into its time-out of 120 s. Only slots taken by such calls count now; twenty batch calls beside 120 interactive callers are then served in 4 s.

--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -23,6 +23,12 @@
         return std::chrono::duration<double>(now() - begun).count();
     }
 
+    // Overnight and batch calls give way to interactive ones; returns 1 for them.
+    auto isLower(const ServeCall& call) -> std::size_t
+    {
+        return call.m_priority == Priority::Interactive ? 0 : 1;
+    }
+
     auto poisonRefusal() -> Failure
     {
         auto failure = notRun(
@@ -62,6 +68,7 @@
     FairQueue m_queue;
     Ramp m_ramp = makeRamp({});
     std::size_t m_inFlight = 0;
+    std::size_t m_inFlightLower = 0; // Those of them that are not interactive.
     PendingHandle m_reserved; // A suspect that waits until nothing else runs.
     bool m_alone = false; // A suspect runs.
 };
@@ -231,7 +238,8 @@
 auto Owner::readyToStart(const UpstreamState& state, const QueuedCall& queued) const -> bool
 {
     const auto limit = rampLimit(state.m_ramp);
-    if (queued.m_priority != Priority::Interactive && state.m_inFlight >= limit - limit / slotsPerReserved)
+    if (queued.m_priority != Priority::Interactive
+        && state.m_inFlightLower >= limit - limit / slotsPerReserved)
         return false;
     const auto& pending = *m_calls.at(queued.m_id);
     return !pending.m_pin || m_adapters.stateOf(*pending.m_pin) != PinState::Waiting;
@@ -271,6 +279,7 @@
     state.m_alone = pending->m_alone;
     noteAttempt(m_attempts, pending->m_id, AttemptState::Started);
     ++state.m_inFlight;
+    state.m_inFlightLower += isLower(pending->m_call);
     ++m_running;
     runDetached("owner-call", [this, &state, pending] { runPending(state, pending); });
 }
@@ -295,6 +304,7 @@
     m_calls.erase(pending->m_id);
     if (pending->m_alone)
         state.m_alone = false;
+    state.m_inFlightLower -= isLower(pending->m_call);
     if (--state.m_inFlight == 0)
         rampIdle(state.m_ramp, now());
     startCalls(state);
