Test what bookings are told when a node is frozen or silent

A booking through a connection that went silent is made once, as the owner proves that it never came; one through a frozen node is never called not run if it ran later. Each run of the fixture books under a key of its own, as a key once claimed is refused.

--- a/test/system/resolve_test.cc
+++ b/test/system/resolve_test.cc
@@ -17,7 +17,7 @@
             EXPECT_TRUE(applied && applied->status == 200) << "expected the note to be taken";
             for (const auto node : { 0U, 1U }) {
                 EXPECT_TRUE(waitUntil(std::chrono::seconds(4), [&] {
-                    const auto answer = book(node, "first-through-" + std::to_string(node));
+                    const auto answer = book(node, "first-" + std::to_string(m_firstBookings++));
                     return answer && answer->status == 200;
                 })) << "expected the note in force within 4 s";
             }
@@ -43,6 +43,7 @@
         }
 
         Deployment m_deployment;
+        int m_firstBookings = 0;
     };
 
     TEST_F(ResolveSystemTest, BooksOnceWhenTheNodesConnectionHadGoneSilent)
