--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -15,6 +15,7 @@
 #include "limits/share_controller.h"
 #include "limits/token_exchange.h"
 #include "ops/operator_server.h"
+#include "routing/load_budget.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
 #include "serving/address_answer.h"
@@ -35,6 +36,8 @@
     constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
+    constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
+    constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -59,6 +62,8 @@
         , m_probes(m_blackboard, m_links, m_settings.m_vm)
         , m_poison(m_blackboard, m_links, m_settings.m_vm)
         , m_owner(m_blackboard, m_poison)
+        , m_ownership(m_blackboard, m_platform, m_owner.adapters(),
+              { m_settings.m_vm, m_identity.m_incarnation }, m_settings)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
@@ -76,6 +81,7 @@
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
     }
@@ -88,6 +94,7 @@
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
     auto followFleet() -> void;
+    auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -101,6 +108,8 @@
     ProbeService m_probes;
     PoisonWatch m_poison;
     Owner m_owner;
+    OwnershipController m_ownership; // Used by the ownership task only.
+    LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
     ShareController m_shares;
@@ -117,6 +126,7 @@
     DiscoveryState m_discoveryState;
     std::optional<PeriodicTask> m_discoveryTask;
     std::optional<PeriodicTask> m_shareTask;
+    std::optional<PeriodicTask> m_ownershipTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -188,7 +198,12 @@
 
 auto Node::Implementation::followFleet() -> void
 {
-    refreshAssignments(m_blackboard);
+}
+
+auto Node::Implementation::followOwnership() -> void
+{
+    refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
+    m_ownership.refresh();
 }
 
 auto Node::Implementation::handlePeer(
@@ -283,6 +298,8 @@
             node.m_callers.closeListener();
         std::this_thread::sleep_for(drainPoll);
     }
+    node.m_ownershipTask.reset();
+    node.m_ownership.leave(leaveTimeout);
     node.sayGoodbye();
     (void)node.m_shares.release();
     logChange("drained");
