--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -36,6 +36,9 @@
     // The adapters of the upstreams that this node serves.
     auto adapters() -> AdapterManager& { return m_adapters; }
 
+    // Calls that wait or run here.
+    auto callsInProgress() -> std::size_t;
+
 private:
     struct PendingCall;
     struct UpstreamState;
--- a/src/routing/ownership.cc
+++ b/src/routing/ownership.cc
@@ -103,13 +103,20 @@
     if (found == leases.m_leases.end())
         return true;
     const auto& lease = found->second;
+    if (lease.m_record.m_ended)
+        return true;
     return leases.m_readAt - lease.m_unchangedSince >= lease.m_record.m_duration + leaseMargin;
 }
 
 auto mayStillRun(const ObservedLeases& leases, const Membership& membership, const NodeStart& start) -> bool
 {
     const auto lease = leases.m_leases.find(start.m_vm);
-    if (lease == leases.m_leases.end() || lease->second.m_record.m_holder.m_incarnation > start.m_incarnation)
+    if (lease == leases.m_leases.end())
+        return false;
+    const auto& record = lease->second.m_record;
+    if (record.m_holder.m_incarnation > start.m_incarnation)
+        return false;
+    if (record.m_ended && record.m_holder == start)
         return false;
     const auto member = membership.m_members.find(start.m_vm);
     return member == membership.m_members.end() || member->second.m_state != MemberState::Gone;
--- a/src/routing/ownership_controller.cc
+++ b/src/routing/ownership_controller.cc
@@ -120,6 +120,7 @@
 
 auto OwnershipController::changeAll(const OwnershipView& view, const UpstreamTable& upstreams) -> void
 {
+    endLeasesOfGone(view);
     m_handedOverInRound = false;
     for (const auto& dataCentre : dataCentresOf(upstreams)) {
         auto object = m_objects[dataCentre];
@@ -140,6 +141,21 @@
     }
 }
 
+// Puts down for good that a process is gone, since the members' memory of it fades. The first of the live
+// nodes does it for all.
+auto OwnershipController::endLeasesOfGone(const OwnershipView& view) -> void
+{
+    const auto first = std::find_if(view.m_membership.m_members.begin(), view.m_membership.m_members.end(),
+        [](const auto& row) { return row.second.m_state == MemberState::Alive; });
+    if (first == view.m_membership.m_members.end() || first->first != m_self.m_vm)
+        return;
+    for (const auto& [vm, lease] : view.m_leases.m_leases) {
+        const auto& record = lease.m_record;
+        if (!record.m_ended && !mayStillRun(view.m_leases, view.m_membership, record.m_holder))
+            (void)endLease(m_platform, record.m_holder);
+    }
+}
+
 auto OwnershipController::clearRecords(const OwnershipView& view) -> void
 {
     for (const auto& [dataCentre, object] : m_objects) {
@@ -236,7 +252,7 @@
     for (const auto& report : m_adapters.report())
         unused = m_adapters.close(report.m_upstream) && unused;
     if (unused)
-        (void)removeLease(m_platform, m_self.m_vm);
+        (void)endLease(m_platform, m_self);
 }
 
 } // namespace marigoldladder
--- a/src/routing/ownership_controller.h
+++ b/src/routing/ownership_controller.h
@@ -17,7 +17,7 @@
     // One round: renews the lease when due, reads what is agreed, changes what this node should change.
     auto refresh() -> void;
 
-    // Hands over what this node owns as far as it is unused, and then gives the lease back; call it after
+    // Hands over what this node owns as far as it is unused, and then ends its lease; call it after
     // the node stopped taking requests. Does nothing more when something is still in use at the end.
     auto leave(std::chrono::milliseconds atMost) -> void;
 
@@ -30,6 +30,7 @@
         -> std::vector<UpstreamName>;
     auto planRecord(const OwnershipView&, const Upstream&, OwnershipObject&) -> bool;
     auto planHandOver(const OwnershipView&, const Upstream&, OwnershipRecord&) -> bool;
+    auto endLeasesOfGone(const OwnershipView&) -> void;
     auto clearRecords(const OwnershipView&) -> void;
     auto writeAssignments(const OwnershipView&, const UpstreamTable&, bool outage) -> void;
 
--- a/src/routing/upstream_choice.cc
+++ b/src/routing/upstream_choice.cc
@@ -1,31 +1,79 @@
 #include "routing/upstream_choice.h"
 
-#include "routing/rendezvous.h"
-
 #include <algorithm>
+#include <utility>
 
 namespace marigoldladder {
 
-auto rankUpstreams(const UpstreamTable& table, const Configuration& configuration, const PoolName& pool,
-    std::string_view affinityKey) -> std::vector<UpstreamName>
-{
-    struct Candidate {
-        std::uint64_t m_weight;
-        const Upstream* m_upstream;
-    };
-    auto candidates = std::vector<Candidate>();
-    for (const auto& [name, upstream] : table.m_upstreams) {
-        const auto vm = VmName(name.value());
-        if (upstream.m_pool != pool || upstream.m_leaving || isOut(configuration, vm, upstream.m_dataCentre))
-            continue;
-        candidates.push_back({ rendezvousWeight(affinityKey, name.value()), &upstream });
+namespace {
+
+    // Keeps the loads counted so far.
+    auto takeLoads(PlacementPool& pool, const PlacementPool& before) -> void
+    {
+        auto known = std::unordered_map<UpstreamName, const PlacementTarget*>();
+        for (const auto& target : before.m_targets)
+            known.emplace(target.m_name, &target);
+        for (auto& target : pool.m_targets) {
+            const auto found = known.find(target.m_name);
+            if (found == known.end())
+                continue;
+            target.m_load = found->second->m_load;
+            target.m_loadAt = found->second->m_loadAt;
+        }
     }
-    std::sort(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.m_weight > right.m_weight; });
-    auto ranked = std::vector<UpstreamName>();
-    for (const auto& candidate : candidates)
-        ranked.push_back(candidate.m_upstream->m_name);
-    return ranked;
+
+} // namespace
+
+UpstreamChooser::UpstreamChooser(Blackboard& blackboard)
+    : m_blackboard(blackboard)
+{
+}
+
+auto UpstreamChooser::currentVersion() const -> TableVersion
+{
+    auto version = m_blackboard.m_upstreams.read([](const UpstreamTable& table) {
+        return TableVersion { table.m_version, table.m_upstreams.size(), 0 };
+    });
+    version.m_revision = m_blackboard.m_configuration.read(
+        [](const Configuration& configuration) { return configuration.m_revision; });
+    return version;
+}
+
+// Call it with the lock held.
+auto UpstreamChooser::poolOf(const PoolName& name) -> PlacementPool&
+{
+    const auto version = currentVersion();
+    auto& known = m_pools[name];
+    if (known.m_version == version)
+        return known.m_pool;
+    const auto upstreams = m_blackboard.m_upstreams.copy();
+    auto pool = m_blackboard.m_configuration.read([&](const Configuration& configuration) {
+        return makePlacementPool(upstreams, configuration, name);
+    });
+    m_entries = m_blackboard.m_membership.read([](const Membership& membership) {
+        const auto alive = std::count_if(membership.m_members.begin(), membership.m_members.end(),
+            [](const auto& row) { return row.second.m_state == MemberState::Alive; });
+        return static_cast<std::size_t>(std::max<std::ptrdiff_t>(alive, 1));
+    });
+    takeLoads(pool, known.m_pool);
+    known = { std::move(pool), version };
+    return known.m_pool;
+}
+
+auto UpstreamChooser::choose(const PoolName& name, std::string_view affinityKey) -> std::vector<UpstreamName>
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto hash = placementHash(affinityKey);
+    const auto lock = std::lock_guard(m_mutex);
+    auto& pool = poolOf(name);
+    const auto replicas = pool.m_hasEngines ? noteRequest(m_popularity, hash, m_entries, now) : 1;
+    const auto targets = chooseTargets(pool, hash, replicas, m_random, now);
+    if (!targets.empty())
+        noteDispatch(pool.m_targets[targets.front()], now);
+    auto names = std::vector<UpstreamName>();
+    for (const auto target : targets)
+        names.push_back(pool.m_targets[target].m_name);
+    return names;
 }
 
 } // namespace marigoldladder
--- a/src/serving/request_runner.cc
+++ b/src/serving/request_runner.cc
@@ -1,7 +1,5 @@
 #include "serving/request_runner.h"
 
-#include "routing/upstream_choice.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -28,16 +26,14 @@
 RequestRunner::RequestRunner(Blackboard& blackboard, OwnerClient& owners)
     : m_blackboard(blackboard)
     , m_owners(owners)
+    , m_chooser(blackboard)
 {
 }
 
 auto RequestRunner::start(ServeCall call, const PoolName& pool, MonotonicTime deadline)
     -> Result<StartedAnswer>
 {
-    const auto upstreams = m_blackboard.m_upstreams.copy();
-    const auto ranked = m_blackboard.m_configuration.read([&](const Configuration& configuration) {
-        return rankUpstreams(upstreams, configuration, pool, affinityKey(call));
-    });
+    const auto ranked = m_chooser.choose(pool, affinityKey(call));
     auto last
         = notRun(FailureType::Unavailable, "no upstream of the pool " + pool.value() + " is in service");
     for (auto i = std::size_t { 0 }; i < std::min(maxAttempts, ranked.size()); ++i) {
--- a/src/serving/request_runner.h
+++ b/src/serving/request_runner.h
@@ -3,6 +3,7 @@
 
 #include "limits/allowance.h"
 #include "routing/owner_client.h"
+#include "routing/upstream_choice.h"
 
 #include <memory>
 #include <vector>
@@ -28,6 +29,7 @@
 
     Blackboard& m_blackboard;
     OwnerClient& m_owners;
+    UpstreamChooser m_chooser;
 };
 
 } // namespace marigoldladder
