--- a/src/serving/stream_answer.cc
+++ b/src/serving/stream_answer.cc
@@ -120,10 +120,7 @@
 
 auto StreamAnswer::chooseUpstream() -> UpstreamName
 {
-    const auto upstreams = m_services.m_blackboard.m_upstreams.copy();
-    const auto ranked = m_services.m_blackboard.m_configuration.read([&](const Configuration& configuration) {
-        return rankUpstreams(upstreams, configuration, m_pool, affinityKey(m_call));
-    });
+    const auto ranked = m_services.m_chooser.choose(m_pool, affinityKey(m_call));
     const auto same = std::find(ranked.begin(), ranked.end(), m_call.m_upstream);
     if (std::exchange(m_sameUpstream, false) && same != ranked.end())
         return *same;
