Restart nodes under load from the test's own thread

Processes die with the thread that started them, so that the restarted nodes were gone again and the test could not see a second burst.

--- a/test/system/allowance_test.cc
+++ b/test/system/allowance_test.cc
@@ -131,17 +131,16 @@
             constexpr auto burstsEachSecond = 1.25; // So that the burst is spent when the fault strikes.
             const auto before = countedCalls();
             const auto begun = std::chrono::steady_clock::now();
-            auto striker = std::thread([&] {
-                std::this_thread::sleep_for(std::chrono::seconds(1));
-                strike();
-            });
             auto load = Load();
             load.m_callsPerSecond
                 = (overload * m_allowed.m_tokensPerSecond + burstsEachSecond * m_allowed.m_burstTokens)
                 / m_allowed.m_tokensPerCall;
             load.m_seconds = seconds;
-            const auto result = run(load);
-            striker.join();
+            auto result = LoadResult();
+            auto loader = std::thread([&] { result = run(load); });
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+            strike(); // On this thread, since processes end with the thread that started them.
+            loader.join();
             const auto elapsed = Seconds(std::chrono::steady_clock::now() - begun).count();
             const auto spent = (countedCalls() - before) * m_allowed.m_tokensPerCall;
             const auto bound = m_allowed.m_burstTokens + m_allowed.m_tokensPerSecond * elapsed;
