--- a/bench/limits_bench.cc
+++ b/bench/limits_bench.cc
@@ -15,30 +15,30 @@
 namespace marigoldladder {
 namespace {
 
-    constexpr auto adapterCount = 16'000;
-    constexpr auto organisationCount = 200;
-    constexpr auto keysForEachOrganisation = 5;
+    constexpr auto adapterCount = 16'000U;
+    constexpr auto organisationCount = 200U;
+    constexpr auto keyCount = 5 * organisationCount;
 
-    auto nameOf(const char* kind, int number) -> std::string
+    auto nameOf(const char* kind, std::size_t number) -> std::string
     {
         return kind + std::to_string(number);
     }
 
     auto fillConfiguration(Configuration& configuration) -> void
     {
-        for (auto i = 0; i < adapterCount; ++i) {
+        for (auto i = 0U; i < adapterCount; ++i) {
             auto adapter = Adapter();
             adapter.m_ref = { nameOf("adapter-", i), "1" };
             configuration.m_adapters[adapter.m_ref] = adapter;
         }
-        for (auto i = 0; i < organisationCount; ++i) {
+        for (auto i = 0U; i < organisationCount; ++i) {
             auto organisation = Organisation();
             organisation.m_name = OrganisationName(nameOf("organisation-", i));
             organisation.m_tokensPerSecond = 1e9;
             organisation.m_burstTokens = 1e9;
             configuration.m_organisations[organisation.m_name] = organisation;
         }
-        for (auto i = 0; i < organisationCount * keysForEachOrganisation; ++i) {
+        for (auto i = 0U; i < keyCount; ++i) {
             auto grant = KeyGrant();
             grant.m_id = KeyId(nameOf("key-", i));
             grant.m_organisation = OrganisationName(nameOf("organisation-", i % organisationCount));
@@ -76,7 +76,7 @@
         auto times = std::vector<double>();
         times.reserve(admissions);
         for (auto i = 0; i < admissions; ++i) {
-            const auto number = static_cast<int>(random() % (organisationCount * keysForEachOrganisation));
+            const auto number = random() % keyCount;
             const auto header = "Bearer " + nameOf("key-", number) + ".a-secret-of-usual-length-0123456";
             const auto begun = std::chrono::steady_clock::now();
             const auto organisation = blackboard.m_configuration.read(
@@ -102,8 +102,9 @@
         allowance.setFractions(wholeFractions());
         now += std::chrono::hours(1);
         const auto times = timeAdmissions(blackboard, allowance);
-        const auto at
-            = [&](double part) { return times[static_cast<std::size_t>(part * (times.size() - 1))]; };
+        const auto at = [&](double part) {
+            return times[static_cast<std::size_t>(part * static_cast<double>(times.size() - 1))];
+        };
         const auto medianKept = report("admission_median", at(0.5), "ns", medianBound);
         return report("admission_p99", at(p99), "ns", p99Bound) && medianKept;
     }
