--- a/include/marigoldladder/operator_client.h
+++ b/include/marigoldladder/operator_client.h
@@ -80,14 +80,17 @@
     // Returns the entries of the log after a revision, `{"notes": [...]}`.
     auto log(Revision after) -> ReadReport;
 
+    // Returns what each of the nodes knows of a request, `{"nodes": [...]}`. Every node is asked; those that
+    // can't be are named in the message.
+    auto explain(const RequestId&) -> ReadReport;
+
     // Returns what a node says of itself and of the fleet.
     auto status() -> ReadReport;
 
 private:
     struct Answer;
 
-    auto post(const std::string& path, const std::string& body) -> Answer;
-    auto get(const std::string& path) -> Answer;
+    auto call(const char* method, const std::string& target, const std::string& body) -> Answer;
     auto applyNote(const ReleaseNote&) -> ApplyReport;
     auto waitForCoverage(Revision, std::chrono::steady_clock::time_point begun) -> Coverage;
 
--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "core/request_journal.h"
 #include "marigoldladder/configuration.h"
 #include "marigoldladder/settings.h"
 
@@ -53,6 +54,7 @@
     Draining,
     Suspect, // Did not answer probes. It may be frozen or cut off, run on, and come back: still a holder.
     Gone, // Never comes back: the platform's list says that the VM is gone, or its process said goodbye.
+    Joining, // Has not yet learnt what it needs to serve.
 };
 
 inline constexpr auto memberStateNames = std::array {
@@ -60,6 +62,7 @@
     EnumName<MemberState> { MemberState::Draining, "draining" },
     EnumName<MemberState> { MemberState::Suspect, "suspect" },
     EnumName<MemberState> { MemberState::Gone, "gone" },
+    EnumName<MemberState> { MemberState::Joining, "joining" },
 };
 
 // One node of the fleet as this node knows it.
@@ -108,6 +111,7 @@
     std::map<UpstreamName, Upstream> m_upstreams;
     std::map<UpstreamName, std::uint64_t> m_removed; // Those that left the list, with the version then.
     std::uint64_t m_version = 0; // The highest version above.
+    bool m_known = false; // Read from the platform, or from a peer that had.
 };
 
 // Who orders loads at an upstream and admits work to it.
@@ -115,7 +119,9 @@
     VmName m_owner;
     Incarnation m_incarnation = 0;
     FencingNumber m_fencing = 0;
+    bool m_servedHere = false; // Whether this node admits work to it, as its owner or in the owner's stead.
     bool m_mayEvict = false; // False while an earlier owner may still give orders.
+    MonotonicTime m_ordersUntil {}; // Until when this node's lease lets it order evictions.
 };
 
 struct AssignmentTable {
@@ -134,6 +140,12 @@
     std::size_t m_bytes = 0;
 };
 
+// How many adapters this node may load.
+struct LoadShare {
+    double m_loadsPerSecond = 0;
+    std::size_t m_inFlight = 0;
+};
+
 // How this node itself is doing.
 struct NodeHealth {
     bool m_configured = false; // A configuration is in force; until then nothing is served.
@@ -149,7 +161,9 @@
     Section<UpstreamTable> m_upstreams; // Written by the discovery controller (fleet).
     Section<AssignmentTable> m_assignments; // Written by the ownership controller (routing).
     Section<ShareTable> m_shares; // Written by the share controller (limits).
+    Section<LoadShare> m_loadShare; // Written by the load budget's controller (routing).
     Section<NodeHealth> m_health; // Written by the node's start and drain (node).
+    Section<RequestJournal> m_requests; // Written by the caller server (serving).
     Metrics m_metrics; // Added to by all.
 };
 
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <thread>
 #include <utility>
 
 namespace marigoldladder {
@@ -10,12 +11,13 @@
 namespace {
 
     constexpr auto connectTimeout = std::chrono::milliseconds(500);
-    constexpr auto orderTimeout = std::chrono::milliseconds(10'000);
     constexpr auto statusOk = 200;
     constexpr auto statusNotFound = 404;
     constexpr auto statusTooManyRequests = 429;
     constexpr auto statusServerError = 500;
     constexpr auto probeTimeout = std::chrono::milliseconds(300);
+    constexpr auto probeCount = 5;
+    constexpr auto probePause = std::chrono::milliseconds(50);
     constexpr auto engineSilence = std::chrono::milliseconds(2000);
     constexpr auto serviceSilence = std::chrono::milliseconds(10'000);
     constexpr auto promptTimePerToken = std::chrono::milliseconds(1);
@@ -23,7 +25,6 @@
     constexpr auto eventPrefix = std::string_view("data: ");
     constexpr auto eventEnd = std::string_view("\n\n");
     constexpr auto streamDone = std::string_view("[DONE]");
-    constexpr auto jsonType = "application/json";
 
     auto makeClient(const Upstream& upstream, std::chrono::milliseconds timeout) -> httplib::Client
     {
@@ -48,19 +49,6 @@
         return mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was lost");
     }
 
-    auto order(const Upstream& upstream, const char* path, const nlohmann::json& body, FencingNumber fencing)
-        -> Result<void>
-    {
-        auto client = makeClient(upstream, orderTimeout);
-        const auto headers = httplib::Headers { { "X-Fencing-Number", std::to_string(fencing) } };
-        const auto answer = client.Post(path, headers, body.dump(), jsonType);
-        if (!answer)
-            return failureOf(answer.error());
-        if (answer->status != statusOk)
-            return notRun(FailureType::UpstreamFailed, "the engine refuses the order: " + answer->body);
-        return boost::outcome_v2::success();
-    }
-
     // Checks that an answer's JSON is for this request: engines repeat adapter and request id.
     auto belongsTo(const ServeCall& call, const nlohmann::json& answer) -> bool
     {
@@ -242,19 +230,6 @@
 
 } // namespace
 
-auto orderLoad(const Upstream& upstream, const AdapterRef& ref, const std::string& path,
-    FencingNumber fencing) -> Result<void>
-{
-    const auto body = nlohmann::json { { "lora_name", formatAdapterRef(ref) }, { "lora_path", path } };
-    return order(upstream, "/v1/load_lora_adapter", body, fencing);
-}
-
-auto orderEvict(const Upstream& upstream, const AdapterRef& ref, FencingNumber fencing) -> Result<void>
-{
-    const auto body = nlohmann::json { { "lora_name", formatAdapterRef(ref) } };
-    return order(upstream, "/v1/unload_lora_adapter", body, fencing);
-}
-
 auto CallControl::cancel() -> void
 {
     const auto lock = std::lock_guard(m_mutex);
@@ -307,10 +282,16 @@
 
 auto probeUpstream(const Upstream& upstream) -> UpstreamProbe
 {
-    const auto answer = makeClient(upstream, probeTimeout).Get("/health");
-    if (!answer)
-        return { answer.error() == httplib::Error::Connection, {} };
-    return { false, answer->get_header_value("X-Engine-Boot") };
+    for (auto probe = 0; probe < probeCount; ++probe) {
+        const auto answer = makeClient(upstream, probeTimeout).Get("/health");
+        if (answer)
+            return { false, answer->get_header_value("X-Engine-Boot") };
+        if (answer.error() == httplib::Error::Connection)
+            return { true, {} };
+        // A process that is just ending may take a connection and drop it: ask again.
+        std::this_thread::sleep_for(probePause);
+    }
+    return {};
 }
 
 } // namespace marigoldladder
--- a/src/routing/upstream_client.h
+++ b/src/routing/upstream_client.h
@@ -1,4 +1,4 @@
-// Speaks to one upstream over HTTP: orders to load and evict adapters, and requests with their answers.
+// Speaks to one upstream over HTTP: requests with their answers.
 #pragma once
 
 #include "core/blackboard.h"
@@ -11,10 +11,6 @@
 
 namespace marigoldladder {
 
-// Orders the engine to load an adapter; `NotRun` when it refuses or certainly did not hear of it.
-auto orderLoad(const Upstream&, const AdapterRef&, const std::string& path, FencingNumber) -> Result<void>;
-auto orderEvict(const Upstream&, const AdapterRef&, FencingNumber) -> Result<void>;
-
 // Lets any thread give up an exchange, because the caller hung up or the node gives up on it.
 class CallControl {
 public:
