Let the fault tests wait for owners and ask for loads freely

Ownership by lease takes a while after the start, and the weight store's rate held back loads that these tests are not about: they set it high, take the users' 4 s for the note alone, and then wait until every adapter is served.

--- a/test/harness/caller_streams.cc
+++ b/test/harness/caller_streams.cc
@@ -1,5 +1,6 @@
 #include "harness/caller_streams.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace marigoldladder::harness {
@@ -8,6 +9,7 @@
 
     constexpr auto prefix = std::string_view("data: ");
     constexpr auto separator = std::string_view("\n\n");
+    constexpr auto inForceBound = std::chrono::seconds(4);
     constexpr auto eventsTimeout = std::chrono::seconds(20);
 
     auto takeEvent(const std::string& payload, SeenStream& seen) -> void
@@ -99,6 +101,35 @@
     return fault.str();
 }
 
+auto fastStoreNode(const std::string& vm, const std::string& dataCentre) -> NodePlan
+{
+    return { vm, dataCentre, { { "weight_store", { { "loads_per_second", 1000 } } } } };
+}
+
+auto applyBasicNote(Deployment& deployment, std::size_t adapters) -> bool
+{
+    const auto applied = deployment.applyNote(0, basicNote(adapters));
+    if (!applied || applied->status != 200)
+        return false;
+    return waitUntil(inForceBound, [&] {
+        for (auto node = std::size_t { 0 }; node < deployment.nodeCount(); ++node) {
+            // A wrong adapter tells whether the key is known, and costs nothing.
+            const auto body = completionBody("no-such-adapter@1", 1, false);
+            const auto answer = makeCaller(deployment.node(node).m_caller, basicKey)
+                                    .Post("/v1/completions", body, "application/json");
+            if (!answer || answer->status != 404)
+                return false;
+        }
+        return true;
+    });
+}
+
+auto allWhole(const std::vector<SeenStream>& streams, std::size_t tokens) -> bool
+{
+    return std::all_of(streams.begin(), streams.end(),
+        [&](const SeenStream& seen) { return seen.m_done && seen.m_texts.size() == tokens; });
+}
+
 auto nodeCounter(const Address& node, const std::string& name) -> double
 {
     const auto answer = httplib::Client(node.m_host, node.m_port).Get("/metrics");
--- a/test/harness/caller_streams.h
+++ b/test/harness/caller_streams.h
@@ -44,6 +44,19 @@
 // order; empty when nothing is.
 auto faultOf(const SeenStream&, const SeenStream& reference) -> std::string;
 
+// A node whose weight store gives adapters as fast as they are asked for.
+auto fastStoreNode(const std::string& vm, const std::string& dataCentre) -> NodePlan;
+
+// Applies the basic note through node 0 and waits until it is in force on every node; false when that took
+// longer than the users' 4 s.
+auto applyBasicNote(Deployment&, std::size_t adapters) -> bool;
+
+// How long a deployment may take until its upstreams are owned and serve.
+inline constexpr auto readyTimeout = std::chrono::seconds(30);
+
+// Whether all streams came to their ends with so many tokens each.
+auto allWhole(const std::vector<SeenStream>&, std::size_t tokens) -> bool;
+
 // Returns the value of one of a node's counters.
 auto nodeCounter(const Address& node, const std::string& name) -> double;
 
