--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include "fleet/discovery_controller.h"
 #include "fleet/drain.h"
 #include "fleet/gossip.h"
+#include "fleet/member_merge.h"
 #include "fleet/membership_controller.h"
 #include "fleet/note_spreader.h"
 #include "fleet/peer_links.h"
@@ -22,6 +23,7 @@
 #include "serving/caller_server.h"
 #include "wire/peer_server.h"
 
+#include <algorithm>
 #include <random>
 #include <stdexcept>
 #include <thread>
@@ -38,6 +40,7 @@
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
     constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
+    constexpr auto claimCleaningPeriod = std::chrono::milliseconds(10'000);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -69,7 +72,11 @@
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
         , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners, m_poison)
-        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
+        , m_claims(m_blackboard, m_platform, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now)
+        , m_keyed(m_blackboard, m_links, m_allowance, m_claims, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now, makeKeyedDispatch(m_runner))
+        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_keyed)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
         startPeerServer();
@@ -82,12 +89,17 @@
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
         m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
-        m_gossipTask.emplace("gossip", gossipPeriod,
-            [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
+        m_claimTask.emplace("claims", claimCleaningPeriod, [this] { m_claims.removeExpired(); });
+        m_gossipTask.emplace("gossip", gossipPeriod, [this] {
+            joinWhenReady();
+            gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
+        });
     }
 
     auto startPeerServer() -> void;
     auto addOwnMember() -> void;
+    auto mayJoin() const -> bool;
+    auto joinWhenReady() -> void;
     auto changeOwnState(MemberState) -> Member;
     auto observeDrain(MonotonicTime begun, MonotonicTime& busyAt) -> DrainObservation;
     auto sayGoodbye() -> void;
@@ -114,6 +126,8 @@
     Allowance m_allowance;
     ShareController m_shares;
     RequestRunner m_runner;
+    KeyedClaims m_claims;
+    KeyedService m_keyed;
     CallerServer m_callers;
     OperatorServer m_operators;
     NodeAddresses m_addresses;
@@ -127,6 +141,7 @@
     std::optional<PeriodicTask> m_discoveryTask;
     std::optional<PeriodicTask> m_shareTask;
     std::optional<PeriodicTask> m_ownershipTask;
+    std::optional<PeriodicTask> m_claimTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -157,11 +172,41 @@
     self.m_peerAddress = m_settings.m_advertisedPeerAddress;
     if (self.m_peerAddress.m_port == 0)
         self.m_peerAddress = m_addresses.m_peer;
+    self.m_state = MemberState::Joining;
     self.m_heardAt = std::chrono::steady_clock::now();
     self.m_changedAt = self.m_heardAt;
     m_blackboard.m_membership.write([&](Membership& value) { value.m_members[self.m_vm] = self; });
 }
 
+// Whether this node, which is joining, has learnt what it needs to serve, so that it may be named to callers.
+auto Node::Implementation::mayJoin() const -> bool
+{
+    const auto joining = m_blackboard.m_membership.read([&](const Membership& value) {
+        return value.m_members.at(m_settings.m_vm).m_state == MemberState::Joining;
+    });
+    if (!joining || !m_blackboard.m_health.copy().m_configured)
+        return false;
+    const auto upstreams = m_blackboard.m_upstreams.read([](const UpstreamTable& table) {
+        return table.m_known ? std::optional(table.m_upstreams.size()) : std::nullopt;
+    });
+    const auto assigned = m_blackboard.m_assignments.read([](const AssignmentTable& table) {
+        return std::count_if(table.m_assignments.begin(), table.m_assignments.end(),
+            [](const auto& entry) { return !entry.second.m_owner.empty(); });
+    });
+    const auto alone = m_blackboard.m_membership.read(
+        [&](const Membership& value) { return !hasHeardOfPeers(value, m_settings.m_vm); });
+    return upstreams && (alone || static_cast<std::size_t>(assigned) >= *upstreams);
+}
+
+auto Node::Implementation::joinWhenReady() -> void
+{
+    if (!mayJoin())
+        return;
+    changeOwnState(MemberState::Alive);
+    m_fleetTask->wake(); // Now this node counts where upstreams are assigned.
+    logChange("joined");
+}
+
 // Changes this node's own state so that it outweighs all that was told of it before; returns the record.
 auto Node::Implementation::changeOwnState(MemberState state) -> Member
 {
@@ -213,6 +258,9 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::KeyedCall:
+        m_keyed.handleKeyedCall(connection, envelope);
+        break;
     case wire::Body::TokenRequest:
         handleTokenRequest(m_allowance, connection, envelope);
         break;
@@ -291,17 +339,13 @@
     auto random = std::mt19937_64(std::random_device()());
     announceSelf(node.m_blackboard, node.m_links, node.m_settings.m_vm, random);
     auto busyAt = begun;
-    auto step = DrainStep::ServeOn;
-    while (step != DrainStep::Leave && std::chrono::steady_clock::now() < begun + atMost) {
-        step = drainStep(node.observeDrain(begun, busyAt), addressTimeToLive);
-        if (step == DrainStep::CloseListener)
-            node.m_callers.closeListener();
+    while (!mayLeave(node.observeDrain(begun, busyAt), addressTimeToLive)
+        && std::chrono::steady_clock::now() < begun + atMost)
         std::this_thread::sleep_for(drainPoll);
-    }
     node.m_ownershipTask.reset();
     node.m_ownership.leave(leaveTimeout);
-    node.sayGoodbye();
     (void)node.m_shares.release();
+    node.sayGoodbye();
     logChange("drained");
 }
 
--- a/src/serving/address_answer.h
+++ b/src/serving/address_answer.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/blackboard.h"
+#include "serving/idempotency.h"
 
 #include <chrono>
 #include <cstdint>
@@ -43,7 +44,7 @@
 // answer while another could fill it. Loads are the requests in flight that the members last told.
 auto chooseAddresses(const Membership&, const Configuration&, const AddressQuestion&) -> AddressAnswer;
 
-// Writes the answer as the interface's JSON, with the key prefix of each node's incarnation.
-auto formatAddressAnswer(const AddressAnswer&) -> std::string;
+// Writes the answer as the interface's JSON, with the prefix for keys bound to each node's incarnation.
+auto formatAddressAnswer(const AddressAnswer&, KeyEpoch) -> std::string;
 
 } // namespace marigoldladder
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -5,7 +5,6 @@
 #include "serving/admission.h"
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
-#include "serving/idempotency.h"
 #include "serving/stream_server.h"
 
 #include <algorithm>
@@ -31,16 +30,22 @@
             request.body };
     }
 
+    auto recordOf(const ServeCall& call) -> RequestRecord
+    {
+        const auto target = call.m_adapter.m_name.empty() ? call.m_path : formatAdapterRef(call.m_adapter);
+        return { call.m_requestId, call.m_organisation, target, {}, {}, {} };
+    }
+
 } // namespace
 
 struct CallerServer::Implementation {
     Implementation(const NodeSettings& settings, Blackboard& blackboard, Allowance& allowance,
-        RequestRunner& runner, PlatformClient& platform)
+        RequestRunner& runner, KeyedService& keyed)
         : m_settings(settings)
         , m_blackboard(blackboard)
         , m_admission(blackboard, allowance)
         , m_runner(runner)
-        , m_platform(platform)
+        , m_keyed(keyed)
     {
     }
 
@@ -53,11 +58,12 @@
     auto serveCompletion(const httplib::Request&, httplib::Response&) -> void;
     auto serveService(const httplib::Request&, httplib::Response&) -> void;
 
-    auto claim(Result<AdmittedCall>) -> Result<AdmittedCall>;
+    auto runKeyed(httplib::Response&, const AdmittedCall&) -> void;
     auto run(httplib::Response&, Result<AdmittedCall>) -> void;
     auto fail(httplib::Response&, const Failure&, const RequestId&) -> void;
     auto countEnd(const AnswerEnd&) -> void;
-    auto finish(const Reservation&, const AnswerEnd&) -> void;
+    auto noteEnd(RequestRecord, const AnswerEnd&) -> void;
+    auto finish(const Reservation&, const RequestRecord&, const AnswerEnd&) -> void;
     auto countInFlight(int change) -> void;
     auto countOpenRequests() -> void;
 
@@ -65,7 +71,7 @@
     Blackboard& m_blackboard;
     Admission m_admission;
     RequestRunner& m_runner;
-    PlatformClient& m_platform;
+    KeyedService& m_keyed;
     StreamServer m_server;
     int m_port = 0;
     std::atomic<std::size_t> m_openRequests { 0 };
@@ -158,7 +164,8 @@
             question.m_organisation = organisation.value();
         return chooseAddresses(membership, configuration, question);
     });
-    response.set_content(formatAddressAnswer(answer), "application/json");
+    const auto epoch = keyEpochAt(std::chrono::system_clock::now());
+    response.set_content(formatAddressAnswer(answer, epoch), "application/json");
 }
 
 auto CallerServer::Implementation::answerHealth(httplib::Response& response) const -> void
@@ -186,21 +193,28 @@
 {
     const auto route = RouteName(request.matches[1].str());
     const auto path = request.matches[2].matched ? request.matches[2].str() : "/";
-    run(response, claim(m_admission.admitService(callerRequestOf(request), route, path)));
+    auto admitted = m_admission.admitService(callerRequestOf(request), route, path);
+    if (admitted && !admitted.value().m_call.m_idempotent)
+        runKeyed(response, admitted.value());
+    else
+        run(response, std::move(admitted));
 }
 
-// Claims the key of a call that must not run twice.
-auto CallerServer::Implementation::claim(Result<AdmittedCall> admitted) -> Result<AdmittedCall>
+// Answers a call that must not run twice.
+auto CallerServer::Implementation::runKeyed(httplib::Response& response, const AdmittedCall& admitted) -> void
 {
-    if (!admitted || admitted.value().m_call.m_idempotent)
-        return admitted;
-    const auto& call = admitted.value().m_call;
-    const auto claimed = claimIdempotencyKey(m_platform, call.m_organisation, call.m_idempotencyKey);
-    if (claimed)
-        return admitted;
-    m_blackboard.m_metrics.add(Counter::IdempotencyRefusals);
-    m_admission.settle(admitted.value().m_reservation, 0);
-    return claimed.error();
+    countInFlight(1);
+    const auto deadline = std::chrono::steady_clock::now() + m_settings.m_limits.m_requestDeadline;
+    const auto answer = m_keyed.serve({ admitted.m_call, admitted.m_route }, deadline);
+    if (answer) {
+        response.set_header("X-Request-Id", admitted.m_call.m_requestId.value());
+        response.status = answer.value().m_status;
+        response.set_content(answer.value().m_body, answer.value().m_contentType);
+        countEnd(AnswerEnd { true, {}, 0 });
+    } else {
+        fail(response, answer.error(), admitted.m_call.m_requestId);
+    }
+    countInFlight(-1);
 }
 
 auto CallerServer::Implementation::run(httplib::Response& response, Result<AdmittedCall> admitted) -> void
@@ -208,7 +222,9 @@
     if (!admitted) {
         if (admitted.error().m_type == FailureType::Unauthorised)
             m_blackboard.m_metrics.add(Counter::AuthenticationRefusals);
-        fail(response, admitted.error(), makeRequestId());
+        const auto id = makeRequestId();
+        fail(response, admitted.error(), id);
+        noteEnd({ id, {}, {}, {}, {}, {} }, failedEnd(admitted.error()));
         return;
     }
     const auto& [call, pool, route, reservation] = admitted.value();
@@ -218,6 +234,7 @@
     auto started = m_runner.start(call, pool, deadline);
     if (!started) {
         fail(response, started.error(), call.m_requestId);
+        noteEnd(recordOf(call), failedEnd(started.error()));
         m_admission.settle(
             reservation, started.error().m_verdict == Verdict::NotRun ? 0 : reservation.m_tokens);
         countInFlight(-1);
@@ -226,12 +243,16 @@
     const auto waited = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun);
     m_blackboard.m_metrics.observe(Latency::FirstToken, waited.count());
     const auto stream = call.m_stream && started.value().m_head.m_status == 200;
+    auto record = recordOf(call);
+    record.m_upstream = started.value().m_head.m_upstream;
     writeAnswer(response, std::move(started.value()), call.m_requestId, stream,
-        [this, charged = reservation](const AnswerEnd& end) { finish(charged, end); });
+        [this, charged = reservation, record](const AnswerEnd& end) { finish(charged, record, end); });
 }
 
-auto CallerServer::Implementation::finish(const Reservation& reservation, const AnswerEnd& end) -> void
+auto CallerServer::Implementation::finish(
+    const Reservation& reservation, const RequestRecord& record, const AnswerEnd& end) -> void
 {
+    noteEnd(record, end);
     m_admission.settle(reservation, end.m_completed ? end.m_usedTokens : reservation.m_tokens);
     countEnd(end);
     countInFlight(-1);
@@ -244,6 +265,15 @@
     countEnd(failedEnd(failure));
 }
 
+// Remembers how a request ended, for operators who ask.
+auto CallerServer::Implementation::noteEnd(RequestRecord record, const AnswerEnd& end) -> void
+{
+    if (!end.m_completed)
+        record.m_failure = end.m_failure;
+    record.m_endedAt = std::chrono::system_clock::now();
+    m_blackboard.m_requests.write([&](RequestJournal& journal) { addRecord(journal, std::move(record)); });
+}
+
 auto CallerServer::Implementation::countEnd(const AnswerEnd& end) -> void
 {
     auto counter = Counter::RequestsServed;
@@ -263,8 +293,8 @@
 }
 
 CallerServer::CallerServer(const NodeSettings& settings, Blackboard& blackboard, Allowance& allowance,
-    RequestRunner& runner, PlatformClient& platform)
-    : m_implementation(std::make_unique<Implementation>(settings, blackboard, allowance, runner, platform))
+    RequestRunner& runner, KeyedService& keyed)
+    : m_implementation(std::make_unique<Implementation>(settings, blackboard, allowance, runner, keyed))
 {
     m_implementation->listen();
 }
@@ -284,11 +314,6 @@
     return m_implementation->m_openRequests;
 }
 
-auto CallerServer::closeListener() -> void
-{
-    m_implementation->m_server.stop();
-}
-
 auto CallerServer::stop() -> void
 {
     m_implementation->m_server.stop();
