--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,6 +16,7 @@
 #include "limits/share_controller.h"
 #include "limits/token_exchange.h"
 #include "ops/operator_server.h"
+#include "routing/load_budget.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
 #include "serving/address_answer.h"
@@ -34,9 +35,10 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(100);
     constexpr auto notesPeriod = std::chrono::milliseconds(150);
-    constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
+    constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
+    constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -61,6 +63,8 @@
         , m_probes(m_blackboard, m_links, m_settings.m_vm)
         , m_poison(m_blackboard, m_links, m_settings.m_vm)
         , m_owner(m_blackboard, m_poison)
+        , m_ownership(m_blackboard, m_platform, m_owner.adapters(),
+              { m_settings.m_vm, m_identity.m_incarnation }, m_settings)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
         , m_allowance(
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
@@ -72,12 +76,12 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
-        m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
         m_membersTask.emplace("members", platformPeriod,
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
         m_gossipTask.emplace("gossip", gossipPeriod, [this] {
             joinWhenReady();
             gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
@@ -93,7 +97,7 @@
     auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
-    auto followFleet() -> void;
+    auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -107,6 +111,8 @@
     ProbeService m_probes;
     PoisonWatch m_poison;
     Owner m_owner;
+    OwnershipController m_ownership; // Used by the ownership task only.
+    LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
     ShareController m_shares;
@@ -117,12 +123,12 @@
     std::optional<PeerServer> m_peers;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_notesTask;
-    std::optional<PeriodicTask> m_fleetTask;
     MembershipState m_membershipState; // Each state is used by the task below it only.
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
     std::optional<PeriodicTask> m_discoveryTask;
     std::optional<PeriodicTask> m_shareTask;
+    std::optional<PeriodicTask> m_ownershipTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -184,7 +190,7 @@
     if (!mayJoin())
         return;
     changeOwnState(MemberState::Alive);
-    m_fleetTask->wake(); // Now this node counts where upstreams are assigned.
+    m_ownershipTask->wake(); // Now this node counts where upstreams are assigned.
     logChange("joined");
 }
 
@@ -222,9 +228,10 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followFleet() -> void
+auto Node::Implementation::followOwnership() -> void
 {
-    refreshAssignments(m_blackboard);
+    refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
+    m_ownership.refresh();
 }
 
 auto Node::Implementation::handlePeer(
@@ -315,6 +322,8 @@
     while (!mayLeave(node.observeDrain(begun, busyAt), addressTimeToLive)
         && std::chrono::steady_clock::now() < begun + atMost)
         std::this_thread::sleep_for(drainPoll);
+    node.m_ownershipTask.reset();
+    node.m_ownership.leave(leaveTimeout);
     (void)node.m_shares.release();
     node.sayGoodbye();
     logChange("drained");
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -44,6 +44,9 @@
     // then on, so that `NotRun` stays true.
     auto resolve(const RequestId& attempt) -> Verdict;
 
+    // The adapters of the upstreams that this node serves.
+    auto adapters() -> AdapterManager& { return m_adapters; }
+
     // Calls that wait or run here.
     auto callsInProgress() -> std::size_t;
 
