--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -35,7 +35,6 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(100);
     constexpr auto notesPeriod = std::chrono::milliseconds(150);
-    constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
@@ -82,7 +81,6 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
-        m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
         m_membersTask.emplace("members", platformPeriod,
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
@@ -105,7 +103,6 @@
     auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
-    auto followFleet() -> void;
     auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
@@ -134,7 +131,6 @@
     std::optional<PeerServer> m_peers;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_notesTask;
-    std::optional<PeriodicTask> m_fleetTask;
     MembershipState m_membershipState; // Each state is used by the task below it only.
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
@@ -203,7 +199,7 @@
     if (!mayJoin())
         return;
     changeOwnState(MemberState::Alive);
-    m_fleetTask->wake(); // Now this node counts where upstreams are assigned.
+    m_ownershipTask->wake(); // Now this node counts where upstreams are assigned.
     logChange("joined");
 }
 
@@ -241,8 +237,6 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followFleet() -> void { }
-
 auto Node::Implementation::followOwnership() -> void
 {
     refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
