--- a/fakes/faults/fault_actions.cc
+++ b/fakes/faults/fault_actions.cc
@@ -1,5 +1,6 @@
 #include "faults/fault_actions.h"
 
+#include "engine_completions.h"
 #include "fake_server.h"
 
 #include <algorithm>
@@ -288,7 +289,7 @@
 {
     const auto& group = m_load.m_groups.front();
     const auto body
-        = nlohmann::json { { "model", "adapter-0@1" }, { "prompt", crashPrompt }, { "max_tokens", 4 } };
+        = nlohmann::json { { "model", "adapter-0@1" }, { "prompt", crashMarker }, { "max_tokens", 4 } };
     for (auto i = 0; i < crashTries; ++i) {
         const auto index = static_cast<std::size_t>(i) % m_deployment.nodeCount();
         auto client = harness::makeCaller(m_deployment.node(index).m_caller, group.m_key);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -13,6 +13,7 @@
 #include "fleet/upstream_exchange.h"
 #include "limits/allowance.h"
 #include "limits/share_controller.h"
+#include "limits/token_exchange.h"
 #include "ops/operator_server.h"
 #include "routing/load_budget.h"
 #include "routing/owner_client.h"
@@ -36,6 +37,7 @@
     constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
     constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
+    constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -58,12 +60,15 @@
         , m_notes(m_blackboard, m_links, m_identity, m_settings.m_dataCentre, m_settings.m_seedPeers)
         , m_links(m_blackboard, m_identity)
         , m_probes(m_blackboard, m_links, m_settings.m_vm)
-        , m_owner(m_blackboard)
+        , m_poison(m_blackboard, m_links, m_settings.m_vm)
+        , m_owner(m_blackboard, m_poison)
         , m_ownership(m_blackboard, m_platform, m_owner.adapters(),
               { m_settings.m_vm, m_identity.m_incarnation }, m_settings)
         , m_owners(m_blackboard, m_links, m_owner, m_settings.m_vm)
-        , m_allowance(m_blackboard)
-        , m_runner(m_blackboard, m_owners)
+        , m_allowance(
+              m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
+        , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
+        , m_runner(m_blackboard, m_owners, m_poison)
         , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
@@ -76,6 +81,7 @@
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
+        m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
         m_gossipTask.emplace("gossip", gossipPeriod,
             [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
     }
@@ -100,11 +106,13 @@
     NoteSpreader m_notes; // Before the links, whose threads call it until they end.
     PeerLinks m_links;
     ProbeService m_probes;
+    PoisonWatch m_poison;
     Owner m_owner;
     OwnershipController m_ownership; // Used by the ownership task only.
     LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
+    ShareController m_shares;
     RequestRunner m_runner;
     CallerServer m_callers;
     OperatorServer m_operators;
@@ -118,6 +126,7 @@
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
     std::optional<PeriodicTask> m_discoveryTask;
+    std::optional<PeriodicTask> m_shareTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -187,10 +196,7 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followFleet() -> void
-{
-    refreshShares(m_blackboard);
-}
+auto Node::Implementation::followFleet() -> void { }
 
 auto Node::Implementation::followOwnership() -> void
 {
@@ -205,6 +211,12 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::TokenRequest:
+        handleTokenRequest(m_allowance, connection, envelope);
+        break;
+    case wire::Body::TokenReturn:
+        handleTokenReturn(m_allowance, envelope);
+        break;
     case wire::Body::Gossip: {
         thread_local auto random = std::mt19937_64(std::random_device()());
         handleGossip(m_blackboard, m_settings.m_vm, connection, envelope, random);
@@ -222,6 +234,12 @@
     case wire::Body::ServeCancel:
         m_owner.cancel(RequestId(envelope.body.AsServeCancel()->request_id));
         break;
+    case wire::Body::ResolveRequest:
+        handleResolveRequest(m_owner, connection, envelope);
+        break;
+    case wire::Body::PoisonNotice:
+        m_poison.handleNotice(connection, envelope);
+        break;
     default:
         break;
     }
@@ -281,6 +299,7 @@
     node.m_ownershipTask.reset();
     node.m_ownership.leave(leaveTimeout);
     node.sayGoodbye();
+    (void)node.m_shares.release();
     logChange("drained");
 }
 
--- a/src/routing/upstream_choice.cc
+++ b/src/routing/upstream_choice.cc
@@ -22,6 +22,21 @@
         }
     }
 
+    constexpr auto refusalMemory = std::chrono::seconds(2);
+    constexpr auto maxRefusals = std::size_t { 4096 };
+
+    // More than an adapter ever has home replicas.
+    constexpr auto rankedForRetry = std::size_t { 20 };
+
+    auto namesOf(const PlacementPool& pool, const std::vector<std::uint32_t>& targets)
+        -> std::vector<UpstreamName>
+    {
+        auto names = std::vector<UpstreamName>();
+        for (const auto target : targets)
+            names.push_back(pool.m_targets[target].m_name);
+        return names;
+    }
+
 } // namespace
 
 UpstreamChooser::UpstreamChooser(Blackboard& blackboard)
@@ -67,13 +82,41 @@
     const auto lock = std::lock_guard(m_mutex);
     auto& pool = poolOf(name);
     const auto replicas = pool.m_hasEngines ? noteRequest(m_popularity, hash, m_entries, now) : 1;
-    const auto targets = chooseTargets(pool, hash, replicas, m_random, now);
+    auto targets = chooseTargets(pool, hash, replicas, m_random, now);
+    putRefusedLast(pool, hash, targets, now);
     if (!targets.empty())
         noteDispatch(pool.m_targets[targets.front()], now);
-    auto names = std::vector<UpstreamName>();
-    for (const auto target : targets)
-        names.push_back(pool.m_targets[target].m_name);
-    return names;
+    return namesOf(pool, targets);
+}
+
+// Call it with the lock held.
+auto UpstreamChooser::putRefusedLast(const PlacementPool& pool, std::uint64_t keyHash,
+    std::vector<std::uint32_t>& targets, MonotonicTime now) const -> void
+{
+    if (m_refusedUntil.empty())
+        return;
+    std::stable_partition(targets.begin(), targets.end(), [&](std::uint32_t target) {
+        const auto refused = m_refusedUntil.find(keyHash ^ pool.m_targets[target].m_hash);
+        return refused == m_refusedUntil.end() || refused->second <= now;
+    });
+}
+
+auto UpstreamChooser::noteRefusal(std::string_view affinityKey, const UpstreamName& upstream) -> void
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto lock = std::lock_guard(m_mutex);
+    if (m_refusedUntil.size() >= maxRefusals)
+        std::erase_if(m_refusedUntil, [&](const auto& row) { return row.second <= now; });
+    if (m_refusedUntil.size() < maxRefusals)
+        m_refusedUntil[placementHash(affinityKey) ^ placementHash(upstream.value())] = now + refusalMemory;
+}
+
+auto UpstreamChooser::rank(const PoolName& name, std::string_view affinityKey, std::size_t failed)
+    -> std::vector<UpstreamName>
+{
+    const auto lock = std::lock_guard(m_mutex);
+    const auto& pool = poolOf(name);
+    return namesOf(pool, rankTargets(pool, placementHash(affinityKey), rankedForRetry + failed));
 }
 
 } // namespace marigoldladder
