Deal out the store's limits by engines owned

Cause: with equal shares a node that owns all engines of its data centre had a third of the rate with three nodes; eight cold adapters took 6 s (PoisonTest's set-up failed after 4 s, seen twice).

What changed: rate and loads in flight follow the engines that each node owns, at least one load each.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -15,7 +15,6 @@
 #include "limits/share_controller.h"
 #include "limits/token_exchange.h"
 #include "ops/operator_server.h"
-#include "routing/load_budget.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
 #include "serving/address_answer.h"
@@ -76,7 +75,7 @@
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
         m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
-        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { m_ownership.refresh(); });
         m_membersTask.emplace("members", platformPeriod,
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
@@ -94,7 +93,6 @@
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
     auto followFleet() -> void;
-    auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -109,7 +107,6 @@
     PoisonWatch m_poison;
     Owner m_owner;
     OwnershipController m_ownership; // Used by the ownership task only.
-    LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
     ShareController m_shares;
@@ -198,12 +195,6 @@
 
 auto Node::Implementation::followFleet() -> void { }
 
-auto Node::Implementation::followOwnership() -> void
-{
-    refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
-    m_ownership.refresh();
-}
-
 auto Node::Implementation::handlePeer(
     const std::shared_ptr<PeerConnection>& connection, wire::EnvelopeT& envelope) -> void
 {
--- a/src/routing/load_budget.cc
+++ b/src/routing/load_budget.cc
@@ -15,17 +15,36 @@
     // The longest that an engine goes on with a load after its answer was lost.
     constexpr auto lingerTime = std::chrono::seconds(10);
 
+    // The loads in flight that are left once each owner has one, dealt out in whole numbers: first by the
+    // whole part of each owner's due, then by the largest rest.
+    auto extraLoadsOf(std::size_t extra, const EngineCounts& counts, std::size_t engines, const VmName& vm)
+        -> std::size_t
+    {
+        const auto rest = [&](std::size_t count) { return extra * count % engines; };
+        const auto& own = counts.at(vm);
+        auto given = std::size_t { 0 };
+        auto before = std::size_t { 0 }; // Owners whose rest is served before this one's.
+        for (const auto& [owner, count] : counts) {
+            given += extra * count / engines;
+            before += rest(count) > rest(own) || (rest(count) == rest(own) && owner < vm) ? 1 : 0;
+        }
+        return extra * own / engines + (before < extra - given ? 1 : 0);
+    }
+
 } // namespace
 
-auto loadShareOf(const WeightStoreLimits& limits, std::size_t nodes, std::size_t rank) -> LoadShare
+auto loadShareOf(const WeightStoreLimits& limits, const EngineCounts& counts, const VmName& vm) -> LoadShare
 {
-    const auto whole = limits.m_maxInFlight / nodes;
-    const auto rest = limits.m_maxInFlight % nodes;
-    const auto holders = std::min(nodes, limits.m_maxInFlight);
+    const auto own = counts.find(vm);
+    if (own == counts.end() || counts.size() > limits.m_maxInFlight)
+        return {};
+    auto engines = std::size_t { 0 };
+    for (const auto& [owner, count] : counts)
+        engines += count;
     auto share = LoadShare();
-    share.m_inFlight = whole + (rank < rest ? 1 : 0);
-    if (share.m_inFlight > 0)
-        share.m_loadsPerSecond = limits.m_loadsPerSecond / static_cast<double>(holders);
+    share.m_loadsPerSecond
+        = limits.m_loadsPerSecond * static_cast<double>(own->second) / static_cast<double>(engines);
+    share.m_inFlight = 1 + extraLoadsOf(limits.m_maxInFlight - counts.size(), counts, engines, vm);
     return share;
 }
 
@@ -69,22 +88,4 @@
     budget.m_lingering.push_back(now + lingerTime);
 }
 
-auto refreshLoadShare(Blackboard& blackboard, const WeightStoreLimits& limits, const VmName& self,
-    LoadShareState& state) -> void
-{
-    auto nodes = std::size_t { 0 };
-    auto rank = std::size_t { 0 };
-    blackboard.m_membership.read([&](const Membership& membership) {
-        for (const auto& [vm, member] : membership.m_members) {
-            if (member.m_state == MemberState::Gone)
-                continue;
-            rank += vm < self ? 1 : 0;
-            ++nodes;
-        }
-    });
-    const auto wanted = loadShareOf(limits, std::max(nodes, std::size_t { 1 }), rank);
-    state = followLoadShare(state, wanted, std::chrono::steady_clock::now());
-    blackboard.m_loadShare.write([&](LoadShare& share) { share = state.m_inForce; });
-}
-
 } // namespace marigoldladder
--- a/src/routing/load_budget.h
+++ b/src/routing/load_budget.h
@@ -1,18 +1,22 @@
 // How many adapters this node may load, so that all nodes together keep within the weight store's limits.
 //
-// Each live VM gets an equal share of the rate. The loads in flight are dealt out whole: with more VMs than
-// loads, the last VMs in name order get none, and own no engines (see ownership).
+// The limits are dealt out to the owners of engines, by how many each owns. Every owner gets at least one
+// load in flight, so at most as many nodes as there are loads own engines (see ownership).
 #pragma once
 
 #include "core/blackboard.h"
 
 #include <cstddef>
+#include <map>
 #include <vector>
 
 namespace marigoldladder {
 
-// Returns the share of the VM at position `rank` among `nodes` live ones.
-auto loadShareOf(const WeightStoreLimits&, std::size_t nodes, std::size_t rank) -> LoadShare;
+// Engines owned by each node that owns any.
+using EngineCounts = std::map<VmName, std::size_t>;
+
+// Returns the node's share; over all owners the shares sum to the limits.
+auto loadShareOf(const WeightStoreLimits&, const EngineCounts&, const VmName&) -> LoadShare;
 
 // A node's share over time. It shrinks at once and grows only after a while without shrinking, because
 // the nodes do not learn of a change at the same moment.
@@ -39,7 +43,4 @@
 // Ends a load that got no answer; it goes on counting for a while, as it may still run.
 auto endLoadInDoubt(LoadBudget&, MonotonicTime now) -> void;
 
-// Writes this node's share to the blackboard.
-auto refreshLoadShare(Blackboard&, const WeightStoreLimits&, const VmName& self, LoadShareState&) -> void;
-
 } // namespace marigoldladder
--- a/src/routing/ownership_controller.cc
+++ b/src/routing/ownership_controller.cc
@@ -45,7 +45,7 @@
     , m_adapters(adapters)
     , m_self(std::move(self))
     , m_requestDeadline(settings.m_limits.m_requestDeadline)
-    , m_maxEngineOwners(settings.m_weightStore.m_maxInFlight)
+    , m_weightStore(settings.m_weightStore)
     , m_ownerRole(settings.m_ownerRole)
 {
 }
@@ -112,7 +112,8 @@
 
 auto OwnershipController::makeView() const -> OwnershipView
 {
-    auto view = OwnershipView { m_self, m_leases, m_blackboard.m_membership.copy(), m_maxEngineOwners };
+    auto view
+        = OwnershipView { m_self, m_leases, m_blackboard.m_membership.copy(), m_weightStore.m_maxInFlight };
     if (m_blackboard.m_health.copy().m_draining)
         view.m_membership.m_members[m_self.m_vm].m_state = MemberState::Draining;
     return view;
@@ -226,17 +227,27 @@
     const OwnershipView& view, const UpstreamTable& upstreams, bool outage) -> void
 {
     auto table = AssignmentTable();
+    auto engines = EngineCounts();
     for (const auto& [name, upstream] : upstreams.m_upstreams) {
         const auto& records = m_objects[upstream.m_dataCentre].m_records;
         const auto record = records.find(name);
         if (record == records.end())
             continue;
-        table.m_assignments.emplace(
-            name, assignmentOf(view, upstream, record->second, m_rights, outage, now()));
+        const auto assignment = assignmentOf(view, upstream, record->second, m_rights, outage, now());
+        if (upstream.m_kind == UpstreamKind::Engine)
+            ++engines[assignment.m_owner];
+        table.m_assignments.emplace(name, assignment);
     }
+    writeLoadShare(engines);
     m_blackboard.m_assignments.write([&](AssignmentTable& value) { value = std::move(table); });
 }
 
+auto OwnershipController::writeLoadShare(const EngineCounts& engines) -> void
+{
+    m_loadShare = followLoadShare(m_loadShare, loadShareOf(m_weightStore, engines, m_self.m_vm), now());
+    m_blackboard.m_loadShare.write([&](LoadShare& share) { share = m_loadShare.m_inForce; });
+}
+
 auto OwnershipController::leave(std::chrono::milliseconds atMost) -> void
 {
     const auto end = now() + atMost;
--- a/src/routing/ownership_controller.h
+++ b/src/routing/ownership_controller.h
@@ -1,8 +1,10 @@
-// Follows and changes the ownership of upstreams on the platform, and writes the assignments in force.
+// Follows and changes the ownership of upstreams on the platform, and writes the assignments in force
+// and this node's share of the loads.
 #pragma once
 
 #include "core/blackboard.h"
 #include "routing/adapter_manager.h"
+#include "routing/load_budget.h"
 #include "routing/ownership_store.h"
 
 namespace marigoldladder {
@@ -32,6 +34,7 @@
     auto planHandOver(const OwnershipView&, const Upstream&, OwnershipRecord&) -> bool;
     auto endLeasesOfGone(const OwnershipView&) -> void;
     auto clearRecords(const OwnershipView&) -> void;
+    auto writeLoadShare(const EngineCounts&) -> void;
     auto writeAssignments(const OwnershipView&, const UpstreamTable&, bool outage) -> void;
 
     Blackboard& m_blackboard;
@@ -39,7 +42,7 @@
     AdapterManager& m_adapters;
     NodeStart m_self;
     std::chrono::milliseconds m_requestDeadline;
-    std::size_t m_maxEngineOwners;
+    WeightStoreLimits m_weightStore;
     bool m_ownerRole;
     ObservedLeases m_leases;
     OwnershipObjects m_objects;
@@ -47,6 +50,7 @@
     MonotonicTime m_leaseUntil {}; // In force for orders once the records were read after the renewal.
     MonotonicTime m_renewedAt {};
     MonotonicTime m_nextRead {};
+    LoadShareState m_loadShare;
     std::vector<UpstreamName> m_closed; // To be opened again after the next read.
     bool m_handedOverInRound = false;
 };
--- a/test/routing/load_budget_test.cc
+++ b/test/routing/load_budget_test.cc
@@ -11,21 +11,37 @@
     constexpr auto start = MonotonicTime(std::chrono::hours(1));
     constexpr auto limits = WeightStoreLimits { 4, 8 };
 
-    class LoadShareTest : public ::testing::TestWithParam<std::size_t> { };
+    class LoadShareTest : public ::testing::TestWithParam<std::vector<std::size_t>> { };
 
-    TEST_P(LoadShareTest, SumsToTheStoresLimitsOverAllNodes)
+    TEST_P(LoadShareTest, SumsToTheStoresLimitsOverAllOwners)
     {
+        auto counts = EngineCounts();
+        for (const auto count : GetParam())
+            counts.emplace(VmName("node-" + std::to_string(counts.size())), count);
         auto inFlight = std::size_t { 0 };
         auto rate = 0.0;
-        for (auto rank = std::size_t { 0 }; rank < GetParam(); ++rank) {
-            inFlight += loadShareOf(limits, GetParam(), rank).m_inFlight;
-            rate += loadShareOf(limits, GetParam(), rank).m_loadsPerSecond;
+        for (const auto& [vm, count] : counts) {
+            EXPECT_GE(loadShareOf(limits, counts, vm).m_inFlight, 1U) << "expected every owner to load";
+            inFlight += loadShareOf(limits, counts, vm).m_inFlight;
+            rate += loadShareOf(limits, counts, vm).m_loadsPerSecond;
         }
         EXPECT_EQ(inFlight, limits.m_maxInFlight);
         EXPECT_NEAR(rate, limits.m_loadsPerSecond, 1e-9);
     }
 
-    INSTANTIATE_TEST_SUITE_P(Fleets, LoadShareTest, ::testing::Values(1, 2, 8, 9, 350));
+    using Counts = std::vector<std::size_t>;
+    INSTANTIATE_TEST_SUITE_P(Fleets, LoadShareTest,
+        ::testing::Values(Counts { 5 }, Counts { 10, 1, 1 }, Counts { 2, 2, 2, 2, 1, 1, 1, 1 },
+            Counts { 3, 3, 3 }, Counts(8, 1250)));
+
+    TEST(LoadShareLimitTest, GivesNothingToNodesWithoutEnginesOrBeyondTheLoads)
+    {
+        EXPECT_EQ(loadShareOf(limits, { { VmName("a"), 3 } }, VmName("b")).m_inFlight, 0U);
+        auto counts = EngineCounts();
+        for (auto i = 0; i < 9; ++i)
+            counts.emplace(VmName("node-" + std::to_string(i)), 1);
+        EXPECT_EQ(loadShareOf(limits, counts, VmName("node-0")).m_inFlight, 0U);
+    }
 
     TEST(LoadShareStateTest, ShrinksAtOnceAndGrowsLate)
     {
