--- a/test/fleet/configuration_controller_test.cc
+++ b/test/fleet/configuration_controller_test.cc
@@ -2,6 +2,7 @@
 
 #include "harness/child_process.h"
 
+#include <atomic>
 #include <gtest/gtest.h>
 #include <httplib.h>
 #include <thread>
@@ -79,7 +80,7 @@
         ASSERT_TRUE(m_bern.follow());
         const auto configuration = m_bern.m_blackboard.m_configuration.copy();
         EXPECT_EQ(configuration.m_revision, 2 * notesEach);
-        EXPECT_EQ(configuration.m_routes.size(), std::size_t { 2 * notesEach });
+        EXPECT_EQ(configuration.m_routes.size(), std::size_t { 2 } * notesEach);
     }
 
     TEST_F(ConfigurationControllerTest, KeepsAWithdrawalWhenTheEarlierNoteIsTriedAgain)
@@ -139,6 +140,50 @@
         EXPECT_FALSE(m_bern.m_blackboard.m_configuration.copy().m_complete);
     }
 
+    // A platform that fails for good with the first write, after the write may have taken effect.
+    class FailingPlatform {
+    public:
+        FailingPlatform()
+        {
+            m_server.Get(".*", [this](const auto&, auto& response) { response.status = m_down ? 503 : 404; });
+            m_server.Post(".*", [this](const auto&, auto& response) {
+                m_down = true;
+                response.status = 504;
+            });
+            m_address = { "127.0.0.1", m_server.bind_to_any_port("127.0.0.1") };
+            m_thread = std::thread([this] { m_server.listen_after_bind(); });
+            while (!m_server.is_running())
+                std::this_thread::yield();
+        }
+        FailingPlatform(const FailingPlatform&) = delete;
+        auto operator=(const FailingPlatform&) -> FailingPlatform& = delete;
+        ~FailingPlatform()
+        {
+            m_server.stop();
+            m_thread.join();
+        }
+
+        auto address() const -> const Address& { return m_address; }
+
+    private:
+        httplib::Server m_server;
+        std::atomic<bool> m_down { false };
+        Address m_address;
+        std::thread m_thread;
+    };
+
+    TEST(RecordReleaseNoteTest, LeavesTheOutcomeOpenWhenThePlatformFailsWhileRecording)
+    {
+        const auto platform = FailingPlatform();
+        auto writer = Writer(platform.address());
+        const auto outcome = writer.record(routeNote("put", "slots"));
+        ASSERT_TRUE(outcome.m_failure);
+        EXPECT_EQ(outcome.m_failure->m_verdict, Verdict::MayHaveRun);
+        const auto again = writer.record(routeNote("other", "slots"));
+        ASSERT_TRUE(again.m_failure);
+        EXPECT_EQ(again.m_failure->m_verdict, Verdict::NotRun) << "expected proof, as nothing was written";
+    }
+
     TEST(LogWatcherTest, ArePickedTwoInEachDataCentreAmongTheLiving)
     {
         auto membership = Membership();
