--- a/src/routing/ownership_store.cc
+++ b/src/routing/ownership_store.cc
@@ -40,8 +40,8 @@
 
     auto leaseSpec(const LeaseRecord& lease) -> nlohmann::json
     {
-        return { { "incarnation", lease.m_holder.m_incarnation },
-            { "duration_ms", lease.m_duration.count() } };
+        return { { "incarnation", lease.m_holder.m_incarnation }, { "duration_ms", lease.m_duration.count() },
+            { "ended", lease.m_ended } };
     }
 
     auto readLease(const PlatformObject& object) -> LeaseRecord
@@ -50,6 +50,7 @@
         lease.m_holder = { VmName(object.m_name), object.m_spec.value("incarnation", Incarnation { 0 }) };
         lease.m_duration = std::chrono::milliseconds(object.m_spec.value("duration_ms", std::int64_t { 0 }));
         lease.m_version = object.m_version;
+        lease.m_ended = object.m_spec.value("ended", false);
         return lease;
     }
 
@@ -103,8 +104,12 @@
     const auto found = platform.get(leaseKind, vm.value());
     if (!found)
         return found.error();
-    if (found.value() && readLease(*found.value()).m_holder.m_incarnation > lease.m_holder.m_incarnation)
-        return notRun(FailureType::Conflict, "a later process of this VM holds the lease");
+    if (found.value()) {
+        const auto known = readLease(*found.value());
+        const auto ended = known.m_ended && known.m_holder == lease.m_holder;
+        if (ended || known.m_holder.m_incarnation > lease.m_holder.m_incarnation)
+            return notRun(FailureType::Conflict, "the lease was ended, or is a later process's");
+    }
     const auto written = found.value()
         ? platform.update(leaseKind, { vm.value(), found.value()->m_version, leaseSpec(lease) })
         : platform.create(leaseKind, vm.value(), leaseSpec(lease));
@@ -113,9 +118,22 @@
     return boost::outcome_v2::success();
 }
 
-auto removeLease(PlatformClient& platform, const VmName& vm) -> Result<void>
+auto endLease(PlatformClient& platform, const NodeStart& holder) -> Result<void>
 {
-    return platform.remove(leaseKind, vm.value());
+    const auto found = platform.get(leaseKind, holder.m_vm.value());
+    if (!found)
+        return found.error();
+    if (!found.value())
+        return boost::outcome_v2::success();
+    auto lease = readLease(*found.value());
+    if (lease.m_holder != holder || lease.m_ended)
+        return boost::outcome_v2::success();
+    lease.m_ended = true;
+    const auto written
+        = platform.update(leaseKind, { holder.m_vm.value(), found.value()->m_version, leaseSpec(lease) });
+    if (!written)
+        return written.error();
+    return boost::outcome_v2::success();
 }
 
 } // namespace marigoldladder
--- a/src/serving/stream_answer.h
+++ b/src/serving/stream_answer.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "routing/owner_client.h"
+#include "routing/upstream_choice.h"
 #include "serving/retry_budget.h"
 
 #include <memory>
@@ -20,6 +21,7 @@
     OwnerClient& m_owners;
     PoisonWatch& m_poison;
     RetryBudget& m_retries;
+    UpstreamChooser& m_chooser;
 };
 
 // Used by one thread.
