--- a/include/marigoldladder/settings.h
+++ b/include/marigoldladder/settings.h
@@ -18,7 +18,7 @@
     std::string m_host;
     int m_port = 0;
 
-    auto operator<=>(const Address&) const = default;
+    auto operator<=>(const Address&) const = default; // NOLINT(modernize-use-nullptr): a false alarm.
 };
 
 // Returns `host:port`.
