--- a/src/fleet/discovery_controller.cc
+++ b/src/fleet/discovery_controller.cc
@@ -120,11 +120,10 @@
     auto watchList(Blackboard& blackboard, PlatformClient& platform, DiscoveryState& state,
         std::chrono::milliseconds duration) -> Result<void>
     {
-        const auto watched
-            = platform.watch(vmKind, *state.m_readUntil, duration, [&](const WatchEvent& event) {
-                  takeEvent(blackboard, platform, state, event);
-                  return true;
-              });
+        auto watched = platform.watch(vmKind, *state.m_readUntil, duration, [&](const WatchEvent& event) {
+            takeEvent(blackboard, platform, state, event);
+            return true;
+        });
         // The platform no longer keeps the changes since then: read the whole list again.
         if (!watched && watched.error().m_type == FailureType::BadRequest)
             state.m_readUntil.reset();
--- a/src/fleet/peer_probe.cc
+++ b/src/fleet/peer_probe.cc
@@ -143,7 +143,7 @@
         lock.unlock();
         auto answer = wire::ProbeAnswerT();
         answer.reached = reaches(order.m_target);
-        order.m_asker->send(makeEnvelope(order.m_correlation, std::move(answer)));
+        order.m_asker->send(makeEnvelope(order.m_correlation, answer));
         lock.lock();
     }
 }
--- a/src/fleet/upstream_exchange.cc
+++ b/src/fleet/upstream_exchange.cc
@@ -122,7 +122,7 @@
             return;
         auto request = wire::UpstreamsRequestT();
         request.after = known;
-        auto envelope = link.call(std::move(request), pullTimeout);
+        auto envelope = link.call(request, pullTimeout);
         const auto* answer = envelope ? envelope.value().body.AsUpstreamsAnswer() : nullptr;
         if (!answer)
             return;
--- a/test/system/members_test.cc
+++ b/test/system/members_test.cc
@@ -18,6 +18,8 @@
             const auto count = m_deployment->nodeCount();
             ASSERT_TRUE(waitUntil(withinSeconds, [&] { return allName(*m_deployment, count, noNode); }))
                 << "expected every node to name all " << count;
+            ASSERT_TRUE(waitUntil(withinSeconds, [&] { return allServe(*m_deployment); }))
+                << "expected every node to serve";
         }
 
         auto ask(std::size_t node, const std::string& model) -> int
--- a/test/system/named_addresses.h
+++ b/test/system/named_addresses.h
@@ -39,6 +39,19 @@
 
 inline constexpr auto noNode = static_cast<std::size_t>(-1);
 
+// Whether every node answers a completion, as each does once it has settled after the fleet's start.
+inline auto allServe(Deployment& deployment) -> bool
+{
+    for (auto i = std::size_t { 0 }; i < deployment.nodeCount(); ++i) {
+        const auto answer
+            = makeCaller(deployment.node(i).m_caller, basicKey)
+                  .Post("/v1/completions", completionBody("adapter-0@1", 1, false), "application/json");
+        if (!answer || answer->status != 200)
+            return false;
+    }
+    return allName(deployment, deployment.nodeCount(), noNode);
+}
+
 // Nodes over three data centres, with two engines.
 inline auto planOfNodes(std::size_t count) -> DeploymentPlan
 {
