--- a/src/core/json_reader.cc
+++ b/src/core/json_reader.cc
@@ -153,33 +153,65 @@
     }
 }
 
-auto parseJsonObject(std::string_view text, std::vector<FieldFault>& faults) -> std::optional<nlohmann::json>
-{
-    auto duplicates = std::vector<std::string>();
-    auto keysInOpenObjects = std::vector<std::vector<std::string>>();
-    const auto noteDuplicates = [&](int, nlohmann::json::parse_event_t event, nlohmann::json& parsed) {
-        using Event = nlohmann::json::parse_event_t;
-        if (event == Event::object_start)
-            keysInOpenObjects.emplace_back();
-        if (event == Event::object_end)
-            keysInOpenObjects.pop_back();
-        if (event == Event::key) {
-            auto& keys = keysInOpenObjects.back();
-            auto key = parsed.get<std::string>();
-            if (std::find(keys.begin(), keys.end(), key) != keys.end())
-                duplicates.push_back(key);
-            keys.push_back(std::move(key));
+namespace {
+
+    // Notes fields that stand twice in one object; the names of its members are the parser's.
+    class DuplicateFinder : public nlohmann::json_sax<nlohmann::json> {
+    public:
+        auto duplicates() const -> const std::vector<std::string>& { return m_duplicates; }
+
+        auto null() -> bool override { return true; }
+        auto boolean(bool /*value*/) -> bool override { return true; }
+        auto number_integer(std::int64_t /*value*/) -> bool override { return true; }
+        auto number_unsigned(std::uint64_t /*value*/) -> bool override { return true; }
+        auto number_float(double /*value*/, const std::string& /*text*/) -> bool override { return true; }
+        auto string(std::string& /*value*/) -> bool override { return true; }
+        auto binary(nlohmann::json::binary_t& /*value*/) -> bool override { return true; }
+        auto start_array(std::size_t /*size*/) -> bool override { return true; }
+        auto end_array() -> bool override { return true; }
+        auto start_object(std::size_t /*size*/) -> bool override
+        {
+            m_openObjects.emplace_back();
+            return true;
+        }
+        auto end_object() -> bool override
+        {
+            m_openObjects.pop_back();
+            return true;
+        }
+        auto key(std::string& name) -> bool override
+        {
+            auto& fields = m_openObjects.back();
+            if (std::find(fields.begin(), fields.end(), name) != fields.end())
+                m_duplicates.push_back(name);
+            fields.push_back(name);
+            return true;
+        }
+        auto parse_error(std::size_t /*position*/, const std::string& /*token*/,
+            const nlohmann::detail::exception& /*error*/) -> bool override
+        {
+            return false;
         }
-        return true;
+
+    private:
+        std::vector<std::vector<std::string>> m_openObjects;
+        std::vector<std::string> m_duplicates;
     };
+
+} // namespace
+
+auto parseJsonObject(std::string_view text, std::vector<FieldFault>& faults) -> std::optional<nlohmann::json>
+{
     auto document = nlohmann::json();
     try {
-        document = nlohmann::json::parse(text, noteDuplicates);
+        document = nlohmann::json::parse(text);
     } catch (const nlohmann::json::exception& error) {
         faults.push_back({ "/", std::string("is not JSON: ") + error.what() });
         return std::nullopt;
     }
-    for (const auto& key : duplicates)
+    auto finder = DuplicateFinder();
+    nlohmann::json::sax_parse(text, &finder);
+    for (const auto& key : finder.duplicates())
         faults.push_back({ "/", "has the field \"" + key + "\" twice in one object" });
     if (!document.is_object()) {
         faults.push_back({ "/", "must be an object" });
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,7 +16,6 @@
 #include "limits/share_controller.h"
 #include "limits/token_exchange.h"
 #include "ops/operator_server.h"
-#include "routing/load_budget.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
 #include "serving/address_answer.h"
@@ -39,6 +38,7 @@
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
     constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
+    constexpr auto claimCleaningPeriod = std::chrono::milliseconds(10'000);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -70,7 +70,11 @@
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
         , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners, m_poison)
-        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
+        , m_claims(m_blackboard, m_platform, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now)
+        , m_keyed(m_blackboard, m_links, m_allowance, m_claims, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now, makeKeyedDispatch(m_runner))
+        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_keyed)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
         startPeerServer();
@@ -81,7 +85,8 @@
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
-        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { m_ownership.refresh(); });
+        m_claimTask.emplace("claims", claimCleaningPeriod, [this] { m_claims.removeExpired(); });
         m_gossipTask.emplace("gossip", gossipPeriod, [this] {
             joinWhenReady();
             gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
@@ -97,7 +102,6 @@
     auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
-    auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -112,11 +116,12 @@
     PoisonWatch m_poison;
     Owner m_owner;
     OwnershipController m_ownership; // Used by the ownership task only.
-    LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
     ShareController m_shares;
     RequestRunner m_runner;
+    KeyedClaims m_claims;
+    KeyedService m_keyed;
     CallerServer m_callers;
     OperatorServer m_operators;
     NodeAddresses m_addresses;
@@ -129,6 +134,7 @@
     std::optional<PeriodicTask> m_discoveryTask;
     std::optional<PeriodicTask> m_shareTask;
     std::optional<PeriodicTask> m_ownershipTask;
+    std::optional<PeriodicTask> m_claimTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -228,11 +234,6 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followOwnership() -> void
-{
-    refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
-    m_ownership.refresh();
-}
 
 auto Node::Implementation::handlePeer(
     const std::shared_ptr<PeerConnection>& connection, wire::EnvelopeT& envelope) -> void
@@ -241,6 +242,9 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::KeyedCall:
+        m_keyed.handleKeyedCall(connection, envelope);
+        break;
     case wire::Body::TokenRequest:
         handleTokenRequest(m_allowance, connection, envelope);
         break;
--- a/src/serving/request_runner.cc
+++ b/src/serving/request_runner.cc
@@ -7,7 +7,8 @@
 namespace marigoldladder {
 
 RequestRunner::RequestRunner(Blackboard& blackboard, OwnerClient& owners, PoisonWatch& poison)
-    : m_services { blackboard, owners, poison, m_retries }
+    : m_chooser(blackboard)
+    , m_services { blackboard, owners, poison, m_retries, m_chooser }
 {
 }
 
