--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -241,9 +241,7 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followFleet() -> void
-{
-}
+auto Node::Implementation::followFleet() -> void { }
 
 auto Node::Implementation::followOwnership() -> void
 {
--- a/test/limits/share_controller_test.cc
+++ b/test/limits/share_controller_test.cc
@@ -15,7 +15,7 @@
 
     // One node's allowance without any way to its peers.
     struct ShareNode {
-        ShareNode(const Address& platform, std::string name, Incarnation incarnation)
+        ShareNode(const Address& platform, const std::string& name, Incarnation incarnation)
             : m_client(platform, m_blackboard.m_metrics)
             , m_allowance(m_blackboard, VmName(name),
                   { [](const auto&, const auto&) { return std::nullopt; }, [](const auto&, const auto&) {} },
--- a/test/limits/token_bucket_test.cc
+++ b/test/limits/token_bucket_test.cc
@@ -78,7 +78,8 @@
             if (id)
                 log.charge(*id, seconds, amount);
             else if (action % 3 == 1)
-                log.refund(action, [&](ChargeId charge) { return refund(bucket, charge, amount); });
+                log.refund(action,
+                    [&bucket, tokens = amount](ChargeId charge) { return refund(bucket, charge, tokens); });
         }
         RC_ASSERT(log.excess(rate.m_tokensPerSecond, rate.m_burstTokens) <= 1e-6);
     }
