--- a/src/routing/ownership_store.h
+++ b/src/routing/ownership_store.h
@@ -24,10 +24,12 @@
 
 auto readLeases(PlatformClient&) -> Result<std::vector<LeaseRecord>>;
 
-// Creates or renews the lease. Fails with `Conflict` when a later process of this VM holds it.
+// Creates or renews the lease. Fails with `Conflict` when it was ended, or a later process of this VM
+// holds it.
 auto renewLease(PlatformClient&, const LeaseRecord&) -> Result<void>;
 
-// Gives the lease back, which says that this process uses no upstream any more.
-auto removeLease(PlatformClient&, const VmName&) -> Result<void>;
+// Ends the lease for good, which says that the process uses no upstream any more. Does nothing when a later
+// process of the VM holds it.
+auto endLease(PlatformClient&, const NodeStart&) -> Result<void>;
 
 } // namespace marigoldladder
