--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,7 +16,6 @@
 #include "limits/share_controller.h"
 #include "limits/token_exchange.h"
 #include "ops/operator_server.h"
-#include "routing/load_budget.h"
 #include "routing/owner_client.h"
 #include "routing/ownership_controller.h"
 #include "serving/address_answer.h"
@@ -35,7 +34,6 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(100);
     constexpr auto notesPeriod = std::chrono::milliseconds(150);
-    constexpr auto fleetPeriod = std::chrono::milliseconds(500);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
     constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
@@ -82,13 +80,12 @@
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
-        m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
         m_membersTask.emplace("members", platformPeriod,
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
-        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { followOwnership(); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { m_ownership.refresh(); });
         m_claimTask.emplace("claims", claimCleaningPeriod, [this] { m_claims.removeExpired(); });
         m_gossipTask.emplace("gossip", gossipPeriod, [this] {
             joinWhenReady();
@@ -105,8 +102,6 @@
     auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
-    auto followFleet() -> void;
-    auto followOwnership() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -121,7 +116,6 @@
     PoisonWatch m_poison;
     Owner m_owner;
     OwnershipController m_ownership; // Used by the ownership task only.
-    LoadShareState m_loadShare; // Used by the ownership task only.
     OwnerClient m_owners;
     Allowance m_allowance;
     ShareController m_shares;
@@ -134,7 +128,6 @@
     std::optional<PeerServer> m_peers;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_notesTask;
-    std::optional<PeriodicTask> m_fleetTask;
     MembershipState m_membershipState; // Each state is used by the task below it only.
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
@@ -203,7 +196,7 @@
     if (!mayJoin())
         return;
     changeOwnState(MemberState::Alive);
-    m_fleetTask->wake(); // Now this node counts where upstreams are assigned.
+    m_ownershipTask->wake(); // Now this node counts where upstreams are assigned.
     logChange("joined");
 }
 
@@ -241,15 +234,6 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followFleet() -> void
-{
-}
-
-auto Node::Implementation::followOwnership() -> void
-{
-    refreshLoadShare(m_blackboard, m_settings.m_weightStore, m_settings.m_vm, m_loadShare);
-    m_ownership.refresh();
-}
 
 auto Node::Implementation::handlePeer(
     const std::shared_ptr<PeerConnection>& connection, wire::EnvelopeT& envelope) -> void
--- a/src/routing/ownership.h
+++ b/src/routing/ownership.h
@@ -38,6 +38,7 @@
     NodeStart m_holder;
     std::chrono::milliseconds m_duration {};
     std::uint64_t m_version = 0; // Changes with each renewal.
+    bool m_ended = false; // The process is known to use no upstream any more.
 };
 
 // A lease with the time, on this node's clock, since which it was seen unchanged.
@@ -66,11 +67,11 @@
     MonotonicTime seenAt) -> ObservedLeases;
 
 // Whether a read proves that the node renewed nothing for its lease's duration and the margin, or that it
-// gave its lease back. An outage of the platform proves nothing.
+// ended its lease. An outage of the platform proves nothing.
 auto hasLapsed(const ObservedLeases&, const VmName&) -> bool;
 
-// Whether the process may still use upstreams or give them orders. It may not once it gave its lease
-// back, its VM runs a later process, or its VM is gone.
+// Whether the process may still use upstreams or give them orders. It may not once its lease
+// was ended, its VM runs a later process, or its VM is gone.
 auto mayStillRun(const ObservedLeases&, const Membership&, const NodeStart&) -> bool;
 
 // What one node knows when it decides about ownership.
--- a/src/serving/request_runner.h
+++ b/src/serving/request_runner.h
@@ -26,6 +26,7 @@
 
 private:
     RetryBudget m_retries;
+    UpstreamChooser m_chooser;
     AnswerServices m_services;
 };
 
