--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -37,17 +37,12 @@
                      0 for any number [default: 0].
 )";
 
-    struct EngineSettings {
-        EngineAdapterSettings m_adapters;
-        EngineCompletionSettings m_completions;
-    };
-
     class FakeEngine {
     public:
-        explicit FakeEngine(EngineSettings settings)
-            : m_adapters(settings.m_adapters)
+        FakeEngine(const EngineAdapterSettings& adapters, EngineCompletionSettings completions)
+            : m_adapters(adapters)
             , m_completions(
-                  settings.m_completions, [this](const auto& model) { return m_adapters.acquire(model); },
+                  std::move(completions), [this](const auto& model) { return m_adapters.acquire(model); },
                   [this](const auto& model) { m_adapters.release(model); })
         {
         }
@@ -80,17 +75,18 @@
     using namespace marigoldladder;
     const auto arguments = docopt::docopt(fakes::usage, { argv + 1, argv + argc });
     const auto address = parseAddress(arguments.at("--address").asString());
-    auto settings = fakes::EngineSettings();
-    settings.m_adapters.m_slots = static_cast<std::size_t>(arguments.at("--slots").asLong());
-    settings.m_adapters.m_loadTime = std::chrono::milliseconds(arguments.at("--load-ms").asLong());
-    settings.m_completions.m_tokenTime = std::chrono::milliseconds(arguments.at("--token-ms").asLong());
-    settings.m_completions.m_slots = static_cast<std::size_t>(arguments.at("--running").asLong());
-    settings.m_completions.m_coldSlots = static_cast<std::size_t>(arguments.at("--cold").asLong());
-    settings.m_completions.m_bootId = randomHex(8);
-    settings.m_adapters.m_checkFencing = arguments.at("--check-fencing").asBool();
+    auto adapters = fakes::EngineAdapterSettings();
+    adapters.m_slots = static_cast<std::size_t>(arguments.at("--slots").asLong());
+    adapters.m_loadTime = std::chrono::milliseconds(arguments.at("--load-ms").asLong());
+    adapters.m_checkFencing = arguments.at("--check-fencing").asBool();
+    auto completions = fakes::EngineCompletionSettings();
+    completions.m_tokenTime = std::chrono::milliseconds(arguments.at("--token-ms").asLong());
+    completions.m_slots = static_cast<std::size_t>(arguments.at("--running").asLong());
+    completions.m_coldSlots = static_cast<std::size_t>(arguments.at("--cold").asLong());
+    completions.m_bootId = randomHex(8);
     auto server = StreamServer();
     fakes::configureFakeServer(server);
-    auto engine = fakes::FakeEngine(settings);
+    auto engine = fakes::FakeEngine(adapters, completions);
     engine.addRoutes(server);
     return address ? fakes::serveUntilKilled(server, *address) : 2;
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include "fleet/discovery_controller.h"
 #include "fleet/drain.h"
 #include "fleet/gossip.h"
+#include "fleet/member_merge.h"
 #include "fleet/membership_controller.h"
 #include "fleet/note_spreader.h"
 #include "fleet/peer_links.h"
@@ -21,6 +22,7 @@
 #include "serving/caller_server.h"
 #include "wire/peer_server.h"
 
+#include <algorithm>
 #include <random>
 #include <stdexcept>
 #include <thread>
@@ -32,11 +34,11 @@
 
     constexpr auto configurationPeriod = std::chrono::milliseconds(100);
     constexpr auto notesPeriod = std::chrono::milliseconds(150);
-    constexpr auto fleetPeriod = std::chrono::milliseconds(500);
-    constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
-    constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
     constexpr auto platformPeriod = std::chrono::milliseconds(50);
     constexpr auto sharePeriod = std::chrono::milliseconds(100);
+    constexpr auto ownershipPeriod = std::chrono::milliseconds(250);
+    constexpr auto leaveTimeout = std::chrono::milliseconds(2000);
+    constexpr auto claimCleaningPeriod = std::chrono::milliseconds(10'000);
     constexpr auto drainPoll = std::chrono::milliseconds(20);
 
     auto listenOrThrow(const Address& address) -> Socket
@@ -68,31 +70,38 @@
               m_blackboard, m_settings.m_vm, makeTokenTransport(m_links), std::chrono::steady_clock::now)
         , m_shares(m_blackboard, m_platform, m_allowance, m_settings.m_vm, m_identity.m_incarnation)
         , m_runner(m_blackboard, m_owners, m_poison)
-        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_platform)
+        , m_claims(m_blackboard, m_platform, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now)
+        , m_keyed(m_blackboard, m_links, m_allowance, m_claims, { m_settings.m_vm, m_identity.m_incarnation },
+              std::chrono::system_clock::now, makeKeyedDispatch(m_runner))
+        , m_callers(m_settings, m_blackboard, m_allowance, m_runner, m_keyed)
         , m_operators(m_settings, m_blackboard, m_log, m_notes)
     {
         startPeerServer();
         m_configurationTask.emplace("configuration", configurationPeriod, [this] { followConfiguration(); });
         m_notesTask.emplace("notes", notesPeriod, [this] { spreadNotes(); });
-        m_fleetTask.emplace("fleet", fleetPeriod, [this] { followFleet(); });
-        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { m_ownership.refresh(); });
         m_membersTask.emplace("members", platformPeriod,
             [this] { followMembers(m_blackboard, m_platform, m_settings.m_vm, m_membershipState); });
         m_discoveryTask.emplace("discovery", platformPeriod,
             [this] { followVms(m_blackboard, m_platform, m_settings.m_vm, m_discoveryState); });
         m_shareTask.emplace("shares", sharePeriod, [this] { m_shares.step(); });
-        m_gossipTask.emplace("gossip", gossipPeriod,
-            [this] { gossipRound(m_blackboard, m_links, m_settings, m_gossipState); });
+        m_ownershipTask.emplace("ownership", ownershipPeriod, [this] { m_ownership.refresh(); });
+        m_claimTask.emplace("claims", claimCleaningPeriod, [this] { m_claims.removeExpired(); });
+        m_gossipTask.emplace("gossip", gossipPeriod, [this] {
+            joinWhenReady();
+            gossipRound(m_blackboard, m_links, m_settings, m_gossipState);
+        });
     }
 
     auto startPeerServer() -> void;
     auto addOwnMember() -> void;
+    auto mayJoin() const -> bool;
+    auto joinWhenReady() -> void;
     auto changeOwnState(MemberState) -> Member;
     auto observeDrain(MonotonicTime begun, MonotonicTime& busyAt) -> DrainObservation;
     auto sayGoodbye() -> void;
     auto followConfiguration() -> void;
     auto spreadNotes() -> void;
-    auto followFleet() -> void;
     auto handlePeer(const std::shared_ptr<PeerConnection>&, wire::EnvelopeT&) -> void;
 
     NodeSettings m_settings;
@@ -111,19 +120,21 @@
     Allowance m_allowance;
     ShareController m_shares;
     RequestRunner m_runner;
+    KeyedClaims m_claims;
+    KeyedService m_keyed;
     CallerServer m_callers;
     OperatorServer m_operators;
     NodeAddresses m_addresses;
     std::optional<PeerServer> m_peers;
     std::optional<PeriodicTask> m_configurationTask;
     std::optional<PeriodicTask> m_notesTask;
-    std::optional<PeriodicTask> m_fleetTask;
-    std::optional<PeriodicTask> m_ownershipTask;
     MembershipState m_membershipState; // Each state is used by the task below it only.
     std::optional<PeriodicTask> m_membersTask;
     DiscoveryState m_discoveryState;
     std::optional<PeriodicTask> m_discoveryTask;
     std::optional<PeriodicTask> m_shareTask;
+    std::optional<PeriodicTask> m_ownershipTask;
+    std::optional<PeriodicTask> m_claimTask;
     GossipState m_gossipState;
     std::optional<PeriodicTask> m_gossipTask;
 };
@@ -154,11 +165,41 @@
     self.m_peerAddress = m_settings.m_advertisedPeerAddress;
     if (self.m_peerAddress.m_port == 0)
         self.m_peerAddress = m_addresses.m_peer;
+    self.m_state = MemberState::Joining;
     self.m_heardAt = std::chrono::steady_clock::now();
     self.m_changedAt = self.m_heardAt;
     m_blackboard.m_membership.write([&](Membership& value) { value.m_members[self.m_vm] = self; });
 }
 
+// Whether this node, which is joining, has learnt what it needs to serve, so that it may be named to callers.
+auto Node::Implementation::mayJoin() const -> bool
+{
+    const auto joining = m_blackboard.m_membership.read([&](const Membership& value) {
+        return value.m_members.at(m_settings.m_vm).m_state == MemberState::Joining;
+    });
+    if (!joining || !m_blackboard.m_health.copy().m_configured)
+        return false;
+    const auto upstreams = m_blackboard.m_upstreams.read([](const UpstreamTable& table) {
+        return table.m_known ? std::optional(table.m_upstreams.size()) : std::nullopt;
+    });
+    const auto assigned = m_blackboard.m_assignments.read([](const AssignmentTable& table) {
+        return std::count_if(table.m_assignments.begin(), table.m_assignments.end(),
+            [](const auto& entry) { return !entry.second.m_owner.empty(); });
+    });
+    const auto alone = m_blackboard.m_membership.read(
+        [&](const Membership& value) { return !hasHeardOfPeers(value, m_settings.m_vm); });
+    return upstreams && (alone || static_cast<std::size_t>(assigned) >= *upstreams);
+}
+
+auto Node::Implementation::joinWhenReady() -> void
+{
+    if (!mayJoin())
+        return;
+    changeOwnState(MemberState::Alive);
+    m_ownershipTask->wake(); // Now this node counts where upstreams are assigned.
+    logChange("joined");
+}
+
 // Changes this node's own state so that it outweighs all that was told of it before; returns the record.
 auto Node::Implementation::changeOwnState(MemberState state) -> Member
 {
@@ -193,8 +234,6 @@
     m_blackboard.m_health.write([&](NodeHealth& health) { health.m_configured = complete; });
 }
 
-auto Node::Implementation::followFleet() -> void { }
-
 auto Node::Implementation::handlePeer(
     const std::shared_ptr<PeerConnection>& connection, wire::EnvelopeT& envelope) -> void
 {
@@ -202,6 +241,9 @@
     case wire::Body::ServeRequest:
         handleServeRequest(m_owner, connection, envelope);
         break;
+    case wire::Body::KeyedCall:
+        m_keyed.handleKeyedCall(connection, envelope);
+        break;
     case wire::Body::TokenRequest:
         handleTokenRequest(m_allowance, connection, envelope);
         break;
@@ -280,17 +322,13 @@
     auto random = std::mt19937_64(std::random_device()());
     announceSelf(node.m_blackboard, node.m_links, node.m_settings.m_vm, random);
     auto busyAt = begun;
-    auto step = DrainStep::ServeOn;
-    while (step != DrainStep::Leave && std::chrono::steady_clock::now() < begun + atMost) {
-        step = drainStep(node.observeDrain(begun, busyAt), addressTimeToLive);
-        if (step == DrainStep::CloseListener)
-            node.m_callers.closeListener();
+    while (!mayLeave(node.observeDrain(begun, busyAt), addressTimeToLive)
+        && std::chrono::steady_clock::now() < begun + atMost)
         std::this_thread::sleep_for(drainPoll);
-    }
     node.m_ownershipTask.reset();
     node.m_ownership.leave(leaveTimeout);
-    node.sayGoodbye();
     (void)node.m_shares.release();
+    node.sayGoodbye();
     logChange("drained");
 }
 
--- a/src/ops/operator_server.cc
+++ b/src/ops/operator_server.cc
@@ -2,7 +2,7 @@
 
 #include "core/log.h"
 #include "core/posix_thread.h"
-#include "core/secret_digest.h"
+#include "ops/operator_auth.h"
 
 #include <algorithm>
 #include <charconv>
@@ -18,14 +18,13 @@
     constexpr auto operatorThreads = std::size_t { 16 };
     constexpr auto maxNoteBytes = std::size_t { 16 } * 1024 * 1024;
     constexpr auto readTimeout = std::chrono::milliseconds(5000);
-    constexpr auto bearerPrefix = std::string_view("Bearer ");
     constexpr auto jsonType = "application/json";
     constexpr auto statusAccepted = 202;
     constexpr auto mostLogEntries = std::uint64_t { 1000 };
 
-    auto nowAsText() -> std::string
+    // Returns a time in UTC as ISO 8601.
+    auto timeAsText(std::time_t now) -> std::string
     {
-        const auto now = std::time(nullptr);
         auto parts = std::tm {};
         gmtime_r(&now, &parts);
         auto text = std::array<char, 32> {};
@@ -79,6 +78,20 @@
         return json;
     }
 
+    auto describeRecord(const RequestRecord& record) -> nlohmann::json
+    {
+        auto json = nlohmann::json { { "request_id", record.m_id.value() },
+            { "ended_at", timeAsText(std::chrono::system_clock::to_time_t(record.m_endedAt)) },
+            { "organisation", record.m_organisation.value() }, { "target", record.m_target },
+            { "upstream", record.m_upstream.value() }, { "completed", !record.m_failure } };
+        if (record.m_failure) {
+            json["type"] = nameOf(failureTypeNames, record.m_failure->m_type);
+            json["verdict"] = nameOf(verdictNames, record.m_failure->m_verdict);
+            json["message"] = record.m_failure->m_message;
+        }
+        return json;
+    }
+
     // Reads a whole number from the query; the fallback when it is missing or none.
     auto queryNumber(const httplib::Request& request, const char* name, std::uint64_t fallback)
         -> std::uint64_t
@@ -97,6 +110,7 @@
         : m_settings(settings)
         , m_blackboard(blackboard)
         , m_log(log)
+        , m_authenticator(settings)
         , m_acceptance(blackboard, log, spreader)
     {
     }
@@ -106,16 +120,18 @@
         = auto(Implementation::*)(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
 
     auto listen() -> void;
-    auto authenticated(const httplib::Request&) const -> const OperatorGrant*;
+    auto answerChallengeRequest(const httplib::Request&, httplib::Response&) const -> void;
     auto guarded(Handler) -> httplib::Server::Handler;
     auto applyNote(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto answerLog(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
+    auto answerRequest(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto answerStatus(const OperatorGrant&, const httplib::Request&, httplib::Response&) -> void;
     auto describeConfiguration() const -> nlohmann::json;
 
     const NodeSettings& m_settings;
     Blackboard& m_blackboard;
     ReleaseLog& m_log;
+    OperatorAuthenticator m_authenticator;
     NoteAcceptance m_acceptance;
     httplib::Server m_server;
     int m_port = 0;
@@ -126,7 +142,9 @@
 auto OperatorServer::Implementation::guarded(Handler handler) -> httplib::Server::Handler
 {
     return [this, handler](const httplib::Request& request, httplib::Response& response) {
-        if (const auto* grant = authenticated(request)) {
+        const auto call = ProvenCall { request.method, request.target, request.body };
+        const auto* grant = m_authenticator.authenticate(request.get_header_value("Authorization"), call);
+        if (grant) {
             (this->*handler)(*grant, request, response);
             return;
         }
@@ -142,8 +160,11 @@
     m_server.set_tcp_nodelay(true);
     m_server.set_payload_max_length(maxNoteBytes);
     m_server.set_read_timeout(readTimeout);
+    m_server.Get("/v1/challenge",
+        [this](const auto& request, auto& response) { answerChallengeRequest(request, response); });
     m_server.Post("/v1/notes", guarded(&Implementation::applyNote));
     m_server.Get("/v1/notes", guarded(&Implementation::answerLog));
+    m_server.Get("/v1/requests/([0-9a-zA-Z-]+)", guarded(&Implementation::answerRequest));
     m_server.Get("/v1/status", guarded(&Implementation::answerStatus));
     const auto& address = m_settings.m_operatorAddress;
     if (address.m_port == 0)
@@ -155,23 +176,12 @@
     m_thread = PosixThread("operator-accept", [this] { m_server.listen_after_bind(); });
 }
 
-auto OperatorServer::Implementation::authenticated(const httplib::Request& request) const
-    -> const OperatorGrant*
+auto OperatorServer::Implementation::answerChallengeRequest(
+    const httplib::Request& request, httplib::Response& response) const -> void
 {
-    const auto header = request.get_header_value("Authorization");
-    if (!header.starts_with(bearerPrefix))
-        return nullptr;
-    const auto credential = std::string_view(header).substr(bearerPrefix.size());
-    const auto stop = credential.find('.');
-    if (stop == std::string_view::npos)
-        return nullptr;
-    for (const auto& grant : m_settings.m_operators) {
-        const auto digest = saltedDigest(grant.m_salt, credential.substr(stop + 1));
-        if (grant.m_name == credential.substr(0, stop)
-            && equalInConstantTime(digest, grant.m_credentialDigest))
-            return &grant;
-    }
-    return nullptr;
+    const auto challenge = m_authenticator.challenge(request.get_param_value("name"));
+    const auto json = nlohmann::json { { "salt", challenge.m_salt }, { "nonce", challenge.m_nonce } };
+    response.set_content(json.dump(), jsonType);
 }
 
 auto OperatorServer::Implementation::applyNote(
@@ -185,7 +195,7 @@
     auto& note = parsed.value();
     note.m_author = grant.m_name;
     note.m_office = grant.m_office;
-    note.m_acceptedAt = nowAsText();
+    note.m_acceptedAt = timeAsText(std::time(nullptr));
     const auto receipt = m_acceptance.accept(note);
     logChange("note_handled",
         { { "note_id", note.m_id.value() }, { "author", note.m_author }, { "office", note.m_office },
@@ -214,6 +224,18 @@
     response.set_content(json.dump(), jsonType);
 }
 
+auto OperatorServer::Implementation::answerRequest(
+    const OperatorGrant&, const httplib::Request& request, httplib::Response& response) -> void
+{
+    const auto id = RequestId(request.matches[1].str());
+    const auto records = m_blackboard.m_requests.read(
+        [&](const RequestJournal& journal) { return findRecords(journal, id); });
+    auto json = nlohmann::json { { "vm", m_settings.m_vm.value() }, { "records", nlohmann::json::array() } };
+    for (const auto& record : records)
+        json["records"].push_back(describeRecord(record));
+    response.set_content(json.dump(), jsonType);
+}
+
 auto OperatorServer::Implementation::describeConfiguration() const -> nlohmann::json
 {
     return m_blackboard.m_configuration.read([](const Configuration& value) {
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -33,8 +33,23 @@
         return &found->second;
     }
 
+    // A node without a configuration knows no key and no route, so what it found missing says nothing.
+    auto refusalOf(const Blackboard& blackboard, const Failure& found) -> Failure
+    {
+        const auto complete
+            = blackboard.m_configuration.read([](const Configuration& value) { return value.m_complete; });
+        return complete ? found
+                        : notRun(FailureType::Unavailable, "this node has no configuration yet; ask another");
+    }
+
 } // namespace
 
+auto serviceFingerprint(const std::string& method, const std::string& path, const std::string& body)
+    -> std::uint64_t
+{
+    return fingerprintOf(method + " " + path, body);
+}
+
 Admission::Admission(Blackboard& blackboard, Allowance& allowance)
     : m_blackboard(blackboard)
     , m_allowance(allowance)
@@ -63,7 +78,7 @@
               return boost::outcome_v2::success();
           });
     if (!checked)
-        return checked.error();
+        return refusalOf(m_blackboard, checked.error());
     call.m_requestId = makeRequestId();
     call.m_adapter = parsed.value().m_adapter;
     call.m_method = request.m_method;
@@ -102,17 +117,17 @@
               return boost::outcome_v2::success();
           });
     if (!checked)
-        return checked.error();
+        return refusalOf(m_blackboard, checked.error());
     call.m_requestId = makeRequestId();
     call.m_method = request.m_method;
     call.m_path = path;
     call.m_contentType = request.m_contentType;
     call.m_body = request.m_body;
     call.m_idempotencyKey = IdempotencyKey(request.m_idempotencyKey);
-    call.m_fingerprint = fingerprintOf(call.m_method + " " + call.m_path, call.m_body);
+    call.m_fingerprint = serviceFingerprint(call.m_method, call.m_path, call.m_body);
     if (!call.m_idempotent && call.m_idempotencyKey.empty())
         return notRun(FailureType::BadRequest, "this route needs the header Idempotency-Key");
-    return charge(std::move(admitted));
+    return call.m_idempotent ? charge(std::move(admitted)) : Result<AdmittedCall>(std::move(admitted));
 }
 
 auto Admission::charge(AdmittedCall admitted) -> Result<AdmittedCall>
--- a/src/serving/caller_server.h
+++ b/src/serving/caller_server.h
@@ -3,7 +3,7 @@
 
 #include "fleet/peer_links.h"
 #include "limits/allowance.h"
-#include "platform/platform_client.h"
+#include "serving/keyed_service.h"
 #include "serving/request_runner.h"
 
 #include <memory>
@@ -13,7 +13,7 @@
 // Serves callers from construction until `stop`, one thread for each open connection.
 class CallerServer {
 public:
-    CallerServer(const NodeSettings&, Blackboard&, Allowance&, RequestRunner&, PlatformClient&);
+    CallerServer(const NodeSettings&, Blackboard&, Allowance&, RequestRunner&, KeyedService&);
     CallerServer(const CallerServer&) = delete;
     auto operator=(const CallerServer&) -> CallerServer& = delete;
     ~CallerServer();
@@ -24,9 +24,6 @@
     // Requests whose answers are not written to their end.
     auto openRequests() const -> std::size_t;
 
-    // Takes no new connections; those there are get their answers and are closed after the next one.
-    auto closeListener() -> void;
-
     // Closes the listener and waits for the requests being served.
     auto stop() -> void;
 
--- a/test/serving/address_answer_test.cc
+++ b/test/serving/address_answer_test.cc
@@ -111,8 +111,8 @@
 
     TEST(AddressAnswerTest, TellsEachNodesKeyPrefixAndTheTimeToLive)
     {
-        const auto text = formatAddressAnswer(ask(makeMembership(1, 1), "aare"));
-        EXPECT_NE(text.find("\"key_prefix\":\"vm-0.7.\""), std::string::npos) << text;
+        const auto text = formatAddressAnswer(ask(makeMembership(1, 1), "aare"), KeyEpoch { 3 });
+        EXPECT_NE(text.find("\"key_prefix\":\"vm-0.7.e3.\""), std::string::npos) << text;
         EXPECT_NE(text.find("\"ttl_ms\":2000"), std::string::npos) << text;
     }
 
