--- a/src/core/blackboard.h
+++ b/src/core/blackboard.h
@@ -133,12 +133,6 @@
     std::vector<VmName> m_slots; // The holder of each slot (limits/share_slots.h); empty: not known yet.
 };
 
-// How many adapters this node may load.
-struct LoadShare {
-    double m_loadsPerSecond = 0;
-    std::size_t m_inFlight = 0;
-};
-
 // The newest release notes as JSON texts, for peers that are behind.
 struct NoteHistory {
     Revision m_first = 1; // The revision of the first text.
@@ -146,6 +140,12 @@
     std::size_t m_bytes = 0;
 };
 
+// How many adapters this node may load.
+struct LoadShare {
+    double m_loadsPerSecond = 0;
+    std::size_t m_inFlight = 0;
+};
+
 // How this node itself is doing.
 struct NodeHealth {
     bool m_configured = false; // A configuration is in force; until then nothing is served.
