Mend lint findings in the load budget, the placement benchmark and the ownership tests

Cause: clang-tidy named a possible division by zero without engines, floating loop counters and a copied parameter.

After: no behaviour changed; no engines now give no share.

--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -82,12 +82,15 @@
     auto gap = std::exponential_distribution<double>(requestsPerSecond);
     auto trace = std::vector<TraceRequest>();
     auto nextShift = shiftSeconds;
-    for (auto at = gap(random); at < traceSeconds; at += gap(random)) {
-        for (; at >= nextShift; nextShift += shiftSeconds) {
+    auto at = gap(random);
+    while (at < traceSeconds) {
+        while (at >= nextShift) {
+            nextShift += shiftSeconds;
             for (auto i = 0; i < static_cast<int>(shiftedShare * adapters); ++i)
                 std::swap(byRank[random() % adapters], byRank[random() % adapters]);
         }
         trace.push_back({ at, byRank[rankOf(random)] });
+        at += gap(random);
     }
     return trace;
 }
--- a/src/routing/load_budget.cc
+++ b/src/routing/load_budget.cc
@@ -41,6 +41,8 @@
     auto engines = std::size_t { 0 };
     for (const auto& [owner, count] : counts)
         engines += count;
+    if (engines == 0)
+        return {};
     auto share = LoadShare();
     share.m_loadsPerSecond
         = limits.m_loadsPerSecond * static_cast<double>(own->second) / static_cast<double>(engines);
--- a/test/system/ownership_test.cc
+++ b/test/system/ownership_test.cc
@@ -71,7 +71,7 @@
                 orders.begin(), orders.end(), [](const auto& order) { return order["order"] == "evict"; }));
         }
 
-        auto trafficAt(std::vector<std::size_t> nodes) -> TrafficPlan
+        auto trafficAt(const std::vector<std::size_t>& nodes) -> TrafficPlan
         {
             auto plan = TrafficPlan();
             for (const auto node : nodes)
