--- a/src/routing/load_budget.cc
+++ b/src/routing/load_budget.cc
@@ -38,6 +38,8 @@
     auto engines = std::size_t { 0 };
     for (const auto& [owner, count] : counts)
         engines += count;
+    if (engines == 0)
+        return {};
     auto share = LoadShare();
     share.m_inFlight = 1 + extraLoadsOf(limits.m_maxInFlight - counts.size(), counts, engines, vm);
     return share;
