Wait out a change of owners, and let an owner's refusal arrive before the deadline

Cause: an entry that asked a node which had just let an upstream go retried on the common budget and gave up after six tries; and a call still queued at its deadline was refused by the entry as may_have_run, because the owner's proof was due at the same moment.

What changed: a change of owners has a failure type of its own, retried on the same upstream after 150 ms and without charge, as it costs no upstream anything; the owner's deadline ends 200 ms before the entry's.

--- a/include/marigoldladder/verdict.h
+++ b/include/marigoldladder/verdict.h
@@ -36,6 +36,7 @@
     AllowanceExceeded,
     Overloaded,
     Unavailable,
+    NotOwner, // The upstream passes from one owner to the next just now.
     UpstreamFailed,
     DeadlineExceeded,
     Internal,
@@ -50,6 +51,7 @@
     EnumName<FailureType> { FailureType::AllowanceExceeded, "allowance_exceeded" },
     EnumName<FailureType> { FailureType::Overloaded, "overloaded" },
     EnumName<FailureType> { FailureType::Unavailable, "unavailable" },
+    EnumName<FailureType> { FailureType::NotOwner, "owner_changing" },
     EnumName<FailureType> { FailureType::UpstreamFailed, "upstream_failed" },
     EnumName<FailureType> { FailureType::DeadlineExceeded, "deadline_exceeded" },
     EnumName<FailureType> { FailureType::Internal, "internal" },
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -21,6 +21,7 @@
         return 429;
     case FailureType::Overloaded:
     case FailureType::Unavailable:
+    case FailureType::NotOwner:
         return 503;
     case FailureType::UpstreamFailed:
         return 502;
--- a/src/limits/load_permit.cc
+++ b/src/limits/load_permit.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // A burst of one load would have to be gathered whole from all holders, and fail if one gave a bit less.
+    constexpr auto leastBurst = 2.0;
+
     constexpr auto shortestWait = std::chrono::milliseconds(20);
     constexpr auto longestWait = std::chrono::milliseconds(250);
 
@@ -21,7 +24,8 @@
     auto account = Organisation();
     account.m_name = weightStoreName();
     account.m_tokensPerSecond = limits.m_loadsPerSecond;
-    account.m_burstTokens = std::min(static_cast<double>(limits.m_maxInFlight), limits.m_loadsPerSecond);
+    const auto burst = std::min(static_cast<double>(limits.m_maxInFlight), limits.m_loadsPerSecond);
+    account.m_burstTokens = std::max(leastBurst, burst);
     return account;
 }
 
--- a/src/routing/adapter_manager.cc
+++ b/src/routing/adapter_manager.cc
@@ -29,10 +29,11 @@
         return result.error().m_verdict == Verdict::NotRun ? OrderOutcome::Refused : OrderOutcome::Unknown;
     }
 
-    auto failPin(AdapterPin& pin, const std::string& message) -> bool
+    auto failPin(AdapterPin& pin, const std::string& message, FailureType type = FailureType::Unavailable)
+        -> bool
     {
         pin.m_state = PinState::Failed;
-        pin.m_failure = notRun(FailureType::Unavailable, message);
+        pin.m_failure = notRun(type, message);
         return true;
     }
 
@@ -108,7 +109,7 @@
         auto& engine = engineOf(upstream);
         const auto assignment = assignmentOf(upstream);
         if (engine.m_closed || !assignment.m_servedHere)
-            failPin(*pin, "this node is not owner of the upstream");
+            failPin(*pin, "this node is not owner of the upstream", FailureType::NotOwner);
         else
             engine.m_waiting.push_back(pin);
         advance(engine);
--- a/src/routing/owner_client.cc
+++ b/src/routing/owner_client.cc
@@ -32,7 +32,7 @@
         return found == table.m_assignments.end() ? VmName() : found->second.m_owner;
     });
     if (owner.empty())
-        return notRun(FailureType::Unavailable, "no node owns the upstream " + call.m_upstream.value());
+        return notRun(FailureType::NotOwner, "no node owns the upstream " + call.m_upstream.value());
     if (owner == m_self)
         return startHere(call);
     return startAt(owner, call);
--- a/src/serving/stream_answer.cc
+++ b/src/serving/stream_answer.cc
@@ -12,6 +12,11 @@
     constexpr auto maxTriesUnanswered = std::uint32_t { 6 }; // Before the answer began.
     constexpr auto maxTries = std::uint32_t { 40 };
     constexpr auto firstPause = std::chrono::milliseconds(20); // Once all upstreams have been tried.
+    // An owner refuses a queued call this much before the deadline, so that its proof that nothing ran
+    // reaches the caller in time.
+    constexpr auto refusalTravel = std::chrono::milliseconds(200);
+    constexpr auto shortestDeadline = std::chrono::milliseconds(1);
+    constexpr auto handOverPause = std::chrono::milliseconds(150); // Until the next owner is known.
     constexpr auto longestPause = std::chrono::milliseconds(500);
 
     auto now() -> MonotonicTime
@@ -108,7 +113,8 @@
             m_headPassed ? Counter::StreamsResumed : Counter::RequestsRetried);
     m_call.m_upstream = upstream;
     m_call.m_attempt = m_tries++;
-    m_call.m_deadline = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    m_call.m_deadline = std::max(shortestDeadline, left - refusalTravel);
     auto started = m_services.m_owners.start(m_call);
     if (started)
         m_try = std::move(started.value());
@@ -194,20 +200,24 @@
         return false;
     if (failure.m_verdict != Verdict::NotRun && !m_call.m_idempotent)
         return false;
-    // An answer that began is finished at any price: it was admitted once and would be cut.
-    if (m_headPassed)
+    // An answer that began is finished at any price: it was admitted once and would be cut. One that met
+    // a change of owners has cost no upstream anything.
+    if (m_headPassed || failure.m_type == FailureType::NotOwner)
         return m_tries < maxTries;
     return m_tries < maxTriesUnanswered && m_services.m_retries.takeRetry();
 }
 
 auto StreamAnswer::planNextTry(const Failure& failure) -> void
 {
+    const auto ownerChanges = failure.m_type == FailureType::NotOwner;
     const auto connectionLost = failure.m_type == FailureType::UpstreamFailed;
-    m_sameUpstream = connectionLost && m_triedTwice.insert(m_call.m_upstream).second;
-    if (m_sameUpstream)
+    m_sameUpstream = (connectionLost || ownerChanges) && m_triedTwice.insert(m_call.m_upstream).second;
+    if (m_sameUpstream) {
+        m_nextTryAt = now() + (ownerChanges ? handOverPause : std::chrono::milliseconds(0));
         return;
+    }
     m_failed.insert(m_call.m_upstream);
-    if (failure.m_verdict == Verdict::NotRun && !m_call.m_adapter.m_name.empty())
+    if (failure.m_verdict == Verdict::NotRun && !ownerChanges && !m_call.m_adapter.m_name.empty())
         m_services.m_chooser.noteRefusal(affinityKey(m_call), m_call.m_upstream);
     const auto doublings = std::min(m_tries, 6U);
     const auto pause = std::min(longestPause, firstPause * (1U << doublings));
