Let loads go on while more nodes own engines than may load

Cause: with more owners than loads in flight nobody got a share, so waiting requests kept every upstream in use and none could be handed over to the node that may load.

What changed: the first owners in name order get one load each until the others have handed over, and a node without a share fails its waiting wishes as a change of owners, which entries wait out.

Ruled out: failing waiting wishes at every hand-over, which would make a balanced fleet retry for nothing.

--- a/src/routing/adapter_manager.cc
+++ b/src/routing/adapter_manager.cc
@@ -142,11 +142,20 @@
     doubtAll(engineOf(upstream).m_slots);
 }
 
+auto AdapterManager::failWaitingPins(EngineState& engine) -> void
+{
+    for (const auto& pin : engine.m_waiting)
+        failPin(*pin, "this node may load nothing and hands the upstream over", FailureType::NotOwner);
+    engine.m_waiting.clear();
+}
+
 auto AdapterManager::close(const UpstreamName& upstream) -> bool
 {
     const auto lock = std::lock_guard(m_mutex);
     auto& engine = engineOf(upstream);
     engine.m_closed = true;
+    if (m_blackboard.m_loadShare.read([](const LoadShare& share) { return share.m_inFlight == 0; }))
+        failWaitingPins(engine); // They would wait here for loads that only the next owner can order.
     const auto& slots = engine.m_slots;
     const auto mayLandLate = std::any_of(slots.m_notBefore.begin(), slots.m_notBefore.end(),
         [](const auto& row) { return now() < row.second; });
--- a/src/routing/adapter_manager.h
+++ b/src/routing/adapter_manager.h
@@ -73,7 +73,8 @@
     // The engine may have restarted empty; its list decides.
     auto forgetAll(const UpstreamName&) -> void;
 
-    // From now on wishes for the upstream fail, until `open`. Returns whether nothing is left that uses it:
+    // From now on wishes for the upstream fail, until `open`; so do those that wait, if this node may load
+    // nothing. Returns whether nothing is left that uses it:
     // no pin, no waiting wish, no order running or possibly still on its way.
     auto close(const UpstreamName&) -> bool;
     auto open(const UpstreamName&) -> void;
@@ -84,6 +85,7 @@
     struct EngineState;
 
     auto engineOf(const UpstreamName&) -> EngineState&;
+    static auto failWaitingPins(EngineState&) -> void;
     auto release(const AdapterPin&) -> void;
     auto advance(EngineState&) -> void;
     auto advancePin(EngineState&, AdapterPin&) -> bool;
--- a/src/routing/load_budget.cc
+++ b/src/routing/load_budget.cc
@@ -33,8 +33,11 @@
 auto loadShareOf(const WeightStoreLimits& limits, const EngineCounts& counts, const VmName& vm) -> LoadShare
 {
     const auto own = counts.find(vm);
-    if (own == counts.end() || counts.size() > limits.m_maxInFlight)
+    if (own == counts.end())
         return {};
+    const auto rank = static_cast<std::size_t>(std::distance(counts.begin(), own));
+    if (counts.size() > limits.m_maxInFlight)
+        return { rank < limits.m_maxInFlight ? std::size_t { 1 } : 0 }; // Until the others hand over.
     auto engines = std::size_t { 0 };
     for (const auto& [owner, count] : counts)
         engines += count;
