--- a/fakes/load/caller.h
+++ b/fakes/load/caller.h
@@ -29,6 +29,7 @@
     auto sendCompletion(LoadRecord&) -> void;
     auto sendStream(LoadRecord&) -> void;
     auto sendService(LoadRecord&) -> void;
+    static auto takeLoss(httplib::Error, LoadRecord&) -> void;
     auto takeRefusal(const httplib::Response&, LoadRecord&) -> void;
     auto begin(RequestKind) -> LoadRecord;
     auto end(LoadRecord) -> void;
--- a/fakes/load/load_record.h
+++ b/fakes/load/load_record.h
@@ -31,6 +31,7 @@
     Refused, // An error answer with a verdict.
     Cut, // The answer broke off without the interface's error.
     Lost, // No answer at all.
+    Unconnected, // The address could not be connected to, so nothing was sent; another one is tried.
     Wrong, // Somebody else's answer, or tokens missing, doubled or changed.
 };
 
@@ -39,6 +40,7 @@
     EnumName<Outcome> { Outcome::Refused, "refused" },
     EnumName<Outcome> { Outcome::Cut, "cut" },
     EnumName<Outcome> { Outcome::Lost, "lost" },
+    EnumName<Outcome> { Outcome::Unconnected, "unconnected" },
     EnumName<Outcome> { Outcome::Wrong, "wrong" },
 };
 
--- a/fakes/load/load_summary.cc
+++ b/fakes/load/load_summary.cc
@@ -30,6 +30,9 @@
         case Outcome::Lost:
             ++summary.m_lost;
             break;
+        case Outcome::Unconnected:
+            ++summary.m_unconnected;
+            break;
         case Outcome::Wrong:
             ++summary.m_wrong;
             break;
--- a/fakes/load/load_summary.h
+++ b/fakes/load/load_summary.h
@@ -14,6 +14,7 @@
     std::map<std::string, std::size_t> m_refusedByVerdict;
     std::size_t m_cut = 0;
     std::size_t m_lost = 0;
+    std::size_t m_unconnected = 0;
     std::size_t m_wrong = 0;
     std::vector<double> m_firstTokenMs; // Sorted.
     std::vector<double> m_betweenTokensMs; // Sorted.
