--- a/bench/queue_bench.cc
+++ b/bench/queue_bench.cc
@@ -192,10 +192,11 @@
         return costs[decisions * 99 / 100];
     }
 
-    auto report(const char* name, double value, const char* unit, double bound) -> void
+    // The bound is the most allowed, or the least.
+    auto report(const char* name, double value, const char* unit, double bound, bool atLeast) -> void
     {
-        std::printf(
-            "{\"name\":\"%s\",\"value\":%.4f,\"unit\":\"%s\",\"bound\":%.2f}\n", name, value, unit, bound);
+        std::printf("{\"name\":\"%s\",\"value\":%.4f,\"unit\":\"%s\",\"bound\":%.2f,\"at_least\":%s}\n", name,
+            value, unit, bound, atLeast ? "true" : "false");
     }
 
 } // namespace
@@ -212,8 +213,8 @@
         fifo = std::min(fifo, worstServed(simulateFifo, seed));
     }
     const auto cost = decisionCost();
-    report("queue.worst_served.fair", fair, "ratio", worstServedBound);
-    report("queue.worst_served.fifo_baseline", fifo, "ratio", 0);
-    report("queue.decision_p99", cost, "us", decisionBoundMicroseconds);
+    report("queue.worst_served.fair", fair, "ratio", worstServedBound, true);
+    report("queue.worst_served.fifo_baseline", fifo, "ratio", 0, true);
+    report("queue.decision_p99", cost, "us", decisionBoundMicroseconds, false);
     return fair >= worstServedBound && cost <= decisionBoundMicroseconds ? 0 : 1;
 }
--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr auto serverThreads = std::size_t { 256 };
+    constexpr auto serverThreads = std::size_t { 96 };
     constexpr auto keepAliveRequests = std::size_t { 1'000'000 };
     constexpr auto keepAliveSeconds = 60;
 
