Give queued calls to no upstream that was taken out, and know a dead engine behind a proxy

What changed: the owner looks again when it starts a queued call and refuses it as not run, so the entry goes elsewhere; a probe dropped at once five times counts as nobody there.

Ruled out: passing such calls on from the owner, which would hide them from the entry's choice.

Conclusion: both were decisions taken once and not looked at again.

--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -287,6 +287,15 @@
     m_changed.notify_all();
 }
 
+// Whether the upstream is to get no new work, also not from calls that were queued before.
+auto Owner::isOutOfService(const Upstream& upstream) const -> bool
+{
+    const auto vm = VmName(upstream.m_name.value());
+    return upstream.m_leaving || m_blackboard.m_configuration.read([&](const Configuration& configuration) {
+        return isOut(configuration, vm, upstream.m_dataCentre);
+    });
+}
+
 auto Owner::runAdmitted(UpstreamState& state, PendingCall& pending) -> AnswerEnd
 {
     if (pending.m_control.cancelled())
@@ -302,6 +311,8 @@
     const auto upstream = findUpstream(pending.m_call.m_upstream);
     if (!upstream)
         return failedEnd(notRun(FailureType::Unavailable, "the upstream is gone"));
+    if (isOutOfService(*upstream))
+        return failedEnd(notRun(FailureType::Unavailable, "the upstream was taken out of service"));
     return runExchange(state, pending, *upstream);
 }
 
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -55,6 +55,7 @@
     struct UpstreamState;
     using PendingHandle = std::shared_ptr<PendingCall>;
 
+    auto isOutOfService(const Upstream&) const -> bool;
     auto findUpstream(const UpstreamName&) const -> std::optional<Upstream>;
     auto enterCall(const PendingHandle&) -> bool;
     auto enqueue(const PendingHandle&) -> void;
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -282,16 +282,20 @@
 
 auto probeUpstream(const Upstream& upstream) -> UpstreamProbe
 {
+    auto dropped = 0;
     for (auto probe = 0; probe < probeCount; ++probe) {
+        const auto begun = std::chrono::steady_clock::now();
         const auto answer = makeClient(upstream, probeTimeout).Get("/health");
         if (answer)
             return { false, answer->get_header_value("X-Engine-Boot") };
         if (answer.error() == httplib::Error::Connection)
             return { true, {} };
         // A process that is just ending may take a connection and drop it: ask again.
+        dropped += std::chrono::steady_clock::now() - begun < probeTimeout / 2 ? 1 : 0;
         std::this_thread::sleep_for(probePause);
     }
-    return {};
+    // Dropped each time: something on the way takes connections for an upstream that is not there.
+    return { dropped == probeCount, {} };
 }
 
 } // namespace marigoldladder
