Excuse a call whose node stayed frozen longer than its caller waited

What changed: the checker of whole answers excuses a call only while its node was still frozen when the caller gave up; one that ended after the node went on still counts, which a doctored record shows.

Ruled out: shorter freezes, which would deal the fault less often.

--- a/fakes/faults/checkers.cc
+++ b/fakes/faults/checkers.cc
@@ -218,6 +218,15 @@
         });
     }
 
+    // Whether the process that had the call was frozen when the caller's patience ended.
+    auto nodeStayedFrozen(const RunRecords& run, const LoadRecord& call) -> bool
+    {
+        const auto periods = periodsBetween(run, RunEventType::NodeFrozen, RunEventType::NodeResumed);
+        return std::any_of(periods.begin(), periods.end(), [&](const Period& period) {
+            return period.m_subject == call.m_node && overlaps(period, call.m_endedAtMs, call.m_endedAtMs);
+        });
+    }
+
     auto isBroken(const LoadRecord& call) -> bool
     {
         return call.m_outcome == Outcome::Cut || call.m_outcome == Outcome::Lost
@@ -228,7 +237,9 @@
     {
         return checkCalls(
             run, [](const auto&) { return true; },
-            [&](const auto& call) { return isBroken(call) && !nodeWasKilled(run, call); });
+            [&](const auto& call) {
+                return isBroken(call) && !nodeWasKilled(run, call) && !nodeStayedFrozen(run, call);
+            });
     }
 
     auto checkCrashingRequest(const RunRecords& run) -> CheckReport
--- a/test/faults/checkers_test.cc
+++ b/test/faults/checkers_test.cc
@@ -146,6 +146,16 @@
         EXPECT_EQ(checkPromise(9, run), CheckOutcome::Held);
     }
 
+    TEST(CheckersTest, ExcuseACallWhoseNodeStayedFrozenButNoneAfterItResumed)
+    {
+        auto run = goodRun();
+        run.m_calls[0].m_outcome = Outcome::Lost;
+        run.m_events = { { startMs - 10, RunEventType::NodeFrozen, run.m_calls[0].m_node, 0 } };
+        EXPECT_EQ(checkPromise(9, run), CheckOutcome::Held);
+        run.m_events.push_back({ startMs - 5, RunEventType::NodeResumed, run.m_calls[0].m_node, 0 });
+        EXPECT_EQ(checkPromise(9, run), CheckOutcome::Breached);
+    }
+
     TEST(CheckersTest, SeeAKeyThatRanThoughItWasSaidNotTo)
     {
         auto run = goodRun();
