--- a/src/routing/adapter_manager.cc
+++ b/src/routing/adapter_manager.cc
@@ -2,6 +2,7 @@
 
 #include "core/posix_thread.h"
 #include "routing/ownership.h"
+#include "routing/upstream_lookup.h"
 
 #include <algorithm>
 #include <thread>
@@ -66,14 +67,6 @@
     m_changed.wait(lock, [this] { return m_runningOrders == 0; });
 }
 
-auto AdapterManager::findUpstream(const UpstreamName& name) const -> std::optional<Upstream>
-{
-    return m_blackboard.m_upstreams.read([&](const UpstreamTable& table) {
-        const auto found = table.m_upstreams.find(name);
-        return found == table.m_upstreams.end() ? std::nullopt : std::optional(found->second);
-    });
-}
-
 auto AdapterManager::assignmentOf(const UpstreamName& name) const -> Assignment
 {
     return m_blackboard.m_assignments.read([&](const AssignmentTable& table) {
@@ -299,7 +292,7 @@
 auto AdapterManager::runLoad(EngineState& engine, const LoadedAdapter& adapter, FencingNumber fencing) -> void
 {
     const auto permitted = awaitPermit(engine.m_name);
-    const auto upstream = findUpstream(engine.m_name);
+    const auto upstream = findUpstream(m_blackboard, engine.m_name);
     const auto begun = now();
     const auto loaded = permitted && upstream
         ? m_orders.m_load(*upstream, adapter.m_ref, adapter.m_path, fencing,
@@ -331,7 +324,7 @@
 
 auto AdapterManager::runEviction(EngineState& engine, const AdapterRef& victim, FencingNumber fencing) -> void
 {
-    const auto upstream = findUpstream(engine.m_name);
+    const auto upstream = findUpstream(m_blackboard, engine.m_name);
     const auto guard = [&] {
         const auto assignment = assignmentOf(engine.m_name);
         return assignment.m_fencing == fencing && mayOrderEviction(assignment, now());
@@ -348,7 +341,7 @@
 
 auto AdapterManager::runList(EngineState& engine, FencingNumber fencing) -> void
 {
-    const auto upstream = findUpstream(engine.m_name);
+    const auto upstream = findUpstream(m_blackboard, engine.m_name);
     auto listed = std::optional<std::vector<LoadedAdapter>>();
     if (upstream && (!upstream->m_checksFencing || m_orders.m_raiseFencing(*upstream, fencing))) {
         if (auto list = m_orders.m_list(*upstream))
--- a/src/routing/adapter_manager.h
+++ b/src/routing/adapter_manager.h
@@ -100,7 +100,6 @@
     auto advanceAll() -> void;
     auto followAssignment(EngineState&, const Assignment&) -> void;
     auto markWithdrawnAdapters(EngineState&) const -> void;
-    auto findUpstream(const UpstreamName&) const -> std::optional<Upstream>;
     auto assignmentOf(const UpstreamName&) const -> Assignment;
     auto mayEvict(const UpstreamName&) const -> bool;
 
--- a/src/routing/owner.cc
+++ b/src/routing/owner.cc
@@ -2,6 +2,7 @@
 
 #include "core/posix_thread.h"
 #include "routing/owner_state.h"
+#include "routing/upstream_lookup.h"
 
 #include <utility>
 
@@ -70,14 +71,6 @@
     queued.clear();
 }
 
-auto Owner::findUpstream(const UpstreamName& name) const -> std::optional<Upstream>
-{
-    return m_blackboard.m_upstreams.read([&](const UpstreamTable& table) {
-        const auto found = table.m_upstreams.find(name);
-        return found == table.m_upstreams.end() ? std::nullopt : std::optional(found->second);
-    });
-}
-
 auto Owner::serve(ServeCall call, AnswerSink sink, WantedCheck wanted) -> void
 {
     auto pending = std::make_shared<PendingCall>();
@@ -308,7 +301,7 @@
         m_blackboard.m_metrics.add(Counter::PoisonRefusals);
         return failedEnd(poisonRefusal());
     }
-    const auto upstream = findUpstream(pending.m_call.m_upstream);
+    const auto upstream = findUpstream(m_blackboard, pending.m_call.m_upstream);
     if (!upstream)
         return failedEnd(notRun(FailureType::Unavailable, "the upstream is gone"));
     if (isOutOfService(*upstream))
--- a/src/routing/owner.h
+++ b/src/routing/owner.h
@@ -56,7 +56,6 @@
     using PendingHandle = std::shared_ptr<PendingCall>;
 
     auto isOutOfService(const Upstream&) const -> bool;
-    auto findUpstream(const UpstreamName&) const -> std::optional<Upstream>;
     auto enterCall(const PendingHandle&) -> bool;
     auto enqueue(const PendingHandle&) -> void;
     auto refuseQueued(const PendingHandle&, Failure) -> void;
