Note a data centre as back when its note is handed over

What changed: the event is written when the note is handed over. Taking out is still noted when accepted.

--- a/fakes/faults/fault_actions.cc
+++ b/fakes/faults/fault_actions.cc
@@ -247,10 +247,13 @@
 {
     const auto change = nlohmann::json { { out ? "put" : "withdraw", "drain" }, { "scope", "data_centre" },
         { "name", name } };
+    if (!out)
+        m_events.add(RunEventType::DataCentreIn, name); // In force before its answer comes back.
     for (auto node = std::size_t { 0 }; node < m_deployment.nodeCount(); ++node) {
         if (!applyNote(node, change))
             continue;
-        m_events.add(out ? RunEventType::DataCentreOut : RunEventType::DataCentreIn, name);
+        if (out)
+            m_events.add(RunEventType::DataCentreOut, name);
         return;
     }
 }
