--- a/test/system/resolve_test.cc
+++ b/test/system/resolve_test.cc
@@ -15,6 +15,8 @@
             EXPECT_TRUE(m_deployment.waitUntilServing());
             const auto applied = m_deployment.applyNote(0, basicNote(1));
             EXPECT_TRUE(applied && applied->status == 200) << "expected the note to be taken";
+            EXPECT_TRUE(m_deployment.waitUntilInForce(1, std::chrono::seconds(4)))
+                << "expected the note in force within 4 s";
             for (const auto node : { 0U, 1U }) {
                 EXPECT_TRUE(waitUntil(std::chrono::seconds(30), [&] {
                     const auto answer = book(node, "first-" + std::to_string(m_firstBookings++));
