--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -52,7 +52,7 @@
     auto context = boost::asio::io_context(1);
     auto storeClient
         = marigoldladder::relay::HttpClient(context.get_executor(), settings.value().m_storeAddress);
-    const auto deployment = marigoldladder::platform::makeDeployment(storeClient);
+    const auto deployment = marigoldladder::platform::makeDeployment(context.get_executor(), storeClient);
     auto node = marigoldladder::relay::RelayNode(context, settings.value(), deployment);
     return node.run();
 }
--- /dev/null
+++ b/src/relay/adapter_demand.cc
@@ -0,0 +1,52 @@
+#include "relay/adapter_demand.h"
+
+#include <cmath>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto demandMemory = 6.0; // Seconds after which a request counts for 1/e.
+    constexpr auto idleRate = 0.004; // Requests a second; about half a minute after a single request.
+
+} // namespace
+
+auto rateAt(const AdapterRate& rate, MonotonicTime now) -> double
+{
+    const auto age = std::chrono::duration<double>(now - rate.m_at).count();
+    return rate.m_rate * std::exp(-std::max(age, 0.0) / demandMemory);
+}
+
+auto noteAdapterRequest(AdapterRates& rates, const std::string& adapter, MonotonicTime now) -> void
+{
+    auto& rate = rates[adapter];
+    rate.m_rate = rateAt(rate, now) + 1.0 / demandMemory;
+    rate.m_at = now;
+}
+
+auto forgetIdleAdapters(AdapterRates& rates, MonotonicTime now) -> void
+{
+    std::erase_if(rates, [&](const auto& entry) {
+        return entry.second.m_waiting == 0 && rateAt(entry.second, now) < idleRate;
+    });
+}
+
+auto addUp(const FleetDemand& demand, MonotonicTime now) -> std::vector<AdapterWish>
+{
+    auto wishes = std::map<std::string, AdapterWish>();
+    for (const auto& [vm, rates] : demand.m_byNode) {
+        for (const auto& [adapter, rate] : rates) {
+            auto& wish = wishes[adapter];
+            wish.m_adapter = adapter;
+            wish.m_rate += rateAt(rate, now);
+            wish.m_waiting += rate.m_waiting;
+        }
+    }
+    auto list = std::vector<AdapterWish>();
+    list.reserve(wishes.size());
+    for (auto& [adapter, wish] : wishes)
+        list.push_back(std::move(wish));
+    return list;
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/adapter_demand.h
@@ -0,0 +1,45 @@
+// How often adapters are asked for, here and over the fleet.
+#pragma once
+
+#include "core/blackboard.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace marigoldladder::relay {
+
+// Requests for one adapter at one node, each counting less the longer it is ago.
+struct AdapterRate {
+    double m_rate = 0; // Requests a second.
+    MonotonicTime m_at {};
+    std::size_t m_waiting = 0; // Requests that wait for it now.
+};
+
+using AdapterRates = std::map<std::string, AdapterRate>; // By `model/adapter`.
+
+// Counts a request.
+auto noteAdapterRequest(AdapterRates&, const std::string& adapter, MonotonicTime now) -> void;
+
+// Returns the rate at a later time.
+auto rateAt(const AdapterRate&, MonotonicTime now) -> double;
+
+// Drops adapters that were not asked for lately.
+auto forgetIdleAdapters(AdapterRates&, MonotonicTime now) -> void;
+
+// What the whole fleet wants of an adapter.
+struct AdapterWish {
+    std::string m_adapter;
+    double m_rate = 0;
+    std::size_t m_waiting = 0;
+};
+
+// What each node told of its demand; the node that gives orders adds it up.
+struct FleetDemand {
+    std::map<VmName, AdapterRates> m_byNode;
+};
+
+auto addUp(const FleetDemand&, MonotonicTime now) -> std::vector<AdapterWish>;
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/adapter_plan.cc
@@ -0,0 +1,265 @@
+#include "relay/adapter_plan.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto loadTime = Milliseconds(250); // Of one adapter, while the weight store is not crowded.
+    constexpr auto loadMargin = Milliseconds(12); // In which the engine lists it.
+    constexpr auto loadsAtFullSpeed = std::size_t { 8 }; // Over all engines; more take longer in proportion.
+    constexpr auto loadsForCopies = std::size_t { 5 }; // What copies leave of that to adapters waited for.
+    constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
+    constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
+    constexpr auto rateForCopy = 0.35; // Requests a second for each copy that make one more worth a place.
+    constexpr auto idleRate = 0.02; // Requests a second below which an adapter makes room for others.
+
+    // One engine while orders are planned for it.
+    struct Engine {
+        UpstreamPointer m_upstream;
+        std::size_t m_places = 0;
+        std::set<std::string> m_held; // Loaded, loading, or perhaps loading.
+        std::size_t m_loading = 0;
+        double m_load = 0; // Requests a second that its adapters draw, each by its copies.
+        bool m_dropping = false; // An adapter is on its way out, so a place comes free.
+    };
+
+    class Planner {
+    public:
+        explicit Planner(const PlanInput& input)
+            : m_input(input)
+        {
+            for (const auto& wish : input.m_wishes)
+                m_wishes[wish.m_adapter] = &wish;
+            for (const auto& [name, upstream] : input.m_table->m_upstreams)
+                addEngine(upstream);
+            for (auto& engine : m_engines) {
+                for (const auto& adapter : engine.m_held)
+                    engine.m_load += rateOf(adapter) / static_cast<double>(m_copies[adapter]);
+            }
+        }
+
+        auto plan() -> std::vector<AdapterOrder>
+        {
+            planWaited();
+            planVersions();
+            planCopies();
+            return std::move(m_orders);
+        }
+
+    private:
+        auto rateOf(const std::string& adapter) const -> double
+        {
+            const auto found = m_wishes.find(adapter);
+            return found == m_wishes.end() ? 0.0 : found->second->m_rate;
+        }
+
+        auto newestVersion(const std::string& adapter) const -> std::uint64_t
+        {
+            const auto found = m_input.m_table->m_newestVersions.find(adapter);
+            return found == m_input.m_table->m_newestVersions.end() ? 0 : found->second;
+        }
+
+        auto addEngine(const UpstreamPointer& upstream) -> void
+        {
+            const auto pool = m_input.m_configuration->m_pools.find(upstream->m_record.m_pool);
+            if (pool == m_input.m_configuration->m_pools.end() || !pool->second.m_engine)
+                return;
+            if (upstream->m_gone || upstream->m_record.m_leaving)
+                return;
+            auto engine = Engine();
+            engine.m_upstream = upstream;
+            engine.m_places = pool->second.m_engine->m_adapterPlaces;
+            for (const auto& [adapter, presence] : upstream->m_adapters)
+                engine.m_held.insert(adapter);
+            const auto book = m_input.m_book->find(upstream.get());
+            if (book != m_input.m_book->end())
+                readBook(book->second, engine);
+            // A copy counts for what it can serve: not where no work goes, nor at an older version.
+            for (const auto& adapter : engine.m_held) {
+                const auto presence = upstream->m_adapters.find(adapter);
+                const auto outdated = presence != upstream->m_adapters.end()
+                    && presence->second.m_version < newestVersion(adapter);
+                const auto out = m_input.m_table->m_evacuated.contains(upstream->m_record.m_dataCentre)
+                    || upstream->m_health.m_avoidUntil > m_input.m_now;
+                if (!outdated && !out)
+                    ++m_copies[adapter];
+            }
+            m_loading += engine.m_loading;
+            m_engines.push_back(std::move(engine));
+        }
+
+        auto readBook(const EngineOrders& orders, Engine& engine) -> void
+        {
+            for (const auto& [adapter, until] : orders.m_loading) {
+                engine.m_held.insert(adapter);
+                engine.m_loading += until > m_input.m_now ? 1 : 0;
+            }
+            for (const auto& [adapter, until] : orders.m_doubtful) {
+                if (until > m_input.m_now)
+                    engine.m_held.insert(adapter);
+            }
+        }
+
+        auto takesOrders(const Engine& engine) const -> bool
+        {
+            const auto book = m_input.m_book->find(engine.m_upstream.get());
+            if (book != m_input.m_book->end() && book->second.m_avoidUntil > m_input.m_now)
+                return false;
+            return engine.m_loading < loadsAtOnce && engine.m_upstream->m_health.m_avoidUntil <= m_input.m_now
+                && !m_input.m_table->m_evacuated.contains(engine.m_upstream->m_record.m_dataCentre);
+        }
+
+        auto servesModel(const Engine& engine, const std::string& adapter) const -> bool
+        {
+            const auto model = adapter.substr(0, adapter.find('/'));
+            const auto& models = engine.m_upstream->m_record.m_models;
+            return std::find(models.begin(), models.end(), model) != models.end();
+        }
+
+        // Returns the engine that draws the least load among those with more than `reserved` free places.
+        auto engineFor(const std::string& adapter, std::size_t reserved) -> Engine*
+        {
+            auto* best = static_cast<Engine*>(nullptr);
+            for (auto& engine : m_engines) {
+                if (engine.m_held.size() + reserved >= engine.m_places || !takesOrders(engine)
+                    || engine.m_held.contains(adapter) || !servesModel(engine, adapter))
+                    continue;
+                const auto cost = engine.m_load + static_cast<double>(engine.m_loading);
+                if (!best || cost < best->m_load + static_cast<double>(best->m_loading))
+                    best = &engine;
+            }
+            return best;
+        }
+
+        auto orderLoad(Engine& engine, const std::string& adapter) -> void
+        {
+            m_orders.push_back(
+                { AdapterOrderKind::Load, engine.m_upstream, adapter, newestVersion(adapter) });
+            engine.m_held.insert(adapter);
+            ++engine.m_loading;
+            ++m_loading;
+            const auto copies = static_cast<double>(++m_copies[adapter]);
+            engine.m_load += rateOf(adapter) / copies;
+        }
+
+        // What keeping this adapter at this engine is worth: requests a second that would go elsewhere.
+        auto keepingValue(const Engine& engine, const std::string& adapter) const -> double
+        {
+            const auto copies = m_copies.find(adapter);
+            const auto others = copies == m_copies.end() ? 0.0 : static_cast<double>(copies->second) - 1;
+            const auto presence = engine.m_upstream->m_adapters.find(adapter);
+            if (presence == engine.m_upstream->m_adapters.end() || presence->second.m_readyAt > m_input.m_now)
+                return std::numeric_limits<double>::infinity();
+            constexpr auto lastCopyFactor = 4.0;
+            return others > 0 ? rateOf(adapter) / (others + 1) : rateOf(adapter) * lastCopyFactor;
+        }
+
+        // Makes room at the engine where the least is lost by it.
+        auto orderUnload(const std::string& adapter, double mostValue) -> void
+        {
+            auto* from = static_cast<Engine*>(nullptr);
+            auto victim = std::string();
+            auto least = mostValue;
+            for (auto& engine : m_engines) {
+                if (!takesOrders(engine) || engine.m_dropping || !servesModel(engine, adapter)
+                    || engine.m_held.contains(adapter))
+                    continue;
+                for (const auto& held : engine.m_held) {
+                    const auto value = keepingValue(engine, held);
+                    if (value < least) {
+                        least = value;
+                        from = &engine;
+                        victim = held;
+                    }
+                }
+            }
+            if (!from)
+                return;
+            from->m_dropping = true;
+            m_orders.push_back({ AdapterOrderKind::Unload, from->m_upstream, victim, 0 });
+        }
+
+        auto planWaited() -> void
+        {
+            auto waited = std::vector<const AdapterWish*>();
+            for (const auto& wish : m_input.m_wishes) {
+                if (m_copies[wish.m_adapter] == 0)
+                    waited.push_back(&wish);
+            }
+            std::sort(waited.begin(), waited.end(), [](const AdapterWish* left, const AdapterWish* right) {
+                return std::pair(left->m_waiting, left->m_rate) > std::pair(right->m_waiting, right->m_rate);
+            });
+            for (const auto* wish : waited) {
+                if (m_loading >= loadsAtFullSpeed)
+                    return;
+                if (wish->m_waiting == 0 && wish->m_rate < idleRate)
+                    continue;
+                if (auto* engine = engineFor(wish->m_adapter, 0))
+                    orderLoad(*engine, wish->m_adapter);
+                else
+                    orderUnload(wish->m_adapter, std::numeric_limits<double>::infinity());
+            }
+        }
+
+        // Replaces older versions where a newer one serves elsewhere, so that nobody waits for it.
+        auto planVersions() -> void
+        {
+            for (auto& engine : m_engines) {
+                for (const auto& [adapter, presence] : engine.m_upstream->m_adapters) {
+                    if (presence.m_version >= newestVersion(adapter) || !takesOrders(engine))
+                        continue;
+                    if (m_copies[adapter] == 0 || m_loading >= loadsAtFullSpeed)
+                        continue;
+                    orderLoad(engine, adapter);
+                }
+            }
+        }
+
+        // Gives each adapter that is asked for much one more copy at most, those asked for most first.
+        auto planCopies() -> void
+        {
+            auto wanted = std::vector<std::pair<double, const AdapterWish*>>();
+            for (const auto& wish : m_input.m_wishes) {
+                const auto copies = m_copies[wish.m_adapter];
+                const auto value = wish.m_rate / static_cast<double>(std::max<std::size_t>(copies, 1));
+                if (copies > 0 && value > rateForCopy)
+                    wanted.emplace_back(value, &wish);
+            }
+            std::sort(wanted.begin(), wanted.end(),
+                [](const auto& left, const auto& right) { return left.first > right.first; });
+            for (const auto& [value, wish] : wanted) {
+                if (m_loading >= loadsForCopies)
+                    return;
+                if (auto* engine = engineFor(wish->m_adapter, reservedPlaces))
+                    orderLoad(*engine, wish->m_adapter);
+            }
+        }
+
+        const PlanInput& m_input;
+        std::map<std::string, const AdapterWish*> m_wishes;
+        std::vector<Engine> m_engines;
+        std::map<std::string, std::size_t> m_copies;
+        std::size_t m_loading = 0;
+        std::vector<AdapterOrder> m_orders;
+    };
+
+} // namespace
+
+auto planAdapterOrders(const PlanInput& input) -> std::vector<AdapterOrder>
+{
+    if (!input.m_configuration)
+        return {};
+    return Planner(input).plan();
+}
+
+auto expectedLoadTime(std::size_t loading) -> Milliseconds
+{
+    const auto crowding = std::max(1.0, static_cast<double>(loading + 1) / loadsAtFullSpeed);
+    return Milliseconds(static_cast<std::int64_t>(loadTime.count() * crowding)) + loadMargin;
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/adapter_plan.h
@@ -0,0 +1,55 @@
+// Plans which engines load and drop which adapters. No input or output: a function of what is known.
+//
+// The load pattern it answers: few adapters get most requests, many get one now and then, and which these
+// are moves within seconds. An adapter that requests wait for goes first; free places then take further
+// copies of those that are asked for most, and some places stay free for the next rare one.
+#pragma once
+
+#include "relay/adapter_demand.h"
+#include "relay/upstream.h"
+
+#include <vector>
+
+namespace marigoldladder::relay {
+
+enum class AdapterOrderKind {
+    Load, // Also replaces an older version.
+    Unload,
+};
+
+inline constexpr auto adapterOrderKindNames = std::array {
+    EnumName<AdapterOrderKind> { AdapterOrderKind::Load, "load" },
+    EnumName<AdapterOrderKind> { AdapterOrderKind::Unload, "unload" },
+};
+
+struct AdapterOrder {
+    AdapterOrderKind m_kind = AdapterOrderKind::Load;
+    UpstreamPointer m_upstream;
+    std::string m_adapter; // `model/adapter`
+    std::uint64_t m_version = 0; // 0: the newest.
+};
+
+// What the node that gives orders believes of one engine.
+struct EngineOrders {
+    std::map<std::string, MonotonicTime> m_loading; // Accepted, until when they are expected to take.
+    std::map<std::string, MonotonicTime> m_doubtful; // Unanswered; may be carried out until then.
+    MonotonicTime m_avoidUntil {}; // It took no orders.
+};
+
+using EngineOrderBook = std::map<const Upstream*, EngineOrders>;
+
+struct PlanInput {
+    const UpstreamTable* m_table = nullptr;
+    const RoutingConfiguration* m_configuration = nullptr;
+    const EngineOrderBook* m_book = nullptr;
+    std::vector<AdapterWish> m_wishes;
+    MonotonicTime m_now {};
+};
+
+// Returns the orders to give now, the most urgent first.
+auto planAdapterOrders(const PlanInput&) -> std::vector<AdapterOrder>;
+
+// Returns how long a load takes while `loading` others are under way over all engines.
+auto expectedLoadTime(std::size_t loading) -> Milliseconds;
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/fleet_view.cc
@@ -0,0 +1,85 @@
+#include "relay/fleet_view.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto aliveTime = Milliseconds(1'500); // Many summaries in a row were lost, or none was sent.
+    constexpr auto lostTime = Milliseconds(20'000); // Beyond any cut after which a node is expected back.
+    constexpr auto demandFloor = 0.25; // Of an even part, so that new demand finds something.
+
+    auto silentShare(const Peer& peer, std::uint32_t organisation, double total, double even) -> double
+    {
+        const auto found = peer.m_organisationDemand.find(organisation);
+        const auto demand = found == peer.m_organisationDemand.end() ? 0.0 : found->second;
+        return total > 0 ? std::min(even, demand / total) : even;
+    }
+
+} // namespace
+
+auto shortId(std::string_view name) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()));
+}
+
+auto isAlive(const Peer& peer, MonotonicTime now) -> bool
+{
+    return peer.m_heardAt != MonotonicTime() && peer.m_heardAt + aliveTime > now;
+}
+
+auto sharingNodes(const FleetView& fleet) -> std::size_t
+{
+    return fleet.m_peers.size() + 1;
+}
+
+auto forgetLostPeers(FleetView& fleet, MonotonicTime now) -> void
+{
+    std::erase_if(fleet.m_peers, [&](const auto& entry) {
+        return std::max(entry.second.m_heardAt, entry.second.m_knownSince) + lostTime <= now;
+    });
+}
+
+auto organisationShare(
+    const FleetView& fleet, std::uint32_t organisation, double ownDemand, MonotonicTime now) -> double
+{
+    const auto even = 1.0 / static_cast<double>(sharingNodes(fleet));
+    auto total = ownDemand;
+    auto alive = std::size_t { 0 };
+    for (const auto& [vm, peer] : fleet.m_peers) {
+        const auto found = peer.m_organisationDemand.find(organisation);
+        total += found == peer.m_organisationDemand.end() ? 0.0 : found->second;
+        alive += isAlive(peer, now) ? 1 : 0;
+    }
+    if (alive == 0 || total <= 0)
+        return even;
+    auto reserved = 0.0;
+    auto heard = ownDemand;
+    for (const auto& [vm, peer] : fleet.m_peers) {
+        const auto found = peer.m_organisationDemand.find(organisation);
+        if (!isAlive(peer, now))
+            reserved += silentShare(peer, organisation, total, even);
+        else if (found != peer.m_organisationDemand.end())
+            heard += found->second;
+    }
+    const auto floor = demandFloor * heard / static_cast<double>(alive + 1);
+    const auto weight = (ownDemand + floor) / (heard * (1 + demandFloor));
+    return std::max(0.0, 1.0 - reserved) * weight;
+}
+
+auto readyAddresses(const FleetView& fleet, const std::optional<Address>& self, MonotonicTime now)
+    -> std::vector<Address>
+{
+    auto addresses = std::vector<Address>();
+    if (self)
+        addresses.push_back(*self);
+    for (const auto& [vm, peer] : fleet.m_peers) {
+        if (isAlive(peer, now) && peer.m_ready && !peer.m_leaving)
+            addresses.push_back(peer.m_callerAddress);
+    }
+    return addresses;
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/fleet_view.h
@@ -0,0 +1,74 @@
+// The other nodes as this node knows them, from their summaries and from the store.
+#pragma once
+
+#include "core/blackboard.h"
+#include "marigoldladder/settings.h"
+#include "relay/routing_configuration.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marigoldladder::relay {
+
+// Names upstreams and organisations in messages between nodes.
+auto shortId(std::string_view name) -> std::uint32_t;
+
+// Requests of one node in flight at an upstream.
+struct PeerLoad {
+    std::size_t m_inFlight = 0;
+    double m_tokens = 0;
+};
+
+struct Peer {
+    VmName m_vm;
+    DataCentreName m_dataCentre;
+    Incarnation m_incarnation = 0;
+    std::uint64_t m_number = 0; // Of its latest summary.
+    Address m_callerAddress;
+    Address m_peerAddress;
+    bool m_ready = false;
+    bool m_leaving = false;
+    std::uint64_t m_configurationVersion = 0;
+    MonotonicTime m_heardAt {}; // Zero: only read of in the store.
+    MonotonicTime m_knownSince {};
+    std::unordered_map<std::uint32_t, PeerLoad> m_loads; // By the upstream's short id.
+    std::unordered_map<std::uint32_t, double> m_organisationDemand; // Tokens a second, by short id.
+    MonotonicTime m_holderHeardAt {}; // When it last heard of the holder that this node knows of.
+};
+
+// Who gives orders to engines, as far as is known here.
+struct KnownHolder {
+    VmName m_vm;
+    std::uint64_t m_fence = 0;
+    MonotonicTime m_heardAt {}; // Directly or through others.
+};
+
+struct FleetView {
+    std::map<VmName, Peer> m_peers; // Without this node.
+    KnownHolder m_holder;
+};
+
+// Whether the peer was heard of late enough to count as alive.
+auto isAlive(const Peer&, MonotonicTime now) -> bool;
+
+// Returns the number of nodes that share the fleet's bounds, this one included.
+auto sharingNodes(const FleetView&) -> std::size_t;
+
+// Forgets peers that were silent for so long that they are gone.
+auto forgetLostPeers(FleetView&, MonotonicTime now) -> void;
+
+// Returns this node's part of an organisation's allowance: by demand among the nodes that are heard, while
+// the parts of silent ones stay reserved. A node that hears nobody keeps an even part.
+auto organisationShare(const FleetView&, std::uint32_t organisation, double ownDemand, MonotonicTime now)
+    -> double;
+
+// Returns callers' addresses of the nodes that are ready, this node first when `self` is given.
+auto readyAddresses(const FleetView&, const std::optional<Address>& self, MonotonicTime now)
+    -> std::vector<Address>;
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/order_keeper.cc
@@ -0,0 +1,296 @@
+#include "relay/order_keeper.h"
+
+#include "core/log.h"
+#include "relay/catalogue.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr auto leaseKind = "leases"; // Of this project's own objects.
+    constexpr auto leaseName = "engine-orders";
+    constexpr auto leaseStepInterval = Milliseconds(100);
+    constexpr auto leaseReadInterval = Milliseconds(700);
+    constexpr auto planInterval = Milliseconds(200);
+    constexpr auto doubtTime = Milliseconds(13'000); // An unanswered order may still be carried out.
+    constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
+    constexpr auto orderMemory = Milliseconds(3'000); // Kept to tell the other nodes.
+
+    auto contentOf(const LeaseRecord& record) -> nlohmann::json
+    {
+        return nlohmann::json { { "vm", record.m_vm.value() }, { "fence", record.m_fence },
+            { "renewals", record.m_renewals } };
+    }
+
+    auto recordOf(const StoredObject& object) -> LeaseRecord
+    {
+        auto record = LeaseRecord();
+        record.m_revision = object.m_revision;
+        if (!object.m_content.is_object())
+            return record;
+        record.m_vm = VmName(object.m_content.value("vm", ""));
+        record.m_fence = object.m_content.value("fence", std::uint64_t { 1 });
+        record.m_renewals = object.m_content.value("renewals", std::uint64_t { 0 });
+        return record;
+    }
+
+} // namespace
+
+OrderKeeper::OrderKeeper(Executor executor, const RelaySettings& settings, RelayBoard& board,
+    const ObjectStore& store, const EngineCalls& engines, PeerExchange& peers)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_board(board)
+    , m_store(store)
+    , m_engines(engines)
+    , m_peers(peers)
+{
+}
+
+auto OrderKeeper::start(std::function<bool()> isReady) -> void
+{
+    m_isReady = std::move(isReady);
+    m_startedAt = uninterruptedNow();
+    net::co_spawn(m_executor, keepLease(), net::detached);
+    net::co_spawn(m_executor, planRegularly(), net::detached);
+}
+
+auto OrderKeeper::keepLease() -> Awaitable<void>
+{
+    for (;;) {
+        co_await sleepFor(leaseStepInterval);
+        const auto& holder = m_board.m_fleet.m_holder;
+        if (m_lease.m_holding && holder.m_fence > m_board.m_orders.m_fence)
+            loseLease("another node holds a newer one");
+        auto context = LeaseContext();
+        context.m_self = m_settings.m_vm;
+        context.m_leaseTime = m_settings.m_bounds.m_leaseTime;
+        context.m_now = uninterruptedNow();
+        if (holder.m_heardAt != MonotonicTime() && holder.m_vm != m_settings.m_vm)
+            context.m_holderHeardAt = context.m_now - (Clock::now() - holder.m_heardAt);
+        context.m_mayHold = m_isReady();
+        context.m_rank = m_peers.rankAmongReady();
+        const auto step = nextLeaseStep(m_lease, context);
+        if (step == LeaseStep::Nothing)
+            continue;
+        co_await takeStep(step);
+        if (step == LeaseStep::Read)
+            co_await sleepFor(leaseReadInterval);
+    }
+}
+
+auto OrderKeeper::takeStep(LeaseStep step) -> Awaitable<void>
+{
+    switch (step) {
+    case LeaseStep::Nothing:
+        break;
+    case LeaseStep::Read:
+        co_await readLease();
+        break;
+    case LeaseStep::Create:
+        co_await writeLease(true, 1, 0);
+        break;
+    case LeaseStep::Renew:
+        co_await writeLease(false, m_lease.m_seen->m_fence, m_lease.m_seen->m_renewals + 1);
+        break;
+    case LeaseStep::TakeOver:
+        co_await writeLease(false, m_lease.m_seen->m_fence + 1, 0);
+        break;
+    }
+}
+
+auto OrderKeeper::readLease() -> Awaitable<void>
+{
+    auto object = co_await m_store.m_get(leaseKind, leaseName);
+    if (object)
+        enterLease(m_lease, recordOf(object.value()), uninterruptedNow());
+    else if (object.error().m_type == StoreFailureType::Conflict)
+        enterLease(m_lease, LeaseRecord(), uninterruptedNow());
+}
+
+auto OrderKeeper::writeLease(bool create, std::uint64_t fence, std::uint64_t renewals) -> Awaitable<void>
+{
+    const auto sentAt = uninterruptedNow();
+    auto record = LeaseRecord { m_settings.m_vm, fence, renewals, create ? 0 : m_lease.m_seen->m_revision };
+    auto object = StoredObject();
+    object.m_name = leaseName;
+    object.m_revision = record.m_revision;
+    object.m_content = contentOf(record);
+    // gcc 12 destroys temporaries twice where a conditional expression holds both calls.
+    auto call = create ? m_store.m_create(leaseKind, object) : m_store.m_replace(leaseKind, object);
+    auto written = co_await std::move(call);
+    if (written) {
+        record.m_revision = written.value().m_revision;
+        holdWith(record, sentAt);
+        co_return;
+    }
+    if (written.error().m_type == StoreFailureType::Refused)
+        co_return;
+    // Either another node wrote, or an answer to this one's own write was lost.
+    auto present = co_await m_store.m_get(leaseKind, leaseName);
+    if (!present)
+        co_return;
+    const auto found = recordOf(present.value());
+    if (found.m_vm == m_settings.m_vm && found.m_fence == fence && found.m_renewals == renewals) {
+        holdWith(found, sentAt);
+        co_return;
+    }
+    enterLease(m_lease, found, uninterruptedNow());
+    if (m_lease.m_holding && (found.m_vm != m_settings.m_vm || found.m_fence != fence))
+        loseLease("another node took over");
+}
+
+auto OrderKeeper::holdWith(const LeaseRecord& record, UninterruptedTime sentAt) -> void
+{
+    enterLease(m_lease, record, uninterruptedNow());
+    m_lease.m_renewedAt = sentAt;
+    const auto isNew = !m_lease.m_holding;
+    m_lease.m_holding = true;
+    m_board.m_orders.m_holding = true;
+    m_board.m_orders.m_fence = record.m_fence;
+    if (!isNew)
+        return;
+    logChange("order_lease_held", { { "fence", std::to_string(record.m_fence) } });
+    auto& holder = m_board.m_fleet.m_holder;
+    holder = KnownHolder { m_settings.m_vm, record.m_fence, Clock::now() };
+    m_board.m_fleetDemand.m_byNode.clear();
+    m_peers.tellAll();
+    planSoon();
+}
+
+auto OrderKeeper::loseLease(const char* reason) -> void
+{
+    m_lease.m_holding = false;
+    m_board.m_orders.m_holding = false;
+    m_board.m_orders.m_recent.clear();
+    m_book.clear();
+    logChange("order_lease_lost", { { "reason", reason } });
+}
+
+auto OrderKeeper::mayOrderNow() const -> bool
+{
+    return mayOrder(m_lease, m_peers.heardByAll(), uninterruptedNow());
+}
+
+auto OrderKeeper::planSoon() -> void
+{
+    if (m_planPending || !m_lease.m_holding)
+        return;
+    m_planPending = true;
+    net::post(m_executor, [this] {
+        m_planPending = false;
+        plan();
+    });
+}
+
+auto OrderKeeper::planRegularly() -> Awaitable<void>
+{
+    for (;;) {
+        co_await sleepFor(planInterval);
+        if (m_lease.m_holding)
+            plan();
+    }
+}
+
+auto OrderKeeper::dropOldBookings(MonotonicTime now) -> void
+{
+    std::erase_if(m_book, [&](const auto& entry) {
+        const auto& upstreams = m_board.m_upstreams.m_upstreams;
+        return std::none_of(upstreams.begin(), upstreams.end(),
+            [&](const auto& upstream) { return upstream.second.get() == entry.first; });
+    });
+    for (auto& [upstream, orders] : m_book) {
+        std::erase_if(orders.m_loading, [&](const auto& entry) { return entry.second <= now; });
+        std::erase_if(orders.m_doubtful, [&](const auto& entry) { return entry.second <= now; });
+    }
+    std::erase_if(m_board.m_orders.m_recent,
+        [&](const OrderedAdapter& order) { return order.m_orderedAt + orderMemory <= now; });
+}
+
+auto OrderKeeper::plan() -> void
+{
+    if (!mayOrderNow())
+        return;
+    const auto now = Clock::now();
+    dropOldBookings(now);
+    m_board.m_fleetDemand.m_byNode[m_settings.m_vm] = m_board.m_adapterRates;
+    auto input = PlanInput();
+    input.m_table = &m_board.m_upstreams;
+    input.m_configuration = m_board.m_configuration.get();
+    input.m_book = &m_book;
+    input.m_wishes = addUp(m_board.m_fleetDemand, now);
+    input.m_now = now;
+    for (auto& order : planAdapterOrders(input)) {
+        auto loading = std::size_t { 0 };
+        for (const auto& [upstream, orders] : m_book)
+            loading += orders.m_loading.size();
+        auto& book = m_book[order.m_upstream.get()];
+        // Booked before it is sent, so that the next plan counts it.
+        book.m_loading[order.m_adapter] = now + expectedLoadTime(loading);
+        net::co_spawn(m_executor, give(std::move(order)), net::detached);
+    }
+}
+
+auto OrderKeeper::give(AdapterOrder order) -> Awaitable<void>
+{
+    const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
+    const auto answer = co_await m_engines.m_order(order, sender);
+    const auto now = Clock::now();
+    logChange("engine_order",
+        { { "upstream", order.m_upstream->m_record.m_name.value() },
+            { "kind", std::string(nameOf(adapterOrderKindNames, order.m_kind)) },
+            { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
+            { "fence", std::to_string(sender.m_fence) },
+            { "answer", std::string(nameOf(orderAnswerNames, answer)) } });
+    const auto found = m_book.find(order.m_upstream.get());
+    if (found == m_book.end())
+        co_return;
+    auto& book = found->second;
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        noteAccepted(order, now);
+        break;
+    case OrderAnswer::AlreadyDone:
+        book.m_loading[order.m_adapter] = now;
+        noteAccepted(order, now);
+        break;
+    case OrderAnswer::Busy:
+    case OrderAnswer::Refused:
+        book.m_loading.erase(order.m_adapter);
+        book.m_avoidUntil = now + refusedPause;
+        break;
+    case OrderAnswer::Unknown:
+        book.m_loading.erase(order.m_adapter);
+        book.m_doubtful[order.m_adapter] = now + doubtTime;
+        book.m_avoidUntil = now + refusedPause;
+        break;
+    }
+    planSoon();
+}
+
+auto OrderKeeper::noteAccepted(const AdapterOrder& order, MonotonicTime now) -> void
+{
+    auto& book = m_book[order.m_upstream.get()];
+    auto& until = book.m_loading[order.m_adapter];
+    auto ordered = OrderedAdapter { order.m_upstream->m_record.m_name, order.m_adapter, 0, now, now };
+    if (order.m_kind == AdapterOrderKind::Load) {
+        ordered.m_version = std::max<std::uint64_t>(order.m_version, 1);
+        ordered.m_readyAt = std::max(until, now);
+    } else {
+        until = now;
+    }
+    enterOrderedAdapter(
+        *order.m_upstream, ListedAdapter { order.m_adapter, ordered.m_version }, ordered.m_readyAt, now);
+    m_board.m_orders.m_recent.push_back(ordered);
+    m_peers.tellAll();
+    m_board.m_capacityChanged();
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/order_keeper.h
@@ -0,0 +1,49 @@
+// Gives orders to engines while this node holds the lease for it.
+#pragma once
+
+#include "relay/engine_calls.h"
+#include "relay/order_lease.h"
+#include "relay/peer_exchange.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace marigoldladder::relay {
+
+class OrderKeeper {
+public:
+    OrderKeeper(
+        Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, const EngineCalls&, PeerExchange&);
+
+    auto start(std::function<bool()> isReady) -> void;
+
+    // Plans again soon; call it when demand or engines have changed.
+    auto planSoon() -> void;
+
+private:
+    auto keepLease() -> Awaitable<void>;
+    auto takeStep(LeaseStep) -> Awaitable<void>;
+    auto readLease() -> Awaitable<void>;
+    auto writeLease(bool create, std::uint64_t fence, std::uint64_t renewals) -> Awaitable<void>;
+    auto holdWith(const LeaseRecord&, UninterruptedTime sentAt) -> void;
+    auto loseLease(const char* reason) -> void;
+    auto mayOrderNow() const -> bool;
+    auto planRegularly() -> Awaitable<void>;
+    auto plan() -> void;
+    auto give(AdapterOrder) -> Awaitable<void>;
+    auto noteAccepted(const AdapterOrder&, MonotonicTime now) -> void;
+    auto dropOldBookings(MonotonicTime now) -> void;
+
+    Executor m_executor;
+    const RelaySettings& m_settings;
+    RelayBoard& m_board;
+    const ObjectStore& m_store;
+    const EngineCalls& m_engines;
+    PeerExchange& m_peers;
+    std::function<bool()> m_isReady;
+    LeaseState m_lease;
+    EngineOrderBook m_book;
+    bool m_planPending = false;
+    UninterruptedTime m_startedAt {};
+};
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/order_lease.cc
@@ -0,0 +1,58 @@
+#include "relay/order_lease.h"
+
+#include <ctime>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto renewalInterval = Milliseconds(500);
+    constexpr auto renewalValidity = Milliseconds(1'300); // Some renewals may fail meanwhile.
+    constexpr auto takeoverMargin = Milliseconds(300); // For orders on their way.
+    constexpr auto rankDelay = Milliseconds(300); // So that candidates don't try at the same time.
+
+} // namespace
+
+auto uninterruptedNow() -> UninterruptedTime
+{
+    auto time = timespec();
+    (void)::clock_gettime(CLOCK_BOOTTIME, &time); // Can't fail for a clock that exists.
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+auto enterLease(LeaseState& state, const LeaseRecord& record, UninterruptedTime now) -> void
+{
+    if (!state.m_seen || *state.m_seen != record) {
+        state.m_unchangedSince = now;
+        state.m_seen = record;
+    }
+}
+
+auto mayOrder(const LeaseState& state, bool heardByAll, UninterruptedTime now) -> bool
+{
+    return state.m_holding && (now < state.m_renewedAt + renewalValidity || heardByAll);
+}
+
+auto nextLeaseStep(const LeaseState& state, const LeaseContext& context) -> LeaseStep
+{
+    if (state.m_holding)
+        return context.m_now >= state.m_renewedAt + renewalInterval ? LeaseStep::Renew : LeaseStep::Nothing;
+    if (!context.m_mayHold)
+        return LeaseStep::Nothing;
+    const auto heardLately = context.m_now < context.m_holderHeardAt + renewalValidity;
+    if (heardLately)
+        return LeaseStep::Nothing;
+    if (!state.m_seen)
+        return LeaseStep::Read;
+    if (state.m_seen->m_fence == 0)
+        return LeaseStep::Create;
+    // The machine that held it gives the orders of its next process: no other has given any.
+    if (state.m_seen->m_vm == context.m_self)
+        return LeaseStep::TakeOver;
+    const auto silence = renewalValidity + context.m_leaseTime + takeoverMargin
+        + rankDelay * static_cast<int>(context.m_rank);
+    const auto quietSince = std::max(state.m_unchangedSince, context.m_holderHeardAt);
+    return context.m_now >= quietSince + silence ? LeaseStep::TakeOver : LeaseStep::Read;
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/peer_exchange.cc
@@ -0,0 +1,418 @@
+#include "relay/peer_exchange.h"
+
+#include "core/log.h"
+#include "relay/catalogue.h"
+#include "relay/generated/peer_messages_generated.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr auto memberKind = "members"; // Of this project's own objects: one for each node.
+    constexpr auto shortestInterval = Milliseconds(100);
+    constexpr auto intervalAPeer = Milliseconds(4); // So that a node's messages a second stay bounded.
+    constexpr auto memberReadInterval = Milliseconds(15'000);
+    constexpr auto firstReads = 3; // At the start, others register at about the same time.
+    constexpr auto firstReadInterval = Milliseconds(400);
+    constexpr auto registrationPause = Milliseconds(500);
+    constexpr auto mostDemands = std::size_t { 40 }; // Adapters in one summary, those asked for most.
+    constexpr auto orderMemory = Milliseconds(2'500); // Until the engines' own lists show what was ordered.
+    constexpr auto mostOrders = std::size_t { 24 }; // In one summary, the newest.
+    constexpr auto hearingTime = Milliseconds(1'000); // In which all must have heard the holder.
+
+    auto age(MonotonicTime then, MonotonicTime now) -> std::uint32_t
+    {
+        constexpr auto never = std::uint32_t { 1'000'000 };
+        if (then == MonotonicTime())
+            return never;
+        const auto milliseconds = std::chrono::duration_cast<Milliseconds>(now - then).count();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, never));
+    }
+
+} // namespace
+
+PeerExchange::PeerExchange(Executor executor, const RelaySettings& settings, RelayBoard& board,
+    const ObjectStore& store, Incarnation incarnation)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_board(board)
+    , m_store(store)
+    , m_incarnation(incarnation)
+    , m_socket(m_executor)
+{
+}
+
+auto PeerExchange::start(std::function<bool()> isReady) -> bool
+{
+    m_isReady = std::move(isReady);
+    if (!open())
+        return false;
+    net::co_spawn(m_executor, receive(), net::detached);
+    net::co_spawn(m_executor, tellRegularly(), net::detached);
+    net::co_spawn(m_executor, registerSelf(), net::detached);
+    net::co_spawn(m_executor, learnMembers(), net::detached);
+    return true;
+}
+
+auto PeerExchange::open() -> bool
+{
+    auto error = ErrorCode();
+    const auto ip = net::ip::make_address(m_settings.m_peerAddress.m_host, error);
+    const auto endpoint
+        = net::ip::udp::endpoint(ip, static_cast<unsigned short>(m_settings.m_peerAddress.m_port));
+    if (!error)
+        m_socket.open(endpoint.protocol(), error);
+    if (!error)
+        m_socket.bind(endpoint, error);
+    if (!error)
+        m_socket.non_blocking(true, error);
+    if (error)
+        logWarning("peer_port_failed", { { "reason", error.message() } });
+    return !error;
+}
+
+auto PeerExchange::interval() const -> Milliseconds
+{
+    return std::max<Milliseconds>(shortestInterval, intervalAPeer * static_cast<int>(m_board.m_nodes));
+}
+
+auto PeerExchange::tellRegularly() -> Awaitable<void>
+{
+    for (;;) {
+        co_await sleepFor(interval());
+        const auto now = Clock::now();
+        forgetLostPeers(m_board.m_fleet, now);
+        forgetIdleAdapters(m_board.m_adapterRates, now);
+        m_board.m_nodes = sharingNodes(m_board.m_fleet);
+        addUpLoads();
+        tellAll();
+    }
+}
+
+auto PeerExchange::tellAll() -> void
+{
+    const auto plain = makeSummary(false);
+    const auto& holder = m_board.m_fleet.m_holder.m_vm;
+    for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+        if (vm == holder)
+            send(peer, makeSummary(true));
+        else
+            send(peer, plain);
+    }
+}
+
+auto PeerExchange::tellHolder() -> void
+{
+    if (m_holderTellPending)
+        return;
+    m_holderTellPending = true;
+    // After the current event, so that requests that came together are told of together.
+    net::post(m_executor, [this] {
+        m_holderTellPending = false;
+        const auto found = m_board.m_fleet.m_peers.find(m_board.m_fleet.m_holder.m_vm);
+        if (found != m_board.m_fleet.m_peers.end())
+            send(found->second, makeSummary(true));
+    });
+}
+
+auto PeerExchange::rankAmongReady() const -> std::size_t
+{
+    const auto now = Clock::now();
+    return static_cast<std::size_t>(
+        std::count_if(m_board.m_fleet.m_peers.begin(), m_board.m_fleet.m_peers.end(), [&](const auto& entry) {
+            const auto& peer = entry.second;
+            return entry.first < m_settings.m_vm && peer.m_ready && !peer.m_leaving && isAlive(peer, now);
+        }));
+}
+
+auto PeerExchange::heardByAll() const -> bool
+{
+    const auto now = Clock::now();
+    const auto& peers = m_board.m_fleet.m_peers;
+    return !peers.empty() && std::all_of(peers.begin(), peers.end(), [&](const auto& entry) {
+        return entry.second.m_holderHeardAt + hearingTime > now;
+    });
+}
+
+auto PeerExchange::send(const Peer& peer, const std::string& datagram) -> void
+{
+    auto error = ErrorCode();
+    const auto ip = net::ip::make_address(peer.m_peerAddress.m_host, error);
+    if (error)
+        return;
+    const auto endpoint = net::ip::udp::endpoint(ip, static_cast<unsigned short>(peer.m_peerAddress.m_port));
+    // A datagram that can't be sent now is lost like any other; the next one says more.
+    m_socket.send_to(net::buffer(datagram), endpoint, 0, error);
+}
+
+auto PeerExchange::makeSummary(bool toHolder) -> std::string
+{
+    const auto now = Clock::now();
+    auto summary = messages::SummaryT();
+    summary.vm = m_settings.m_vm.value();
+    summary.incarnation = m_incarnation;
+    summary.number = ++m_number;
+    summary.data_centre = m_settings.m_dataCentre.value();
+    summary.caller_host = m_settings.m_callerAddress.m_host;
+    summary.caller_port = static_cast<std::uint16_t>(m_settings.m_callerAddress.m_port);
+    summary.peer_port = static_cast<std::uint16_t>(m_settings.m_peerAddress.m_port);
+    summary.ready = m_isReady();
+    summary.leaving = m_board.m_leaving;
+    summary.configuration_version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
+    const auto& holder = m_board.m_fleet.m_holder;
+    const auto& orders = m_board.m_orders;
+    summary.holder = orders.m_holding ? m_settings.m_vm.value() : holder.m_vm.value();
+    summary.holder_fence = orders.m_holding ? orders.m_fence : holder.m_fence;
+    summary.holder_age_ms = orders.m_holding ? 0 : age(holder.m_heardAt, now);
+    fillLoads(summary);
+    fillOrganisations(summary);
+    if (toHolder)
+        fillDemands(summary);
+    if (orders.m_holding)
+        fillOrders(summary);
+    auto builder = flatbuffers::FlatBufferBuilder();
+    builder.Finish(messages::Summary::Pack(builder, &summary));
+    return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+}
+
+auto PeerExchange::fillLoads(messages::SummaryT& summary) const -> void
+{
+    for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
+        if (upstream->m_inFlight == 0)
+            continue;
+        const auto tokens = static_cast<std::uint32_t>(std::max(upstream->m_tokensInFlight, 0.0));
+        summary.loads.emplace_back(
+            shortId(name.value()), tokens, static_cast<std::uint16_t>(upstream->m_inFlight));
+    }
+}
+
+auto PeerExchange::fillOrganisations(messages::SummaryT& summary) const -> void
+{
+    const auto now = Clock::now();
+    for (const auto& [name, budget] : m_board.m_budgets.m_budgets)
+        summary.organisations.emplace_back(shortId(name.value()), static_cast<float>(demandOf(budget, now)));
+}
+
+auto PeerExchange::fillDemands(messages::SummaryT& summary) const -> void
+{
+    const auto now = Clock::now();
+    auto sorted = std::vector<std::pair<std::pair<std::size_t, double>, const std::string*>>();
+    for (const auto& [adapter, rate] : m_board.m_adapterRates)
+        sorted.push_back({ { rate.m_waiting, rateAt(rate, now) }, &adapter });
+    std::sort(sorted.begin(), sorted.end(),
+        [](const auto& left, const auto& right) { return left.first > right.first; });
+    if (sorted.size() > mostDemands)
+        sorted.resize(mostDemands);
+    for (const auto& [demand, adapter] : sorted) {
+        auto entry = std::make_unique<messages::AdapterDemandT>();
+        entry->adapter = *adapter;
+        entry->requests_per_second = static_cast<float>(demand.second);
+        entry->waiting = static_cast<std::uint16_t>(demand.first);
+        summary.demands.push_back(std::move(entry));
+    }
+}
+
+auto PeerExchange::fillOrders(messages::SummaryT& summary) const -> void
+{
+    const auto now = Clock::now();
+    const auto& recent = m_board.m_orders.m_recent;
+    for (auto at = recent.rbegin(); at != recent.rend() && summary.orders.size() < mostOrders; ++at) {
+        if (at->m_orderedAt + orderMemory <= now)
+            break;
+        auto entry = std::make_unique<messages::OrderedAdapterT>();
+        entry->upstream = shortId(at->m_upstream.value());
+        entry->adapter = at->m_adapter;
+        entry->version = at->m_version;
+        entry->ready_in_ms = at->m_readyAt > now ? age(now, at->m_readyAt) : 0;
+        entry->age_ms = age(at->m_orderedAt, now);
+        summary.orders.push_back(std::move(entry));
+    }
+}
+
+auto PeerExchange::receive() -> Awaitable<void>
+{
+    for (;;) {
+        auto error = ErrorCode();
+        auto from = net::ip::udp::endpoint();
+        const auto length
+            = co_await m_socket.async_receive_from(net::buffer(m_received), from, errorTo(error));
+        if (error == net::error::operation_aborted)
+            co_return;
+        if (error)
+            continue;
+        auto verifier
+            = flatbuffers::Verifier(reinterpret_cast<const std::uint8_t*>(m_received.data()), length);
+        if (!messages::VerifySummaryBuffer(verifier))
+            continue;
+        auto summary = messages::SummaryT();
+        messages::GetSummary(m_received.data())->UnPackTo(&summary);
+        enter(summary, Address { from.address().to_string(), from.port() });
+    }
+}
+
+auto PeerExchange::enter(const messages::SummaryT& summary, const Address& from) -> void
+{
+    const auto vm = VmName(summary.vm);
+    if (vm.empty() || vm == m_settings.m_vm)
+        return;
+    const auto now = Clock::now();
+    auto& peer = m_board.m_fleet.m_peers[vm];
+    const auto newer
+        = std::pair(summary.incarnation, summary.number) > std::pair(peer.m_incarnation, peer.m_number);
+    if (!newer)
+        return;
+    if (peer.m_heardAt == MonotonicTime() && peer.m_knownSince == MonotonicTime())
+        peer.m_knownSince = now;
+    peer.m_vm = vm;
+    peer.m_dataCentre = DataCentreName(summary.data_centre);
+    peer.m_incarnation = summary.incarnation;
+    peer.m_number = summary.number;
+    peer.m_callerAddress = Address { summary.caller_host, summary.caller_port };
+    peer.m_peerAddress = Address { from.m_host, summary.peer_port };
+    peer.m_ready = summary.ready;
+    peer.m_leaving = summary.leaving;
+    peer.m_configurationVersion = summary.configuration_version;
+    peer.m_heardAt = now;
+    peer.m_loads.clear();
+    for (const auto& load : summary.loads)
+        peer.m_loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
+    peer.m_organisationDemand.clear();
+    for (const auto& demand : summary.organisations)
+        peer.m_organisationDemand[demand.organisation()] = demand.tokens_per_second();
+    enterHolder(summary, now);
+    if (m_board.m_orders.m_holding && !summary.demands.empty()) {
+        auto& rates = m_board.m_fleetDemand.m_byNode[vm];
+        rates.clear();
+        for (const auto& demand : summary.demands)
+            rates[demand->adapter] = AdapterRate { demand->requests_per_second, now, demand->waiting };
+        m_board.m_adapterWanted();
+    }
+    addUpLoads();
+    m_board.m_capacityChanged();
+}
+
+auto PeerExchange::enterHolder(const messages::SummaryT& summary, MonotonicTime now) -> void
+{
+    auto& peer = m_board.m_fleet.m_peers[VmName(summary.vm)];
+    const auto heardAt = now - Milliseconds(summary.holder_age_ms);
+    auto& holder = m_board.m_fleet.m_holder;
+    const auto& orders = m_board.m_orders;
+    peer.m_holderHeardAt = MonotonicTime();
+    if (orders.m_holding && summary.holder == m_settings.m_vm.value()
+        && summary.holder_fence == orders.m_fence)
+        peer.m_holderHeardAt = heardAt;
+    if (summary.holder.empty() || summary.holder_fence < holder.m_fence)
+        return;
+    if (summary.holder_fence > holder.m_fence) {
+        holder.m_vm = VmName(summary.holder);
+        holder.m_fence = summary.holder_fence;
+        holder.m_heardAt = {};
+        logChange("order_holder_known", { { "holder", summary.holder } });
+    }
+    holder.m_heardAt = std::max(holder.m_heardAt, heardAt);
+    if (summary.vm == summary.holder)
+        enterOrders(summary, now);
+}
+
+auto PeerExchange::enterOrders(const messages::SummaryT& summary, MonotonicTime now) -> void
+{
+    if (summary.orders.empty())
+        return;
+    auto byId = std::unordered_map<std::uint32_t, Upstream*>();
+    for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams)
+        byId[shortId(name.value())] = upstream.get();
+    // They come newest first; the newest of an adapter at an engine has to be the last one entered.
+    for (auto at = summary.orders.rbegin(); at != summary.orders.rend(); ++at) {
+        const auto& order = **at;
+        const auto found = byId.find(order.upstream);
+        if (found == byId.end())
+            continue;
+        const auto orderedAt = now - Milliseconds(order.age_ms);
+        const auto presence = found->second->m_adapters.find(order.adapter);
+        const auto known = presence != found->second->m_adapters.end()
+            && presence->second.m_toldAt + Milliseconds(30) >= orderedAt;
+        if (known)
+            continue;
+        enterOrderedAdapter(*found->second, ListedAdapter { order.adapter, order.version },
+            now + Milliseconds(order.ready_in_ms), orderedAt);
+    }
+}
+
+auto PeerExchange::addUpLoads() -> void
+{
+    const auto now = Clock::now();
+    for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
+        upstream->m_peersInFlight = 0;
+        upstream->m_peersTokensInFlight = 0;
+        const auto id = shortId(name.value());
+        for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+            const auto found = peer.m_loads.find(id);
+            if (found == peer.m_loads.end() || !isAlive(peer, now))
+                continue;
+            upstream->m_peersInFlight += found->second.m_inFlight;
+            upstream->m_peersTokensInFlight += found->second.m_tokens;
+        }
+    }
+}
+
+auto PeerExchange::registerSelf() -> Awaitable<void>
+{
+    auto object = StoredObject();
+    object.m_name = m_settings.m_vm.value();
+    object.m_content = nlohmann::json { { "peer_address", formatAddress(m_settings.m_peerAddress) },
+        { "caller_address", formatAddress(m_settings.m_callerAddress) },
+        { "data_centre", m_settings.m_dataCentre.value() } };
+    for (;;) {
+        auto created = co_await m_store.m_create(memberKind, object);
+        if (created)
+            co_return;
+        if (created.error().m_type == StoreFailureType::Conflict) {
+            auto present = co_await m_store.m_get(memberKind, object.m_name);
+            if (present && present.value().m_content == object.m_content)
+                co_return;
+            if (present) {
+                object.m_revision = present.value().m_revision;
+                auto replaced = co_await m_store.m_replace(memberKind, object);
+                if (replaced)
+                    co_return;
+            }
+            object.m_revision = 0;
+        }
+        co_await sleepFor(registrationPause);
+    }
+}
+
+auto PeerExchange::learnMembers() -> Awaitable<void>
+{
+    for (auto reads = 0;; ++reads) {
+        auto listing = co_await m_store.m_list(memberKind);
+        if (listing) {
+            for (const auto& object : listing.value().m_objects) {
+                const auto vm = VmName(object.m_name);
+                if (vm == m_settings.m_vm || m_board.m_fleet.m_peers.contains(vm)
+                    || !object.m_content.is_object())
+                    continue;
+                const auto address = parseAddress(object.m_content.value("peer_address", ""));
+                if (!address)
+                    continue;
+                auto& peer = m_board.m_fleet.m_peers[vm];
+                peer.m_vm = vm;
+                peer.m_peerAddress = *address;
+                peer.m_knownSince = Clock::now();
+            }
+        }
+        auto pause = registrationPause;
+        if (listing)
+            pause = reads < firstReads ? firstReadInterval : memberReadInterval;
+        co_await sleepFor(pause);
+    }
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/peer_exchange.h
@@ -0,0 +1,70 @@
+// Sends this node's summary to the other nodes and enters theirs.
+#pragma once
+
+#include "relay/adapter_demand.h"
+#include "relay/object_store.h"
+#include "relay/relay_board.h"
+#include "relay/relay_settings.h"
+#include "relay/tcp.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace marigoldladder::relay::messages {
+struct SummaryT;
+}
+
+namespace marigoldladder::relay {
+
+class PeerExchange {
+public:
+    PeerExchange(Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, Incarnation);
+
+    // Opens the port and starts to tell; false when the port can't be had, which is logged.
+    auto start(std::function<bool()> isReady) -> bool;
+
+    // Tells all peers at once, besides the regular times: of orders, or that this node leaves.
+    auto tellAll() -> void;
+
+    // Tells the node that gives orders at once what adapters are waited for.
+    auto tellHolder() -> void;
+
+    // How many nodes come before this one by name and could give orders.
+    auto rankAmongReady() const -> std::size_t;
+
+    // Whether every other node has told that it heard this one lately; false when none is known.
+    auto heardByAll() const -> bool;
+
+private:
+    auto open() -> bool;
+    auto tellRegularly() -> Awaitable<void>;
+    auto receive() -> Awaitable<void>;
+    auto registerSelf() -> Awaitable<void>;
+    auto learnMembers() -> Awaitable<void>;
+    auto interval() const -> Milliseconds;
+    auto makeSummary(bool toHolder) -> std::string;
+    auto fillLoads(messages::SummaryT&) const -> void;
+    auto fillOrganisations(messages::SummaryT&) const -> void;
+    auto fillDemands(messages::SummaryT&) const -> void;
+    auto fillOrders(messages::SummaryT&) const -> void;
+    auto send(const Peer&, const std::string& datagram) -> void;
+    auto enter(const messages::SummaryT&, const Address& from) -> void;
+    auto enterHolder(const messages::SummaryT&, MonotonicTime now) -> void;
+    auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
+    auto addUpLoads() -> void;
+
+    Executor m_executor;
+    const RelaySettings& m_settings;
+    RelayBoard& m_board;
+    const ObjectStore& m_store;
+    Incarnation m_incarnation;
+    std::function<bool()> m_isReady;
+    net::ip::udp::socket m_socket;
+    std::uint64_t m_number = 0;
+    bool m_holderTellPending = false;
+    std::array<char, 65'536> m_received {};
+};
+
+} // namespace marigoldladder::relay
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -1,6 +1,8 @@
 // The blackboard of a relay node: what its controllers read and write, all on the event loop's thread.
 #pragma once
 
+#include "relay/adapter_demand.h"
+#include "relay/fleet_view.h"
 #include "relay/organisation_budget.h"
 #include "relay/retry_ledger.h"
 #include "relay/upstream.h"
@@ -26,12 +28,32 @@
     std::uint64_t m_strayAnswers = 0; // Answers that belonged to no request.
 };
 
+// An order that an engine accepted, kept for a while to tell it to the other nodes.
+struct OrderedAdapter {
+    UpstreamName m_upstream;
+    std::string m_adapter;
+    std::uint64_t m_version = 0; // 0: dropped.
+    MonotonicTime m_orderedAt {};
+    MonotonicTime m_readyAt {};
+};
+
+// What the node that gives orders does.
+struct OrderState {
+    bool m_holding = false;
+    std::uint64_t m_fence = 0;
+    std::vector<OrderedAdapter> m_recent; // Oldest first.
+};
+
 struct RelayBoard {
     std::shared_ptr<const RoutingConfiguration>
         m_configuration; // Null until one is known. By the store's sync.
     UpstreamTable m_upstreams; // By the store's sync, the runner (in flight, health) and the orders.
     OrganisationBudgets m_budgets; // By admission.
     RetryLedger m_retries; // By the runner.
+    FleetView m_fleet; // By the peer exchange.
+    AdapterRates m_adapterRates; // Of this node's requests. By the runner and the wait list.
+    FleetDemand m_fleetDemand; // While this node gives orders. By the peer exchange.
+    OrderState m_orders; // By the order keeper.
     RelayCounters m_counters; // Added to by all.
     std::size_t m_nodes = 1; // That share the fleet's bounds. By the peer exchange.
     std::size_t m_requestsInFlight = 0; // By the runner.
@@ -40,6 +62,9 @@
 
     // Called when a request that waits may find an upstream now.
     std::function<void()> m_capacityChanged = [] {};
+
+    // Called when a request waits for an adapter that no engine has.
+    std::function<void()> m_adapterWanted = [] {};
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -39,10 +39,18 @@
               return m_deployment.m_answerAddresses(target, callerAddresses());
           })
     , m_storeSync(context.get_executor(), m_board, deployment.m_store, deployment.m_schema)
+    , m_peers(context.get_executor(), settings, m_board, deployment.m_store, makeIncarnation())
+    , m_orders(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_engines, m_peers)
     , m_signals(context)
 {
     m_board.m_budgets.m_startFull = settings.m_firstStart;
     m_board.m_capacityChanged = [this] { m_waitList.serveLater(); };
+    m_board.m_adapterWanted = [this] {
+        if (m_board.m_orders.m_holding)
+            m_orders.planSoon();
+        else
+            m_peers.tellHolder();
+    };
 }
 
 auto RelayNode::isReady() const -> bool
@@ -52,7 +60,8 @@
 
 auto RelayNode::callerAddresses() const -> std::vector<Address>
 {
-    return { m_settings.m_callerAddress };
+    const auto self = isReady() ? std::optional(m_settings.m_callerAddress) : std::nullopt;
+    return readyAddresses(m_board.m_fleet, self, Clock::now());
 }
 
 auto RelayNode::run() -> int
@@ -63,7 +72,11 @@
     if (!listening)
         return 1;
     logChange("started", { { "vm", m_settings.m_vm.value() } });
+    const auto ready = [this] { return isReady(); };
+    if (!m_peers.start(ready))
+        return 1;
     m_storeSync.start();
+    m_orders.start(ready);
     awaitStop();
     net::co_spawn(m_context, sweep(), net::detached);
     m_context.run();
@@ -93,6 +106,7 @@
 {
     logChange("stopping");
     m_board.m_leaving = true;
+    m_peers.tellAll();
     const auto begun = Clock::now();
     const auto closesAt = begun + addressLifetime;
     const auto exitsAt = begun + m_settings.m_bounds.m_stopTime - exitMargin;
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/caller_server.h"
+#include "relay/order_keeper.h"
 #include "relay/small_server.h"
 #include "relay/store_sync.h"
 
@@ -15,6 +16,7 @@
     Dialect m_dialect;
     ObjectStore m_store;
     ObjectSchema m_schema;
+    EngineCalls m_engines;
     // Answer the calls for readiness and for addresses.
     std::function<SmallAnswer(const std::string& target, bool ready)> m_answerReadiness;
     std::function<SmallAnswer(const std::string& target, const std::vector<Address>& callerAddresses)>
@@ -47,6 +49,8 @@
     SmallServer m_readiness;
     SmallServer m_directory;
     StoreSync m_storeSync;
+    PeerExchange m_peers;
+    OrderKeeper m_orders;
     net::signal_set m_signals;
 };
 
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -110,9 +110,12 @@
     const auto& request = state.m_request;
     attempts.m_tokens
         = tokensOf(organisation, request.m_statesTokens, request.m_promptTokens, request.m_outputTokens);
-    const auto share = 1.0 / static_cast<double>(std::max<std::size_t>(m_board.m_nodes, 1));
-    const auto decision = chargeOrganisation(
-        m_board.m_budgets, organisation, attempts.m_tokens, share, debtTokens * share, Clock::now());
+    const auto now = Clock::now();
+    const auto share = organisationShare(m_board.m_fleet, shortId(organisation.m_name.value()),
+        demandOf(m_board.m_budgets.m_budgets[organisation.m_name], now), now);
+    const auto debt = debtTokens / static_cast<double>(sharingNodes(m_board.m_fleet));
+    const auto decision
+        = chargeOrganisation(m_board.m_budgets, organisation, attempts.m_tokens, share, debt, now);
     attempts.m_charge = decision.m_charge;
     if (decision.m_allowed)
         return true;
@@ -154,6 +157,8 @@
     needs.m_adapter = state.m_request.m_adapter;
     needs.m_tokens = state.m_request.m_promptTokens + state.m_request.m_outputTokens;
     noteRequest(m_board.m_retries, needs.m_pool, m_settings.m_bounds, state.m_arrivedAt);
+    if (!needs.m_adapter.empty())
+        noteAdapterRequest(m_board.m_adapterRates, needs.m_adapter, state.m_arrivedAt);
     ++m_board.m_requestsInFlight;
     auto again = true;
     while (again)
--- a/src/relay/wait_list.h
+++ b/src/relay/wait_list.h
@@ -63,9 +63,6 @@
     // Lets a request whose wait was cancelled look up.
     auto wake() -> void;
 
-    // Requests that wait now, by what they need of a model: `model/adapter`, with their number.
-    auto waitingForAdapters() const -> std::map<std::string, std::size_t>;
-
     auto size() const -> std::size_t { return m_waiting.size(); }
 
 private:
