Count dropped adapters until they are gone, and load fewer copies

Cause: a place counted as free as soon as an unload was accepted, so two engines were ordered to load more than they hold; and each plan unloaded again while earlier unloads were under way.

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -14,8 +14,9 @@
     constexpr auto loadsForCopies = std::size_t { 5 }; // What copies leave of that to adapters waited for.
     constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
     constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
-    constexpr auto rateForCopy = 0.35; // Requests a second for each copy that make one more worth a place.
-    constexpr auto idleRate = 0.02; // Requests a second below which an adapter makes room for others.
+    constexpr auto rateForCopy = 1.0; // Requests a second for each copy that make one more worth a place.
+    constexpr auto returnRate = 0.15; // Requests a second above which a lost adapter comes back unasked.
+    constexpr auto spareMargin = std::size_t { 1 }; // Place kept free, as a listing may lag behind.
 
     // One engine while orders are planned for it.
     struct Engine {
@@ -72,9 +73,14 @@
                 return;
             auto engine = Engine();
             engine.m_upstream = upstream;
-            engine.m_places = pool->second.m_engine->m_adapterPlaces;
-            for (const auto& [adapter, presence] : upstream->m_adapters)
+            const auto places = pool->second.m_engine->m_adapterPlaces;
+            engine.m_places = places > spareMargin ? places - spareMargin : places;
+            for (const auto& [adapter, presence] : upstream->m_adapters) {
+                if (presence.m_dropped && !presence.m_occupies)
+                    continue;
                 engine.m_held.insert(adapter);
+                m_placesComing += presence.m_dropped ? 1 : 0;
+            }
             const auto book = m_input.m_book->find(upstream.get());
             if (book != m_input.m_book->end())
                 readBook(book->second, engine);
@@ -82,7 +88,7 @@
             for (const auto& adapter : engine.m_held) {
                 const auto presence = upstream->m_adapters.find(adapter);
                 const auto outdated = presence != upstream->m_adapters.end()
-                    && presence->second.m_version < newestVersion(adapter);
+                    && (presence->second.m_dropped || presence->second.m_version < newestVersion(adapter));
                 const auto out = m_input.m_table->m_evacuated.contains(upstream->m_record.m_dataCentre)
                     || upstream->m_health.m_avoidUntil > m_input.m_now;
                 if (!outdated && !out)
@@ -98,6 +104,8 @@
                 engine.m_held.insert(adapter);
                 engine.m_loading += until > m_input.m_now ? 1 : 0;
             }
+            m_placesComing += orders.m_unloading.size();
+            engine.m_dropping = !orders.m_unloading.empty();
             for (const auto& [adapter, until] : orders.m_doubtful) {
                 if (until > m_input.m_now)
                     engine.m_held.insert(adapter);
@@ -109,7 +117,13 @@
             const auto book = m_input.m_book->find(engine.m_upstream.get());
             if (book != m_input.m_book->end() && book->second.m_avoidUntil > m_input.m_now)
                 return false;
-            return engine.m_loading < loadsAtOnce && engine.m_upstream->m_health.m_avoidUntil <= m_input.m_now
+            return engine.m_loading < loadsAtOnce && isSound(engine);
+        }
+
+        // Whether what the engine loads can serve requests.
+        auto isSound(const Engine& engine) const -> bool
+        {
+            return engine.m_upstream->m_health.m_avoidUntil <= m_input.m_now
                 && !m_input.m_table->m_evacuated.contains(engine.m_upstream->m_record.m_dataCentre);
         }
 
@@ -135,6 +149,14 @@
             return best;
         }
 
+        // Whether an engine has room, even if it takes no order just now.
+        auto anyFreePlace() const -> bool
+        {
+            return std::any_of(m_engines.begin(), m_engines.end(), [this](const Engine& engine) {
+                return engine.m_held.size() < engine.m_places && isSound(engine);
+            });
+        }
+
         auto orderLoad(Engine& engine, const std::string& adapter) -> void
         {
             m_orders.push_back(
@@ -146,13 +168,23 @@
             engine.m_load += rateOf(adapter) / copies;
         }
 
+        // Whether an order for the adapter is under way at the engine.
+        auto isBooked(const Engine& engine, const std::string& adapter) const -> bool
+        {
+            const auto book = m_input.m_book->find(engine.m_upstream.get());
+            return book != m_input.m_book->end()
+                && (book->second.m_loading.contains(adapter) || book->second.m_unloading.contains(adapter)
+                    || book->second.m_doubtful.contains(adapter));
+        }
+
         // What keeping this adapter at this engine is worth: requests a second that would go elsewhere.
         auto keepingValue(const Engine& engine, const std::string& adapter) const -> double
         {
             const auto copies = m_copies.find(adapter);
             const auto others = copies == m_copies.end() ? 0.0 : static_cast<double>(copies->second) - 1;
             const auto presence = engine.m_upstream->m_adapters.find(adapter);
-            if (presence == engine.m_upstream->m_adapters.end() || presence->second.m_readyAt > m_input.m_now)
+            if (presence == engine.m_upstream->m_adapters.end() || presence->second.m_readyAt > m_input.m_now
+                || presence->second.m_dropped || isBooked(engine, adapter))
                 return std::numeric_limits<double>::infinity();
             constexpr auto lastCopyFactor = 4.0;
             return others > 0 ? rateOf(adapter) / (others + 1) : rateOf(adapter) * lastCopyFactor;
@@ -196,11 +228,13 @@
             for (const auto* wish : waited) {
                 if (m_loading >= loadsAtFullSpeed)
                     return;
-                if (wish->m_waiting == 0 && wish->m_rate < idleRate)
+                if (wish->m_waiting == 0 && wish->m_rate < returnRate)
                     continue;
                 if (auto* engine = engineFor(wish->m_adapter, 0))
                     orderLoad(*engine, wish->m_adapter);
-                else
+                else if (wish->m_waiting > 0 && m_placesComing > 0)
+                    --m_placesComing;
+                else if (wish->m_waiting > 0 && !anyFreePlace())
                     orderUnload(wish->m_adapter, std::numeric_limits<double>::infinity());
             }
         }
@@ -210,7 +244,8 @@
         {
             for (auto& engine : m_engines) {
                 for (const auto& [adapter, presence] : engine.m_upstream->m_adapters) {
-                    if (presence.m_version >= newestVersion(adapter) || !takesOrders(engine))
+                    if (presence.m_dropped || presence.m_version >= newestVersion(adapter) || !takesOrders(engine)
+                        || isBooked(engine, adapter))
                         continue;
                     if (m_copies[adapter] == 0 || m_loading >= loadsAtFullSpeed)
                         continue;
@@ -244,6 +279,7 @@
         std::vector<Engine> m_engines;
         std::map<std::string, std::size_t> m_copies;
         std::size_t m_loading = 0;
+        std::size_t m_placesComing = 0; // Adapters on their way out.
         std::vector<AdapterOrder> m_orders;
     };
 
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -8,6 +8,7 @@
 #include "relay/adapter_demand.h"
 #include "relay/upstream.h"
 
+#include <set>
 #include <vector>
 
 namespace marigoldladder::relay {
@@ -32,6 +33,7 @@
 // What the node that gives orders believes of one engine.
 struct EngineOrders {
     std::map<std::string, MonotonicTime> m_loading; // Accepted, until when they are expected to take.
+    std::set<std::string> m_unloading; // Ordered to go, not yet answered.
     std::map<std::string, MonotonicTime> m_doubtful; // Unanswered; may be carried out until then.
     MonotonicTime m_avoidUntil {}; // It took no orders.
 };
--- a/src/relay/catalogue.cc
+++ b/src/relay/catalogue.cc
@@ -19,10 +19,10 @@
             auto& presence = upstream.m_adapters[adapter.m_key];
             presence.m_listed = true;
             // What was learnt by an order since may be newer than the listing.
-            if (presence.m_toldAt + listingAge > now && presence.m_version >= adapter.m_version)
+            const auto told = presence.m_toldAt + listingAge > now;
+            if (told && (presence.m_dropped || presence.m_version >= adapter.m_version))
                 continue;
-            presence.m_version = adapter.m_version;
-            presence.m_readyAt = {};
+            presence = AdapterPresence { adapter.m_version, {}, presence.m_toldAt, true, false, true };
         }
         std::erase_if(upstream.m_adapters, [&](const auto& entry) {
             return !entry.second.m_listed && entry.second.m_toldAt + listingAge <= now;
@@ -80,14 +80,16 @@
 auto enterOrderedAdapter(
     Upstream& upstream, const ListedAdapter& adapter, MonotonicTime readyAt, MonotonicTime now) -> void
 {
-    if (adapter.m_version == 0) {
-        upstream.m_adapters.erase(adapter.m_key);
-        return;
-    }
     auto& presence = upstream.m_adapters[adapter.m_key];
-    presence.m_version = adapter.m_version;
-    presence.m_readyAt = readyAt;
+    presence = AdapterPresence { adapter.m_version, readyAt, now, presence.m_listed, false, true };
+}
+
+auto enterDroppedAdapter(Upstream& upstream, const std::string& adapter, bool occupies, MonotonicTime now) -> void
+{
+    auto& presence = upstream.m_adapters[adapter];
     presence.m_toldAt = now;
+    presence.m_dropped = true;
+    presence.m_occupies = occupies;
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/catalogue.h
+++ b/src/relay/catalogue.h
@@ -17,7 +17,10 @@
 // Enters the announcement of an adapter's version.
 auto enterAdapterVersion(UpstreamTable&, const ListedAdapter&, MonotonicTime now) -> void;
 
-// Tells that an order made an engine load or drop an adapter; goes before what the engine lists for a while.
+// Tells that an engine accepted the order to load an adapter; goes before what the engine lists for a while.
 auto enterOrderedAdapter(Upstream&, const ListedAdapter&, MonotonicTime readyAt, MonotonicTime now) -> void;
 
+// The same for the order to drop one. `occupies`: it keeps its place until its requests have ended.
+auto enterDroppedAdapter(Upstream&, const std::string& adapter, bool occupies, MonotonicTime now) -> void;
+
 } // namespace marigoldladder::relay
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -228,16 +228,25 @@
     input.m_wishes = addUp(m_board.m_fleetDemand, now);
     input.m_now = now;
     for (auto& order : planAdapterOrders(input)) {
-        auto loading = std::size_t { 0 };
-        for (const auto& [upstream, orders] : m_book)
-            loading += orders.m_loading.size();
-        auto& book = m_book[order.m_upstream.get()];
         // Booked before it is sent, so that the next plan counts it.
-        book.m_loading[order.m_adapter] = now + expectedLoadTime(loading);
+        book(order, now);
         net::co_spawn(m_executor, give(std::move(order)), net::detached);
     }
 }
 
+auto OrderKeeper::book(const AdapterOrder& order, MonotonicTime now) -> void
+{
+    auto& entry = m_book[order.m_upstream.get()];
+    if (order.m_kind == AdapterOrderKind::Unload) {
+        entry.m_unloading.insert(order.m_adapter);
+        return;
+    }
+    auto loading = std::size_t { 0 };
+    for (const auto& [upstream, orders] : m_book)
+        loading += orders.m_loading.size();
+    entry.m_loading[order.m_adapter] = now + expectedLoadTime(loading);
+}
+
 auto OrderKeeper::give(AdapterOrder order) -> Awaitable<void>
 {
     const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
@@ -253,13 +262,14 @@
     if (found == m_book.end())
         co_return;
     auto& book = found->second;
+    book.m_unloading.erase(order.m_adapter);
     switch (answer) {
     case OrderAnswer::Accepted:
-        noteAccepted(order, now);
+        noteAccepted(order, answer, now);
         break;
     case OrderAnswer::AlreadyDone:
         book.m_loading[order.m_adapter] = now;
-        noteAccepted(order, now);
+        noteAccepted(order, answer, now);
         break;
     case OrderAnswer::Busy:
     case OrderAnswer::Refused:
@@ -275,19 +285,17 @@
     planSoon();
 }
 
-auto OrderKeeper::noteAccepted(const AdapterOrder& order, MonotonicTime now) -> void
+auto OrderKeeper::noteAccepted(const AdapterOrder& order, OrderAnswer answer, MonotonicTime now) -> void
 {
-    auto& book = m_book[order.m_upstream.get()];
-    auto& until = book.m_loading[order.m_adapter];
-    auto ordered = OrderedAdapter { order.m_upstream->m_record.m_name, order.m_adapter, 0, now, now };
+    auto& upstream = *order.m_upstream;
+    auto ordered = OrderedAdapter { upstream.m_record.m_name, order.m_adapter, 0, now, now };
     if (order.m_kind == AdapterOrderKind::Load) {
         ordered.m_version = std::max<std::uint64_t>(order.m_version, 1);
-        ordered.m_readyAt = std::max(until, now);
+        ordered.m_readyAt = std::max(m_book[&upstream].m_loading[order.m_adapter], now);
+        enterOrderedAdapter(upstream, { order.m_adapter, ordered.m_version }, ordered.m_readyAt, now);
     } else {
-        until = now;
+        enterDroppedAdapter(upstream, order.m_adapter, answer == OrderAnswer::Accepted, now);
     }
-    enterOrderedAdapter(
-        *order.m_upstream, ListedAdapter { order.m_adapter, ordered.m_version }, ordered.m_readyAt, now);
     m_board.m_orders.m_recent.push_back(ordered);
     m_peers.tellAll();
     m_board.m_capacityChanged();
--- a/src/relay/order_keeper.h
+++ b/src/relay/order_keeper.h
@@ -29,8 +29,9 @@
     auto mayOrderNow() const -> bool;
     auto planRegularly() -> Awaitable<void>;
     auto plan() -> void;
+    auto book(const AdapterOrder&, MonotonicTime now) -> void;
     auto give(AdapterOrder) -> Awaitable<void>;
-    auto noteAccepted(const AdapterOrder&, MonotonicTime now) -> void;
+    auto noteAccepted(const AdapterOrder&, OrderAnswer, MonotonicTime now) -> void;
     auto dropOldBookings(MonotonicTime now) -> void;
 
     Executor m_executor;
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -340,6 +340,10 @@
             && presence->second.m_toldAt + Milliseconds(30) >= orderedAt;
         if (known)
             continue;
+        if (order.version == 0) {
+            enterDroppedAdapter(*found->second, order.adapter, true, orderedAt);
+            continue;
+        }
         enterOrderedAdapter(*found->second, ListedAdapter { order.adapter, order.version },
             now + Milliseconds(order.ready_in_ms), orderedAt);
     }
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -41,6 +41,8 @@
     MonotonicTime m_readyAt {}; // Before it, a load is in progress.
     MonotonicTime m_toldAt {}; // When this was learnt by order or answer; newer than a listing for a while.
     bool m_listed = false; // The engine itself listed it.
+    bool m_dropped = false; // It was ordered to go; a listing made before may still show it.
+    bool m_occupies = true; // It takes a place; a dropped one does until its requests have ended.
 };
 
 // Recent failures of an upstream, as seen here.
