--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -12,16 +12,21 @@
     constexpr auto loadMargin = Milliseconds(12); // In which the engine lists it.
     constexpr auto loadsAtFullSpeed = std::size_t { 8 }; // Over all engines; more take longer in proportion.
     constexpr auto loadsForCopies = std::size_t { 5 }; // What copies leave of that to adapters waited for.
+    constexpr auto modelsAtOnce = std::size_t { 2 }; // Over all engines; the weight store is slow with more.
     constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
     constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
     constexpr auto rateForCopy = 1.0; // Requests a second for each copy that make one more worth a place.
     constexpr auto returnRate = 0.15; // Requests a second above which a lost adapter comes back unasked.
     constexpr auto spareMargin = std::size_t { 1 }; // Place kept free, as a listing may lag behind.
 
+    auto modelOf(const std::string& adapter) -> std::string { return adapter.substr(0, adapter.find('/')); }
+
     // One engine while orders are planned for it.
     struct Engine {
         UpstreamPointer m_upstream;
+        const EnginePool* m_pool = nullptr;
         std::size_t m_places = 0;
+        bool m_loadingModel = false;
         std::set<std::string> m_held; // Loaded, loading, or perhaps loading.
         std::size_t m_loading = 0;
         double m_load = 0; // Requests a second that its adapters draw, each by its copies.
@@ -43,12 +48,25 @@
             }
         }
 
-        auto plan() -> std::vector<AdapterOrder>
+        auto plan() -> AdapterPlan
         {
+            auto plan = AdapterPlan();
+            for (const auto& wish : m_input.m_wishes)
+                plan.m_waited += wish.m_waiting > 0 && m_copies[wish.m_adapter] == 0 ? 1 : 0;
+            plan.m_placesComing = m_placesComing;
+            planModels();
             planWaited();
             planVersions();
             planCopies();
-            return std::move(m_orders);
+            plan.m_loading = m_loading;
+            plan.m_engines = m_engines.size();
+            for (const auto& engine : m_engines) {
+                plan.m_openEngines += takesOrders(engine) ? 1 : 0;
+                if (isSound(engine) && engine.m_places > engine.m_held.size())
+                    plan.m_freePlaces += engine.m_places - engine.m_held.size();
+            }
+            plan.m_orders = std::move(m_orders);
+            return plan;
         }
 
     private:
@@ -81,6 +99,7 @@
                 engine.m_held.insert(adapter);
                 m_placesComing += presence.m_dropped ? 1 : 0;
             }
+            engine.m_pool = &*pool->second.m_engine;
             const auto book = m_input.m_book->find(upstream.get());
             if (book != m_input.m_book->end())
                 readBook(book->second, engine);
@@ -105,6 +124,8 @@
                 engine.m_loading += until > m_input.m_now ? 1 : 0;
             }
             m_placesComing += orders.m_unloading.size();
+            engine.m_loadingModel = orders.m_modelUntil > m_input.m_now;
+            m_loadingModels += engine.m_loadingModel ? 1 : 0;
             engine.m_dropping = !orders.m_unloading.empty();
             for (const auto& [adapter, until] : orders.m_doubtful) {
                 if (until > m_input.m_now)
@@ -114,22 +135,22 @@
 
         auto takesOrders(const Engine& engine) const -> bool
         {
-            const auto book = m_input.m_book->find(engine.m_upstream.get());
-            if (book != m_input.m_book->end() && book->second.m_avoidUntil > m_input.m_now)
-                return false;
             return engine.m_loading < loadsAtOnce && isSound(engine);
         }
 
-        // Whether what the engine loads can serve requests.
+        // Whether the engine takes orders at all, and what it loads can serve requests.
         auto isSound(const Engine& engine) const -> bool
         {
+            const auto book = m_input.m_book->find(engine.m_upstream.get());
+            if (book != m_input.m_book->end() && book->second.m_avoidUntil > m_input.m_now)
+                return false;
             return engine.m_upstream->m_health.m_avoidUntil <= m_input.m_now
                 && !m_input.m_table->m_evacuated.contains(engine.m_upstream->m_record.m_dataCentre);
         }
 
         auto servesModel(const Engine& engine, const std::string& adapter) const -> bool
         {
-            const auto model = adapter.substr(0, adapter.find('/'));
+            const auto model = modelOf(adapter);
             const auto& models = engine.m_upstream->m_record.m_models;
             return std::find(models.begin(), models.end(), model) != models.end();
         }
@@ -153,14 +174,15 @@
         auto anyFreePlace() const -> bool
         {
             return std::any_of(m_engines.begin(), m_engines.end(), [this](const Engine& engine) {
-                return engine.m_held.size() < engine.m_places && isSound(engine);
+                return engine.m_held.size() < engine.m_places && isSound(engine)
+                    && !engine.m_upstream->m_record.m_models.empty();
             });
         }
 
         auto orderLoad(Engine& engine, const std::string& adapter) -> void
         {
             m_orders.push_back(
-                { AdapterOrderKind::Load, engine.m_upstream, adapter, newestVersion(adapter) });
+                { AdapterOrderKind::Load, engine.m_upstream, modelOf(adapter), adapter, newestVersion(adapter) });
             engine.m_held.insert(adapter);
             ++engine.m_loading;
             ++m_loading;
@@ -212,7 +234,41 @@
             if (!from)
                 return;
             from->m_dropping = true;
-            m_orders.push_back({ AdapterOrderKind::Unload, from->m_upstream, victim, 0 });
+            m_orders.push_back({ AdapterOrderKind::Unload, from->m_upstream, modelOf(victim), victim, 0 });
+        }
+
+        // Gives engines without any model, such as those that restarted, the one that is asked for most.
+        auto planModels() -> void
+        {
+            for (auto& engine : m_engines) {
+                if (!engine.m_upstream->m_record.m_models.empty() || engine.m_loadingModel
+                    || m_loadingModels >= modelsAtOnce || !takesOrders(engine))
+                    continue;
+                const auto* model = mostWanted(engine);
+                if (!model)
+                    continue;
+                ++m_loadingModels;
+                engine.m_loadingModel = true;
+                m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, model->m_name, "", 0 });
+            }
+        }
+
+        auto mostWanted(const Engine& engine) const -> const EngineModel*
+        {
+            const auto* best = static_cast<const EngineModel*>(nullptr);
+            auto most = -1.0;
+            for (const auto& model : engine.m_pool->m_models) {
+                if (model.m_megabytes > engine.m_pool->m_megabytes)
+                    continue;
+                auto rate = 0.0;
+                for (const auto& wish : m_input.m_wishes)
+                    rate += modelOf(wish.m_adapter) == model.m_name ? wish.m_rate : 0.0;
+                if (rate > most) {
+                    most = rate;
+                    best = &model;
+                }
+            }
+            return best;
         }
 
         auto planWaited() -> void
@@ -279,13 +335,14 @@
         std::vector<Engine> m_engines;
         std::map<std::string, std::size_t> m_copies;
         std::size_t m_loading = 0;
+        std::size_t m_loadingModels = 0;
         std::size_t m_placesComing = 0; // Adapters on their way out.
         std::vector<AdapterOrder> m_orders;
     };
 
 } // namespace
 
-auto planAdapterOrders(const PlanInput& input) -> std::vector<AdapterOrder>
+auto planAdapterOrders(const PlanInput& input) -> AdapterPlan
 {
     if (!input.m_configuration)
         return {};
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -26,7 +26,8 @@
 struct AdapterOrder {
     AdapterOrderKind m_kind = AdapterOrderKind::Load;
     UpstreamPointer m_upstream;
-    std::string m_adapter; // `model/adapter`
+    std::string m_model;
+    std::string m_adapter; // `model/adapter`; empty: the model itself.
     std::uint64_t m_version = 0; // 0: the newest.
 };
 
@@ -35,6 +36,7 @@
     std::map<std::string, MonotonicTime> m_loading; // Accepted, until when they are expected to take.
     std::set<std::string> m_unloading; // Ordered to go, not yet answered.
     std::map<std::string, MonotonicTime> m_doubtful; // Unanswered; may be carried out until then.
+    MonotonicTime m_modelUntil {}; // It loads a model until about then.
     MonotonicTime m_avoidUntil {}; // It took no orders.
 };
 
@@ -48,8 +50,17 @@
     MonotonicTime m_now {};
 };
 
-// Returns the orders to give now, the most urgent first.
-auto planAdapterOrders(const PlanInput&) -> std::vector<AdapterOrder>;
+struct AdapterPlan {
+    std::vector<AdapterOrder> m_orders; // To give now, the most urgent first.
+    std::size_t m_waited = 0; // Adapters that requests wait for and no engine has.
+    std::size_t m_loading = 0; // Loads under way, those ordered now included.
+    std::size_t m_engines = 0;
+    std::size_t m_openEngines = 0; // Those that take orders now.
+    std::size_t m_freePlaces = 0; // At engines that are sound.
+    std::size_t m_placesComing = 0; // Adapters on their way out.
+};
+
+auto planAdapterOrders(const PlanInput&) -> AdapterPlan;
 
 // Returns how long a load takes while `loading` others are under way over all engines.
 auto expectedLoadTime(std::size_t loading) -> Milliseconds;
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -18,6 +18,10 @@
     constexpr auto leaseName = "engine-orders";
     constexpr auto leaseStepInterval = Milliseconds(100);
     constexpr auto leaseReadInterval = Milliseconds(700);
+    // Until an engine that was ordered to load a model and doesn't list it is ordered again.
+    constexpr auto shortestModelTime = Milliseconds(2'000);
+    constexpr auto modelTimeFactor = 3;
+    constexpr auto planLogInterval = Milliseconds(1'000);
     constexpr auto planInterval = Milliseconds(200);
     constexpr auto doubtTime = Milliseconds(13'000); // An unanswered order may still be carried out.
     constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
@@ -227,16 +231,47 @@
     input.m_book = &m_book;
     input.m_wishes = addUp(m_board.m_fleetDemand, now);
     input.m_now = now;
-    for (auto& order : planAdapterOrders(input)) {
+    auto planned = planAdapterOrders(input);
+    logPlan(planned, now);
+    for (auto& order : planned.m_orders) {
         // Booked before it is sent, so that the next plan counts it.
         book(order, now);
         net::co_spawn(m_executor, give(std::move(order)), net::detached);
     }
 }
 
+auto OrderKeeper::logPlan(const AdapterPlan& plan, MonotonicTime now) -> void
+{
+    if (plan.m_waited == 0 || m_planLoggedAt + planLogInterval > now)
+        return;
+    m_planLoggedAt = now;
+    logChange("adapters_waited_for", { { "adapters", std::to_string(plan.m_waited) },
+        { "ordered", std::to_string(plan.m_orders.size()) }, { "loading", std::to_string(plan.m_loading) },
+        { "engines", std::to_string(plan.m_engines) }, { "open", std::to_string(plan.m_openEngines) },
+        { "free_places", std::to_string(plan.m_freePlaces) },
+        { "places_coming", std::to_string(plan.m_placesComing) } });
+}
+
+auto OrderKeeper::modelTime(const AdapterOrder& order) const -> Milliseconds
+{
+    const auto pool = m_board.m_configuration->m_pools.find(order.m_upstream->m_record.m_pool);
+    auto time = shortestModelTime;
+    if (pool != m_board.m_configuration->m_pools.end() && pool->second.m_engine) {
+        for (const auto& model : pool->second.m_engine->m_models) {
+            if (model.m_name == order.m_model)
+                time = std::max(time, model.m_loadTime * modelTimeFactor);
+        }
+    }
+    return time;
+}
+
 auto OrderKeeper::book(const AdapterOrder& order, MonotonicTime now) -> void
 {
     auto& entry = m_book[order.m_upstream.get()];
+    if (order.m_adapter.empty()) {
+        entry.m_modelUntil = now + modelTime(order);
+        return;
+    }
     if (order.m_kind == AdapterOrderKind::Unload) {
         entry.m_unloading.insert(order.m_adapter);
         return;
@@ -255,13 +290,18 @@
     logChange("engine_order",
         { { "upstream", order.m_upstream->m_record.m_name.value() },
             { "kind", std::string(nameOf(adapterOrderKindNames, order.m_kind)) },
-            { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
+            { "model", order.m_model }, { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
             { "fence", std::to_string(sender.m_fence) },
             { "answer", std::string(nameOf(orderAnswerNames, answer)) } });
     const auto found = m_book.find(order.m_upstream.get());
     if (found == m_book.end())
         co_return;
     auto& book = found->second;
+    if (order.m_adapter.empty()) {
+        if (answer == OrderAnswer::Busy || answer == OrderAnswer::Refused)
+            book.m_modelUntil = now + refusedPause;
+        co_return;
+    }
     book.m_unloading.erase(order.m_adapter);
     switch (answer) {
     case OrderAnswer::Accepted:
--- a/src/relay/order_keeper.h
+++ b/src/relay/order_keeper.h
@@ -29,6 +29,8 @@
     auto mayOrderNow() const -> bool;
     auto planRegularly() -> Awaitable<void>;
     auto plan() -> void;
+    auto logPlan(const AdapterPlan&, MonotonicTime now) -> void;
+    auto modelTime(const AdapterOrder&) const -> Milliseconds;
     auto book(const AdapterOrder&, MonotonicTime now) -> void;
     auto give(AdapterOrder) -> Awaitable<void>;
     auto noteAccepted(const AdapterOrder&, OrderAnswer, MonotonicTime now) -> void;
@@ -44,6 +46,7 @@
     LeaseState m_lease;
     EngineOrderBook m_book;
     bool m_planPending = false;
+    MonotonicTime m_planLoggedAt {};
     UninterruptedTime m_startedAt {};
 };
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -77,7 +77,7 @@
         return 1;
     m_storeSync.start();
     m_orders.start(ready);
-    awaitStop();
+    awaitSignals();
     net::co_spawn(m_context, sweep(), net::detached);
     m_context.run();
     logChange("stopped");
@@ -92,13 +92,20 @@
     }
 }
 
-auto RelayNode::awaitStop() -> void
+auto RelayNode::awaitSignals() -> void
 {
     m_signals.add(SIGTERM);
     m_signals.add(SIGINT);
-    m_signals.async_wait([this](ErrorCode error, int) {
-        if (!error)
-            net::co_spawn(m_context, stopWhenIdle(), net::detached);
+    m_signals.add(SIGHUP);
+    m_signals.async_wait([this](ErrorCode error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            logChange("settings_changed");
+            awaitSignals();
+            return;
+        }
+        net::co_spawn(m_context, stopWhenIdle(), net::detached);
     });
 }
 
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -34,7 +34,7 @@
     auto isReady() const -> bool;
     auto callerAddresses() const -> std::vector<Address>;
     auto sweep() -> Awaitable<void>;
-    auto awaitStop() -> void;
+    auto awaitSignals() -> void;
     auto stopWhenIdle() -> Awaitable<void>;
 
     net::io_context& m_context;
--- a/src/relay/routing_configuration.h
+++ b/src/relay/routing_configuration.h
@@ -66,9 +66,17 @@
     std::vector<std::string> m_regions;
 };
 
-// The adapters that the engines of a pool can be ordered to load.
+// A base model that the engines of a pool can be ordered to load.
+struct EngineModel {
+    std::string m_name;
+    double m_megabytes = 0;
+    Milliseconds m_loadTime { 0 }; // From the weight store, while few loads run.
+};
+
+// What the engines of a pool can be ordered to load.
 struct EnginePool {
-    std::vector<std::string> m_models;
+    std::vector<EngineModel> m_models;
+    double m_megabytes = 0; // Of weights and adapters that one engine holds at most.
     std::size_t m_adapterPlaces = 0; // Adapters that one engine holds at most.
     std::size_t m_slots = 0; // Requests that run at once.
     double m_memoryTokens = 0; // Tokens that running requests and cached prompts may occupy.
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -123,17 +123,16 @@
 
 auto StoreSync::watchUntilLost(Kind& kind, std::uint64_t revision) -> Awaitable<void>
 {
-    auto failures = 0;
     for (;;) {
         auto changes = co_await m_store.m_watch(kind.m_name, revision, watchTime);
         if (!changes) {
-            if (changes.error().m_type == StoreFailureType::HistoryLost)
-                co_return;
-            noteReachable(false);
-            co_await sleepFor(backoff(failures++));
-            continue;
+            // A watch from a history that is lost may hang instead of failing, so whatever ended this one,
+            // the kind is listed anew.
+            logChange("store_watch_ended", { { "kind", kind.m_name }, { "reason", changes.error().m_message } });
+            if (changes.error().m_type != StoreFailureType::HistoryLost)
+                co_await sleepFor(backoff(0));
+            co_return;
         }
-        failures = 0;
         noteReachable(true);
         revision = std::max(revision, changes.value().m_revision);
         for (const auto& change : changes.value().m_changes)
