Tell the holder which adapters are missing, and unload where none waits

Cause: adapters in use were unloaded, which kept engines busy until their requests ended (409 for other unloads); a node that found an adapter missing forgot it alone, so the holder never ordered it again; doubtful orders and listings were trusted too early.

--- a/src/relay/adapter_demand.cc
+++ b/src/relay/adapter_demand.cc
@@ -27,7 +27,8 @@
 auto forgetIdleAdapters(AdapterRates& rates, MonotonicTime now) -> void
 {
     std::erase_if(rates, [&](const auto& entry) {
-        return entry.second.m_waiting == 0 && rateAt(entry.second, now) < idleRate;
+        return entry.second.m_waiting == 0 && entry.second.m_inFlight == 0
+            && rateAt(entry.second, now) < idleRate;
     });
 }
 
@@ -40,6 +41,7 @@
             wish.m_adapter = adapter;
             wish.m_rate += rateAt(rate, now);
             wish.m_waiting += rate.m_waiting;
+            wish.m_inFlight += rate.m_inFlight;
         }
     }
     auto list = std::vector<AdapterWish>();
--- a/src/relay/adapter_demand.h
+++ b/src/relay/adapter_demand.h
@@ -15,6 +15,7 @@
     double m_rate = 0; // Requests a second.
     MonotonicTime m_at {};
     std::size_t m_waiting = 0; // Requests that wait for it now.
+    std::size_t m_inFlight = 0; // Requests that run on it now.
 };
 
 using AdapterRates = std::map<std::string, AdapterRate>; // By `model/adapter`.
@@ -33,6 +34,7 @@
     std::string m_adapter;
     double m_rate = 0;
     std::size_t m_waiting = 0;
+    std::size_t m_inFlight = 0;
 };
 
 // What each node told of its demand; the node that gives orders adds it up.
@@ -40,6 +42,31 @@
     std::map<VmName, AdapterRates> m_byNode;
 };
 
+// Counts a request that waits for an adapter, or runs on it, for as long as this exists.
+class AdapterUse {
+public:
+    AdapterUse(AdapterRates& rates, const std::string& adapter, std::size_t AdapterRate::*count)
+        : m_rates(rates)
+        , m_adapter(adapter)
+        , m_count(count)
+    {
+        if (!m_adapter.empty())
+            ++(m_rates[m_adapter].*m_count);
+    }
+    ~AdapterUse()
+    {
+        if (!m_adapter.empty())
+            --(m_rates[m_adapter].*m_count);
+    }
+    AdapterUse(const AdapterUse&) = delete;
+    auto operator=(const AdapterUse&) -> AdapterUse& = delete;
+
+private:
+    AdapterRates& m_rates;
+    std::string m_adapter;
+    std::size_t AdapterRate::*m_count;
+};
+
 auto addUp(const FleetDemand&, MonotonicTime now) -> std::vector<AdapterWish>;
 
 } // namespace marigoldladder::relay
--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -19,7 +19,10 @@
     constexpr auto returnRate = 0.15; // Requests a second above which a lost adapter comes back unasked.
     constexpr auto spareMargin = std::size_t { 1 }; // Place kept free, as a listing may lag behind.
 
-    auto modelOf(const std::string& adapter) -> std::string { return adapter.substr(0, adapter.find('/')); }
+    auto modelOf(const std::string& adapter) -> std::string
+    {
+        return adapter.substr(0, adapter.find('/'));
+    }
 
     // One engine while orders are planned for it.
     struct Engine {
@@ -98,6 +101,7 @@
                     continue;
                 engine.m_held.insert(adapter);
                 m_placesComing += presence.m_dropped ? 1 : 0;
+                engine.m_dropping = engine.m_dropping || presence.m_dropped;
             }
             engine.m_pool = &*pool->second.m_engine;
             const auto book = m_input.m_book->find(upstream.get());
@@ -126,7 +130,8 @@
             m_placesComing += orders.m_unloading.size();
             engine.m_loadingModel = orders.m_modelUntil > m_input.m_now;
             m_loadingModels += engine.m_loadingModel ? 1 : 0;
-            engine.m_dropping = !orders.m_unloading.empty();
+            engine.m_dropping
+                = engine.m_dropping || !orders.m_unloading.empty() || orders.m_keepsUntil > m_input.m_now;
             for (const auto& [adapter, until] : orders.m_doubtful) {
                 if (until > m_input.m_now)
                     engine.m_held.insert(adapter);
@@ -181,8 +186,8 @@
 
         auto orderLoad(Engine& engine, const std::string& adapter) -> void
         {
-            m_orders.push_back(
-                { AdapterOrderKind::Load, engine.m_upstream, modelOf(adapter), adapter, newestVersion(adapter) });
+            m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, modelOf(adapter), adapter,
+                newestVersion(adapter) });
             engine.m_held.insert(adapter);
             ++engine.m_loading;
             ++m_loading;
@@ -199,6 +204,12 @@
                     || book->second.m_doubtful.contains(adapter));
         }
 
+        auto isUsed(const std::string& adapter) const -> bool
+        {
+            const auto found = m_wishes.find(adapter);
+            return found != m_wishes.end() && (found->second->m_inFlight > 0 || found->second->m_waiting > 0);
+        }
+
         // What keeping this adapter at this engine is worth: requests a second that would go elsewhere.
         auto keepingValue(const Engine& engine, const std::string& adapter) const -> double
         {
@@ -208,8 +219,11 @@
             if (presence == engine.m_upstream->m_adapters.end() || presence->second.m_readyAt > m_input.m_now
                 || presence->second.m_dropped || isBooked(engine, adapter))
                 return std::numeric_limits<double>::infinity();
+            // An engine that waits for an adapter's requests to end takes no other order meanwhile.
+            constexpr auto usedPenalty = 100.0;
+            const auto used = isUsed(adapter) ? usedPenalty : 0.0;
             constexpr auto lastCopyFactor = 4.0;
-            return others > 0 ? rateOf(adapter) / (others + 1) : rateOf(adapter) * lastCopyFactor;
+            return used + (others > 0 ? rateOf(adapter) / (others + 1) : rateOf(adapter) * lastCopyFactor);
         }
 
         // Makes room at the engine where the least is lost by it.
@@ -300,8 +314,8 @@
         {
             for (auto& engine : m_engines) {
                 for (const auto& [adapter, presence] : engine.m_upstream->m_adapters) {
-                    if (presence.m_dropped || presence.m_version >= newestVersion(adapter) || !takesOrders(engine)
-                        || isBooked(engine, adapter))
+                    if (presence.m_dropped || presence.m_version >= newestVersion(adapter)
+                        || !takesOrders(engine) || isBooked(engine, adapter))
                         continue;
                     if (m_copies[adapter] == 0 || m_loading >= loadsAtFullSpeed)
                         continue;
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -37,6 +37,7 @@
     std::set<std::string> m_unloading; // Ordered to go, not yet answered.
     std::map<std::string, MonotonicTime> m_doubtful; // Unanswered; may be carried out until then.
     MonotonicTime m_modelUntil {}; // It loads a model until about then.
+    MonotonicTime m_keepsUntil {}; // It lets no adapter go, since it waits for another's requests to end.
     MonotonicTime m_avoidUntil {}; // It took no orders.
 };
 
--- a/src/relay/catalogue.cc
+++ b/src/relay/catalogue.cc
@@ -9,7 +9,12 @@
 namespace {
 
     // How old a listing may be when it arrives: an upstream's heartbeat, and the way to this node.
-    constexpr auto listingAge = Milliseconds(2'500);
+    constexpr auto listingAge = Milliseconds(4'000);
+
+    // A load may take longer than expected while many are under way.
+    constexpr auto slowestLoad = Milliseconds(2'000);
+    constexpr auto slowLoadPause = Milliseconds(60);
+    constexpr auto mostRefusals = 5;
 
     auto enterListedAdapters(Upstream& upstream, MonotonicTime now) -> void
     {
@@ -22,7 +27,7 @@
             const auto told = presence.m_toldAt + listingAge > now;
             if (told && (presence.m_dropped || presence.m_version >= adapter.m_version))
                 continue;
-            presence = AdapterPresence { adapter.m_version, {}, presence.m_toldAt, true, false, true };
+            presence = AdapterPresence { adapter.m_version, {}, presence.m_toldAt, 0, true, false, true };
         }
         std::erase_if(upstream.m_adapters, [&](const auto& entry) {
             return !entry.second.m_listed && entry.second.m_toldAt + listingAge <= now;
@@ -81,10 +86,25 @@
     Upstream& upstream, const ListedAdapter& adapter, MonotonicTime readyAt, MonotonicTime now) -> void
 {
     auto& presence = upstream.m_adapters[adapter.m_key];
-    presence = AdapterPresence { adapter.m_version, readyAt, now, presence.m_listed, false, true };
+    presence = AdapterPresence { adapter.m_version, readyAt, now, 0, presence.m_listed, false, true };
+}
+
+auto enterMissingAdapter(Upstream& upstream, const std::string& adapter, MonotonicTime now) -> bool
+{
+    const auto found = upstream.m_adapters.find(adapter);
+    if (found == upstream.m_adapters.end())
+        return false;
+    auto& presence = found->second;
+    if (presence.m_toldAt + slowestLoad > now && ++presence.m_refusals <= mostRefusals) {
+        presence.m_readyAt = now + slowLoadPause;
+        return false;
+    }
+    upstream.m_adapters.erase(found);
+    return true;
 }
 
-auto enterDroppedAdapter(Upstream& upstream, const std::string& adapter, bool occupies, MonotonicTime now) -> void
+auto enterDroppedAdapter(Upstream& upstream, const std::string& adapter, bool occupies, MonotonicTime now)
+    -> void
 {
     auto& presence = upstream.m_adapters[adapter];
     presence.m_toldAt = now;
--- a/src/relay/catalogue.h
+++ b/src/relay/catalogue.h
@@ -20,6 +20,10 @@
 // Tells that an engine accepted the order to load an adapter; goes before what the engine lists for a while.
 auto enterOrderedAdapter(Upstream&, const ListedAdapter&, MonotonicTime readyAt, MonotonicTime now) -> void;
 
+// Enters that an engine refused a request for want of an adapter that it should have. Returns whether the
+// adapter counts as missing from now on: a load may take longer than expected.
+auto enterMissingAdapter(Upstream&, const std::string& adapter, MonotonicTime now) -> bool;
+
 // The same for the order to drop one. `occupies`: it keeps its place until its requests have ended.
 auto enterDroppedAdapter(Upstream&, const std::string& adapter, bool occupies, MonotonicTime now) -> void;
 
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -23,7 +23,8 @@
     constexpr auto modelTimeFactor = 3;
     constexpr auto planLogInterval = Milliseconds(1'000);
     constexpr auto planInterval = Milliseconds(200);
-    constexpr auto doubtTime = Milliseconds(13'000); // An unanswered order may still be carried out.
+    constexpr auto doubtTime = Milliseconds(16'000); // An unanswered order may still be carried out.
+    constexpr auto busyPause = Milliseconds(80); // Until one of the loads under way there has ended.
     constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
     constexpr auto orderMemory = Milliseconds(3'000); // Kept to tell the other nodes.
 
@@ -245,11 +246,12 @@
     if (plan.m_waited == 0 || m_planLoggedAt + planLogInterval > now)
         return;
     m_planLoggedAt = now;
-    logChange("adapters_waited_for", { { "adapters", std::to_string(plan.m_waited) },
-        { "ordered", std::to_string(plan.m_orders.size()) }, { "loading", std::to_string(plan.m_loading) },
-        { "engines", std::to_string(plan.m_engines) }, { "open", std::to_string(plan.m_openEngines) },
-        { "free_places", std::to_string(plan.m_freePlaces) },
-        { "places_coming", std::to_string(plan.m_placesComing) } });
+    logChange("adapters_waited_for",
+        { { "adapters", std::to_string(plan.m_waited) }, { "ordered", std::to_string(plan.m_orders.size()) },
+            { "loading", std::to_string(plan.m_loading) }, { "engines", std::to_string(plan.m_engines) },
+            { "open", std::to_string(plan.m_openEngines) },
+            { "free_places", std::to_string(plan.m_freePlaces) },
+            { "places_coming", std::to_string(plan.m_placesComing) } });
 }
 
 auto OrderKeeper::modelTime(const AdapterOrder& order) const -> Milliseconds
@@ -289,8 +291,8 @@
     const auto now = Clock::now();
     logChange("engine_order",
         { { "upstream", order.m_upstream->m_record.m_name.value() },
-            { "kind", std::string(nameOf(adapterOrderKindNames, order.m_kind)) },
-            { "model", order.m_model }, { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
+            { "kind", std::string(nameOf(adapterOrderKindNames, order.m_kind)) }, { "model", order.m_model },
+            { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
             { "fence", std::to_string(sender.m_fence) },
             { "answer", std::string(nameOf(orderAnswerNames, answer)) } });
     const auto found = m_book.find(order.m_upstream.get());
@@ -312,6 +314,12 @@
         noteAccepted(order, answer, now);
         break;
     case OrderAnswer::Busy:
+        book.m_loading.erase(order.m_adapter);
+        if (order.m_kind == AdapterOrderKind::Unload)
+            book.m_keepsUntil = now + refusedPause;
+        else
+            book.m_avoidUntil = now + busyPause;
+        break;
     case OrderAnswer::Refused:
         book.m_loading.erase(order.m_adapter);
         book.m_avoidUntil = now + refusedPause;
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -22,9 +22,11 @@
     constexpr auto firstReads = 3; // At the start, others register at about the same time.
     constexpr auto firstReadInterval = Milliseconds(400);
     constexpr auto registrationPause = Milliseconds(500);
-    constexpr auto mostDemands = std::size_t { 40 }; // Adapters in one summary, those asked for most.
+    constexpr auto mostDemands = std::size_t { 56 }; // Adapters in one summary, those asked for most.
     constexpr auto orderMemory = Milliseconds(2'500); // Until the engines' own lists show what was ordered.
     constexpr auto mostOrders = std::size_t { 24 }; // In one summary, the newest.
+    constexpr auto missingMemory = Milliseconds(250); // Told in a few summaries.
+    constexpr auto reloadTime = Milliseconds(700); // An adapter ordered since may be missing no more.
     constexpr auto hearingTime = Milliseconds(1'000); // In which all must have heard the holder.
 
     auto age(MonotonicTime then, MonotonicTime now) -> std::uint32_t
@@ -90,6 +92,8 @@
         const auto now = Clock::now();
         forgetLostPeers(m_board.m_fleet, now);
         forgetIdleAdapters(m_board.m_adapterRates, now);
+        std::erase_if(m_board.m_missing,
+            [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingMemory <= now; });
         m_board.m_nodes = sharingNodes(m_board.m_fleet);
         addUpLoads();
         tellAll();
@@ -173,8 +177,10 @@
     summary.holder_age_ms = orders.m_holding ? 0 : age(holder.m_heardAt, now);
     fillLoads(summary);
     fillOrganisations(summary);
-    if (toHolder)
+    if (toHolder) {
         fillDemands(summary);
+        fillMissing(summary);
+    }
     if (orders.m_holding)
         fillOrders(summary);
     auto builder = flatbuffers::FlatBufferBuilder();
@@ -205,7 +211,8 @@
     const auto now = Clock::now();
     auto sorted = std::vector<std::pair<std::pair<std::size_t, double>, const std::string*>>();
     for (const auto& [adapter, rate] : m_board.m_adapterRates)
-        sorted.push_back({ { rate.m_waiting, rateAt(rate, now) }, &adapter });
+        sorted.push_back(
+            { { rate.m_waiting + std::min<std::size_t>(rate.m_inFlight, 1), rateAt(rate, now) }, &adapter });
     std::sort(sorted.begin(), sorted.end(),
         [](const auto& left, const auto& right) { return left.first > right.first; });
     if (sorted.size() > mostDemands)
@@ -214,11 +221,22 @@
         auto entry = std::make_unique<messages::AdapterDemandT>();
         entry->adapter = *adapter;
         entry->requests_per_second = static_cast<float>(demand.second);
-        entry->waiting = static_cast<std::uint16_t>(demand.first);
+        entry->waiting = static_cast<std::uint16_t>(m_board.m_adapterRates.at(*adapter).m_waiting);
+        entry->in_flight = static_cast<std::uint16_t>(m_board.m_adapterRates.at(*adapter).m_inFlight);
         summary.demands.push_back(std::move(entry));
     }
 }
 
+auto PeerExchange::fillMissing(messages::SummaryT& summary) const -> void
+{
+    for (const auto& missing : m_board.m_missing) {
+        auto entry = std::make_unique<messages::MissingAdapterT>();
+        entry->upstream = shortId(missing.m_upstream.value());
+        entry->adapter = missing.m_adapter;
+        summary.missing.push_back(std::move(entry));
+    }
+}
+
 auto PeerExchange::fillOrders(messages::SummaryT& summary) const -> void
 {
     const auto now = Clock::now();
@@ -291,7 +309,9 @@
         auto& rates = m_board.m_fleetDemand.m_byNode[vm];
         rates.clear();
         for (const auto& demand : summary.demands)
-            rates[demand->adapter] = AdapterRate { demand->requests_per_second, now, demand->waiting };
+            rates[demand->adapter]
+                = AdapterRate { demand->requests_per_second, now, demand->waiting, demand->in_flight };
+        enterMissing(summary, now);
         m_board.m_adapterWanted();
     }
     addUpLoads();
@@ -321,6 +341,19 @@
         enterOrders(summary, now);
 }
 
+auto PeerExchange::enterMissing(const messages::SummaryT& summary, MonotonicTime now) -> void
+{
+    for (const auto& missing : summary.missing) {
+        for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
+            if (shortId(name.value()) != missing->upstream)
+                continue;
+            const auto found = upstream->m_adapters.find(missing->adapter);
+            if (found != upstream->m_adapters.end() && found->second.m_toldAt + reloadTime < now)
+                upstream->m_adapters.erase(found);
+        }
+    }
+}
+
 auto PeerExchange::enterOrders(const messages::SummaryT& summary, MonotonicTime now) -> void
 {
     if (summary.orders.empty())
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -48,10 +48,12 @@
     auto fillLoads(messages::SummaryT&) const -> void;
     auto fillOrganisations(messages::SummaryT&) const -> void;
     auto fillDemands(messages::SummaryT&) const -> void;
+    auto fillMissing(messages::SummaryT&) const -> void;
     auto fillOrders(messages::SummaryT&) const -> void;
     auto send(const Peer&, const std::string& datagram) -> void;
     auto enter(const messages::SummaryT&, const Address& from) -> void;
     auto enterHolder(const messages::SummaryT&, MonotonicTime now) -> void;
+    auto enterMissing(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
     auto addUpLoads() -> void;
 
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -37,6 +37,14 @@
     MonotonicTime m_readyAt {};
 };
 
+// An adapter that an engine turned out not to have, kept for a moment to tell it to the node that gives
+// orders.
+struct MissingAdapter {
+    UpstreamName m_upstream;
+    std::string m_adapter;
+    MonotonicTime m_noticedAt {};
+};
+
 // What the node that gives orders does.
 struct OrderState {
     bool m_holding = false;
@@ -53,6 +61,7 @@
     FleetView m_fleet; // By the peer exchange.
     AdapterRates m_adapterRates; // Of this node's requests. By the runner and the wait list.
     FleetDemand m_fleetDemand; // While this node gives orders. By the peer exchange.
+    std::vector<MissingAdapter> m_missing; // By the runner and the peer exchange.
     OrderState m_orders; // By the order keeper.
     RelayCounters m_counters; // Added to by all.
     std::size_t m_nodes = 1; // That share the fleet's bounds. By the peer exchange.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -214,6 +214,7 @@
             + std::max<Milliseconds>(state.m_route->m_targetLatency * silenceFactor, shortestSilence);
     }
     const auto upstream = found.m_place.upstream();
+    const auto use = AdapterUse(m_board.m_adapterRates, attempts.m_needs.m_adapter, &AdapterRate::m_inFlight);
     const auto end = co_await m_upstreamCaller.call(state, answer, upstream, silentAt);
     attempts.m_needs.m_tried.push_back(upstream.get());
     switch (end) {
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -128,7 +128,8 @@
         if (!changes) {
             // A watch from a history that is lost may hang instead of failing, so whatever ended this one,
             // the kind is listed anew.
-            logChange("store_watch_ended", { { "kind", kind.m_name }, { "reason", changes.error().m_message } });
+            logChange(
+                "store_watch_ended", { { "kind", kind.m_name }, { "reason", changes.error().m_message } });
             if (changes.error().m_type != StoreFailureType::HistoryLost)
                 co_await sleepFor(backoff(0));
             co_return;
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -40,6 +40,7 @@
     std::uint64_t m_version = 0;
     MonotonicTime m_readyAt {}; // Before it, a load is in progress.
     MonotonicTime m_toldAt {}; // When this was learnt by order or answer; newer than a listing for a while.
+    int m_refusals = 0; // Requests in a row that the engine refused for want of it.
     bool m_listed = false; // The engine itself listed it.
     bool m_dropped = false; // It was ordered to go; a listing made before may still show it.
     bool m_occupies = true; // It takes a place; a dropped one does until its requests have ended.
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -1,5 +1,6 @@
 #include "relay/upstream_call.h"
 
+#include "relay/catalogue.h"
 #include "relay/event_text.h"
 #include "relay/upstream_choice.h"
 
@@ -272,6 +273,12 @@
 {
 }
 
+auto UpstreamCaller::noteMissing(const std::string& adapter, Upstream& upstream, MonotonicTime now) -> void
+{
+    if (enterMissingAdapter(upstream, adapter, now))
+        m_board.m_missing.push_back({ upstream.m_record.m_name, adapter, now });
+}
+
 auto UpstreamCaller::noteRefusal(const CallState& state, Upstream& upstream, const UpstreamAnswer& answer)
     -> void
 {
@@ -284,7 +291,7 @@
     if (replaced)
         upstream.m_record.m_leaving = true;
     else if (!state.m_request.m_adapter.empty())
-        upstream.m_adapters.erase(state.m_request.m_adapter);
+        noteMissing(state.m_request.m_adapter, upstream, now);
     else
         upstream.m_fullUntil = now + fullPause;
 }
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -55,6 +55,7 @@
 private:
     auto exchange(CallState&, CallerAnswer&, const UpstreamPointer&, UpstreamConnectionPointer,
         MonotonicTime silentAt) -> Awaitable<UpstreamCallEnd>;
+    auto noteMissing(const std::string& adapter, Upstream&, MonotonicTime now) -> void;
     auto noteRefusal(const CallState&, Upstream&, const UpstreamAnswer&) -> void;
 
     UpstreamConnections& m_connections;
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -13,29 +13,6 @@
     // this pace.
     constexpr auto lookInterval = std::chrono::milliseconds(50);
 
-    // Counts a request among those that wait for its adapter, for as long as this exists.
-    class AdapterWait {
-    public:
-        AdapterWait(RelayBoard& board, const std::string& adapter)
-            : m_board(board)
-            , m_adapter(adapter)
-        {
-            if (!m_adapter.empty())
-                ++m_board.m_adapterRates[m_adapter].m_waiting;
-        }
-        ~AdapterWait()
-        {
-            if (!m_adapter.empty())
-                --m_board.m_adapterRates[m_adapter].m_waiting;
-        }
-        AdapterWait(const AdapterWait&) = delete;
-        auto operator=(const AdapterWait&) -> AdapterWait& = delete;
-
-    private:
-        RelayBoard& m_board;
-        std::string m_adapter;
-    };
-
 } // namespace
 
 UpstreamPlace::UpstreamPlace(RelayBoard& board, UpstreamPointer upstream, double tokens)
@@ -127,7 +104,8 @@
     if (until <= Clock::now())
         co_return std::move(waiter.m_result);
     enqueue(waiter);
-    const auto waiting = AdapterWait(m_board, waiter.m_needs.m_adapter);
+    const auto waiting
+        = AdapterUse(m_board.m_adapterRates, waiter.m_needs.m_adapter, &AdapterRate::m_waiting);
     if (choice.m_outcome == ChoiceOutcome::NotLoaded)
         m_board.m_adapterWanted();
     armTimer(choice.m_retryAt);
