--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -42,8 +42,8 @@
     });
 }
 
-auto organisationShare(
-    const FleetView& fleet, std::uint32_t organisation, double ownDemand, MonotonicTime now) -> double
+auto organisationParts(const FleetView& fleet, std::uint32_t organisation, double ownDemand,
+    MonotonicTime now) -> OrganisationParts
 {
     const auto even = 1.0 / static_cast<double>(sharingNodes(fleet));
     auto total = ownDemand;
@@ -53,8 +53,10 @@
         total += found == peer.m_organisationDemand.end() ? 0.0 : found->second;
         alive += isAlive(peer, now) ? 1 : 0;
     }
-    if (alive == 0 || total <= 0)
-        return even;
+    if (alive == 0)
+        return { even, even, false };
+    if (total <= 0)
+        return { even, static_cast<double>(alive + 1) * even, true };
     auto reserved = 0.0;
     auto heard = ownDemand;
     for (const auto& [vm, peer] : fleet.m_peers) {
@@ -66,7 +68,8 @@
     }
     const auto floor = demandFloor * heard / static_cast<double>(alive + 1);
     const auto weight = (ownDemand + floor) / (heard * (1 + demandFloor));
-    return std::max(0.0, 1.0 - reserved) * weight;
+    const auto heardPart = std::max(0.0, 1.0 - reserved);
+    return { heardPart * weight, heardPart, true };
 }
 
 auto readyAddresses(const FleetView& fleet, const std::optional<Address>& self, MonotonicTime now)
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -62,10 +62,15 @@
 // Forgets peers that were silent for so long that they are gone.
 auto forgetLostPeers(FleetView&, MonotonicTime now) -> void;
 
-// Returns this node's part of an organisation's allowance: by demand among the nodes that are heard, while
-// the parts of silent ones stay reserved. A node that hears nobody keeps an even part.
-auto organisationShare(const FleetView&, std::uint32_t organisation, double ownDemand, MonotonicTime now)
-    -> double;
+// How an organisation's allowance is shared out, as shares of 1.
+struct OrganisationParts {
+    double m_own = 1; // This node's, by demand among the nodes that are heard.
+    double m_heard = 1; // All that of the nodes that are heard; the parts of silent ones stay reserved.
+    bool m_hearsOthers = false; // A node that hears nobody keeps an even part.
+};
+
+auto organisationParts(const FleetView&, std::uint32_t organisation, double ownDemand, MonotonicTime now)
+    -> OrganisationParts;
 
 // Returns callers' addresses of the nodes that are ready, this node first when `self` is given.
 auto readyAddresses(const FleetView&, const std::optional<Address>& self, MonotonicTime now)
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -203,7 +203,8 @@
 {
     const auto now = Clock::now();
     for (const auto& [name, budget] : m_board.m_budgets.m_budgets)
-        summary.organisations.emplace_back(shortId(name.value()), static_cast<float>(demandOf(budget, now)));
+        summary.organisations.emplace_back(
+            shortId(name.value()), static_cast<float>(demandOf(budget, now)), budget.m_spent);
 }
 
 auto PeerExchange::fillDemands(messages::SummaryT& summary) const -> void
@@ -302,8 +303,11 @@
     for (const auto& load : summary.loads)
         peer.m_loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
     peer.m_organisationDemand.clear();
-    for (const auto& demand : summary.organisations)
+    for (const auto& demand : summary.organisations) {
         peer.m_organisationDemand[demand.organisation()] = demand.tokens_per_second();
+        enterPeerSpending(m_board.m_budgets, demand.organisation(), vm,
+            PeerSpending { summary.incarnation, demand.spent() });
+    }
     enterHolder(summary, now);
     if (m_board.m_orders.m_holding && !summary.demands.empty()) {
         auto& rates = m_board.m_fleetDemand.m_byNode[vm];
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -63,7 +63,7 @@
     std::size_t m_sends = 0; // Upstreams that it was sent to.
     bool m_timedOut = false;
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
-    std::optional<ChargeId> m_charge;
+    BudgetDecision m_charge;
     double m_tokens = 0;
 };
 
@@ -111,12 +111,12 @@
     attempts.m_tokens
         = tokensOf(organisation, request.m_statesTokens, request.m_promptTokens, request.m_outputTokens);
     const auto now = Clock::now();
-    const auto share = organisationShare(m_board.m_fleet, shortId(organisation.m_name.value()),
+    const auto parts = organisationParts(m_board.m_fleet, shortId(organisation.m_name.value()),
         demandOf(m_board.m_budgets.m_budgets[organisation.m_name], now), now);
     const auto debt = debtTokens / static_cast<double>(sharingNodes(m_board.m_fleet));
-    const auto decision
-        = chargeOrganisation(m_board.m_budgets, organisation, attempts.m_tokens, share, debt, now);
-    attempts.m_charge = decision.m_charge;
+    const auto share = BudgetShare { parts.m_own, parts.m_heard, parts.m_hearsOthers, debt };
+    const auto decision = chargeOrganisation(m_board.m_budgets, organisation, attempts.m_tokens, share, now);
+    attempts.m_charge = decision;
     if (decision.m_allowed)
         return true;
     return refusal(
@@ -164,8 +164,8 @@
     while (again)
         again = co_await attempt(state, answer, attempts);
     --m_board.m_requestsInFlight;
-    if (attempts.m_runs == 0 && attempts.m_charge && !answer.complete())
-        refundOrganisation(m_board.m_budgets, state.m_organisation, *attempts.m_charge, attempts.m_tokens);
+    if (attempts.m_runs == 0)
+        refundOrganisation(m_board.m_budgets, state.m_organisation, attempts.m_charge);
     co_await finish(state, answer, attempts);
 }
 
