Log refusals and attempts by request, and keep the fleet's level up to date

Cause: what a refusal was decided on could not be seen. Lines are bounded by a rate, the rest counted; requests that went well are sampled by id.

--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -48,7 +48,8 @@
     if (arguments["--check-settings"].asBool())
         return 0;
     std::signal(SIGPIPE, SIG_IGN);
-    marigoldladder::initialiseLog(settings.value().m_logLevel, settings.value().m_vm.value());
+    marigoldladder::initialiseLog(settings.value().m_logLevel, settings.value().m_vm.value(),
+        marigoldladder::LogTarget::StandardOutput);
     auto context = boost::asio::io_context(1);
     auto storeClient
         = marigoldladder::relay::HttpClient(context.get_executor(), settings.value().m_storeAddress);
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -23,7 +23,7 @@
         return flag;
     }
 
-    auto formatLine(std::string_view event, std::initializer_list<LogField> fields) -> std::string
+    template <typename Fields> auto formatLine(std::string_view event, const Fields& fields) -> std::string
     {
         auto json = nlohmann::ordered_json { { "event", event }, { "vm", vmName() } };
         for (const auto& field : fields)
@@ -46,11 +46,12 @@
 
 } // namespace
 
-auto initialiseLog(const std::string& level, const std::string& vm) -> void
+auto initialiseLog(const std::string& level, const std::string& vm, LogTarget target) -> void
 {
     log4cplus::initialize();
     vmName() = vm;
-    auto appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+    auto appender = log4cplus::SharedAppenderPtr(
+        new log4cplus::ConsoleAppender(target == LogTarget::StandardError, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q}Z %p %m%n"));
     auto root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
@@ -64,6 +65,12 @@
         LOG4CPLUS_INFO(log4cplus::Logger::getRoot(), formatLine(event, fields));
 }
 
+auto logChange(std::string_view event, const std::vector<LogField>& fields) -> void
+{
+    if (initialised())
+        LOG4CPLUS_INFO(log4cplus::Logger::getRoot(), formatLine(event, fields));
+}
+
 auto logWarning(std::string_view event, std::initializer_list<LogField> fields) -> void
 {
     if (initialised())
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -4,11 +4,18 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigoldladder {
 
-// Sets up logging to standard error; call once, in a daemon. `level` is as in the settings.
-auto initialiseLog(const std::string& level, const std::string& vm) -> void;
+enum class LogTarget {
+    StandardError,
+    StandardOutput,
+};
+
+// Sets up logging; call once, in a daemon. `level` is as in the settings.
+auto initialiseLog(const std::string& level, const std::string& vm, LogTarget = LogTarget::StandardError)
+    -> void;
 
 struct LogField {
     std::string_view m_name;
@@ -17,6 +24,7 @@
 
 // Writes one JSON line at level info: the event's name and its fields.
 auto logChange(std::string_view event, std::initializer_list<LogField> = {}) -> void;
+auto logChange(std::string_view event, const std::vector<LogField>&) -> void;
 
 // The same at level warn, for changes an operator may have to act on.
 auto logWarning(std::string_view event, std::initializer_list<LogField> = {}) -> void;
--- a/src/relay/organisation_budget.cc
+++ b/src/relay/organisation_budget.cc
@@ -14,7 +14,7 @@
 
     // Part of the burst that stays for the nodes' own parts: several nodes may charge the rest at once
     // before they hear of each other.
-    constexpr auto reservedBurst = 0.35;
+    constexpr auto reservedBurst = 0.25;
 
     auto noteDemand(OrganisationBudget& budget, double tokens, MonotonicTime now) -> void
     {
@@ -46,9 +46,9 @@
             budget.m_fleetLevel += seconds * organisation.m_tokensPerSecond * heardShare;
         }
         budget.m_fleetLevelAt = now;
-        budget.m_fleetLevel = std::min(budget.m_fleetLevel, organisation.m_burstTokens);
         budget.m_fleetLevel -= peers.m_total - budget.m_peersSpentSeen;
         budget.m_peersSpentSeen = peers.m_total;
+        budget.m_fleetLevel = std::min(budget.m_fleetLevel, organisation.m_burstTokens);
     }
 
     auto chargeOwnPart(OrganisationBudget& budget, double tokens, double debt) -> std::optional<ChargeId>
@@ -102,6 +102,13 @@
     return BudgetDecision { false, std::nullopt, 0, std::max(wait, shortestRetry) };
 }
 
+auto updateFleetLevels(OrganisationBudgets& budgets, const Organisation& organisation, double heardShare,
+    MonotonicTime now) -> void
+{
+    if (organisation.m_tokensPerSecond > 0)
+        updateFleetLevel(budgets, budgets.m_budgets[organisation.m_name], organisation, heardShare, now);
+}
+
 auto refundOrganisation(
     OrganisationBudgets& budgets, const OrganisationName& name, const BudgetDecision& decision) -> void
 {
--- a/src/relay/organisation_budget.h
+++ b/src/relay/organisation_budget.h
@@ -68,6 +68,10 @@
 auto chargeOrganisation(OrganisationBudgets&, const Organisation&, double tokens, const BudgetShare&,
     MonotonicTime now) -> BudgetDecision;
 
+// Brings what the whole fleet has left up to date; call it often, so that a full burst isn't missed.
+auto updateFleetLevels(OrganisationBudgets&, const Organisation&, double heardShare, MonotonicTime now)
+    -> void;
+
 // Gives the tokens of a request that did not run back.
 auto refundOrganisation(OrganisationBudgets&, const OrganisationName&, const BudgetDecision&) -> void;
 
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -96,10 +96,23 @@
             [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingMemory <= now; });
         m_board.m_nodes = sharingNodes(m_board.m_fleet);
         addUpLoads();
+        updateBudgets(now);
         tellAll();
     }
 }
 
+auto PeerExchange::updateBudgets(MonotonicTime now) -> void
+{
+    if (!m_board.m_configuration)
+        return;
+    for (const auto& organisation : m_board.m_configuration->m_organisations) {
+        const auto demand = demandOf(m_board.m_budgets.m_budgets[organisation.m_name], now);
+        const auto parts
+            = organisationParts(m_board.m_fleet, shortId(organisation.m_name.value()), demand, now);
+        updateFleetLevels(m_board.m_budgets, organisation, parts.m_heard, now);
+    }
+}
+
 auto PeerExchange::tellAll() -> void
 {
     const auto plain = makeSummary(false);
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -55,6 +55,7 @@
     auto enterHolder(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterMissing(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
+    auto updateBudgets(MonotonicTime now) -> void;
     auto addUpLoads() -> void;
 
     Executor m_executor;
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -119,6 +119,14 @@
     attempts.m_charge = decision;
     if (decision.m_allowed)
         return true;
+    const auto& budget = m_board.m_budgets.m_budgets[organisation.m_name];
+    const auto number = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
+    constexpr auto percent = 100;
+    m_log.write("allowance_spent", request.m_id,
+        { { "organisation", organisation.m_name.value() }, { "tokens", number(attempts.m_tokens) },
+            { "own_level", number(budget.m_bucket.m_tokens) }, { "fleet_level", number(budget.m_fleetLevel) },
+            { "rate", number(organisation.m_tokensPerSecond) },
+            { "share_percent", number(parts.m_own * percent) } });
     return refusal(
         FailureType::AllowanceExceeded, "the organisation's allowance is spent", decision.m_retryAfter);
 }
@@ -126,11 +134,37 @@
 auto RequestRunner::refuse(CallState& state, CallerAnswer& answer, const Failure& failure) -> Awaitable<void>
 {
     ++(failure.m_verdict == Verdict::NotRun ? m_board.m_counters.m_refused : m_board.m_counters.m_failed);
-    state.m_message.body().clear();
+    logEnd(state, failure.m_verdict == Verdict::NotRun ? "request_refused" : "request_failed",
+        failure.m_message);
     const auto own = OwnAnswer { static_cast<unsigned>(httpStatus(failure.m_type)), failure };
     co_await answer.sendOwn(own);
 }
 
+auto RequestRunner::logAttempt(const CallState& state, const Upstream& upstream, UpstreamCallEnd end) -> void
+{
+    if (end == UpstreamCallEnd::Delivered && !isSampled(state.m_request.m_id))
+        return;
+    const auto age = std::chrono::duration_cast<Milliseconds>(Clock::now() - state.m_arrivedAt);
+    m_log.write("request_attempt", state.m_request.m_id,
+        { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
+            { "adapter", state.m_request.m_adapter },
+            { "end", std::string(nameOf(upstreamCallEndNames, end)) },
+            { "age_ms", std::to_string(age.count()) },
+            { "upstream_in_flight", std::to_string(upstream.m_inFlight) },
+            { "peers_in_flight", std::to_string(upstream.m_peersInFlight) } });
+}
+
+auto RequestRunner::logEnd(const CallState& state, std::string_view event, std::string reason) -> void
+{
+    const auto age = std::chrono::duration_cast<Milliseconds>(Clock::now() - state.m_arrivedAt);
+    const auto version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
+    m_log.write(event, state.m_request.m_id,
+        { { "route", state.m_route ? state.m_route->m_name : "" },
+            { "organisation", state.m_organisation.value() }, { "adapter", state.m_request.m_adapter },
+            { "reason", std::move(reason) }, { "age_ms", std::to_string(age.count()) },
+            { "configuration", std::to_string(version) } });
+}
+
 auto RequestRunner::run(CallState& state, CallerAnswer& answer) -> Awaitable<void>
 {
     ++m_board.m_counters.m_requests;
@@ -217,6 +251,7 @@
     const auto use = AdapterUse(m_board.m_adapterRates, attempts.m_needs.m_adapter, &AdapterRate::m_inFlight);
     const auto end = co_await m_upstreamCaller.call(state, answer, upstream, silentAt);
     attempts.m_needs.m_tried.push_back(upstream.get());
+    logAttempt(state, *upstream, end);
     switch (end) {
     case UpstreamCallEnd::Delivered:
     case UpstreamCallEnd::CallerGone:
@@ -267,6 +302,7 @@
     }
     if (answer.begun()) {
         ++counters.m_cut;
+        logEnd(state, "request_cut", "the stream broke and could not go on");
         co_return;
     }
     if (state.m_keptFailure) {
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/relay_settings.h"
+#include "relay/request_log.h"
 #include "relay/upstream_call.h"
 #include "relay/wait_list.h"
 
@@ -22,6 +23,8 @@
     auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<bool>;
     auto refuse(CallState&, CallerAnswer&, const Failure&) -> Awaitable<void>;
     auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
+    auto logAttempt(const CallState&, const Upstream&, UpstreamCallEnd) -> void;
+    auto logEnd(const CallState&, std::string_view event, std::string reason) -> void;
     auto failureFor(const CallState&, const Attempts&) const -> Failure;
     auto waitEnd(const CallState&, const Attempts&, ChoiceOutcome) const -> MonotonicTime;
 
@@ -30,6 +33,7 @@
     WaitList& m_waitList;
     UpstreamCaller& m_upstreamCaller;
     const Dialect& m_dialect;
+    RequestLog m_log;
     std::mt19937 m_random;
 };
 
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -22,6 +22,17 @@
     CallerGone,
 };
 
+inline constexpr auto upstreamCallEndNames = std::array {
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::Delivered, "delivered" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::Refused, "refused" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::NotReached, "not_reached" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::Failed, "failed" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::Broken, "broken" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::Cut, "cut" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::Silent, "silent" },
+    EnumName<UpstreamCallEnd> { UpstreamCallEnd::CallerGone, "caller_gone" },
+};
+
 // An upstream's whole answer.
 struct WholeAnswer {
     unsigned m_status = 0;
