Keep what engines told over their entries, and doubts over their restarts

Suspected: an entry of the store older than the engine's own report made its places look free, and orders without an answer were forgotten when the engine came back under its name. A test found one more: an old version was replaced while the new one was still loading elsewhere.

--- a/bench/notes_bench.cc
+++ b/bench/notes_bench.cc
@@ -2,7 +2,7 @@
 #include "fleet/configuration_controller.h"
 #include "fleet/note_exchange.h"
 #include "fleet/note_spreader.h"
-#include "platform/snapshot.h"
+#include "objects/snapshot.h"
 #include "wire/frame.h"
 
 #include <algorithm>
--- a/src/fleet/configuration_controller.h
+++ b/src/fleet/configuration_controller.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "core/blackboard.h"
-#include "platform/release_log.h"
+#include "objects/release_log.h"
 
 #include <optional>
 #include <random>
--- a/src/fleet/discovery_controller.h
+++ b/src/fleet/discovery_controller.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "core/blackboard.h"
-#include "platform/backoff.h"
-#include "platform/platform_client.h"
+#include "objects/backoff.h"
+#include "objects/platform_client.h"
 
 #include <optional>
 #include <random>
--- a/src/fleet/note_exchange.cc
+++ b/src/fleet/note_exchange.cc
@@ -2,7 +2,7 @@
 
 #include "core/log.h"
 #include "fleet/configuration_controller.h"
-#include "platform/snapshot.h"
+#include "objects/snapshot.h"
 
 #include <utility>
 
--- a/src/limits/share_controller.h
+++ b/src/limits/share_controller.h
@@ -8,7 +8,7 @@
 #include "core/blackboard.h"
 #include "limits/allowance.h"
 #include "limits/share_slots.h"
-#include "platform/platform_client.h"
+#include "objects/platform_client.h"
 
 #include <mutex>
 #include <optional>
--- a/src/platform/backoff.cc
+++ b/src/objects/backoff.cc
@@ -1,4 +1,4 @@
-#include "platform/backoff.h"
+#include "objects/backoff.h"
 
 #include <algorithm>
 
--- a/src/platform/platform_client.cc
+++ b/src/objects/platform_client.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_client.h"
+#include "objects/platform_client.h"
 
 #include <httplib.h>
 #include <utility>
--- a/src/platform/release_log.cc
+++ b/src/objects/release_log.cc
@@ -1,7 +1,7 @@
-#include "platform/release_log.h"
+#include "objects/release_log.h"
 
 #include "core/secret_digest.h"
-#include "platform/snapshot.h"
+#include "objects/snapshot.h"
 
 #include <iomanip>
 #include <sstream>
--- a/src/platform/release_log.h
+++ b/src/objects/release_log.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "marigoldladder/release_note.h"
-#include "platform/snapshot_shards.h"
+#include "objects/snapshot_shards.h"
 
 #include <optional>
 #include <vector>
--- a/src/platform/snapshot.cc
+++ b/src/objects/snapshot.cc
@@ -1,4 +1,4 @@
-#include "platform/snapshot.h"
+#include "objects/snapshot.h"
 
 #include "core/release_note_items.h"
 
--- a/src/platform/snapshot_shards.cc
+++ b/src/objects/snapshot_shards.cc
@@ -1,4 +1,4 @@
-#include "platform/snapshot_shards.h"
+#include "objects/snapshot_shards.h"
 
 #include <algorithm>
 
--- a/src/platform/snapshot_shards.h
+++ b/src/objects/snapshot_shards.h
@@ -1,7 +1,7 @@
 // Texts larger than one value of the platform may be, kept as a row of objects.
 #pragma once
 
-#include "platform/platform_client.h"
+#include "objects/platform_client.h"
 
 #include <cstddef>
 #include <string>
--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -104,7 +104,7 @@
                 engine.m_dropping = engine.m_dropping || presence.m_dropped;
             }
             engine.m_pool = &*pool->second.m_engine;
-            const auto book = m_input.m_book->find(upstream.get());
+            const auto book = m_input.m_book->find(upstream->m_record.m_name);
             if (book != m_input.m_book->end())
                 readBook(book->second, engine);
             // A copy counts for what it can serve: not where no work goes, nor at an older version.
@@ -114,8 +114,11 @@
                     && (presence->second.m_dropped || presence->second.m_version < newestVersion(adapter));
                 const auto out = m_input.m_table->m_evacuated.contains(upstream->m_record.m_dataCentre)
                     || upstream->m_health.m_avoidUntil > m_input.m_now;
-                if (!outdated && !out)
-                    ++m_copies[adapter];
+                if (outdated || out)
+                    continue;
+                ++m_copies[adapter];
+                if (presence != upstream->m_adapters.end() && presence->second.m_readyAt <= m_input.m_now)
+                    m_serving.insert(adapter);
             }
             m_loading += engine.m_loading;
             m_engines.push_back(std::move(engine));
@@ -146,7 +149,7 @@
         // Whether the engine takes orders at all, and what it loads can serve requests.
         auto isSound(const Engine& engine) const -> bool
         {
-            const auto book = m_input.m_book->find(engine.m_upstream.get());
+            const auto book = m_input.m_book->find(engine.m_upstream->m_record.m_name);
             if (book == m_input.m_book->end() || book->second.m_reportedAt == MonotonicTime()
                 || book->second.m_avoidUntil > m_input.m_now)
                 return false;
@@ -199,7 +202,7 @@
         // Whether an order for the adapter is under way at the engine.
         auto isBooked(const Engine& engine, const std::string& adapter) const -> bool
         {
-            const auto book = m_input.m_book->find(engine.m_upstream.get());
+            const auto book = m_input.m_book->find(engine.m_upstream->m_record.m_name);
             return book != m_input.m_book->end()
                 && (book->second.m_loading.contains(adapter) || book->second.m_unloading.contains(adapter)
                     || book->second.m_doubtful.contains(adapter));
@@ -318,7 +321,7 @@
                     if (presence.m_dropped || presence.m_version >= newestVersion(adapter)
                         || !takesOrders(engine) || isBooked(engine, adapter))
                         continue;
-                    if (m_copies[adapter] == 0 || m_loading >= loadsAtFullSpeed)
+                    if (!m_serving.contains(adapter) || m_loading >= loadsAtFullSpeed)
                         continue;
                     orderLoad(engine, adapter);
                 }
@@ -349,6 +352,7 @@
         std::map<std::string, const AdapterWish*> m_wishes;
         std::vector<Engine> m_engines;
         std::map<std::string, std::size_t> m_copies;
+        std::set<std::string> m_serving; // Adapters that some engine can run now, at their newest version.
         std::size_t m_loading = 0;
         std::size_t m_loadingModels = 0;
         std::size_t m_placesComing = 0; // Adapters on their way out.
@@ -357,6 +361,18 @@
 
 } // namespace
 
+auto ordersOf(EngineOrderBook& book, const Upstream& upstream) -> EngineOrders&
+{
+    auto& entry = book[upstream.m_record.m_name];
+    if (entry.m_run == &upstream)
+        return entry;
+    auto doubtful = std::move(entry.m_doubtful);
+    entry = EngineOrders();
+    entry.m_run = &upstream;
+    entry.m_doubtful = std::move(doubtful);
+    return entry;
+}
+
 auto planAdapterOrders(const PlanInput& input) -> AdapterPlan
 {
     if (!input.m_configuration)
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -33,6 +33,7 @@
 
 // What the node that gives orders believes of one engine.
 struct EngineOrders {
+    const Upstream* m_run = nullptr; // Only compared.
     std::map<std::string, MonotonicTime> m_loading; // Accepted, until when they are expected to take.
     std::set<std::string> m_unloading; // Ordered to go, not yet answered.
     std::map<std::string, MonotonicTime> m_doubtful; // Unanswered; may be carried out until then.
@@ -44,7 +45,11 @@
     MonotonicTime m_avoidUntil {}; // It took no orders.
 };
 
-using EngineOrderBook = std::map<const Upstream*, EngineOrders>;
+// By the engine's name, since orders that got no answer may reach its next run under the same name.
+using EngineOrderBook = std::map<UpstreamName, EngineOrders>;
+
+// Returns the engine's entry; of an earlier run only what may still be carried out is kept.
+auto ordersOf(EngineOrderBook&, const Upstream&) -> EngineOrders&;
 
 struct PlanInput {
     const UpstreamTable* m_table = nullptr;
--- a/src/relay/catalogue.cc
+++ b/src/relay/catalogue.cc
@@ -11,6 +11,7 @@
     // How old a listing may be when it arrives: an upstream's heartbeat, and the way to this node.
     constexpr auto listingAge = Milliseconds(4'000);
 
+    constexpr auto reportValidity = Milliseconds(4'000); // A report counts for a few intervals between them.
     constexpr auto reportAge = Milliseconds(700); // How old an engine's report may be.
     constexpr auto pendingTime
         = Milliseconds(250); // Until an adapter on its way has arrived, at most, mostly.
@@ -66,11 +67,14 @@
     upstream->m_record.m_leaving = record.m_leaving || wasLeaving;
     if (record.m_coldLeft.count() > 0)
         upstream->m_coldUntil = now + record.m_coldLeft;
-    enterListedAdapters(*upstream, record.m_adapters, now - listingAge);
+    // An entry may be old, if the upstream couldn't reach the store; what it told by itself goes before it.
+    if (upstream->m_reportedAt == MonotonicTime() || upstream->m_reportedAt + reportValidity <= now)
+        enterListedAdapters(*upstream, record.m_adapters, now - listingAge);
 }
 
 auto enterReport(Upstream& upstream, const EngineReport& report, MonotonicTime askedAt) -> void
 {
+    upstream.m_reportedAt = askedAt;
     upstream.m_record.m_models = report.m_models;
     enterListedAdapters(upstream, report.m_adapters, askedAt - reportAge);
     for (const auto& adapter : report.m_pending) {
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -210,9 +210,7 @@
 auto OrderKeeper::dropOldBookings(MonotonicTime now) -> void
 {
     std::erase_if(m_book, [&](const auto& entry) {
-        const auto& upstreams = m_board.m_upstreams.m_upstreams;
-        return std::none_of(upstreams.begin(), upstreams.end(),
-            [&](const auto& upstream) { return upstream.second.get() == entry.first; });
+        return !m_board.m_upstreams.m_upstreams.contains(entry.first) && entry.second.m_doubtful.empty();
     });
     for (auto& [upstream, orders] : m_book) {
         std::erase_if(orders.m_loading, [&](const auto& entry) { return entry.second <= now; });
@@ -252,7 +250,7 @@
         if (pool == m_board.m_configuration->m_pools.end() || !pool->second.m_engine
             || upstream->m_record.m_leaving)
             continue;
-        auto& book = m_book[upstream.get()];
+        auto& book = ordersOf(m_book, *upstream);
         const auto pause = book.m_reportedAt == MonotonicTime() ? firstReportPause : reportInterval;
         if (book.m_askedAt != MonotonicTime() && book.m_askedAt + pause > now)
             continue;
@@ -265,8 +263,8 @@
 {
     const auto askedAt = Clock::now();
     const auto report = co_await m_engines.m_report(upstream);
-    const auto found = m_book.find(upstream.get());
-    if (!report || found == m_book.end())
+    const auto found = m_book.find(upstream->m_record.m_name);
+    if (!report || found == m_book.end() || found->second.m_run != upstream.get())
         co_return;
     if (report->m_startedAt != 0 && upstream->m_record.m_startedAt != 0
         && report->m_startedAt != upstream->m_record.m_startedAt)
@@ -306,7 +304,7 @@
 
 auto OrderKeeper::book(const AdapterOrder& order, MonotonicTime now) -> void
 {
-    auto& entry = m_book[order.m_upstream.get()];
+    auto& entry = ordersOf(m_book, *order.m_upstream);
     if (order.m_adapter.empty()) {
         entry.m_modelUntil = now + modelTime(order);
         return;
@@ -332,9 +330,13 @@
             { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
             { "fence", std::to_string(sender.m_fence) },
             { "answer", std::string(nameOf(orderAnswerNames, answer)) } });
-    const auto found = m_book.find(order.m_upstream.get());
-    if (found == m_book.end())
+    const auto found = m_book.find(order.m_upstream->m_record.m_name);
+    if (found == m_book.end() || found->second.m_run != order.m_upstream.get()) {
+        // The engine was replaced meanwhile; its next run may still get the order.
+        if (answer == OrderAnswer::Unknown)
+            m_book[order.m_upstream->m_record.m_name].m_doubtful[order.m_adapter] = now + doubtTime;
         co_return;
+    }
     auto& book = found->second;
     if (order.m_adapter.empty()) {
         if (answer == OrderAnswer::Busy || answer == OrderAnswer::Refused)
@@ -376,7 +378,7 @@
     auto ordered = OrderedAdapter { upstream.m_record.m_name, order.m_adapter, 0, now, now };
     if (order.m_kind == AdapterOrderKind::Load) {
         ordered.m_version = std::max<std::uint64_t>(order.m_version, 1);
-        ordered.m_readyAt = std::max(m_book[&upstream].m_loading[order.m_adapter], now);
+        ordered.m_readyAt = std::max(ordersOf(m_book, upstream).m_loading[order.m_adapter], now);
         enterOrderedAdapter(upstream, { order.m_adapter, ordered.m_version }, ordered.m_readyAt, now);
     } else {
         enterDroppedAdapter(upstream, order.m_adapter, answer == OrderAnswer::Accepted, now);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -58,6 +58,7 @@
 struct Upstream {
     UpstreamRecord m_record;
     std::unordered_map<std::string, AdapterPresence> m_adapters; // By `model/adapter`.
+    MonotonicTime m_reportedAt {}; // When the engine itself last told this node what it holds.
     MonotonicTime m_coldUntil {};
     double m_coldAllowance = 0; // Requests that this node may still send while it is cold.
     MonotonicTime m_coldRefilledAt {};
--- a/src/routing/ownership_store.h
+++ b/src/routing/ownership_store.h
@@ -1,7 +1,7 @@
 // Reads and writes leases and ownership records on the platform.
 #pragma once
 
-#include "platform/platform_client.h"
+#include "objects/platform_client.h"
 #include "routing/ownership.h"
 
 #include <map>
--- a/src/serving/keyed_claims.h
+++ b/src/serving/keyed_claims.h
@@ -6,7 +6,7 @@
 
 #include "core/blackboard.h"
 #include "limits/token_bucket.h"
-#include "platform/platform_client.h"
+#include "objects/platform_client.h"
 #include "serving/idempotency.h"
 
 #include <functional>
--- a/test/platform/backoff_test.cc
+++ b/test/objects/backoff_test.cc
@@ -1,5 +1,5 @@
 // Waiting before the platform is called again.
-#include "platform/backoff.h"
+#include "objects/backoff.h"
 
 #include <gtest/gtest.h>
 #include <set>
--- a/test/platform/release_log_test.cc
+++ b/test/objects/release_log_test.cc
@@ -1,8 +1,8 @@
 // The release log against the stand-in for the platform, with its faults.
-#include "platform/release_log.h"
+#include "objects/release_log.h"
 
 #include "harness/child_process.h"
-#include "platform/snapshot.h"
+#include "objects/snapshot.h"
 
 #include <gtest/gtest.h>
 #include <httplib.h>
--- /dev/null
+++ b/test/platform/header_dialect_test.cc
@@ -0,0 +1,77 @@
+#include "platform/header_dialect.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::platform {
+namespace {
+
+    using namespace relay;
+
+    auto callersHead() -> HeaderFields
+    {
+        auto fields = HeaderFields();
+        fields.set("X-Marigoldladder-Request-Id", "r1");
+        fields.set("Api-Key", "secret");
+        fields.set("X-Marigoldladder-Deadline-Ms", "12000");
+        fields.set("X-Marigoldladder-Model", "m/a3");
+        fields.set("X-Marigoldladder-Token-Count", "1460,80");
+        fields.set("Last-Event-Id", "12");
+        return fields;
+    }
+
+    TEST(HeaderDialectTest, ReadsACallersHead)
+    {
+        const auto request = makeDialect().m_readRequest(callersHead());
+        EXPECT_EQ(request.m_id, "r1");
+        EXPECT_EQ(request.m_key, "secret");
+        EXPECT_EQ(request.m_deadline, Milliseconds(12'000));
+        EXPECT_EQ(request.m_model, "m");
+        EXPECT_EQ(request.m_adapter, "m/a3");
+        EXPECT_EQ(request.m_promptTokens, 1460);
+        EXPECT_EQ(request.m_outputTokens, 80);
+        EXPECT_EQ(request.m_lastEventId, "12");
+    }
+
+    TEST(HeaderDialectTest, NumbersThatAreNoneCountAsNotGiven)
+    {
+        auto fields = callersHead();
+        fields.set("X-Marigoldladder-Deadline-Ms", "soon");
+        fields.set("X-Marigoldladder-Token-Count", "1460;80");
+        const auto request = makeDialect().m_readRequest(fields);
+        EXPECT_FALSE(request.m_deadline);
+        EXPECT_FALSE(request.m_statesTokens);
+    }
+
+    TEST(HeaderDialectTest, NoUpstreamSeesAKeyOrWhatIsTheSystemsToSet)
+    {
+        auto fields = callersHead();
+        for (const auto* name :
+            { "X-Marigoldladder-Tenant", "X-Marigoldladder-Hold", "X-Marigoldladder-Pin-Ms",
+                "X-Marigoldladder-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Marigoldladder-Expect-Version" })
+            fields.set(name, "forged");
+        fields.insert("Api-Key", "another");
+        auto dispatch = Dispatch();
+        dispatch.m_upstream = UpstreamName("i-1");
+        dispatch.m_timeLeft = Milliseconds(900);
+        makeDialect().m_prepareForUpstream(fields, dispatch);
+        for (const auto& field : fields)
+            EXPECT_TRUE(field.value() != "forged" && field.value() != "secret" && field.value() != "another")
+                << field.name_string() << ": " << field.value();
+        EXPECT_EQ(fields["X-Marigoldladder-Expect-Instance"], "i-1");
+        EXPECT_EQ(fields["X-Marigoldladder-Deadline-Ms"], "900");
+        EXPECT_EQ(fields["X-Marigoldladder-Model"], "m/a3") << "the caller's stays as it came";
+        EXPECT_EQ(fields.count("X-Marigoldladder-Tenant"), 0U) << "the route is open to all";
+    }
+
+    TEST(HeaderDialectTest, OnlyASaidRefusalMeansNotRun)
+    {
+        const auto dialect = makeDialect();
+        auto fields = HeaderFields();
+        EXPECT_FALSE(dialect.m_readAnswer(503, fields).m_notRun);
+        EXPECT_TRUE(dialect.m_readAnswer(421, fields).m_notRun);
+        fields.set("X-Marigoldladder-Not-Executed", "1");
+        EXPECT_TRUE(dialect.m_readAnswer(503, fields).m_notRun);
+    }
+
+} // namespace
+} // namespace marigoldladder::platform
--- /dev/null
+++ b/test/platform/object_decoder_test.cc
@@ -0,0 +1,136 @@
+#include "platform/object_decoder.h"
+
+#include "platform/json_fields.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::platform {
+namespace {
+
+    using relay::CallKind;
+
+    auto entry() -> nlohmann::json
+    {
+        return nlohmann::json::parse(R"({"service":"pool-a","address":"10.128.0.9:8080","zone":"bern-a",
+            "version":"v1","slots":64,"state":"ready","cold_left_ms":0,"phase":"both","sequence":4,
+            "born":1785960494134,
+            "models":[{"name":"m","version":1,"adapters":["a3@2","a7"]}]})");
+    }
+
+    TEST(ObjectDecoderTest, ReadsAnUpstreamsEntry)
+    {
+        const auto record = decodeUpstream("i-1", entry());
+        ASSERT_TRUE(record);
+        EXPECT_EQ(record->m_name, UpstreamName("i-1"));
+        EXPECT_EQ(record->m_pool, PoolName("pool-a"));
+        EXPECT_EQ(formatAddress(record->m_address), "10.128.0.9:8080");
+        EXPECT_FALSE(record->m_leaving);
+        EXPECT_EQ(record->m_startedAt, 1785960494134U);
+        ASSERT_EQ(record->m_adapters.size(), 2U);
+        EXPECT_EQ(record->m_adapters[0].m_key, "m/a3");
+        EXPECT_EQ(record->m_adapters[0].m_version, 2U);
+        EXPECT_EQ(record->m_adapters[1].m_version, 1U);
+    }
+
+    TEST(ObjectDecoderTest, AnEntryWithAMissingOrMistypedFieldNamesNoUpstream)
+    {
+        for (const auto* field :
+            { "service", "address", "zone", "state", "slots", "cold_left_ms", "sequence" }) {
+            auto missing = entry();
+            missing.erase(field);
+            EXPECT_FALSE(decodeUpstream("i-1", missing)) << "without " << field;
+            auto mistyped = entry();
+            mistyped[field] = nlohmann::json::array({ 1 });
+            EXPECT_FALSE(decodeUpstream("i-1", mistyped)) << "mistyped " << field;
+        }
+    }
+
+    TEST(ObjectDecoderTest, AnEntryWithAMeaninglessValueNamesNoUpstream)
+    {
+        auto state = entry();
+        state["state"] = "sleeping";
+        EXPECT_FALSE(decodeUpstream("i-1", state));
+        auto address = entry();
+        address["address"] = "nowhere";
+        EXPECT_FALSE(decodeUpstream("i-1", address));
+        auto born = entry();
+        born["born"] = 1.5;
+        EXPECT_FALSE(decodeUpstream("i-1", born));
+        EXPECT_FALSE(decodeUpstream("i-1", nlohmann::json("text")));
+        EXPECT_FALSE(decodeUpstream("i-1", nlohmann::json()));
+        EXPECT_FALSE(decodeUpstream("", entry()));
+    }
+
+    TEST(ObjectDecoderTest, OneUnreadableEntryDoesNotHideTheOthers)
+    {
+        const auto json = parseLeniently("{\"items\":[{\"a\":\"\xff\xfe\"},{\"a\":\"gr\xc3\xbcn\"}]}");
+        ASSERT_EQ(elements(json, "items").size(), 2U);
+        EXPECT_EQ(textOr(elements(json, "items")[1], "a", ""), "gr\xc3\xbcn");
+        EXPECT_TRUE(parseLeniently("{\"items\":").is_discarded());
+    }
+
+    TEST(ObjectDecoderTest, ReadsAConfiguration)
+    {
+        const auto configuration = decodeConfiguration(nlohmann::json::parse(R"({"version":7,"routes":[
+            {"name":"r1","host":"h.example","path_prefix":"/a/","type":"streaming","timeout_ms":12000,
+             "target_latency_ms":600,"priority":1,"backends":[{"service":"x","weight":90},{"service":"y","weight":10}],
+             "attempts":2,"public":false,"resumable":true,"gap_target_ms":300},
+            {"name":"r2","host":"h.example","path_prefix":"/a/b/","type":"safe","service":"z","attempts":2},
+            {"name":"r3","host":"h.example","path_prefix":"/c/","type":"unheard-of","service":"z"}],
+            "services":[{"name":"x","max_conns":370,"cold_start_s":3.0,"cold_per_s":15.0,
+                "engine":{"slots":64,"kv_capacity":122633,"models":[{"name":"m","weights_mb":65100,"load_time_s":1.4}],
+                          "weights_mb":66700.0,"adapter_slots":22}}],
+            "limits":{"max_body_bytes":1000,"idle_timeout_ms":15000},
+            "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":3,"plain_tokens":200,"rate_per_s":87200,"burst":87200}]})"));
+        ASSERT_TRUE(configuration);
+        const auto* nested = findRoute(*configuration, "h.example", "/a/b/x");
+        ASSERT_TRUE(nested);
+        EXPECT_EQ(nested->m_name, "r2") << "the longest prefix decides";
+        const auto* route = findRoute(*configuration, "h.example", "/a/x");
+        ASSERT_TRUE(route);
+        EXPECT_EQ(route->m_kind, CallKind::Stream);
+        EXPECT_TRUE(mayRepeat(*route));
+        EXPECT_EQ(route->m_pools.size(), 2U);
+        EXPECT_FALSE(findRoute(*configuration, "h.example", "/a")) << "a prefix ends with its slash";
+        EXPECT_FALSE(findRoute(*configuration, "other.example", "/a/x"));
+        EXPECT_FALSE(mayRepeat(*findRoute(*configuration, "h.example", "/c/")))
+            << "a kind that isn't known is never repeated";
+        ASSERT_TRUE(findOrganisation(*configuration, "k2"));
+        EXPECT_EQ(findOrganisation(*configuration, "k2")->m_priority, 3);
+        EXPECT_FALSE(findOrganisation(*configuration, "k3"));
+        EXPECT_EQ(configuration->m_callerBounds.m_bodyBytes, 1000U);
+        EXPECT_EQ(configuration->m_pools.at(PoolName("x")).m_engine->m_adapterPlaces, 22U);
+    }
+
+    TEST(ObjectDecoderTest, WhatIsNoConfigurationIsRefused)
+    {
+        EXPECT_FALSE(decodeConfiguration(nlohmann::json::parse(R"({"routes":[]})")));
+        EXPECT_FALSE(decodeConfiguration(nlohmann::json::parse(R"({"version":"seven"})")));
+        EXPECT_FALSE(decodeConfiguration(nlohmann::json::parse(R"([1])")));
+    }
+
+    TEST(ObjectDecoderTest, ReadsAReportWithAdaptersOnTheirWay)
+    {
+        const auto report = decodeReport(nlohmann::json::parse(
+            R"({"models":[{"name":"m","version":1,"adapters":["a1@1"]}],"pending":["m/a2@3","odd"],"born":5})"));
+        ASSERT_TRUE(report);
+        EXPECT_EQ(report->m_adapters.size(), 1U);
+        ASSERT_EQ(report->m_pending.size(), 1U);
+        EXPECT_EQ(report->m_pending[0].m_key, "m/a2");
+        EXPECT_EQ(report->m_pending[0].m_version, 3U);
+        EXPECT_FALSE(decodeReport(nlohmann::json::parse(R"({"models":"none"})")));
+    }
+
+    TEST(ObjectDecoderTest, ReadsAnAnnouncedVersion)
+    {
+        const auto version
+            = decodeAdapterVersion(nlohmann::json::parse(R"({"model":"m","adapter":"a1","version":4})"));
+        ASSERT_TRUE(version);
+        EXPECT_EQ(version->m_key, "m/a1");
+        EXPECT_FALSE(decodeAdapterVersion(nlohmann::json::parse(R"({"model":"m","version":4})")));
+        EXPECT_FALSE(
+            decodeAdapterVersion(nlohmann::json::parse(R"({"model":"m","adapter":"a1","version":"x"})")));
+    }
+
+} // namespace
+} // namespace marigoldladder::platform
--- /dev/null
+++ b/test/relay/adapter_plan_test.cc
@@ -0,0 +1,177 @@
+#include "relay/adapter_plan.h"
+
+#include "relay/relay_fixtures.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    class AdapterPlanTest : public testing::Test {
+    protected:
+        AdapterPlanTest()
+            : m_configuration(configurationWith(enginePool()))
+        {
+        }
+
+        auto addEngine(const std::string& name, const std::vector<std::string>& adapters = {}) -> Upstream&
+        {
+            enterUpstream(m_table, engineRecord(name, adapters), at(-100));
+            auto& upstream = *m_table.m_upstreams.at(UpstreamName(name));
+            ordersOf(m_book, upstream).m_reportedAt = at(0);
+            return upstream;
+        }
+
+        auto wish(const std::string& adapter, double rate, std::size_t waiting = 0, std::size_t inFlight = 0)
+            -> void
+        {
+            m_wishes.push_back({ "model/" + adapter, rate, waiting, inFlight });
+        }
+
+        auto plan() -> AdapterPlan
+        {
+            auto input = PlanInput();
+            input.m_table = &m_table;
+            input.m_configuration = &m_configuration;
+            input.m_book = &m_book;
+            input.m_wishes = m_wishes;
+            input.m_now = at(1);
+            return planAdapterOrders(input);
+        }
+
+        RoutingConfiguration m_configuration;
+        UpstreamTable m_table;
+        EngineOrderBook m_book;
+        std::vector<AdapterWish> m_wishes;
+    };
+
+    TEST_F(AdapterPlanTest, LoadsWhatRequestsWaitForFirst)
+    {
+        addEngine("engine");
+        wish("popular", 5, 1);
+        wish("awaited", 1, 4);
+        const auto planned = plan();
+        ASSERT_GE(planned.m_orders.size(), 2U);
+        EXPECT_EQ(planned.m_orders[0].m_adapter, "model/awaited");
+        EXPECT_EQ(planned.m_orders[1].m_adapter, "model/popular");
+    }
+
+    TEST_F(AdapterPlanTest, NeverFillsAnEngineBeyondItsPlaces)
+    {
+        // 5 places, one of them kept free, 3 taken, one more by a load under way.
+        auto& engine = addEngine("engine", { "a1", "a2", "a3" });
+        ordersOf(m_book, engine).m_loading["model/a4"] = at(2);
+        wish("a5", 1, 1);
+        for (const auto& order : plan().m_orders)
+            EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
+    }
+
+    TEST_F(AdapterPlanTest, KeepsAPlaceForAnOrderThatGotNoAnswer)
+    {
+        auto& engine = addEngine("engine", { "a1", "a2", "a3" });
+        ordersOf(m_book, engine).m_doubtful["model/a4"] = at(10);
+        wish("a5", 1, 1);
+        for (const auto& order : plan().m_orders)
+            EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
+    }
+
+    TEST_F(AdapterPlanTest, MakesRoomByDroppingTheLeastWantedThatIsNotInUse)
+    {
+        addEngine("engine", { "used", "wanted", "idle", "liked" });
+        wish("used", 0.01, 0, 1);
+        wish("wanted", 2);
+        wish("liked", 1);
+        wish("idle", 0.02);
+        wish("new", 0.2, 1);
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_kind, AdapterOrderKind::Unload);
+        EXPECT_EQ(planned.m_orders[0].m_adapter, "model/idle");
+    }
+
+    TEST_F(AdapterPlanTest, DropsNoSecondAdapterWhileAPlaceIsComing)
+    {
+        auto& engine = addEngine("engine", { "a1", "a2", "a3", "a4" });
+        ordersOf(m_book, engine).m_unloading.insert("model/a1");
+        wish("new", 1, 1);
+        EXPECT_TRUE(plan().m_orders.empty());
+    }
+
+    TEST_F(AdapterPlanTest, GivesMoreCopiesToWhatIsAskedForMost)
+    {
+        addEngine("one", { "popular" });
+        addEngine("two");
+        wish("popular", 6);
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("two"));
+    }
+
+    TEST_F(AdapterPlanTest, LoadsTheModelOnAnEngineWithoutOne)
+    {
+        auto& engine = addEngine("empty");
+        engine.m_record.m_models.clear();
+        wish("a1", 1, 1);
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_model, "model");
+        EXPECT_TRUE(planned.m_orders[0].m_adapter.empty());
+    }
+
+    TEST_F(AdapterPlanTest, OrdersNothingAtAnEngineThatHasNotReported)
+    {
+        auto& engine = addEngine("unknown");
+        ordersOf(m_book, engine).m_reportedAt = {};
+        wish("a1", 1, 1);
+        EXPECT_TRUE(plan().m_orders.empty());
+    }
+
+    TEST_F(AdapterPlanTest, ReplacesAnOldVersionOnceAnotherEngineHasTheNewOne)
+    {
+        addEngine("old", { "a1" });
+        auto& fresh = addEngine("fresh");
+        enterAdapterVersion(m_table, { "model/a1", 2 }, at(0));
+        wish("a1", 1, 1);
+        auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("fresh"));
+        EXPECT_EQ(planned.m_orders[0].m_version, 2U);
+        enterOrderedAdapter(fresh, { "model/a1", 2 }, at(0.5), at(0.2));
+        planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("old"));
+    }
+
+    TEST_F(AdapterPlanTest, AnEnginesNextRunMayStillGetOrdersWithoutAnswer)
+    {
+        auto& before = addEngine("engine", { "a1", "a2" });
+        ordersOf(m_book, before).m_loading["model/a3"] = at(9);
+        ordersOf(m_book, before).m_doubtful["model/a4"] = at(9);
+        auto after = Upstream();
+        after.m_record = before.m_record;
+        EXPECT_TRUE(ordersOf(m_book, after).m_loading.empty());
+        EXPECT_TRUE(ordersOf(m_book, after).m_doubtful.contains("model/a4"));
+    }
+
+    // The load that hurt most on the first days: every adapter is new, and one in ten gets most requests.
+    TEST_F(AdapterPlanTest, ServesAStartWithoutAnyAdapterWithinItsLoads)
+    {
+        for (auto number = 0; number < 12; ++number)
+            addEngine("engine-" + std::to_string(number));
+        for (auto number = 0; number < 40; ++number)
+            wish("a" + std::to_string(number), number < 4 ? 5 : 0.2, number < 4 ? 5 : 1);
+        const auto planned = plan();
+        constexpr auto loadsAtFullSpeed = std::size_t { 8 };
+        EXPECT_EQ(planned.m_orders.size(), loadsAtFullSpeed);
+        auto engines = std::set<UpstreamName>();
+        for (const auto& order : planned.m_orders)
+            engines.insert(order.m_upstream->m_record.m_name);
+        EXPECT_EQ(engines.size(), loadsAtFullSpeed) << "loads are spread over engines";
+        for (auto number = 0; number < 4; ++number)
+            EXPECT_EQ(planned.m_orders[number].m_adapter.size(), std::string("model/a0").size())
+                << "the four that are waited for most come first";
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/test/relay/order_lease_test.cc
@@ -0,0 +1,81 @@
+#include "relay/order_lease.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    auto seconds(double value) -> UninterruptedTime
+    {
+        return std::chrono::duration_cast<UninterruptedTime>(std::chrono::duration<double>(value));
+    }
+
+    class OrderLeaseTest : public testing::Test {
+    protected:
+        OrderLeaseTest()
+        {
+            m_context.m_self = VmName("self");
+            m_context.m_mayHold = true;
+        }
+
+        auto stepAt(double time) -> LeaseStep
+        {
+            m_context.m_now = seconds(time);
+            return nextLeaseStep(m_state, m_context);
+        }
+
+        LeaseState m_state;
+        LeaseContext m_context;
+    };
+
+    TEST_F(OrderLeaseTest, ReadsBeforeItCreates)
+    {
+        EXPECT_EQ(stepAt(10), LeaseStep::Read);
+        enterLease(m_state, LeaseRecord(), seconds(10));
+        EXPECT_EQ(stepAt(10.1), LeaseStep::Create);
+    }
+
+    TEST_F(OrderLeaseTest, TakesOverOnlyAWholeLeaseAfterTheLastPossibleOrder)
+    {
+        enterLease(m_state, LeaseRecord { VmName("other"), 4, 10, 77 }, seconds(10));
+        EXPECT_EQ(stepAt(14.3), LeaseStep::Read) << "the holder may order until 11.3 s, a lease lasts 3 s";
+        EXPECT_EQ(stepAt(14.7), LeaseStep::TakeOver);
+    }
+
+    TEST_F(OrderLeaseTest, ARenewalStartsTheWaitAnew)
+    {
+        enterLease(m_state, LeaseRecord { VmName("other"), 4, 10, 77 }, seconds(10));
+        enterLease(m_state, LeaseRecord { VmName("other"), 4, 11, 78 }, seconds(13));
+        EXPECT_EQ(stepAt(16), LeaseStep::Read);
+    }
+
+    TEST_F(OrderLeaseTest, LeavesAHolderAloneThatAnybodyHears)
+    {
+        enterLease(m_state, LeaseRecord { VmName("other"), 4, 10, 77 }, seconds(10));
+        m_context.m_holderHeardAt = seconds(19.5);
+        EXPECT_EQ(stepAt(20), LeaseStep::Nothing);
+    }
+
+    TEST_F(OrderLeaseTest, ARestartedHolderGoesOnAtOnce)
+    {
+        enterLease(m_state, LeaseRecord { VmName("self"), 4, 10, 77 }, seconds(10));
+        EXPECT_EQ(stepAt(10.1), LeaseStep::TakeOver);
+    }
+
+    TEST_F(OrderLeaseTest, AFrozenHolderOrdersNoMore)
+    {
+        m_state.m_holding = true;
+        m_state.m_renewedAt = seconds(10);
+        EXPECT_TRUE(mayOrder(m_state, false, seconds(11)));
+        EXPECT_FALSE(mayOrder(m_state, false, seconds(17)));
+    }
+
+    TEST_F(OrderLeaseTest, WhileTheStoreIsAwayAHolderThatAllHearGoesOn)
+    {
+        m_state.m_holding = true;
+        m_state.m_renewedAt = seconds(10);
+        EXPECT_TRUE(mayOrder(m_state, true, seconds(17)));
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/test/relay/relay_fixtures.h
@@ -0,0 +1,53 @@
+// Small pieces that tests of the relay's decisions share.
+#pragma once
+
+#include "relay/catalogue.h"
+#include "relay/upstream_choice.h"
+
+#include <string>
+
+namespace marigoldladder::relay {
+
+// A moment this many seconds after a fixed start, which is far from the clock's zero.
+inline auto at(double seconds) -> MonotonicTime
+{
+    constexpr auto start = 1'000.0;
+    return MonotonicTime(
+        std::chrono::duration_cast<MonotonicTime::duration>(std::chrono::duration<double>(start + seconds)));
+}
+
+// A pool of engines that hold four adapters and run eight requests at once.
+inline auto enginePool() -> Pool
+{
+    auto pool = Pool();
+    pool.m_name = PoolName("engines");
+    pool.m_coldRequestsPerSecond = 16;
+    pool.m_engine = EnginePool { { { "model", 100, Milliseconds(1'400) } }, 200, 5, 8, 10'000 };
+    return pool;
+}
+
+inline auto configurationWith(const Pool& pool) -> RoutingConfiguration
+{
+    auto configuration = RoutingConfiguration();
+    configuration.m_version = 1;
+    configuration.m_pools[pool.m_name] = pool;
+    return configuration;
+}
+
+// An engine's entry with the model loaded and these adapters at version 1.
+inline auto engineRecord(const std::string& name, const std::vector<std::string>& adapters = {})
+    -> UpstreamRecord
+{
+    auto record = UpstreamRecord();
+    record.m_name = UpstreamName(name);
+    record.m_pool = PoolName("engines");
+    record.m_address = Address { "127.0.0.1", 9'000 };
+    record.m_dataCentre = DataCentreName("here");
+    record.m_slots = 8;
+    record.m_models = { "model" };
+    for (const auto& adapter : adapters)
+        record.m_adapters.push_back({ "model/" + adapter, 1 });
+    return record;
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/test/relay/request_log_test.cc
@@ -0,0 +1,32 @@
+#include "relay/request_log.h"
+
+#include "relay/relay_fixtures.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    TEST(RequestLogTest, LinesStayBoundedUnderLoadAndWhatIsLeftOutIsCounted)
+    {
+        auto allowance = LineAllowance();
+        auto written = 0;
+        constexpr auto offered = 20'000;
+        for (auto line = 0; line < offered; ++line)
+            written += takeLine(allowance, at(line * 0.0005)) ? 1 : 0;
+        EXPECT_LE(written, 100 + 20 * 10 + 1) << "100 at once and 20 a second, for 10 s";
+        EXPECT_EQ(allowance.m_suppressed, static_cast<std::uint64_t>(offered - written));
+    }
+
+    TEST(RequestLogTest, AllNodesSampleTheSameRequests)
+    {
+        auto sampled = 0;
+        for (auto number = 0; number < 6'400; ++number)
+            sampled += isSampled("request-" + std::to_string(number)) ? 1 : 0;
+        EXPECT_GT(sampled, 50);
+        EXPECT_LT(sampled, 200);
+        EXPECT_EQ(isSampled("request-1"), isSampled("request-1"));
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/test/relay/upstream_choice_test.cc
@@ -0,0 +1,126 @@
+#include "relay/upstream_choice.h"
+
+#include "relay/relay_fixtures.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    class UpstreamChoiceTest : public testing::Test {
+    protected:
+        UpstreamChoiceTest()
+            : m_configuration(configurationWith(enginePool()))
+        {
+            m_needs.m_pool = PoolName("engines");
+            m_needs.m_model = "model";
+            m_needs.m_adapter = "model/a1";
+            m_needs.m_dataCentre = DataCentreName("here");
+        }
+
+        auto add(const UpstreamRecord& record) -> Upstream&
+        {
+            enterUpstream(m_table, record, at(0));
+            return *m_table.m_upstreams.at(record.m_name);
+        }
+
+        auto choose(MonotonicTime now = at(1)) -> UpstreamChoice
+        {
+            auto context = ChoiceContext();
+            context.m_configuration = &m_configuration;
+            context.m_now = now;
+            return chooseUpstream(m_table, m_needs, context);
+        }
+
+        RoutingConfiguration m_configuration;
+        UpstreamTable m_table;
+        UpstreamNeeds m_needs;
+    };
+
+    TEST_F(UpstreamChoiceTest, TakesTheEngineThatHasTheAdapter)
+    {
+        add(engineRecord("without"));
+        add(engineRecord("with", { "a1" }));
+        const auto choice = choose();
+        ASSERT_EQ(choice.m_outcome, ChoiceOutcome::Chosen);
+        EXPECT_EQ(choice.m_upstream->m_record.m_name, UpstreamName("with"));
+    }
+
+    TEST_F(UpstreamChoiceTest, TellsWhenALoadUnderWayEnds)
+    {
+        auto& engine = add(engineRecord("loading"));
+        enterOrderedAdapter(engine, { "model/a1", 1 }, at(1.25), at(1));
+        const auto choice = choose();
+        EXPECT_EQ(choice.m_outcome, ChoiceOutcome::Loading);
+        EXPECT_EQ(choice.m_retryAt, at(1.25));
+        EXPECT_EQ(choose(at(1.3)).m_outcome, ChoiceOutcome::Chosen);
+    }
+
+    TEST_F(UpstreamChoiceTest, PassesOverEnginesThatLeaveOrStandInADataCentreThatIsOut)
+    {
+        auto leaving = engineRecord("leaving", { "a1" });
+        leaving.m_leaving = true;
+        add(leaving);
+        auto out = engineRecord("out", { "a1" });
+        out.m_dataCentre = DataCentreName("elsewhere");
+        add(out);
+        m_table.m_evacuated[DataCentreName("elsewhere")] = true;
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::NoUpstream);
+    }
+
+    TEST_F(UpstreamChoiceTest, CountsRequestsOfOtherNodes)
+    {
+        auto& engine = add(engineRecord("busy", { "a1" }));
+        engine.m_inFlight = 3;
+        engine.m_peersInFlight = 5;
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::Full) << "8 of 8 places are taken";
+        engine.m_peersInFlight = 4;
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::Chosen);
+    }
+
+    TEST_F(UpstreamChoiceTest, KeepsWithinAnEnginesMemory)
+    {
+        auto& engine = add(engineRecord("full", { "a1" }));
+        engine.m_inFlight = 1;
+        engine.m_tokensInFlight = 9'000;
+        m_needs.m_tokens = 4'000;
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::Full);
+    }
+
+    TEST_F(UpstreamChoiceTest, AvoidsAnEngineThatFailedUnlessItIsTheOnlyOne)
+    {
+        auto& failing = add(engineRecord("failing", { "a1" }));
+        failing.m_health.m_avoidUntil = at(2);
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::Chosen);
+        auto& busy = add(engineRecord("busy", { "a1" }));
+        busy.m_inFlight = 7;
+        EXPECT_EQ(choose().m_upstream->m_record.m_name, UpstreamName("busy"));
+    }
+
+    TEST_F(UpstreamChoiceTest, RequiresAnAnnouncedVersionSomeTimeAfterItsNews)
+    {
+        add(engineRecord("old", { "a1" }));
+        enterAdapterVersion(m_table, { "model/a1", 2 }, at(0));
+        EXPECT_EQ(choose(at(1)).m_outcome, ChoiceOutcome::Chosen);
+        EXPECT_EQ(choose(at(4)).m_outcome, ChoiceOutcome::NotLoaded)
+            << "a request may begin on version 1 for 5 s";
+    }
+
+    TEST_F(UpstreamChoiceTest, ColdEnginesGetTheirRateFromAllNodesTogether)
+    {
+        auto cold = engineRecord("cold", { "a1" });
+        cold.m_coldLeft = Milliseconds(3'000);
+        auto& engine = add(cold);
+        constexpr auto nodes = std::size_t { 8 };
+        const auto pool = enginePool();
+        auto sent = 0;
+        for (auto step = 0; step < 100; ++step) {
+            if (takeColdAllowance(engine, pool, nodes, at(step * 0.01)))
+                ++sent;
+        }
+        EXPECT_LE(sent * nodes, 16 + nodes) << "16 requests a second, and one more at each node";
+        EXPECT_GE(sent, 2);
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/test/relay/upstream_health_test.cc
@@ -0,0 +1,37 @@
+#include "relay/upstream_health.h"
+
+#include "relay/relay_fixtures.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    TEST(UpstreamHealthTest, AFewFailuresAmongManySuccessesChangeNothing)
+    {
+        auto health = UpstreamHealth();
+        for (auto call = 0; call < 100; ++call)
+            noteCallEnd(health, call % 7 == 0 ? CallEnd::Failed : CallEnd::Answered, at(call * 0.02));
+        EXPECT_LE(health.m_avoidUntil, at(0)) << "one in seven fails by its nature";
+    }
+
+    TEST(UpstreamHealthTest, SilenceIsAvoidedAtOnceAndEachTimeForLonger)
+    {
+        auto health = UpstreamHealth();
+        noteCallEnd(health, CallEnd::Silent, at(0));
+        const auto first = health.m_avoidUntil - at(0);
+        EXPECT_GT(health.m_avoidUntil, at(0));
+        noteCallEnd(health, CallEnd::Silent, at(10));
+        EXPECT_GT(health.m_avoidUntil - at(10), first);
+    }
+
+    TEST(UpstreamHealthTest, BrokenConnectionsInARowAreAvoided)
+    {
+        auto health = UpstreamHealth();
+        noteCallEnd(health, CallEnd::Broken, at(0));
+        noteCallEnd(health, CallEnd::Broken, at(0.1));
+        EXPECT_GT(health.m_avoidUntil, at(0.1));
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
