--- a/daemons/marigoldctl.cc
+++ b/daemons/marigoldctl.cc
@@ -1,5 +1,6 @@
 // The operators' client.
 #include "marigoldladder/operator_client.h"
+#include "ops/log_story.h"
 #include "ops/report_text.h"
 
 #include <charconv>
@@ -24,6 +25,7 @@
   marigoldctl dc (out | in) NAME --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl vm (out | in) NAME --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl explain ID --node ADDRESSES... --credential-file PATH [--json]
+  marigoldctl explain ID --logs FILE
   marigoldctl status --node ADDRESSES... --credential-file PATH [--json]
   marigoldctl (-h | --help)
 
@@ -31,6 +33,7 @@
   --node ADDRESSES        Operator addresses such as 127.0.0.1:7002, separated by commas; may be given
                           several times. They are tried in turn; explain asks them all.
   --credential-file PATH  A file with NAME.CREDENTIAL.
+  --logs FILE             Read relay nodes' log lines from this file; - reads standard input.
   --after REVISION        Show the notes after this revision [default: 0].
   --json                  Print one JSON object.
   -h --help               Print this text.
@@ -117,6 +120,21 @@
         arguments, name, makeClient(arguments).setDrain(scope, name, arguments.at("out").asBool()));
 }
 
+auto explainFromLogs(const Arguments& arguments) -> CommandResult
+{
+    const auto id = arguments.at("ID").asString();
+    const auto path = arguments.at("--logs").asString();
+    auto file = std::ifstream();
+    if (path != "-") {
+        file.open(path);
+        if (!file)
+            throw UsageError { path + " can't be read" };
+    }
+    const auto story = readStory(path == "-" ? std::cin : file, id);
+    std::cout << formatStory(id, story);
+    return story.empty() ? CommandResult::Refused : CommandResult::Done;
+}
+
 auto run(const Arguments& arguments) -> CommandResult
 {
     if (arguments.at("check").asBool())
@@ -134,6 +152,8 @@
         return setDrain(arguments, DrainScope::DataCentre);
     if (arguments.at("vm").asBool())
         return setDrain(arguments, DrainScope::Vm);
+    if (arguments.at("explain").asBool() && arguments.at("--logs"))
+        return explainFromLogs(arguments);
     if (arguments.at("explain").asBool()) {
         const auto report = makeClient(arguments).explain(RequestId(arguments.at("ID").asString()));
         std::cout << formatExplanation(report, styleOf(arguments));
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -189,16 +189,21 @@
             { "crashes_seen", std::to_string(report.m_crashes) } });
 }
 
-auto RequestRunner::logAttempt(const CallState& state, const Upstream& upstream, UpstreamCallEnd end) -> void
+auto RequestRunner::logAttempt(
+    const CallState& state, const Upstream& upstream, UpstreamCallEnd end, const PlaceWait& wait) -> void
 {
-    if (end == UpstreamCallEnd::Delivered && !isSampled(state.m_request.m_id))
+    const auto late = state.m_firstPartAge && *state.m_firstPartAge > state.m_route->m_targetLatency;
+    if (end == UpstreamCallEnd::Delivered && !late && !isSampled(state.m_request.m_id))
         return;
     const auto age = std::chrono::duration_cast<Milliseconds>(Clock::now() - state.m_arrivedAt);
-    m_log.write("request_attempt", state.m_request.m_id,
+    const auto firstPart = state.m_firstPartAge ? std::to_string(state.m_firstPartAge->count()) : "";
+    m_log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
             { "adapter", state.m_request.m_adapter },
             { "end", std::string(nameOf(upstreamCallEndNames, end)) },
-            { "age_ms", std::to_string(age.count()) },
+            { "waited_ms", std::to_string(wait.m_time.count()) },
+            { "waited_for", std::string(nameOf(choiceOutcomeNames, wait.m_reason)) },
+            { "first_part_ms", firstPart }, { "age_ms", std::to_string(age.count()) },
             { "upstream_in_flight", std::to_string(upstream.m_inFlight) },
             { "peers_in_flight", std::to_string(upstream.m_peersInFlight) } });
 }
@@ -284,7 +289,10 @@
 {
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
     auto until = waitEnd(state, attempts, ChoiceOutcome::Loading);
+    const auto waitsSince = Clock::now();
     auto found = co_await m_waitList.acquire(attempts.m_needs, rank, until, state.m_callerGone);
+    const auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - waitsSince);
+    const auto wait = PlaceWait { waited, found.m_firstOutcome };
     attempts.m_lastOutcome = found.m_outcome;
     if (state.m_callerGone || !found.m_place)
         co_return false;
@@ -306,7 +314,7 @@
     const auto use = AdapterUse(m_board.m_adapterRates, attempts.m_needs.m_adapter, &AdapterRate::m_inFlight);
     const auto end = co_await m_upstreamCaller.call(state, answer, upstream, silentAt);
     attempts.m_needs.m_tried.push_back(upstream.get());
-    logAttempt(state, *upstream, end);
+    logAttempt(state, *upstream, end, wait);
     if (end == UpstreamCallEnd::Broken || end == UpstreamCallEnd::Cut)
         net::co_spawn(m_executor, checkForCrash(upstream, fingerprintOf(state)), net::detached);
     switch (end) {
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -25,7 +25,13 @@
     auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
     auto isPoison(const CallState&) const -> bool;
     auto checkForCrash(UpstreamPointer, std::uint64_t fingerprint) -> Awaitable<void>;
-    auto logAttempt(const CallState&, const Upstream&, UpstreamCallEnd) -> void;
+    // How long a request waited for a place on an upstream, and why it had to.
+    struct PlaceWait {
+        Milliseconds m_time { 0 };
+        ChoiceOutcome m_reason = ChoiceOutcome::Chosen;
+    };
+
+    auto logAttempt(const CallState&, const Upstream&, UpstreamCallEnd, const PlaceWait&) -> void;
     auto logEnd(const CallState&, std::string_view event, std::string reason) -> void;
     auto failureFor(const CallState&, const Attempts&) const -> Failure;
     auto waitEnd(const CallState&, const Attempts&, ChoiceOutcome) const -> MonotonicTime;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -226,10 +226,10 @@
                 const auto events = std::string_view(pending).substr(0, length);
                 if (auto id = lastEventId(events); !id.empty())
                     state.m_lastEventId = std::move(id);
-                if (!state.m_firstPartSent) {
-                    state.m_firstPartSent = true;
-                    const auto age = std::chrono::duration<double>(Clock::now() - state.m_arrivedAt);
-                    board.m_metrics.observe(Latency::FirstToken, age.count());
+                if (!state.m_firstPartAge) {
+                    const auto age = Clock::now() - state.m_arrivedAt;
+                    state.m_firstPartAge = std::chrono::duration_cast<Milliseconds>(age);
+                    board.m_metrics.observe(Latency::FirstToken, std::chrono::duration<double>(age).count());
                 }
                 const auto sent = co_await answer.sendPart(events);
                 if (sent == AnswerEnd::CallerGone)
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -51,7 +51,7 @@
     MonotonicTime m_endsAt {}; // The caller's deadline or the route's time-out, whichever is first.
     bool m_callerGone = false;
     std::function<void()> m_cancelUpstream; // Set while a call to an upstream runs.
-    bool m_firstPartSent = false;
+    std::optional<Milliseconds> m_firstPartAge; // When the first part of a stream went out.
     std::string m_lastEventId; // Of what the caller has got from this node.
     std::optional<WholeAnswer> m_keptFailure;
 };
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -94,13 +94,13 @@
 {
     needs.m_dataCentre = m_here;
     const auto choice = choose(needs);
-    // A request that needs what is free doesn't pass one that waits for the same and is more urgent.
     if (choice.m_upstream) {
-        auto result = PlaceResult { take(choice, needs), choice.m_outcome };
+        auto result = PlaceResult { take(choice, needs), choice.m_outcome, choice.m_outcome };
         co_return result;
     }
     auto waiter = Waiter { std::move(needs), rank, &cancelled, net::steady_timer(m_executor, until), {} };
     waiter.m_result.m_outcome = choice.m_outcome;
+    waiter.m_result.m_firstOutcome = choice.m_outcome;
     if (until <= Clock::now())
         co_return std::move(waiter.m_result);
     enqueue(waiter);
--- a/src/relay/wait_list.h
+++ b/src/relay/wait_list.h
@@ -44,6 +44,7 @@
 struct PlaceResult {
     UpstreamPlace m_place; // Empty when none was found in time.
     ChoiceOutcome m_outcome = ChoiceOutcome::NoUpstream; // Why the last choice found none.
+    ChoiceOutcome m_firstOutcome = ChoiceOutcome::NoUpstream; // Why it had to wait; `Chosen`: it had not.
 };
 
 // Finds places on upstreams for requests, and keeps those that have to wait.
