--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -10,8 +10,11 @@
 
     constexpr auto loadTime = Milliseconds(250); // Of one adapter, while the weight store is not crowded.
     constexpr auto loadMargin = Milliseconds(12); // In which the engine lists it.
-    constexpr auto loadsAtFullSpeed = std::size_t { 8 }; // Over all engines; more take longer in proportion.
-    constexpr auto loadsForCopies = std::size_t { 5 }; // What copies leave of that to adapters waited for.
+    // Adapters on their way over all engines at full speed, more take longer in proportion: so many for each
+    // model that the weight store loads at full speed, which is one for each part of its rate.
+    constexpr auto adaptersForEachModel = std::size_t { 8 };
+    constexpr auto modelRatePart = 4.2; // Loads of models a second.
+    constexpr auto copiesShare = 0.6; // What copies may take of that; the rest is for adapters waited for.
     constexpr auto modelsAtOnce = std::size_t { 2 }; // Over all engines; the weight store is slow with more.
     constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
     constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
@@ -40,6 +43,7 @@
     public:
         explicit Planner(const PlanInput& input)
             : m_input(input)
+            , m_fullSpeed(loadsAtFullSpeed(*input.m_configuration))
         {
             for (const auto& wish : input.m_wishes)
                 m_wishes[wish.m_adapter] = &wish;
@@ -300,7 +304,7 @@
                 return std::pair(left->m_waiting, left->m_rate) > std::pair(right->m_waiting, right->m_rate);
             });
             for (const auto* wish : waited) {
-                if (m_loading >= loadsAtFullSpeed)
+                if (m_loading >= m_fullSpeed)
                     return;
                 if (wish->m_waiting == 0 && wish->m_rate < returnRate)
                     continue;
@@ -321,7 +325,7 @@
                     if (presence.m_dropped || presence.m_version >= newestVersion(adapter)
                         || !takesOrders(engine) || isBooked(engine, adapter))
                         continue;
-                    if (!m_serving.contains(adapter) || m_loading >= loadsAtFullSpeed)
+                    if (!m_serving.contains(adapter) || m_loading >= m_fullSpeed)
                         continue;
                     orderLoad(engine, adapter);
                 }
@@ -341,7 +345,7 @@
             std::sort(wanted.begin(), wanted.end(),
                 [](const auto& left, const auto& right) { return left.first > right.first; });
             for (const auto& [value, wish] : wanted) {
-                if (m_loading >= loadsForCopies)
+                if (static_cast<double>(m_loading) >= copiesShare * static_cast<double>(m_fullSpeed))
                     return;
                 if (auto* engine = engineFor(wish->m_adapter, reservedPlaces))
                     orderLoad(*engine, wish->m_adapter);
@@ -349,6 +353,7 @@
         }
 
         const PlanInput& m_input;
+        std::size_t m_fullSpeed;
         std::map<std::string, const AdapterWish*> m_wishes;
         std::vector<Engine> m_engines;
         std::map<std::string, std::size_t> m_copies;
@@ -380,9 +385,18 @@
     return Planner(input).plan();
 }
 
-auto expectedLoadTime(std::size_t loading) -> Milliseconds
+auto loadsAtFullSpeed(const RoutingConfiguration& configuration) -> std::size_t
 {
-    const auto crowding = std::max(1.0, static_cast<double>(loading + 1) / loadsAtFullSpeed);
+    auto rate = 0.0;
+    for (const auto& [name, pool] : configuration.m_pools)
+        rate = std::max(rate, pool.m_engine ? pool.m_engine->m_loadsPerSecond : 0.0);
+    const auto models = std::max<std::size_t>(1, static_cast<std::size_t>(rate / modelRatePart));
+    return adaptersForEachModel * models;
+}
+
+auto expectedLoadTime(std::size_t loading, std::size_t fullSpeed) -> Milliseconds
+{
+    const auto crowding = std::max(1.0, static_cast<double>(loading + 1) / static_cast<double>(fullSpeed));
     return Milliseconds(static_cast<std::int64_t>(loadTime.count() * crowding)) + loadMargin;
 }
 
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -316,7 +316,8 @@
     auto loading = std::size_t { 0 };
     for (const auto& [upstream, orders] : m_book)
         loading += orders.m_loading.size();
-    entry.m_loading[order.m_adapter] = now + expectedLoadTime(loading);
+    entry.m_loading[order.m_adapter]
+        = now + expectedLoadTime(loading, loadsAtFullSpeed(*m_board.m_configuration));
 }
 
 auto OrderKeeper::give(AdapterOrder order) -> Awaitable<void>
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -29,7 +29,7 @@
     : m_context(context)
     , m_settings(settings)
     , m_deployment(deployment)
-    , m_waitList(context.get_executor(), m_board, settings.m_dataCentre)
+    , m_waitList(context.get_executor(), m_board, settings)
     , m_connections(context.get_executor(), m_board)
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
     , m_runner(context.get_executor(), settings, m_board, m_waitList, m_upstreamCaller, deployment.m_dialect)
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -35,6 +35,20 @@
         return bounds;
     }
 
+    auto readRegions(const nlohmann::json& object, std::vector<FieldFault>& faults)
+        -> std::map<DataCentreName, std::string>
+    {
+        auto regions = std::map<DataCentreName, std::string>();
+        if (!object.is_object()) {
+            faults.push_back({ "/data_centre_regions", "must be an object" });
+            return regions;
+        }
+        auto reader = JsonReader(object, "/data_centre_regions", faults);
+        for (const auto& [dataCentre, region] : object.items())
+            regions[DataCentreName(dataCentre)] = reader.requiredText(dataCentre);
+        return regions;
+    }
+
 } // namespace
 
 auto parseRelaySettings(std::string_view json) -> CheckedSettings<RelaySettings>
@@ -58,6 +72,8 @@
     settings.m_maxDescriptors
         = static_cast<std::size_t>(reader.optionalNumber("max_descriptors", 1024, { 64, mostDescriptors }));
     settings.m_logLevel = reader.optionalText("log_level", "info");
+    if (const auto* regions = reader.child("data_centre_regions"))
+        settings.m_regions = readRegions(*regions, faults);
     if (const auto* bounds = reader.child("bounds"))
         settings.m_bounds = readBounds(*bounds, faults);
     reader.rejectUnknownFields();
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -5,6 +5,7 @@
 #include "relay/routing_configuration.h"
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,7 @@
     VmName m_vm;
     DataCentreName m_dataCentre;
     std::string m_region;
+    std::map<DataCentreName, std::string> m_regions; // Of all data centres.
     Address m_callerAddress;
     Address m_readinessAddress;
     Address m_directoryAddress;
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -247,6 +247,9 @@
     }
     auto& needs = attempts.m_needs;
     needs.m_pool = draw(state.m_route->m_pools, m_random);
+    needs.m_routeRegions = state.m_route->m_regions;
+    if (organisation)
+        needs.m_organisationRegions = organisation->m_regions;
     needs.m_model = state.m_request.m_model;
     needs.m_adapter = state.m_request.m_adapter;
     needs.m_tokens = state.m_request.m_promptTokens + state.m_request.m_outputTokens;
--- a/src/relay/routing_configuration.h
+++ b/src/relay/routing_configuration.h
@@ -76,6 +76,7 @@
 // What the engines of a pool can be ordered to load.
 struct EnginePool {
     std::vector<EngineModel> m_models;
+    double m_loadsPerSecond = 0; // Of models, that the weight store bears from all engines together.
     double m_megabytes = 0; // Of weights and adapters that one engine holds at most.
     std::size_t m_adapterPlaces = 0; // Adapters that one engine holds at most.
     std::size_t m_slots = 0; // Requests that run at once.
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -25,6 +25,24 @@
     // one: the bound of the versions less the time in which the news arrives.
     constexpr auto oldVersionTime = std::chrono::milliseconds(2'200);
 
+    // Whether a region is among those that a route or an organisation names; none named means any.
+    auto isAmong(const std::vector<std::string>& regions, const std::string& region) -> bool
+    {
+        return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+    }
+
+    auto staysInRegions(const Upstream& upstream, const UpstreamNeeds& needs, const ChoiceContext& context)
+        -> bool
+    {
+        if (needs.m_routeRegions.empty() && needs.m_organisationRegions.empty())
+            return true;
+        if (!context.m_regions)
+            return false;
+        const auto found = context.m_regions->find(upstream.m_record.m_dataCentre);
+        return found != context.m_regions->end() && isAmong(needs.m_routeRegions, found->second)
+            && isAmong(needs.m_organisationRegions, found->second);
+    }
+
     // Whether the pool's engines have the adapter, and when a load under way ends.
     struct AdapterState {
         bool m_ready = false;
@@ -177,7 +195,8 @@
     const auto version = wantedVersion(table, needs, context.m_now);
     auto lowest = std::numeric_limits<double>::infinity();
     for (const auto& [name, upstream] : table.m_upstreams) {
-        if (upstream->m_record.m_pool != needs.m_pool || !takesWork(table, *upstream))
+        if (upstream->m_record.m_pool != needs.m_pool || !takesWork(table, *upstream)
+            || !staysInRegions(*upstream, needs, context))
             continue;
         const auto adapter = adapterState(*upstream, needs, version, context.m_now);
         if (!adapter.m_ready) {
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -14,6 +14,8 @@
     std::string m_model; // Empty: none.
     std::string m_adapter; // `model/adapter`; empty: none.
     double m_tokens = 0; // Prompt and answer.
+    std::vector<std::string> m_routeRegions; // Where the route may run; empty: anywhere.
+    std::vector<std::string> m_organisationRegions; // Where the organisation's requests may run.
     DataCentreName m_dataCentre; // Where this node stands; near upstreams are preferred.
     std::vector<const Upstream*> m_tried; // Gets the request again only if it never ran there.
 };
@@ -43,6 +45,7 @@
 // What the choice knows beside the upstreams themselves.
 struct ChoiceContext {
     const RoutingConfiguration* m_configuration = nullptr;
+    const std::map<DataCentreName, std::string>* m_regions = nullptr; // Of data centres; null: not known.
     std::size_t m_nodes = 1; // That share what a cold upstream takes.
     MonotonicTime m_now {};
     double m_jitter = 0; // 0 to 1, drawn anew for each choice, so that nodes don't all choose alike.
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -59,10 +59,10 @@
     m_board->m_capacityChanged();
 }
 
-WaitList::WaitList(Executor executor, RelayBoard& board, DataCentreName here)
+WaitList::WaitList(Executor executor, RelayBoard& board, const RelaySettings& settings)
     : m_executor(std::move(executor))
     , m_board(board)
-    , m_here(std::move(here))
+    , m_settings(settings)
     , m_nextLook(m_executor)
     , m_random(std::random_device()())
 {
@@ -72,6 +72,7 @@
 {
     auto context = ChoiceContext();
     context.m_configuration = m_board.m_configuration.get();
+    context.m_regions = &m_settings.m_regions;
     context.m_nodes = m_board.m_nodes;
     context.m_now = Clock::now();
     context.m_jitter = std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -92,7 +93,7 @@
 auto WaitList::acquire(UpstreamNeeds needs, WaitRank rank, MonotonicTime until, const bool& cancelled)
     -> Awaitable<PlaceResult>
 {
-    needs.m_dataCentre = m_here;
+    needs.m_dataCentre = m_settings.m_dataCentre;
     const auto choice = choose(needs);
     if (choice.m_upstream) {
         auto result = PlaceResult { take(choice, needs), choice.m_outcome, choice.m_outcome };
--- a/src/relay/wait_list.h
+++ b/src/relay/wait_list.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/relay_board.h"
+#include "relay/relay_settings.h"
 #include "relay/tcp.h"
 #include "relay/upstream_choice.h"
 
@@ -50,7 +51,7 @@
 // Finds places on upstreams for requests, and keeps those that have to wait.
 class WaitList {
 public:
-    WaitList(Executor, RelayBoard&, DataCentreName here);
+    WaitList(Executor, RelayBoard&, const RelaySettings&);
 
     // Waits until `until` for an upstream. `cancelled` ends the wait early when it has become true; call
     // `wake` then.
@@ -83,7 +84,7 @@
 
     Executor m_executor;
     RelayBoard& m_board;
-    DataCentreName m_here;
+    const RelaySettings& m_settings;
     std::list<Waiter*> m_waiting; // By rank.
     net::steady_timer m_nextLook;
     MonotonicTime m_nextLookAt {};
--- a/test/relay/relay_fixtures.h
+++ b/test/relay/relay_fixtures.h
@@ -22,7 +22,7 @@
     auto pool = Pool();
     pool.m_name = PoolName("engines");
     pool.m_coldRequestsPerSecond = 16;
-    pool.m_engine = EnginePool { { { "model", 100, Milliseconds(1'400) } }, 200, 5, 8, 10'000 };
+    pool.m_engine = EnginePool { { { "model", 100, Milliseconds(1'400) } }, 4, 200, 5, 8, 10'000 };
     return pool;
 }
 
--- /dev/null
+++ b/test/relay/relay_settings_test.cc
@@ -0,0 +1,41 @@
+#include "relay/relay_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    constexpr auto complete = R"({"vm":"v","data_centre":"dc","region":"r","data_centre_regions":{"dc":"r"},
+        "caller_address":"10.0.0.1:1","readiness_address":"10.0.0.1:2","directory_address":"10.0.0.1:3",
+        "peer_address":"10.0.0.1:4","metrics_address":"10.0.0.1:5","store_address":"10.0.0.9:6",
+        "first_start":true,"bounds":{"retry_ratio":0.2,"stop_s":8,"lease_ms":3000}})";
+
+    TEST(RelaySettingsTest, ReadsACompleteFile)
+    {
+        const auto settings = parseRelaySettings(complete);
+        ASSERT_TRUE(settings);
+        EXPECT_EQ(settings.value().m_regions.at(DataCentreName("dc")), "r");
+        EXPECT_EQ(settings.value().m_bounds.m_stopTime, Milliseconds(8'000));
+        EXPECT_TRUE(settings.value().m_firstStart);
+    }
+
+    TEST(RelaySettingsTest, NamesEveryFaultWithItsPath)
+    {
+        const auto settings = parseRelaySettings(
+            R"({"vm":"","caller_address":"nowhere","bounds":{"retry_ratio":"much","odd":1},"data_centre_regions":[]})");
+        ASSERT_FALSE(settings);
+        auto paths = std::string();
+        for (const auto& fault : settings.error().m_faults)
+            paths += fault.m_path + " ";
+        for (const auto* path : { "/vm", "/data_centre ", "/caller_address", "/store_address",
+                 "/bounds/retry_ratio", "/bounds/odd", "/data_centre_regions" })
+            EXPECT_NE(paths.find(path), std::string::npos) << path << " is not among " << paths;
+    }
+
+    TEST(RelaySettingsTest, RefusesWhatIsNoJson)
+    {
+        EXPECT_FALSE(parseRelaySettings("vm = 1"));
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -28,11 +28,13 @@
         {
             auto context = ChoiceContext();
             context.m_configuration = &m_configuration;
+            context.m_regions = &m_regions;
             context.m_now = now;
             return chooseUpstream(m_table, m_needs, context);
         }
 
         RoutingConfiguration m_configuration;
+        std::map<DataCentreName, std::string> m_regions;
         UpstreamTable m_table;
         UpstreamNeeds m_needs;
     };
@@ -68,6 +70,16 @@
         EXPECT_EQ(choose().m_outcome, ChoiceOutcome::NoUpstream);
     }
 
+    TEST_F(UpstreamChoiceTest, StaysInTheRegionsOfRouteAndOrganisation)
+    {
+        add(engineRecord("near", { "a1" }));
+        m_regions = { { DataCentreName("here"), "north" } };
+        m_needs.m_routeRegions = { "north", "south" };
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::Chosen);
+        m_needs.m_organisationRegions = { "south" };
+        EXPECT_EQ(choose().m_outcome, ChoiceOutcome::NoUpstream) << "both bind";
+    }
+
     TEST_F(UpstreamChoiceTest, CountsRequestsOfOtherNodes)
     {
         auto& engine = add(engineRecord("busy", { "a1" }));
