--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -13,6 +13,7 @@
 
 namespace {
 
+    constexpr auto arrivalTime = std::chrono::milliseconds(50); // Of an answer over loopback.
     constexpr auto answerTime = std::chrono::milliseconds(5'000); // For a whole answer.
     constexpr auto closeTime = std::chrono::milliseconds(150); // In which a close after it is noticed.
 
@@ -167,6 +168,7 @@
 auto RelayHarness::addUpstream(const std::string& name, const std::string& pool,
     std::function<UpstreamReply(const UpstreamRequest&)> reply, nlohmann::json models) -> void
 {
+    auto revision = std::uint64_t { 0 };
     onLoop([&] {
         auto upstream = std::make_unique<UpstreamStandIn>(m_parts->m_context, std::move(reply));
         m_parts->m_store.put("servers", name,
@@ -174,7 +176,15 @@
                 { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 },
                 { "models", std::move(models) }, { "sequence", 0 } });
         m_parts->m_upstreams[name] = std::move(upstream);
+        revision = m_parts->m_store.revision();
     });
+    // The node takes it up as soon as the answer of its watch has arrived.
+    (void)eventually([&] {
+        auto told = false;
+        onLoop([&] { told = m_parts->m_store.told("servers") >= revision; });
+        return told;
+    });
+    std::this_thread::sleep_for(arrivalTime);
 }
 
 auto RelayHarness::requestsAt(const std::string& name) -> std::vector<UpstreamRequest>
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -37,7 +37,8 @@
     // Writes an object to the store, as an operator or a replica would.
     auto put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void;
 
-    // Starts an upstream and enters it in the store; `models` as the entry lists them.
+    // Starts an upstream and enters it in the store, and waits until the node was told; `models` as the entry
+    // lists them.
     auto addUpstream(const std::string& name, const std::string& pool,
         std::function<UpstreamReply(const UpstreamRequest&)>, nlohmann::json models = nlohmann::json::array())
         -> void;
--- a/test/platform/relay_path_test.cc
+++ b/test/platform/relay_path_test.cc
@@ -24,8 +24,6 @@
             -> void
         {
             m_relay.addUpstream(name, "pool", std::move(reply));
-            // The watch of upstreams takes changes up together.
-            std::this_thread::sleep_for(std::chrono::milliseconds(600));
         }
 
         RelayHarness m_relay;
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -161,6 +161,7 @@
         co_return response;
     }
     if (watch.empty()) {
+        m_told[kind] = m_revision;
         response.body() = list(kind).dump();
         co_return response;
     }
@@ -178,6 +179,7 @@
         response.result(m_refuses ? http::status::service_unavailable : http::status::gone);
         co_return response;
     }
+    m_told[kind] = m_revision;
     response.body() = nlohmann::json { { "events", events }, { "as_of", m_revision } }.dump();
     co_return response;
 }
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -32,6 +32,10 @@
     auto refuse(bool refuses) -> void { m_refuses = refuses; }
 
     auto calls() const -> int { return m_calls; }
+    auto revision() const -> std::uint64_t { return m_revision; }
+
+    // The latest state of a kind that a listing or a watch has told.
+    auto told(const std::string& kind) -> std::uint64_t { return m_told[kind]; }
 
 private:
     struct Object {
@@ -59,6 +63,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Change> m_changes;
+    std::map<std::string, std::uint64_t> m_told;
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRevision = 0;
     int m_calls = 0;
