Keep a place for a load until its order is answered

A load's booking ended when the load was expected to be done, also while its order had no answer yet, which takes up to half a second; its place looked free then.

Test: AdapterPlanTest.KeepsAPlaceForAnOrderThatIsNotAnsweredYet.

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -130,6 +130,10 @@
 
         auto readBook(const EngineOrders& orders, Engine& engine) -> void
         {
+            for (const auto& adapter : orders.m_unanswered) {
+                engine.m_held.insert(adapter);
+                engine.m_loading += orders.m_loading.contains(adapter) ? 0 : 1;
+            }
             for (const auto& [adapter, until] : orders.m_loading) {
                 engine.m_held.insert(adapter);
                 engine.m_loading += until > m_input.m_now ? 1 : 0;
@@ -208,7 +212,8 @@
         {
             const auto book = m_input.m_book->find(engine.m_upstream->m_record.m_name);
             return book != m_input.m_book->end()
-                && (book->second.m_loading.contains(adapter) || book->second.m_unloading.contains(adapter)
+                && (book->second.m_unanswered.contains(adapter) || book->second.m_loading.contains(adapter)
+                    || book->second.m_unloading.contains(adapter)
                     || book->second.m_doubtful.contains(adapter));
         }
 
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -35,6 +35,7 @@
 struct EngineOrders {
     const Upstream* m_run = nullptr; // Only compared.
     std::map<std::string, MonotonicTime> m_loading; // Accepted, until when they are expected to take.
+    std::set<std::string> m_unanswered; // Ordered to be loaded, not yet answered.
     std::set<std::string> m_unloading; // Ordered to go, not yet answered.
     std::map<std::string, MonotonicTime> m_doubtful; // Unanswered; may be carried out until then.
     MonotonicTime
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -316,6 +316,7 @@
     auto loading = std::size_t { 0 };
     for (const auto& [upstream, orders] : m_book)
         loading += orders.m_loading.size();
+    entry.m_unanswered.insert(order.m_adapter);
     entry.m_loading[order.m_adapter]
         = now + expectedLoadTime(loading, loadsAtFullSpeed(*m_board.m_configuration));
 }
@@ -345,6 +346,7 @@
             book.m_modelUntil = now + refusedPause;
         co_return;
     }
+    book.m_unanswered.erase(order.m_adapter);
     book.m_unloading.erase(order.m_adapter);
     switch (answer) {
     case OrderAnswer::Accepted:
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -76,6 +76,16 @@
             EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
     }
 
+    TEST_F(AdapterPlanTest, KeepsAPlaceForAnOrderThatIsNotAnsweredYet)
+    {
+        // The time that the load was expected to take is over, and its answer still on the way.
+        auto& engine = addEngine("engine", { "a1", "a2", "a3" });
+        ordersOf(m_book, engine).m_unanswered.insert("model/a4");
+        wish("a5", 1, 1);
+        for (const auto& order : plan().m_orders)
+            EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
+    }
+
     TEST_F(AdapterPlanTest, MakesRoomByDroppingTheLeastWantedThatIsNotInUse)
     {
         addEngine("engine", { "used", "wanted", "idle", "liked" });
