--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -22,24 +22,10 @@
     constexpr auto firstReads = 3; // At the start, others register at about the same time.
     constexpr auto firstReadInterval = Milliseconds(400);
     constexpr auto registrationPause = Milliseconds(500);
-    constexpr auto mostSuspects = std::size_t { 32 }; // In one summary.
-    constexpr auto mostDemands = std::size_t { 56 }; // Adapters in one summary, those asked for most.
-    constexpr auto orderMemory = Milliseconds(2'500); // Until the engines' own lists show what was ordered.
-    constexpr auto mostOrders = std::size_t { 24 }; // In one summary, the newest.
-    constexpr auto mostSentTimes = std::size_t { 512 }; // Of the latest summaries, a few seconds' worth.
     constexpr auto missingMemory = Milliseconds(250); // Told in a few summaries.
     constexpr auto reloadTime = Milliseconds(700); // An adapter ordered since may be missing no more.
     constexpr auto hearingTime = Milliseconds(1'000); // In which all must have heard the holder.
 
-    auto age(MonotonicTime then, MonotonicTime now) -> std::uint32_t
-    {
-        constexpr auto never = std::uint32_t { 1'000'000 };
-        if (then == MonotonicTime())
-            return never;
-        const auto milliseconds = std::chrono::duration_cast<Milliseconds>(now - then).count();
-        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 0, never));
-    }
-
 } // namespace
 
 PeerExchange::PeerExchange(Executor executor, const RelaySettings& settings, RelayBoard& board,
@@ -171,126 +157,6 @@
     m_socket.send_to(net::buffer(datagram), endpoint, 0, error);
 }
 
-auto PeerExchange::makeSummary(bool toHolder) -> std::string
-{
-    const auto now = Clock::now();
-    auto summary = messages::SummaryT();
-    summary.vm = m_settings.m_vm.value();
-    summary.incarnation = m_incarnation;
-    summary.number = ++m_number;
-    m_sent.emplace_back(m_number, uninterruptedNow());
-    if (m_sent.size() > mostSentTimes)
-        m_sent.pop_front();
-    summary.data_centre = m_settings.m_dataCentre.value();
-    summary.caller_host = m_settings.m_callerAddress.m_host;
-    summary.caller_port = static_cast<std::uint16_t>(m_settings.m_callerAddress.m_port);
-    summary.peer_port = static_cast<std::uint16_t>(m_settings.m_peerAddress.m_port);
-    summary.ready = m_isReady();
-    summary.store_reachable = m_board.m_storeReachable;
-    for (const auto kind : objectKinds)
-        summary.revisions.push_back(m_board.m_objects[kind].m_revision);
-    summary.leaving = m_board.m_leaving;
-    summary.configuration_version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
-    const auto& holder = m_board.m_fleet.m_holder;
-    const auto& orders = m_board.m_orders;
-    summary.holder = orders.m_holding ? m_settings.m_vm.value() : holder.m_vm.value();
-    summary.holder_fence = orders.m_holding ? orders.m_fence : holder.m_fence;
-    const auto holderPeer = m_board.m_fleet.m_peers.find(holder.m_vm);
-    summary.holder_number = holderPeer == m_board.m_fleet.m_peers.end() ? 0 : holderPeer->second.m_number;
-    summary.holder_age_ms = orders.m_holding ? 0 : age(holder.m_heardAt, now);
-    fillLoads(summary);
-    fillOrganisations(summary);
-    fillSuspects(summary);
-    if (toHolder) {
-        fillDemands(summary);
-        fillMissing(summary);
-    }
-    if (orders.m_holding)
-        fillOrders(summary);
-    auto builder = flatbuffers::FlatBufferBuilder();
-    builder.Finish(messages::Summary::Pack(builder, &summary));
-    return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
-}
-
-auto PeerExchange::fillLoads(messages::SummaryT& summary) const -> void
-{
-    for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
-        if (upstream->m_inFlight == 0)
-            continue;
-        const auto tokens = static_cast<std::uint32_t>(std::max(upstream->m_tokensInFlight, 0.0));
-        summary.loads.emplace_back(
-            shortId(name.value()), tokens, static_cast<std::uint16_t>(upstream->m_inFlight));
-    }
-}
-
-auto PeerExchange::fillOrganisations(messages::SummaryT& summary) const -> void
-{
-    const auto now = Clock::now();
-    for (const auto& [name, budget] : m_board.m_budgets.m_budgets)
-        summary.organisations.emplace_back(
-            shortId(name.value()), static_cast<float>(demandOf(budget, now)), budget.m_spent);
-}
-
-auto PeerExchange::fillSuspects(messages::SummaryT& summary) const -> void
-{
-    for (const auto& [fingerprint, entry] : m_board.m_poison.m_entries) {
-        const auto own = entry.m_reports.find(m_settings.m_vm);
-        if (own == entry.m_reports.end() || summary.suspects.size() >= mostSuspects)
-            continue;
-        constexpr auto most = std::uint32_t { 255 };
-        summary.suspects.emplace_back(
-            fingerprint, static_cast<std::uint8_t>(std::min(own->second.m_crashes, most)));
-    }
-}
-
-auto PeerExchange::fillDemands(messages::SummaryT& summary) const -> void
-{
-    const auto now = Clock::now();
-    auto sorted = std::vector<std::pair<std::pair<std::size_t, double>, const std::string*>>();
-    for (const auto& [adapter, rate] : m_board.m_adapterRates)
-        sorted.push_back(
-            { { rate.m_waiting + std::min<std::size_t>(rate.m_inFlight, 1), rateAt(rate, now) }, &adapter });
-    std::sort(sorted.begin(), sorted.end(),
-        [](const auto& left, const auto& right) { return left.first > right.first; });
-    if (sorted.size() > mostDemands)
-        sorted.resize(mostDemands);
-    for (const auto& [demand, adapter] : sorted) {
-        auto entry = std::make_unique<messages::AdapterDemandT>();
-        entry->adapter = *adapter;
-        entry->requests_per_second = static_cast<float>(demand.second);
-        entry->waiting = static_cast<std::uint16_t>(m_board.m_adapterRates.at(*adapter).m_waiting);
-        entry->in_flight = static_cast<std::uint16_t>(m_board.m_adapterRates.at(*adapter).m_inFlight);
-        summary.demands.push_back(std::move(entry));
-    }
-}
-
-auto PeerExchange::fillMissing(messages::SummaryT& summary) const -> void
-{
-    for (const auto& missing : m_board.m_missing) {
-        auto entry = std::make_unique<messages::MissingAdapterT>();
-        entry->upstream = shortId(missing.m_upstream.value());
-        entry->adapter = missing.m_adapter;
-        summary.missing.push_back(std::move(entry));
-    }
-}
-
-auto PeerExchange::fillOrders(messages::SummaryT& summary) const -> void
-{
-    const auto now = Clock::now();
-    const auto& recent = m_board.m_orders.m_recent;
-    for (auto at = recent.rbegin(); at != recent.rend() && summary.orders.size() < mostOrders; ++at) {
-        if (at->m_orderedAt + orderMemory <= now)
-            break;
-        auto entry = std::make_unique<messages::OrderedAdapterT>();
-        entry->upstream = shortId(at->m_upstream.value());
-        entry->adapter = at->m_adapter;
-        entry->version = at->m_version;
-        entry->ready_in_ms = at->m_readyAt > now ? age(now, at->m_readyAt) : 0;
-        entry->age_ms = age(at->m_orderedAt, now);
-        summary.orders.push_back(std::move(entry));
-    }
-}
-
 auto PeerExchange::receive() -> Awaitable<void>
 {
     for (;;) {
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -23,10 +23,9 @@
     constexpr auto crashCheckTimeout = Milliseconds(500);
     constexpr auto configurationRetryAfter = Milliseconds(500);
 
-    // A pool without any upstream is soon filled or not at all.
-    constexpr auto emptyPoolWait = Milliseconds(300);
-    // Adapters take a few hundred milliseconds to load, longer when many do.
-    constexpr auto longestLoadWait = Milliseconds(3'000);
+    // Callers give up on a stream soon after; adapters take a few hundred milliseconds to load, longer when
+    // many do.
+    constexpr auto longestWait = Milliseconds(3'000);
 
     auto formatPath(const CallState& state) -> std::string_view
     {
@@ -99,7 +98,7 @@
     m_board.m_poison.m_crashesUntilRefused = poisonCrashes;
 }
 
-auto RequestRunner::admit(CallState& state, std::shared_ptr<const RoutingConfiguration> configuration)
+auto RequestRunner::admit(CallState& state, const std::shared_ptr<const RoutingConfiguration>& configuration)
     -> Result<const Organisation*>
 {
     if (!configuration)
@@ -266,32 +265,11 @@
     co_await finish(state, answer, attempts);
 }
 
-auto RequestRunner::waitEnd(const CallState& state, const Attempts&, ChoiceOutcome outcome) const
-    -> MonotonicTime
-{
-    const auto target = std::max(state.m_route->m_targetLatency, Milliseconds(200));
-    auto end = state.m_endsAt;
-    switch (outcome) {
-    case ChoiceOutcome::NoUpstream:
-        end = state.m_arrivedAt + emptyPoolWait;
-        break;
-    case ChoiceOutcome::NotLoaded:
-    case ChoiceOutcome::Loading:
-        end = state.m_arrivedAt + longestLoadWait;
-        break;
-    case ChoiceOutcome::Full:
-    case ChoiceOutcome::Chosen:
-        end = state.m_arrivedAt + target * 2;
-        break;
-    }
-    return std::min(end, state.m_endsAt);
-}
-
 // Sends the request to one more upstream; true when another may be tried.
 auto RequestRunner::attempt(CallState& state, CallerAnswer& answer, Attempts& attempts) -> Awaitable<bool>
 {
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
-    auto until = waitEnd(state, attempts, ChoiceOutcome::Loading);
+    const auto until = std::min(state.m_arrivedAt + longestWait, state.m_endsAt);
     const auto waitsSince = Clock::now();
     auto found = co_await m_waitList.acquire(attempts.m_needs, rank, until, state.m_callerGone);
     const auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - waitsSince);
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -18,7 +18,7 @@
 private:
     struct Attempts;
 
-    auto admit(CallState&, std::shared_ptr<const RoutingConfiguration>) -> Result<const Organisation*>;
+    auto admit(CallState&, const std::shared_ptr<const RoutingConfiguration>&) -> Result<const Organisation*>;
     auto charge(CallState&, const Organisation&, Attempts&) -> Result<bool>;
     auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<bool>;
     auto refuse(CallState&, CallerAnswer&, const Failure&) -> Awaitable<void>;
@@ -34,7 +34,6 @@
     auto logAttempt(const CallState&, const Upstream&, UpstreamCallEnd, const PlaceWait&) -> void;
     auto logEnd(const CallState&, std::string_view event, std::string reason) -> void;
     auto failureFor(const CallState&, const Attempts&) const -> Failure;
-    auto waitEnd(const CallState&, const Attempts&, ChoiceOutcome) const -> MonotonicTime;
 
     Executor m_executor;
     const RelaySettings& m_settings;
