--- a/src/ops/log_story.cc
+++ b/src/ops/log_story.cc
@@ -62,7 +62,12 @@
         return "no line about request " + requestId + "\n";
     auto text = std::string();
     for (const auto& line : story) {
-        text.append(line.m_time).append("  ").append(line.m_vm).append("  ").append(line.m_event).append("\n");
+        text.append(line.m_time)
+            .append("  ")
+            .append(line.m_vm)
+            .append("  ")
+            .append(line.m_event)
+            .append("\n");
         for (const auto& [name, value] : line.m_fields)
             text.append("    ").append(name).append(": ").append(value).append("\n");
     }
