--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -49,8 +49,8 @@
             auto target = sockaddr_in();
             target.sin_family = AF_INET;
             target.sin_port = htons(static_cast<std::uint16_t>(address.m_port));
-            ::inet_pton(AF_INET, address.m_host.c_str(), &target.sin_addr);
-            ::connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+            (void)::inet_pton(AF_INET, address.m_host.c_str(), &target.sin_addr);
+            (void)::connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
         }
         ~CallerSocket() { ::close(m_socket); }
         CallerSocket(const CallerSocket&) = delete;
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -21,10 +21,10 @@
         return result;
     }
 
-    auto fleetOf(std::vector<Peer> peers) -> FleetView
+    auto fleetOf(const std::vector<Peer>& peers) -> FleetView
     {
         auto fleet = FleetView();
-        for (auto& entry : peers)
+        for (const auto& entry : peers)
             fleet.m_peers[entry.m_vm] = entry;
         return fleet;
     }
