--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -64,7 +64,6 @@
 auto OrderKeeper::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    m_startedAt = uninterruptedNow();
     net::co_spawn(m_executor, keepLease(), net::detached);
     net::co_spawn(m_executor, planRegularly(), net::detached);
 }
--- a/src/relay/order_keeper.h
+++ b/src/relay/order_keeper.h
@@ -49,7 +49,6 @@
     EngineOrderBook m_book;
     bool m_planPending = false;
     MonotonicTime m_planLoggedAt {};
-    UninterruptedTime m_startedAt {};
 };
 
 } // namespace marigoldladder::relay
