Send orders on condition of the engine's count, one after the other

Each order now names how many orders the engine has accepted before it; the engine compares the count when the order takes effect. So of two orders with the same count only one is carried out, whoever gave it. The orders of an engine go one after the other; after an answer that leaves the outcome open the engine has to report before it gets the next one. The state stands apart from input and output in engine_order_book.

Ruled out: telling peers of unanswered orders (a killed node may not have told them), keeping places free after each take-over (costs places, and no number is safe).

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -143,8 +143,8 @@
             m_loadingModels += engine.m_loadingModel ? 1 : 0;
             engine.m_dropping
                 = engine.m_dropping || !orders.m_unloading.empty() || orders.m_keepsUntil > m_input.m_now;
-            for (const auto& [adapter, until] : orders.m_doubtful) {
-                if (until > m_input.m_now)
+            for (const auto& [adapter, order] : orders.m_doubtful) {
+                if (order.m_until > m_input.m_now)
                     engine.m_held.insert(adapter);
             }
         }
@@ -199,7 +199,7 @@
         auto orderLoad(Engine& engine, const std::string& adapter) -> void
         {
             m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, modelOf(adapter), adapter,
-                newestVersion(adapter) });
+                newestVersion(adapter), {} });
             engine.m_held.insert(adapter);
             ++engine.m_loading;
             ++m_loading;
@@ -261,7 +261,8 @@
             if (!from)
                 return;
             from->m_dropping = true;
-            m_orders.push_back({ AdapterOrderKind::Unload, from->m_upstream, modelOf(victim), victim, 0 });
+            m_orders.push_back(
+                { AdapterOrderKind::Unload, from->m_upstream, modelOf(victim), victim, 0, {} });
         }
 
         // Gives engines without any model, such as those that restarted, the one that is asked for most.
@@ -276,7 +277,7 @@
                     continue;
                 ++m_loadingModels;
                 engine.m_loadingModel = true;
-                m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, model->m_name, "", 0 });
+                m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, model->m_name, "", 0, {} });
             }
         }
 
@@ -371,18 +372,6 @@
 
 } // namespace
 
-auto ordersOf(EngineOrderBook& book, const Upstream& upstream) -> EngineOrders&
-{
-    auto& entry = book[upstream.m_record.m_name];
-    if (entry.m_run == &upstream)
-        return entry;
-    auto doubtful = std::move(entry.m_doubtful);
-    entry = EngineOrders();
-    entry.m_run = &upstream;
-    entry.m_doubtful = std::move(doubtful);
-    return entry;
-}
-
 auto planAdapterOrders(const PlanInput& input) -> AdapterPlan
 {
     if (!input.m_configuration)
--- /dev/null
+++ b/src/relay/engine_order_book.cc
@@ -0,0 +1,178 @@
+#include "relay/engine_order_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto doubtTime = Milliseconds(16'000); // An unanswered order may still be carried out.
+    constexpr auto busyPause = Milliseconds(80); // Until one of the loads under way there has ended.
+    constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
+    constexpr auto reportAge = Milliseconds(2'000); // How old an engine's report may be, with a margin.
+
+    auto unbook(EngineOrders& orders, const AdapterOrder& order) -> void
+    {
+        orders.m_unanswered.erase(order.m_adapter);
+        orders.m_unloading.erase(order.m_adapter);
+        if (order.m_kind == AdapterOrderKind::Load)
+            orders.m_loading.erase(order.m_adapter);
+    }
+
+    // The engine compares the count when an order takes effect, and the count only grows within a run.
+    auto dropVoidDoubts(EngineOrders& orders) -> void
+    {
+        std::erase_if(orders.m_doubtful, [&](const auto& entry) {
+            const auto& before = entry.second.m_acceptedBefore;
+            return before && orders.m_accepted && *before < *orders.m_accepted;
+        });
+    }
+
+    // Another outcome than thought of is possible, so the engine has to tell.
+    auto requireReport(EngineOrders& orders) -> void
+    {
+        orders.m_reportedAt = {};
+    }
+
+    auto countAccepted(EngineOrders& orders, const AdapterOrder& order, MonotonicTime now) -> void
+    {
+        orders.m_acceptedAt = now;
+        if (!order.m_acceptedBefore)
+            return;
+        orders.m_accepted = std::max(orders.m_accepted.value_or(0), *order.m_acceptedBefore + 1);
+        dropVoidDoubts(orders);
+    }
+
+    auto enterModelAnswer(
+        EngineOrders& orders, const AdapterOrder& order, OrderAnswer answer, MonotonicTime now) -> void
+    {
+        if (answer == OrderAnswer::Accepted)
+            countAccepted(orders, order, now);
+        else
+            requireReport(orders);
+        if (answer == OrderAnswer::Busy || answer == OrderAnswer::Refused)
+            orders.m_modelUntil = now + refusedPause;
+    }
+
+} // namespace
+
+auto ordersOf(EngineOrderBook& book, const Upstream& upstream) -> EngineOrders&
+{
+    auto& entry = book[upstream.m_record.m_name];
+    if (entry.m_run == &upstream)
+        return entry;
+    auto doubtful = std::move(entry.m_doubtful);
+    entry = EngineOrders();
+    entry.m_run = &upstream;
+    entry.m_doubtful = std::move(doubtful);
+    return entry;
+}
+
+auto bookOrder(EngineOrders& orders, const AdapterOrder& order, MonotonicTime until) -> void
+{
+    orders.m_queue.push_back(order);
+    if (order.m_adapter.empty()) {
+        orders.m_modelUntil = until;
+        return;
+    }
+    if (order.m_kind == AdapterOrderKind::Unload) {
+        orders.m_unloading.insert(order.m_adapter);
+        return;
+    }
+    orders.m_unanswered.insert(order.m_adapter);
+    orders.m_loading[order.m_adapter] = until;
+}
+
+auto dropQueue(EngineOrders& orders) -> void
+{
+    for (const auto& order : std::exchange(orders.m_queue, {}))
+        unbook(orders, order);
+}
+
+auto takeNextOrder(EngineOrders& orders) -> std::optional<AdapterOrder>
+{
+    if (orders.m_sending)
+        return std::nullopt;
+    if (orders.m_reportedAt == MonotonicTime())
+        dropQueue(orders);
+    if (orders.m_queue.empty())
+        return std::nullopt;
+    auto order = std::move(orders.m_queue.front());
+    orders.m_queue.pop_front();
+    order.m_acceptedBefore = orders.m_accepted;
+    orders.m_sending = true;
+    return order;
+}
+
+auto enterAnswer(EngineOrders& orders, const AdapterOrder& order, OrderAnswer answer, MonotonicTime now)
+    -> void
+{
+    orders.m_sending = false;
+    if (order.m_adapter.empty()) {
+        enterModelAnswer(orders, order, answer, now);
+        return;
+    }
+    const auto isLoad = order.m_kind == AdapterOrderKind::Load;
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        countAccepted(orders, order, now);
+        orders.m_unanswered.erase(order.m_adapter);
+        orders.m_unloading.erase(order.m_adapter);
+        break;
+    case OrderAnswer::AlreadyDone:
+        // An engine counts what it drops at once, but not a load of what it holds already.
+        if (!isLoad)
+            countAccepted(orders, order, now);
+        unbook(orders, order);
+        if (isLoad)
+            orders.m_loading[order.m_adapter] = now;
+        break;
+    case OrderAnswer::Busy:
+        unbook(orders, order);
+        requireReport(orders);
+        (isLoad ? orders.m_avoidUntil : orders.m_keepsUntil) = now + (isLoad ? busyPause : refusedPause);
+        break;
+    case OrderAnswer::Refused:
+        unbook(orders, order);
+        orders.m_avoidUntil = now + refusedPause;
+        break;
+    case OrderAnswer::Unknown:
+        unbook(orders, order);
+        requireReport(orders);
+        orders.m_doubtful[order.m_adapter] = DoubtfulOrder { doubtEnd(now), order.m_acceptedBefore };
+        orders.m_avoidUntil = now + refusedPause;
+        break;
+    }
+}
+
+auto enterAcceptedCount(EngineOrders& orders, std::optional<std::uint64_t> accepted, MonotonicTime askedAt)
+    -> bool
+{
+    const auto older = accepted && orders.m_accepted && *accepted < *orders.m_accepted
+        && orders.m_acceptedAt + reportAge > askedAt;
+    if (older)
+        return false;
+    orders.m_accepted = accepted;
+    orders.m_reportedAt = askedAt;
+    dropVoidDoubts(orders);
+    return true;
+}
+
+auto dropOldBookings(EngineOrderBook& book, const UpstreamTable& table, MonotonicTime now) -> void
+{
+    std::erase_if(book, [&](const auto& entry) {
+        return !table.m_upstreams.contains(entry.first) && entry.second.m_doubtful.empty();
+    });
+    for (auto& [upstream, orders] : book) {
+        std::erase_if(orders.m_loading, [&](const auto& entry) { return entry.second <= now; });
+        std::erase_if(orders.m_doubtful, [&](const auto& entry) { return entry.second.m_until <= now; });
+    }
+}
+
+auto doubtEnd(MonotonicTime now) -> MonotonicTime
+{
+    return now + doubtTime;
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -25,9 +25,6 @@
     constexpr auto reportInterval = Milliseconds(1'500);
     constexpr auto planLogInterval = Milliseconds(1'000);
     constexpr auto planInterval = Milliseconds(200);
-    constexpr auto doubtTime = Milliseconds(16'000); // An unanswered order may still be carried out.
-    constexpr auto busyPause = Milliseconds(80); // Until one of the loads under way there has ended.
-    constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
     constexpr auto orderMemory = Milliseconds(3'000); // Kept to tell the other nodes.
 
     auto contentOf(const LeaseRecord& record) -> nlohmann::json
@@ -206,25 +203,14 @@
     }
 }
 
-auto OrderKeeper::dropOldBookings(MonotonicTime now) -> void
-{
-    std::erase_if(m_book, [&](const auto& entry) {
-        return !m_board.m_upstreams.m_upstreams.contains(entry.first) && entry.second.m_doubtful.empty();
-    });
-    for (auto& [upstream, orders] : m_book) {
-        std::erase_if(orders.m_loading, [&](const auto& entry) { return entry.second <= now; });
-        std::erase_if(orders.m_doubtful, [&](const auto& entry) { return entry.second <= now; });
-    }
-    std::erase_if(m_board.m_orders.m_recent,
-        [&](const OrderedAdapter& order) { return order.m_orderedAt + orderMemory <= now; });
-}
-
 auto OrderKeeper::plan() -> void
 {
     if (!mayOrderNow() || !m_board.m_configuration)
         return;
     const auto now = Clock::now();
-    dropOldBookings(now);
+    dropOldBookings(m_book, m_board.m_upstreams, now);
+    std::erase_if(m_board.m_orders.m_recent,
+        [&](const OrderedAdapter& order) { return order.m_orderedAt + orderMemory <= now; });
     m_board.m_fleetDemand.m_byNode[m_settings.m_vm] = m_board.m_adapterRates;
     askForReports(now);
     auto input = PlanInput();
@@ -235,10 +221,9 @@
     input.m_now = now;
     auto planned = planAdapterOrders(input);
     logPlan(planned, now);
-    for (auto& order : planned.m_orders) {
-        // Booked before it is sent, so that the next plan counts it.
-        book(order, now);
-        net::co_spawn(m_executor, give(std::move(order)), net::detached);
+    for (const auto& order : planned.m_orders) {
+        bookOrder(ordersOf(m_book, *order.m_upstream), order, expectedEnd(order, now));
+        net::co_spawn(m_executor, sendQueued(order.m_upstream), net::detached);
     }
 }
 
@@ -268,10 +253,10 @@
     if (report->m_startedAt != 0 && upstream->m_record.m_startedAt != 0
         && report->m_startedAt != upstream->m_record.m_startedAt)
         co_return;
-    const auto isFirst = found->second.m_reportedAt == MonotonicTime();
-    found->second.m_reportedAt = askedAt;
+    const auto wasRequired = found->second.m_reportedAt == MonotonicTime();
+    const auto isNew = enterAcceptedCount(found->second, report->m_acceptedOrders, askedAt);
     enterReport(*upstream, *report, askedAt);
-    if (isFirst)
+    if (wasRequired && isNew)
         planSoon();
 }
 
@@ -301,81 +286,68 @@
     return time;
 }
 
-auto OrderKeeper::book(const AdapterOrder& order, MonotonicTime now) -> void
+auto OrderKeeper::expectedEnd(const AdapterOrder& order, MonotonicTime now) const -> MonotonicTime
 {
-    auto& entry = ordersOf(m_book, *order.m_upstream);
-    if (order.m_adapter.empty()) {
-        entry.m_modelUntil = now + modelTime(order);
-        return;
-    }
-    if (order.m_kind == AdapterOrderKind::Unload) {
-        entry.m_unloading.insert(order.m_adapter);
-        return;
-    }
+    if (order.m_adapter.empty())
+        return now + modelTime(order);
     auto loading = std::size_t { 0 };
     for (const auto& [upstream, orders] : m_book)
         loading += orders.m_loading.size();
-    entry.m_unanswered.insert(order.m_adapter);
-    entry.m_loading[order.m_adapter]
-        = now + expectedLoadTime(loading, loadsAtFullSpeed(*m_board.m_configuration));
+    return now + expectedLoadTime(loading, loadsAtFullSpeed(*m_board.m_configuration));
+}
+
+auto OrderKeeper::sendQueued(UpstreamPointer upstream) -> Awaitable<void>
+{
+    for (;;) {
+        const auto found = m_book.find(upstream->m_record.m_name);
+        if (found == m_book.end() || found->second.m_run != upstream.get())
+            co_return;
+        if (!mayOrderNow()) {
+            dropQueue(found->second);
+            co_return;
+        }
+        auto order = takeNextOrder(found->second);
+        if (!order)
+            co_return;
+        co_await send(std::move(*order));
+    }
 }
 
-auto OrderKeeper::give(AdapterOrder order) -> Awaitable<void>
+auto OrderKeeper::send(AdapterOrder order) -> Awaitable<void>
 {
     const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
     const auto answer = co_await m_engines.m_order(order, sender);
     const auto now = Clock::now();
-    m_board.m_metrics.add(Counter::EngineOrders);
-    logChange("engine_order",
-        { { "upstream", order.m_upstream->m_record.m_name.value() },
-            { "kind", std::string(nameOf(adapterOrderKindNames, order.m_kind)) }, { "model", order.m_model },
-            { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
-            { "fence", std::to_string(sender.m_fence) },
-            { "answer", std::string(nameOf(orderAnswerNames, answer)) } });
+    logOrder(order, sender, answer);
     const auto found = m_book.find(order.m_upstream->m_record.m_name);
     if (found == m_book.end() || found->second.m_run != order.m_upstream.get()) {
         // The engine was replaced meanwhile; its next run may still get the order.
         if (answer == OrderAnswer::Unknown)
-            m_book[order.m_upstream->m_record.m_name].m_doubtful[order.m_adapter] = now + doubtTime;
+            m_book[order.m_upstream->m_record.m_name].m_doubtful[order.m_adapter]
+                = DoubtfulOrder { doubtEnd(now), order.m_acceptedBefore };
         co_return;
     }
-    auto& book = found->second;
-    if (order.m_adapter.empty()) {
-        if (answer == OrderAnswer::Busy || answer == OrderAnswer::Refused)
-            book.m_modelUntil = now + refusedPause;
+    enterAnswer(found->second, order, answer, now);
+    if (order.m_adapter.empty())
         co_return;
-    }
-    book.m_unanswered.erase(order.m_adapter);
-    book.m_unloading.erase(order.m_adapter);
-    switch (answer) {
-    case OrderAnswer::Accepted:
-        noteAccepted(order, answer, now);
-        break;
-    case OrderAnswer::AlreadyDone:
-        book.m_loading[order.m_adapter] = now;
-        noteAccepted(order, answer, now);
-        break;
-    case OrderAnswer::Busy:
-        book.m_loading.erase(order.m_adapter);
-        if (order.m_kind == AdapterOrderKind::Unload)
-            book.m_keepsUntil = now + refusedPause;
-        else
-            book.m_avoidUntil = now + busyPause;
-        break;
-    case OrderAnswer::Refused:
-        book.m_loading.erase(order.m_adapter);
-        book.m_avoidUntil = now + refusedPause;
-        break;
-    case OrderAnswer::Unknown:
-        book.m_loading.erase(order.m_adapter);
-        book.m_doubtful[order.m_adapter] = now + doubtTime;
-        book.m_avoidUntil = now + refusedPause;
-        break;
-    }
+    if (answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyDone)
+        noteDone(order, answer, now);
     planSoon();
 }
 
-auto OrderKeeper::noteAccepted(const AdapterOrder& order, OrderAnswer answer, MonotonicTime now) -> void
+auto OrderKeeper::logOrder(const AdapterOrder& order, const OrderSender& sender, OrderAnswer answer) -> void
+{
+    m_board.m_metrics.add(Counter::EngineOrders);
+    const auto before = order.m_acceptedBefore ? std::to_string(*order.m_acceptedBefore) : "unknown";
+    logChange("engine_order",
+        { { "upstream", order.m_upstream->m_record.m_name.value() },
+            { "kind", std::string(nameOf(adapterOrderKindNames, order.m_kind)) }, { "model", order.m_model },
+            { "adapter", order.m_adapter }, { "version", std::to_string(order.m_version) },
+            { "accepted_before", before }, { "fence", std::to_string(sender.m_fence) },
+            { "answer", std::string(nameOf(orderAnswerNames, answer)) } });
+}
+
+auto OrderKeeper::noteDone(const AdapterOrder& order, OrderAnswer answer, MonotonicTime now) -> void
 {
     auto& upstream = *order.m_upstream;
     auto ordered = OrderedAdapter { upstream.m_record.m_name, order.m_adapter, 0, now, now };
--- a/src/relay/order_keeper.h
+++ b/src/relay/order_keeper.h
@@ -1,6 +1,7 @@
 // Gives orders to engines while this node holds the lease for it.
 #pragma once
 
+#include "relay/adapter_plan.h"
 #include "relay/engine_calls.h"
 #include "relay/order_lease.h"
 #include "relay/peer_exchange.h"
@@ -33,10 +34,11 @@
     auto fetchReport(UpstreamPointer) -> Awaitable<void>;
     auto logPlan(const AdapterPlan&, MonotonicTime now) -> void;
     auto modelTime(const AdapterOrder&) const -> Milliseconds;
-    auto book(const AdapterOrder&, MonotonicTime now) -> void;
-    auto give(AdapterOrder) -> Awaitable<void>;
-    auto noteAccepted(const AdapterOrder&, OrderAnswer, MonotonicTime now) -> void;
-    auto dropOldBookings(MonotonicTime now) -> void;
+    auto expectedEnd(const AdapterOrder&, MonotonicTime now) const -> MonotonicTime;
+    auto sendQueued(UpstreamPointer) -> Awaitable<void>;
+    auto send(AdapterOrder) -> Awaitable<void>;
+    auto logOrder(const AdapterOrder&, const OrderSender&, OrderAnswer) -> void;
+    auto noteDone(const AdapterOrder&, OrderAnswer, MonotonicTime now) -> void;
 
     Executor m_executor;
     const RelaySettings& m_settings;
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -70,7 +70,7 @@
     TEST_F(AdapterPlanTest, KeepsAPlaceForAnOrderThatGotNoAnswer)
     {
         auto& engine = addEngine("engine", { "a1", "a2", "a3" });
-        ordersOf(m_book, engine).m_doubtful["model/a4"] = at(10);
+        ordersOf(m_book, engine).m_doubtful["model/a4"] = DoubtfulOrder { at(10), {} };
         wish("a5", 1, 1);
         for (const auto& order : plan().m_orders)
             EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
@@ -157,7 +157,7 @@
     {
         auto& before = addEngine("engine", { "a1", "a2" });
         ordersOf(m_book, before).m_loading["model/a3"] = at(9);
-        ordersOf(m_book, before).m_doubtful["model/a4"] = at(9);
+        ordersOf(m_book, before).m_doubtful["model/a4"] = DoubtfulOrder { at(9), {} };
         auto after = Upstream();
         after.m_record = before.m_record;
         EXPECT_TRUE(ordersOf(m_book, after).m_loading.empty());
