Write log lines without ever waiting for their reader

Cause: lines went through log4cplus's console appender, so a reader of standard output that stopped would have stopped the node's one event loop.

Lines now go through a writer that asks whether the descriptor has room, keeps 256 kB at most, drops and counts what is beyond, and says so in a line `log_lines_dropped` once there is room. No thread is needed. Ruled out: a thread with a queue (one more thread on a quarter of a core), a non-blocking standard output (the flag would hold for whoever shares it).

Seen to fail first: RelayLogTest.ABlockedReaderStopsNothing hung with the console appender until it was killed. Tests: BoundedWriterTest (3), RelayLogTest (3: blocked reader, neither keys nor bodies in the lines, bounded lines under load).

--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -1,11 +1,16 @@
 #include "core/log.h"
 
-#include <log4cplus/consoleappender.h>
+#include "core/bounded_writer.h"
+
+#include <log4cplus/appender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
+#include <unistd.h>
 
 namespace marigoldladder {
 
@@ -31,6 +36,57 @@
         return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     }
 
+    // About a thousand lines, for a reader that stops for a while.
+    constexpr auto mostWaitingBytes = std::size_t { 256 * 1'024 };
+
+    // Never waits for the reader of its output, so that logging stops nothing. The library calls `append`
+    // with the appender's lock held.
+    class BoundedAppender : public log4cplus::Appender {
+    public:
+        explicit BoundedAppender(int descriptor)
+            : m_writer(descriptor, mostWaitingBytes)
+        {
+        }
+        ~BoundedAppender() override { destructorImpl(); }
+        BoundedAppender(const BoundedAppender&) = delete;
+        auto operator=(const BoundedAppender&) -> BoundedAppender& = delete;
+
+        auto close() -> void override
+        {
+            m_writer.flush();
+            closed = true;
+        }
+
+    protected:
+        auto append(const log4cplus::spi::InternalLoggingEvent& event) -> void override
+        {
+            m_writer.flush();
+            if (m_writer.waitingBytes() == 0)
+                tellDropped(event);
+            (void)m_writer.write(format(event)); // The writer counts those it drops.
+        }
+
+    private:
+        auto format(const log4cplus::spi::InternalLoggingEvent& event) -> std::string
+        {
+            auto text = std::ostringstream();
+            layout->formatAndAppend(text, event);
+            return text.str();
+        }
+
+        auto tellDropped(const log4cplus::spi::InternalLoggingEvent& event) -> void
+        {
+            const auto dropped = m_writer.takeDropped();
+            if (dropped == 0)
+                return;
+            const auto fields = { LogField { "lines", std::to_string(dropped) } };
+            (void)m_writer.write(format(log4cplus::spi::InternalLoggingEvent(event.getLoggerName(),
+                log4cplus::WARN_LOG_LEVEL, formatLine("log_lines_dropped", fields), nullptr, 0)));
+        }
+
+        BoundedWriter m_writer;
+    };
+
     auto levelNamed(const std::string& level) -> log4cplus::LogLevel
     {
         if (level == "debug")
@@ -50,10 +106,11 @@
 {
     log4cplus::initialize();
     vmName() = vm;
-    auto appender = log4cplus::SharedAppenderPtr(
-        new log4cplus::ConsoleAppender(target == LogTarget::StandardError, true));
+    const auto descriptor = target == LogTarget::StandardError ? STDERR_FILENO : STDOUT_FILENO;
+    auto appender = log4cplus::SharedAppenderPtr(new BoundedAppender(descriptor));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q}Z %p %m%n"));
     auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
     root.addAppender(appender);
     root.setLogLevel(levelNamed(level));
     initialised() = true;
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,4 +1,6 @@
-// Structured log lines, one for each change of state. No line may carry a key or another secret.
+// Structured log lines, one for each change of state. No line may carry a key or another secret. Writing
+// never waits for the reader of the output: what it doesn't take is kept up to a bound, then dropped and
+// counted in a line `log_lines_dropped`.
 #pragma once
 
 #include <initializer_list>
@@ -13,7 +15,7 @@
     StandardOutput,
 };
 
-// Sets up logging; call once, in a daemon. `level` is as in the settings.
+// Sets up logging in a daemon; a later call replaces the earlier one. `level` is as in the settings.
 auto initialiseLog(const std::string& level, const std::string& vm, LogTarget = LogTarget::StandardError)
     -> void;
 
