Count the place of a replaced version, and of an adapter found missing

Two faults in the plan stand behind it, and both are mended: - An older version was replaced without a look at the places left, though an adapter on its way takes a place beside the older one. Now a replacement needs a place, and keeps it until the engine reports it done; a report also shows those that a predecessor ordered. - An adapter for want of which requests were refused was taken out of the plan at once, and its place filled, though a refusal may have another reason. Now it only gets no requests until the engine has reported.

Tests that failed first: AdapterPlanTest.ReplacesOnlyAsManyVersionsAtOnce- AsThereArePlacesLeft (3 orders instead of 1) was written before the change; KeepsThePlaceOfAnAdapterThatOnlyRequestsFoundMissing after it.

--- a/src/relay/adapter_order.h
+++ b/src/relay/adapter_order.h
@@ -25,6 +25,7 @@
     std::string m_model;
     std::string m_adapter; // `model/adapter`; empty: the model itself.
     std::uint64_t m_version = 0; // 0: the newest.
+    bool m_replaces = false; // The engine has an older version, which keeps its place meanwhile.
     // How many orders the engine has to have accepted before this one, else it doesn't carry it out, however
     // late the order arrives. Nothing: it is carried out whenever it arrives.
     std::optional<std::uint64_t> m_acceptedBefore;
--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -34,6 +34,7 @@
         std::size_t m_places = 0;
         bool m_loadingModel = false;
         std::set<std::string> m_held; // Loaded, loading, or perhaps loading.
+        std::size_t m_replacing = 0; // Of these, on their way beside an older version: one place more each.
         std::size_t m_loading = 0;
         double m_load = 0; // Requests a second that its adapters draw, each by its copies.
         bool m_dropping = false; // An adapter is on its way out, so a place comes free.
@@ -69,8 +70,8 @@
             plan.m_engines = m_engines.size();
             for (const auto& engine : m_engines) {
                 plan.m_openEngines += takesOrders(engine) ? 1 : 0;
-                if (isSound(engine) && engine.m_places > engine.m_held.size())
-                    plan.m_freePlaces += engine.m_places - engine.m_held.size();
+                if (isSound(engine) && engine.m_places > placesTaken(engine))
+                    plan.m_freePlaces += engine.m_places - placesTaken(engine);
             }
             plan.m_orders = std::move(m_orders);
             return plan;
@@ -115,7 +116,8 @@
             for (const auto& adapter : engine.m_held) {
                 const auto presence = upstream->m_adapters.find(adapter);
                 const auto outdated = presence != upstream->m_adapters.end()
-                    && (presence->second.m_dropped || presence->second.m_version < newestVersion(adapter));
+                    && (presence->second.m_dropped || presence->second.m_missing
+                        || presence->second.m_version < newestVersion(adapter));
                 const auto out = m_input.m_table->m_evacuated.contains(upstream->m_record.m_dataCentre)
                     || upstream->m_health.m_avoidUntil > m_input.m_now;
                 if (outdated || out)
@@ -138,6 +140,7 @@
                 engine.m_held.insert(adapter);
                 engine.m_loading += until > m_input.m_now ? 1 : 0;
             }
+            engine.m_replacing = orders.m_replacing.size();
             m_placesComing += orders.m_unloading.size();
             engine.m_loadingModel = orders.m_modelUntil > m_input.m_now;
             m_loadingModels += engine.m_loadingModel ? 1 : 0;
@@ -149,6 +152,11 @@
             }
         }
 
+        static auto placesTaken(const Engine& engine) -> std::size_t
+        {
+            return engine.m_held.size() + engine.m_replacing;
+        }
+
         auto takesOrders(const Engine& engine) const -> bool
         {
             return engine.m_loading < loadsAtOnce && isSound(engine);
@@ -177,7 +185,7 @@
         {
             auto* best = static_cast<Engine*>(nullptr);
             for (auto& engine : m_engines) {
-                if (engine.m_held.size() + reserved >= engine.m_places || !takesOrders(engine)
+                if (placesTaken(engine) + reserved >= engine.m_places || !takesOrders(engine)
                     || engine.m_held.contains(adapter) || !servesModel(engine, adapter))
                     continue;
                 const auto cost = engine.m_load + static_cast<double>(engine.m_loading);
@@ -191,16 +199,17 @@
         auto anyFreePlace() const -> bool
         {
             return std::any_of(m_engines.begin(), m_engines.end(), [this](const Engine& engine) {
-                return engine.m_held.size() < engine.m_places && isSound(engine)
+                return placesTaken(engine) < engine.m_places && isSound(engine)
                     && !engine.m_upstream->m_record.m_models.empty();
             });
         }
 
         auto orderLoad(Engine& engine, const std::string& adapter) -> void
         {
+            const auto replaces = !engine.m_held.insert(adapter).second;
+            engine.m_replacing += replaces ? 1 : 0;
             m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, modelOf(adapter), adapter,
-                newestVersion(adapter), {} });
-            engine.m_held.insert(adapter);
+                newestVersion(adapter), replaces, {} });
             ++engine.m_loading;
             ++m_loading;
             const auto copies = static_cast<double>(++m_copies[adapter]);
@@ -230,7 +239,7 @@
             const auto others = copies == m_copies.end() ? 0.0 : static_cast<double>(copies->second) - 1;
             const auto presence = engine.m_upstream->m_adapters.find(adapter);
             if (presence == engine.m_upstream->m_adapters.end() || presence->second.m_readyAt > m_input.m_now
-                || presence->second.m_dropped || isBooked(engine, adapter))
+                || presence->second.m_dropped || presence->second.m_missing || isBooked(engine, adapter))
                 return std::numeric_limits<double>::infinity();
             // An engine that waits for an adapter's requests to end takes no other order meanwhile.
             constexpr auto usedPenalty = 100.0;
@@ -262,7 +271,7 @@
                 return;
             from->m_dropping = true;
             m_orders.push_back(
-                { AdapterOrderKind::Unload, from->m_upstream, modelOf(victim), victim, 0, {} });
+                { AdapterOrderKind::Unload, from->m_upstream, modelOf(victim), victim, 0, false, {} });
         }
 
         // Gives engines without any model, such as those that restarted, the one that is asked for most.
@@ -277,7 +286,8 @@
                     continue;
                 ++m_loadingModels;
                 engine.m_loadingModel = true;
-                m_orders.push_back({ AdapterOrderKind::Load, engine.m_upstream, model->m_name, "", 0, {} });
+                m_orders.push_back(
+                    { AdapterOrderKind::Load, engine.m_upstream, model->m_name, "", 0, false, {} });
             }
         }
 
@@ -328,11 +338,14 @@
         {
             for (auto& engine : m_engines) {
                 for (const auto& [adapter, presence] : engine.m_upstream->m_adapters) {
-                    if (presence.m_dropped || presence.m_version >= newestVersion(adapter)
-                        || !takesOrders(engine) || isBooked(engine, adapter))
+                    if (presence.m_dropped || presence.m_missing
+                        || presence.m_version >= newestVersion(adapter) || !takesOrders(engine)
+                        || isBooked(engine, adapter))
                         continue;
                     if (!m_serving.contains(adapter) || m_loading >= m_fullSpeed)
                         continue;
+                    if (placesTaken(engine) >= engine.m_places + spareMargin)
+                        continue;
                     orderLoad(engine, adapter);
                 }
             }
--- a/src/relay/catalogue.cc
+++ b/src/relay/catalogue.cc
@@ -121,10 +121,16 @@
         presence.m_readyAt = now + slowLoadPause;
         return false;
     }
-    upstream.m_adapters.erase(found);
+    markMissing(presence, now);
     return true;
 }
 
+auto markMissing(AdapterPresence& presence, MonotonicTime now) -> void
+{
+    presence.m_missing = true;
+    presence.m_toldAt = now;
+}
+
 auto enterDroppedAdapter(Upstream& upstream, const std::string& adapter, bool occupies, MonotonicTime now)
     -> void
 {
--- a/src/relay/catalogue.h
+++ b/src/relay/catalogue.h
@@ -28,7 +28,12 @@
 // adapter counts as missing from now on: a load may take longer than expected.
 auto enterMissingAdapter(Upstream&, const std::string& adapter, MonotonicTime now) -> bool;
 
-// The same for the order to drop one. `occupies`: it keeps its place until its requests have ended.
+// Lets no request go to the adapter before the engine lists it again. It keeps its place in the plan: the
+// refusals may have had another reason.
+auto markMissing(AdapterPresence&, MonotonicTime now) -> void;
+
+// Tells that an engine accepted the order to drop an adapter. `occupies`: it keeps its place until its
+// requests have ended.
 auto enterDroppedAdapter(Upstream&, const std::string& adapter, bool occupies, MonotonicTime now) -> void;
 
 } // namespace marigoldladder::relay
--- a/src/relay/engine_order_book.cc
+++ b/src/relay/engine_order_book.cc
@@ -18,6 +18,8 @@
         orders.m_unloading.erase(order.m_adapter);
         if (order.m_kind == AdapterOrderKind::Load)
             orders.m_loading.erase(order.m_adapter);
+        if (order.m_replaces)
+            orders.m_replacing.erase(order.m_adapter);
     }
 
     // The engine compares the count when an order takes effect, and the count only grows within a run.
@@ -69,7 +71,8 @@
     return entry;
 }
 
-auto bookOrder(EngineOrders& orders, const AdapterOrder& order, MonotonicTime until) -> void
+auto bookOrder(EngineOrders& orders, const AdapterOrder& order, MonotonicTime now, MonotonicTime until)
+    -> void
 {
     orders.m_queue.push_back(order);
     if (order.m_adapter.empty()) {
@@ -82,6 +85,8 @@
     }
     orders.m_unanswered.insert(order.m_adapter);
     orders.m_loading[order.m_adapter] = until;
+    if (order.m_replaces)
+        orders.m_replacing[order.m_adapter] = now;
 }
 
 auto dropQueue(EngineOrders& orders) -> void
@@ -159,6 +164,14 @@
     return true;
 }
 
+auto enterReplacing(EngineOrders& orders, const std::set<std::string>& adapters, MonotonicTime askedAt)
+    -> void
+{
+    std::erase_if(orders.m_replacing, [&](const auto& entry) { return entry.second + reportAge <= askedAt; });
+    for (const auto& adapter : adapters)
+        orders.m_replacing.try_emplace(adapter, askedAt);
+}
+
 auto dropOldBookings(EngineOrderBook& book, const UpstreamTable& table, MonotonicTime now) -> void
 {
     std::erase_if(book, [&](const auto& entry) {
--- a/src/relay/engine_order_book.h
+++ b/src/relay/engine_order_book.h
@@ -28,6 +28,8 @@
     std::set<std::string> m_unanswered; // Ordered to be loaded, not yet answered.
     std::set<std::string> m_unloading; // Ordered to go, not yet answered.
     std::map<std::string, DoubtfulOrder> m_doubtful; // By adapter.
+    // Ordered in place of an older version, and when; each takes a place more until it has arrived.
+    std::map<std::string, MonotonicTime> m_replacing;
     std::optional<std::uint64_t> m_accepted; // Orders the engine has accepted; nothing: it doesn't count.
     MonotonicTime m_acceptedAt {}; // When the last of this node's orders was answered as accepted.
     // When it last told what it holds. Zero: not since this node holds the lease, or not since an order's
@@ -47,7 +49,7 @@
 
 // Adds an order to the engine's queue, so that the next plan counts it. `until`: when it is expected to be
 // carried out.
-auto bookOrder(EngineOrders&, const AdapterOrder&, MonotonicTime until) -> void;
+auto bookOrder(EngineOrders&, const AdapterOrder&, MonotonicTime now, MonotonicTime until) -> void;
 
 // Returns the next order to send with its condition; nothing while another is on its way, or when the
 // engine has to report first: then the queue is emptied.
@@ -63,6 +65,9 @@
 // if the report is older than an order that this node knows to be accepted; it tells nothing new then.
 auto enterAcceptedCount(EngineOrders&, std::optional<std::uint64_t> accepted, MonotonicTime askedAt) -> bool;
 
+// Enters which adapters an engine reports as on their way while it has an older version.
+auto enterReplacing(EngineOrders&, const std::set<std::string>& adapters, MonotonicTime askedAt) -> void;
+
 // Forgets what is over.
 auto dropOldBookings(EngineOrderBook&, const UpstreamTable&, MonotonicTime now) -> void;
 
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -45,6 +45,20 @@
         return record;
     }
 
+    // Returns the adapters on their way to an engine that still has an older version of them.
+    auto replacedIn(const EngineReport& report) -> std::set<std::string>
+    {
+        auto pending = std::set<std::string>();
+        for (const auto& adapter : report.m_pending)
+            pending.insert(adapter.m_key);
+        auto replaced = std::set<std::string>();
+        for (const auto& adapter : report.m_adapters) {
+            if (pending.contains(adapter.m_key))
+                replaced.insert(adapter.m_key);
+        }
+        return replaced;
+    }
+
 } // namespace
 
 OrderKeeper::OrderKeeper(Executor executor, const RelaySettings& settings, RelayBoard& board,
@@ -222,7 +236,7 @@
     auto planned = planAdapterOrders(input);
     logPlan(planned, now);
     for (const auto& order : planned.m_orders) {
-        bookOrder(ordersOf(m_book, *order.m_upstream), order, expectedEnd(order, now));
+        bookOrder(ordersOf(m_book, *order.m_upstream), order, now, expectedEnd(order, now));
         net::co_spawn(m_executor, sendQueued(order.m_upstream), net::detached);
     }
 }
@@ -255,6 +269,7 @@
         co_return;
     const auto wasRequired = found->second.m_reportedAt == MonotonicTime();
     const auto isNew = enterAcceptedCount(found->second, report->m_acceptedOrders, askedAt);
+    enterReplacing(found->second, replacedIn(*report), askedAt);
     enterReport(*upstream, *report, askedAt);
     if (wasRequired && isNew)
         planSoon();
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -44,6 +44,7 @@
     bool m_listed = false; // The engine itself listed it.
     bool m_dropped = false; // It was ordered to go; a listing made before may still show it.
     bool m_occupies = true; // It takes a place; a dropped one does until its requests have ended.
+    bool m_missing = false; // Requests were refused for want of it; it may take a place all the same.
 };
 
 // Recent failures of an upstream, as seen here.
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -60,7 +60,7 @@
             return { has, false, {} };
         }
         const auto found = upstream.m_adapters.find(needs.m_adapter);
-        if (found == upstream.m_adapters.end() || found->second.m_dropped)
+        if (found == upstream.m_adapters.end() || found->second.m_dropped || found->second.m_missing)
             return {};
         if (version && found->second.m_version < *version)
             return {};
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -67,6 +67,15 @@
             EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
     }
 
+    TEST_F(AdapterPlanTest, KeepsThePlaceOfAnAdapterThatOnlyRequestsFoundMissing)
+    {
+        auto& engine = addEngine("engine", { "a1", "a2", "a3", "a4" });
+        EXPECT_TRUE(enterMissingAdapter(engine, "model/a4", at(0.5)));
+        wish("a5", 1, 1);
+        for (const auto& order : plan().m_orders)
+            EXPECT_NE(order.m_kind, AdapterOrderKind::Load) << "ordered " << order.m_adapter;
+    }
+
     TEST_F(AdapterPlanTest, KeepsAPlaceForAnOrderThatGotNoAnswer)
     {
         auto& engine = addEngine("engine", { "a1", "a2", "a3" });
@@ -153,6 +162,23 @@
         EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("old"));
     }
 
+    // Seen on a site: versions announced during an outage of the store were all replaced at once after it.
+    TEST_F(AdapterPlanTest, ReplacesOnlyAsManyVersionsAtOnceAsThereArePlacesLeft)
+    {
+        addEngine("full", { "a1", "a2", "a3", "a4" });
+        auto& fresh = addEngine("fresh");
+        for (const auto* adapter : { "model/a1", "model/a2", "model/a3" }) {
+            enterAdapterVersion(m_table, { adapter, 2 }, at(0));
+            enterOrderedAdapter(fresh, { adapter, 2 }, at(0.5), at(0.2));
+        }
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U)
+            << "an adapter on its way takes a place beside its older version";
+        EXPECT_TRUE(planned.m_orders[0].m_replaces);
+        bookOrder(ordersOf(m_book, *planned.m_orders[0].m_upstream), planned.m_orders[0], at(1), at(2));
+        EXPECT_TRUE(plan().m_orders.empty()) << "the place is taken until the engine says otherwise";
+    }
+
     TEST_F(AdapterPlanTest, AnEnginesNextRunMayStillGetOrdersWithoutAnswer)
     {
         auto& before = addEngine("engine", { "a1", "a2" });
