Let a node that starts again know what organisations have left

Three causes, by the lines' own figures: - Fleet level -420,000 tokens after a restart: all that a peer had ever spent counted as new when it was first heard. Now the first word of a peer is the base, except on a first start. - The level itself began at zero. Now peers tell theirs in the summaries (a field at the end, so older nodes pass it over), and a node that started lately takes it over. - After all nodes lost power nobody knows. Now a node starts with its part of half of what the users' bounds allow beyond rate and burst, debts included.

--- a/src/relay/organisation_budget.cc
+++ b/src/relay/organisation_budget.cc
@@ -12,6 +12,13 @@
     constexpr auto demandMemory = 3.0; // Seconds after which demand counts for 1/e.
     constexpr auto shortestRetry = Milliseconds(50);
 
+    // The users' bounds allow a tenth of a window's tokens and 17,000 more beyond rate and burst; 10,000 of
+    // these are debts of the nodes' own parts. The rest is shared by two restarts of all nodes in a window.
+    constexpr auto windowSeconds = 8.0;
+    constexpr auto restartExcess = 0.05;
+    constexpr auto restartSlack = 3'500.0; // Tokens.
+    constexpr auto settleTime = std::chrono::seconds(8); // A window, so that nothing earlier counts any more.
+
     // Part of the burst that stays for the nodes' own parts: several nodes may charge the rest at once
     // before they hear of each other.
     constexpr auto reservedBurst = 0.25;
@@ -22,29 +29,62 @@
         budget.m_demandAt = now;
     }
 
-    auto updateOwnPart(OrganisationBudget& budget, const BucketRate& rate, bool startFull, MonotonicTime now)
-        -> void
+    // What this node may charge at once when it starts again, as nobody may know what was left: its part of
+    // what the bounds allow beyond the rate, debts included.
+    auto restartTokens(const Organisation& organisation, const BudgetShare& share) -> double
+    {
+        const auto window = organisation.m_tokensPerSecond * windowSeconds + organisation.m_burstTokens;
+        const auto granted = (window * restartExcess + restartSlack) * share.m_own - share.m_debt;
+        return std::min(organisation.m_burstTokens * share.m_own, granted);
+    }
+
+    auto updateOwnPart(OrganisationBudget& budget, const Organisation& organisation, const BudgetShare& share,
+        bool startFull, MonotonicTime now) -> void
     {
+        const auto rate = BucketRate { organisation.m_tokensPerSecond * share.m_own,
+            organisation.m_burstTokens * share.m_own };
         if (!budget.m_started) {
             budget.m_started = true;
-            budget.m_bucket.m_tokens = startFull ? rate.m_burstTokens : 0;
+            budget.m_bucket.m_tokens = startFull ? rate.m_burstTokens : restartTokens(organisation, share);
             budget.m_bucket.m_filledAt = now;
         }
         refill(budget.m_bucket, rate, now);
         clip(budget.m_bucket, rate.m_burstTokens);
     }
 
+    auto startFleetLevel(OrganisationBudget& budget, const Organisation& organisation,
+        const SpendingOfPeers& peers, bool startFull, MonotonicTime now) -> void
+    {
+        budget.m_startedAt = now;
+        budget.m_fleetLevelAt = now;
+        budget.m_fleetLevelKnown = startFull;
+        budget.m_fleetLevel = startFull ? organisation.m_burstTokens : 0;
+        budget.m_peersSpentSeen = startFull ? 0 : peers.m_total;
+    }
+
+    // A node that started lately takes the level from a peer that has been there for longer.
+    auto adoptFleetLevel(OrganisationBudget& budget, const SpendingOfPeers& peers, MonotonicTime now) -> void
+    {
+        if (budget.m_fleetLevelKnown)
+            return;
+        if (peers.m_toldLevel) {
+            budget.m_fleetLevel = *peers.m_toldLevel;
+            budget.m_peersSpentSeen = peers.m_total;
+            budget.m_fleetLevelKnown = true;
+        } else if (now - budget.m_startedAt >= settleTime) {
+            budget.m_fleetLevelKnown = true;
+        }
+    }
+
     auto updateFleetLevel(OrganisationBudgets& budgets, OrganisationBudget& budget,
         const Organisation& organisation, double heardShare, MonotonicTime now) -> void
     {
         const auto& peers = budgets.m_peers[shortId(organisation.m_name.value())];
-        if (budget.m_fleetLevelAt == MonotonicTime()) {
-            budget.m_fleetLevel = budgets.m_startFull ? organisation.m_burstTokens : 0;
-            budget.m_peersSpentSeen = budgets.m_startFull ? 0 : peers.m_total;
-        } else {
-            const auto seconds = std::chrono::duration<double>(now - budget.m_fleetLevelAt).count();
-            budget.m_fleetLevel += seconds * organisation.m_tokensPerSecond * heardShare;
-        }
+        if (budget.m_fleetLevelAt == MonotonicTime())
+            startFleetLevel(budget, organisation, peers, budgets.m_startFull, now);
+        adoptFleetLevel(budget, peers, now);
+        const auto seconds = std::chrono::duration<double>(now - budget.m_fleetLevelAt).count();
+        budget.m_fleetLevel += seconds * organisation.m_tokensPerSecond * heardShare;
         budget.m_fleetLevelAt = now;
         budget.m_fleetLevel -= peers.m_total - budget.m_peersSpentSeen;
         budget.m_peersSpentSeen = peers.m_total;
@@ -83,9 +123,7 @@
         return BudgetDecision { true, std::nullopt, 0, Milliseconds(0) };
     auto& budget = budgets.m_budgets[organisation.m_name];
     noteDemand(budget, tokens, now);
-    const auto rate = BucketRate { organisation.m_tokensPerSecond * share.m_own,
-        organisation.m_burstTokens * share.m_own };
-    updateOwnPart(budget, rate, budgets.m_startFull, now);
+    updateOwnPart(budget, organisation, share, budgets.m_startFull, now);
     updateFleetLevel(budgets, budget, organisation, share.m_heard, now);
     const auto charged = chargeOwnPart(budget, tokens, share.m_debt);
     const auto fleetHasIt
@@ -96,7 +134,7 @@
         return BudgetDecision { true, charged, tokens, Milliseconds(0) };
     }
     const auto missing = tokens - share.m_debt - budget.m_bucket.m_tokens;
-    const auto seconds = missing / std::max(rate.m_tokensPerSecond, 1.0);
+    const auto seconds = missing / std::max(organisation.m_tokensPerSecond * share.m_own, 1.0);
     constexpr auto millisecondsASecond = 1'000.0;
     const auto wait = Milliseconds(static_cast<std::int64_t>(seconds * millisecondsASecond));
     return BudgetDecision { false, std::nullopt, 0, std::max(wait, shortestRetry) };
@@ -109,6 +147,11 @@
         updateFleetLevel(budgets, budgets.m_budgets[organisation.m_name], organisation, heardShare, now);
 }
 
+auto knownFleetLevel(const OrganisationBudget& budget) -> std::optional<double>
+{
+    return budget.m_fleetLevelKnown ? std::optional(budget.m_fleetLevel) : std::nullopt;
+}
+
 auto refundOrganisation(
     OrganisationBudgets& budgets, const OrganisationName& name, const BudgetDecision& decision) -> void
 {
@@ -126,10 +169,16 @@
     const PeerSpending& spending) -> void
 {
     auto& peers = budgets.m_peers[organisation];
-    auto& last = peers.m_peers[vm];
-    const auto sameRun = last.m_incarnation == spending.m_incarnation;
-    peers.m_total += spending.m_spent - (sameRun ? last.m_spent : 0);
+    const auto [found, isFirst] = peers.m_peers.try_emplace(vm, spending);
+    auto& last = found->second;
+    const auto before = last.m_incarnation == spending.m_incarnation ? last.m_spent : 0.0;
+    if (!isFirst)
+        peers.m_total += spending.m_spent - before;
+    else if (budgets.m_startFull)
+        peers.m_total += spending.m_spent;
     last = spending;
+    if (spending.m_fleetLevel)
+        peers.m_toldLevel = spending.m_fleetLevel;
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/organisation_budget.h
+++ b/src/relay/organisation_budget.h
@@ -19,6 +19,7 @@
 struct PeerSpending {
     Incarnation m_incarnation = 0;
     double m_spent = 0;
+    std::optional<double> m_fleetLevel; // What the whole fleet has left, if the peer knows.
 };
 
 // One organisation as this node sees it.
@@ -30,6 +31,8 @@
     double m_spent = 0; // Charged here in this incarnation.
     double m_fleetLevel = 0; // What the whole fleet has left, by what is known here.
     MonotonicTime m_fleetLevelAt {};
+    MonotonicTime m_startedAt {}; // When this node first kept a level.
+    bool m_fleetLevelKnown = false; // It accounts for what was spent before this node started.
     double m_peersSpentSeen = 0; // Of `SpendingOfPeers::m_total`, what the level accounts for.
 };
 
@@ -37,6 +40,7 @@
 struct SpendingOfPeers {
     std::map<VmName, PeerSpending> m_peers;
     double m_total = 0;
+    std::optional<double> m_toldLevel; // The last that a peer told of what the whole fleet has left.
 };
 
 struct OrganisationBudgets {
@@ -72,10 +76,15 @@
 auto updateFleetLevels(OrganisationBudgets&, const Organisation&, double heardShare, MonotonicTime now)
     -> void;
 
+// Returns what the whole fleet has left as far as this node may tell it to others; nothing when it doesn't
+// know what was spent before it started.
+auto knownFleetLevel(const OrganisationBudget&) -> std::optional<double>;
+
 // Gives the tokens of a request that did not run back.
 auto refundOrganisation(OrganisationBudgets&, const OrganisationName&, const BudgetDecision&) -> void;
 
-// Enters what a peer told of its charges.
+// Enters what a peer told of its charges. What a peer spent before this node first heard of it is in the
+// fleet's level that peers tell, so only later charges count, except on a first start.
 auto enterPeerSpending(OrganisationBudgets&, std::uint32_t organisation, const VmName&, const PeerSpending&)
     -> void;
 
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <cmath>
 
 namespace marigoldladder::relay {
 
@@ -210,10 +211,13 @@
     for (const auto& load : summary.loads)
         peer.m_loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
     peer.m_organisationDemand.clear();
-    for (const auto& demand : summary.organisations) {
+    for (auto index = std::size_t { 0 }; index < summary.organisations.size(); ++index) {
+        const auto& demand = summary.organisations[index];
         peer.m_organisationDemand[demand.organisation()] = demand.tokens_per_second();
-        enterPeerSpending(m_board.m_budgets, demand.organisation(), vm,
-            PeerSpending { summary.incarnation, demand.spent() });
+        auto spending = PeerSpending { summary.incarnation, demand.spent(), {} };
+        if (index < summary.fleet_levels.size() && std::isfinite(summary.fleet_levels[index]))
+            spending.m_fleetLevel = summary.fleet_levels[index];
+        enterPeerSpending(m_board.m_budgets, demand.organisation(), vm, spending);
     }
     for (const auto& suspect : summary.suspects)
         mergeReport(m_board.m_poison, vm, suspect.fingerprint(), CrashReport { suspect.crashes(), 0 }, now);
@@ -269,7 +273,7 @@
                 continue;
             const auto found = upstream->m_adapters.find(missing->adapter);
             if (found != upstream->m_adapters.end() && found->second.m_toldAt + reloadTime < now)
-                upstream->m_adapters.erase(found);
+                markMissing(found->second, now);
         }
     }
 }
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -3,6 +3,7 @@
 #include "relay/peer_exchange.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace marigoldladder::relay {
 
@@ -82,9 +83,12 @@
 auto PeerExchange::fillOrganisations(messages::SummaryT& summary) const -> void
 {
     const auto now = Clock::now();
-    for (const auto& [name, budget] : m_board.m_budgets.m_budgets)
+    for (const auto& [name, budget] : m_board.m_budgets.m_budgets) {
         summary.organisations.emplace_back(
             shortId(name.value()), static_cast<float>(demandOf(budget, now)), budget.m_spent);
+        const auto level = knownFleetLevel(budget).value_or(std::numeric_limits<double>::infinity());
+        summary.fleet_levels.push_back(static_cast<float>(level));
+    }
 }
 
 auto PeerExchange::fillSuspects(messages::SummaryT& summary) const -> void
