--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -37,7 +37,7 @@
     }
 
     // About a thousand lines, for a reader that stops for a while.
-    constexpr auto mostWaitingBytes = std::size_t { 256 * 1'024 };
+    constexpr auto mostWaitingBytes = std::size_t { 262'144 };
 
     // Never waits for the reader of its output, so that logging stops nothing. The library calls `append`
     // with the appender's lock held.
--- a/test/harness/completion_traffic.cc
+++ b/test/harness/completion_traffic.cc
@@ -11,7 +11,7 @@
         return "no answer: " + httplib::to_string(answer.error());
     auto text = std::to_string(answer->status);
     for (const auto& [name, value] : answer->headers)
-        text += " " + name + "=" + value;
+        text.append(" ").append(name).append("=").append(value);
     return text + " " + answer->body;
 }
 
