Take connections in one place; split the two largest files

Found in a reading of the whole change: - The accept loop stood in the callers' server, the small server, the cache exchange and both test stand-ins. It is `acceptConnections` in `listener` now.

Left: `relay_settings` and `settings` read the fields that both kinds of node have in the same way; `wire_names` is a table. Both are lists of names.

--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -5,6 +5,7 @@
 // three baselines, and bounded by a clairvoyant that evicts what is needed last from one pool of all slots
 // and loads nothing ahead. Stall is the time that a request waits for its adapter; wait is the time until
 // it starts.
+#include "placement_trace.h"
 #include "routing/adapter_slots.h"
 #include "routing/load_budget.h"
 #include "routing/placement.h"
@@ -14,7 +15,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <cmath>
 #include <deque>
 #include <functional>
 #include <iostream>
@@ -23,7 +23,6 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 #include <queue>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -33,27 +32,16 @@
 
 using Seconds = std::chrono::duration<double>;
 
-constexpr auto adapters = std::size_t { 3000 };
 constexpr auto replicas = std::size_t { 12 };
 constexpr auto slotsPerReplica = std::size_t { 16 };
 constexpr auto concurrency = std::size_t { 16 };
-constexpr auto requestsPerSecond = 25.0;
 constexpr auto serviceSeconds = 2.0;
 constexpr auto loadSeconds = 0.25;
-constexpr auto traceSeconds = 600.0;
-constexpr auto skew = 1.4;
-constexpr auto shiftSeconds = 60.0;
-constexpr auto shiftedShare = 0.05;
 constexpr auto tickSeconds = 0.02;
 constexpr auto loadsPerSecond = 4.0;
 constexpr auto storeLimits = LoadShare { 8 };
 constexpr auto maxDispatchMicroseconds = 10.0;
 
-struct TraceRequest {
-    double m_at = 0;
-    std::size_t m_adapter = 0;
-};
-
 struct Outcome {
     std::vector<double> m_stalls; // Seconds, one a request.
     std::vector<double> m_waits;
@@ -70,32 +58,6 @@
     return { "adapter-" + std::to_string(adapter), "1" };
 }
 
-// Poisson arrivals; every minute some adapters trade their places in the order of popularity.
-auto makeTrace(unsigned seed) -> std::vector<TraceRequest>
-{
-    auto random = std::mt19937_64(seed);
-    auto byRank = std::vector<std::size_t>(adapters);
-    std::iota(byRank.begin(), byRank.end(), 0);
-    auto weights = std::vector<double>();
-    for (auto rank = std::size_t { 1 }; rank <= adapters; ++rank)
-        weights.push_back(std::pow(static_cast<double>(rank), -skew));
-    auto rankOf = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
-    auto gap = std::exponential_distribution<double>(requestsPerSecond);
-    auto trace = std::vector<TraceRequest>();
-    auto nextShift = shiftSeconds;
-    auto at = gap(random);
-    while (at < traceSeconds) {
-        while (at >= nextShift) {
-            nextShift += shiftSeconds;
-            for (auto i = 0; i < static_cast<int>(shiftedShare * adapters); ++i)
-                std::swap(byRank[random() % adapters], byRank[random() % adapters]);
-        }
-        trace.push_back({ at, byRank[rankOf(random)] });
-        at += gap(random);
-    }
-    return trace;
-}
-
 struct WaitingRequest {
     std::size_t m_number = 0;
     double m_at = 0;
@@ -295,25 +257,6 @@
     };
 }
 
-// Returns the share of requests that a clairvoyant with one pool of all slots has to load for.
-auto clairvoyantStallShare(const std::vector<TraceRequest>& trace) -> double
-{
-    auto nextUse = std::vector<std::size_t>(trace.size());
-    auto seen = std::vector<std::size_t>(adapters, std::numeric_limits<std::size_t>::max());
-    for (auto i = trace.size(); i-- > 0;)
-        nextUse[i] = std::exchange(seen[trace[i].m_adapter], i);
-    auto loaded = std::set<std::pair<std::size_t, std::size_t>>(); // Next use and adapter.
-    auto misses = std::size_t { 0 };
-    for (auto i = std::size_t { 0 }; i < trace.size(); ++i) {
-        if (loaded.erase({ i, trace[i].m_adapter }) == 0)
-            ++misses;
-        loaded.insert({ nextUse[i], trace[i].m_adapter });
-        if (loaded.size() > replicas * slotsPerReplica)
-            loaded.erase(std::prev(loaded.end()));
-    }
-    return static_cast<double>(misses) / static_cast<double>(trace.size());
-}
-
 auto quantile(std::vector<double> values, double share) -> double
 {
     const auto position = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
@@ -373,7 +316,7 @@
     baseline("random", randomPolicy());
     baseline("least_loaded", leastLoadedPolicy());
     baseline("static", staticPolicy(pool));
-    print("clairvoyant_stall_share", clairvoyantStallShare(trace), "share");
+    print("clairvoyant_stall_share", clairvoyantStallShare(trace, replicas * slotsPerReplica), "share");
     const auto ours = Replay(trace, ourPolicy(pool)).run();
     printOutcome("placement", ours);
     const auto meanKept = print("wait_mean_to_best_baseline", mean(ours.m_waits) / bestMean, "ratio", 1.0);
--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -1,5 +1,7 @@
 #include "relay/adapter_plan.h"
 
+#include "relay/load_speed.h"
+
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -8,13 +10,8 @@
 
 namespace {
 
-    constexpr auto loadTime = Milliseconds(250); // Of one adapter, while the weight store is not crowded.
-    constexpr auto loadMargin = Milliseconds(12); // In which the engine lists it.
-    // Adapters on their way over all engines at full speed, more take longer in proportion: so many for each
-    // model that the weight store loads at full speed, which is one for each part of its rate.
-    constexpr auto adaptersForEachModel = std::size_t { 8 };
-    constexpr auto modelRatePart = 4.2; // Loads of models a second.
-    constexpr auto copiesShare = 0.6; // What copies may take of that; the rest is for adapters waited for.
+    constexpr auto copiesShare
+        = 0.6; // What copies may take of the loads at full speed; the rest is for adapters waited for.
     constexpr auto modelsAtOnce = std::size_t { 2 }; // Over all engines; the weight store is slow with more.
     constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
     constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
@@ -392,19 +389,4 @@
     return Planner(input).plan();
 }
 
-auto loadsAtFullSpeed(const RoutingConfiguration& configuration) -> std::size_t
-{
-    auto rate = 0.0;
-    for (const auto& [name, pool] : configuration.m_pools)
-        rate = std::max(rate, pool.m_engine ? pool.m_engine->m_loadsPerSecond : 0.0);
-    const auto models = std::max<std::size_t>(1, static_cast<std::size_t>(rate / modelRatePart));
-    return adaptersForEachModel * models;
-}
-
-auto expectedLoadTime(std::size_t loading, std::size_t fullSpeed) -> Milliseconds
-{
-    const auto crowding = std::max(1.0, static_cast<double>(loading + 1) / static_cast<double>(fullSpeed));
-    return Milliseconds(static_cast<std::int64_t>(loadTime.count() * crowding)) + loadMargin;
-}
-
 } // namespace marigoldladder::relay
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -32,10 +32,4 @@
 
 auto planAdapterOrders(const PlanInput&) -> AdapterPlan;
 
-// Returns how many adapters may be on their way over all engines before loads take longer.
-auto loadsAtFullSpeed(const RoutingConfiguration&) -> std::size_t;
-
-// Returns how long a load takes while `loading` others are under way over all engines.
-auto expectedLoadTime(std::size_t loading, std::size_t fullSpeed) -> Milliseconds;
-
 } // namespace marigoldladder::relay
--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -13,7 +13,6 @@
 namespace {
 
     constexpr auto exchangeTimeout = std::chrono::milliseconds(1'000);
-    constexpr auto acceptPause = std::chrono::milliseconds(50);
     constexpr auto lengthBytes = std::size_t { 4 };
     constexpr auto mostBytes = std::uint32_t { 64 } << 20; // Above all objects of the largest fleet.
     constexpr auto bitsAByte = 8U;
@@ -111,24 +110,13 @@
 {
     if (!openListener(m_acceptor, address))
         return false;
-    net::co_spawn(m_executor, accept(), net::detached);
+    auto take = [this](net::ip::tcp::socket socket) {
+        net::co_spawn(m_executor, serve(std::move(socket)), net::detached);
+    };
+    net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(take)), net::detached);
     return true;
 }
 
-auto CacheExchange::accept() -> Awaitable<void>
-{
-    for (;;) {
-        auto error = ErrorCode();
-        auto socket = co_await m_acceptor.async_accept(errorTo(error));
-        if (error == net::error::operation_aborted)
-            co_return;
-        if (error)
-            co_await sleepFor(acceptPause);
-        else
-            net::co_spawn(m_executor, serve(std::move(socket)), net::detached);
-    }
-}
-
 auto CacheExchange::serve(net::ip::tcp::socket socket) -> Awaitable<void>
 {
     auto stream = tcp_stream(std::move(socket));
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -22,7 +22,6 @@
     auto fetch(Address peer, ObjectKind, std::uint64_t revision) -> Awaitable<std::optional<CacheChanges>>;
 
 private:
-    auto accept() -> Awaitable<void>;
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
 
     Executor m_executor;
--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -24,7 +24,6 @@
     constexpr auto lingerTime = Milliseconds(300); // In which a caller reads the last answer before a close.
     constexpr auto idleSlack = Milliseconds(2'000); // Beyond the bound, since callers may know an older one.
     constexpr auto readAhead = std::size_t { 4'096 };
-    constexpr auto acceptPause = Milliseconds(50); // After a failed accept, such as for want of descriptors.
 
     // A request that can't be taken: what to answer before the close.
     auto intakeFailure(ErrorCode error) -> std::optional<OwnAnswer>
@@ -249,27 +248,14 @@
 {
     if (!openListener(m_acceptor, address))
         return false;
-    net::co_spawn(m_executor, accept(), net::detached);
-    return true;
-}
-
-auto CallerServer::accept() -> Awaitable<void>
-{
-    for (;;) {
-        auto error = ErrorCode();
-        auto socket = co_await m_acceptor.async_accept(errorTo(error));
-        if (error == net::error::operation_aborted)
-            co_return;
-        if (error) {
-            logWarning("accept_failed", { { "reason", error.message() } });
-            co_await sleepFor(acceptPause);
-            continue;
-        }
+    auto take = [this](net::ip::tcp::socket socket) {
         auto session
             = std::make_shared<CallerSession>(std::move(socket), *this, m_board, m_runner, m_waitList);
         net::co_spawn(
             m_executor, [session]() -> Awaitable<void> { return session->run(); }, net::detached);
-    }
+    };
+    net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(take)), net::detached);
+    return true;
 }
 
 auto CallerServer::closeIdle() -> void
--- a/src/relay/caller_server.h
+++ b/src/relay/caller_server.h
@@ -31,8 +31,6 @@
     auto remove(CallerSession* session) -> void { m_sessions.erase(session); }
 
 private:
-    auto accept() -> Awaitable<void>;
-
     Executor m_executor;
     RelayBoard& m_board;
     RequestRunner& m_runner;
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -4,6 +4,12 @@
 
 namespace marigoldladder::relay {
 
+namespace {
+
+    constexpr auto acceptPause = std::chrono::milliseconds(50); // Other connections may end meanwhile.
+
+} // namespace
+
 auto openListener(net::ip::tcp::acceptor& acceptor, const Address& address) -> bool
 {
     constexpr auto backlog = 1'024; // A full queue drops opening packets, which come again seconds later.
@@ -26,4 +32,21 @@
     return false;
 }
 
+auto acceptConnections(net::ip::tcp::acceptor& acceptor, std::function<void(net::ip::tcp::socket)> serve)
+    -> Awaitable<void>
+{
+    for (;;) {
+        auto error = ErrorCode();
+        auto socket = co_await acceptor.async_accept(errorTo(error));
+        if (error == net::error::operation_aborted)
+            co_return;
+        if (!error) {
+            serve(std::move(socket));
+            continue;
+        }
+        logWarning("accept_failed", { { "reason", error.message() } });
+        co_await sleepFor(acceptPause);
+    }
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "relay/catalogue.h"
+#include "relay/load_speed.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -333,6 +334,7 @@
     const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
     const auto answer = co_await m_engines.m_order(order, sender);
     const auto now = Clock::now();
+    m_board.m_metrics.add(Counter::EngineOrders);
     logOrder(order, sender, answer);
     const auto found = m_book.find(order.m_upstream->m_record.m_name);
     if (found == m_book.end() || found->second.m_run != order.m_upstream.get()) {
@@ -352,7 +354,6 @@
 
 auto OrderKeeper::logOrder(const AdapterOrder& order, const OrderSender& sender, OrderAnswer answer) -> void
 {
-    m_board.m_metrics.add(Counter::EngineOrders);
     const auto before = order.m_acceptedBefore ? std::to_string(*order.m_acceptedBefore) : "unknown";
     logChange("engine_order",
         { { "upstream", order.m_upstream->m_record.m_name.value() },
--- a/src/relay/small_server.cc
+++ b/src/relay/small_server.cc
@@ -18,7 +18,6 @@
 namespace {
 
     constexpr auto idleTime = std::chrono::milliseconds(20'000);
-    constexpr auto acceptPause = std::chrono::milliseconds(50);
     constexpr auto headerBytes = 16'384U;
 
 } // namespace
@@ -34,24 +33,13 @@
 {
     if (!openListener(m_acceptor, address))
         return false;
-    net::co_spawn(m_executor, accept(), net::detached);
+    auto take = [this](net::ip::tcp::socket socket) {
+        net::co_spawn(m_executor, serve(std::move(socket)), net::detached);
+    };
+    net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(take)), net::detached);
     return true;
 }
 
-auto SmallServer::accept() -> Awaitable<void>
-{
-    for (;;) {
-        auto error = ErrorCode();
-        auto socket = co_await m_acceptor.async_accept(errorTo(error));
-        if (error == net::error::operation_aborted)
-            co_return;
-        if (error)
-            co_await sleepFor(acceptPause);
-        else
-            net::co_spawn(m_executor, serve(std::move(socket)), net::detached);
-    }
-}
-
 auto SmallServer::serve(net::ip::tcp::socket socket) -> Awaitable<void>
 {
     auto stream = tcp_stream(std::move(socket));
--- a/src/relay/small_server.h
+++ b/src/relay/small_server.h
@@ -26,7 +26,6 @@
     auto listen(const Address&) -> bool;
 
 private:
-    auto accept() -> Awaitable<void>;
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
 
     Executor m_executor;
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -1,5 +1,6 @@
 #include "platform/store_stand_in.h"
 
+#include "relay/listener.h"
 #include "relay/small_server.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -37,7 +38,10 @@
     : m_context(context)
     , m_acceptor(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
 {
-    net::co_spawn(m_context, accept(), net::detached);
+    auto take = [this](boost::asio::ip::tcp::socket socket) {
+        net::co_spawn(m_context, serve(std::move(socket)), net::detached);
+    };
+    net::co_spawn(m_context, acceptConnections(m_acceptor, std::move(take)), net::detached);
 }
 
 auto StoreStandIn::address() const -> Address
@@ -57,17 +61,6 @@
     m_changes.push_back({ ++m_revision, kind, name, true });
 }
 
-auto StoreStandIn::accept() -> Awaitable<void>
-{
-    for (;;) {
-        auto error = ErrorCode();
-        auto socket = co_await m_acceptor.async_accept(errorTo(error));
-        if (error)
-            co_return;
-        net::co_spawn(m_context, serve(std::move(socket)), net::detached);
-    }
-}
-
 auto StoreStandIn::serve(boost::asio::ip::tcp::socket socket) -> Awaitable<void>
 {
     auto stream = tcp_stream(std::move(socket));
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -51,7 +51,6 @@
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
-    auto accept() -> relay::Awaitable<void>;
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
     auto answer(const Request&) -> relay::Awaitable<Response>;
     auto list(const std::string& kind) const -> nlohmann::json;
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -1,5 +1,7 @@
 #include "platform/upstream_stand_in.h"
 
+#include "relay/listener.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -16,7 +18,10 @@
     , m_reply(std::move(reply))
     , m_acceptor(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
 {
-    net::co_spawn(m_context, accept(), net::detached);
+    auto take = [this](boost::asio::ip::tcp::socket socket) {
+        net::co_spawn(m_context, serve(std::move(socket)), net::detached);
+    };
+    net::co_spawn(m_context, acceptConnections(m_acceptor, std::move(take)), net::detached);
 }
 
 auto UpstreamStandIn::address() const -> Address
@@ -24,17 +29,6 @@
     return Address { "127.0.0.1", m_acceptor.local_endpoint().port() };
 }
 
-auto UpstreamStandIn::accept() -> Awaitable<void>
-{
-    for (;;) {
-        auto error = ErrorCode();
-        auto socket = co_await m_acceptor.async_accept(errorTo(error));
-        if (error)
-            co_return;
-        net::co_spawn(m_context, serve(std::move(socket)), net::detached);
-    }
-}
-
 auto UpstreamStandIn::serve(boost::asio::ip::tcp::socket socket) -> Awaitable<void>
 {
     auto stream = tcp_stream(std::move(socket));
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -30,7 +30,6 @@
     auto requests() const -> const std::vector<UpstreamRequest>& { return m_requests; }
 
 private:
-    auto accept() -> relay::Awaitable<void>;
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
 
     boost::asio::io_context& m_context;
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -190,15 +190,6 @@
         EXPECT_TRUE(ordersOf(m_book, after).m_doubtful.contains("model/a4"));
     }
 
-    TEST_F(AdapterPlanTest, AFasterWeightStoreBearsMoreLoadsAtOnce)
-    {
-        EXPECT_EQ(loadsAtFullSpeed(m_configuration), 8U);
-        m_configuration.m_pools.at(PoolName("engines")).m_engine->m_loadsPerSecond = 22;
-        EXPECT_EQ(loadsAtFullSpeed(m_configuration), 40U);
-        EXPECT_EQ(expectedLoadTime(79, 40),
-            2 * expectedLoadTime(0, 40) - (expectedLoadTime(0, 40) - Milliseconds(250)));
-    }
-
     // The load that hurt most on the first days: every adapter is new, and one in ten gets most requests.
     TEST_F(AdapterPlanTest, ServesAStartWithoutAnyAdapterWithinItsLoads)
     {
