Give orders from a node with processor time to spare, and tell far peers less often

Cause: on the grown sites the lease for orders fell to whichever node wrote it first, one of 0.12 core as a rule. Ruled out: capacity of engines (a quarter of the slots in use) and the weight store (a third of its loads in use).

- Nodes tell their processor share; the lease is left to those with most, also when it is first created, and then goes by name as before.
- Planning pauses for four times what the last plan took.
- Accepted orders are told in one summary within 25 ms instead of one to each peer at once.
- Peers' loads are summed by difference; each summary cost a pass over all engines times all peers.
- In fleets of more than 16 nodes, far peers get every third summary, but for the holder of orders and the nodes that watch the store.
They count as lost after 2.6 s instead of 1.5 s.
- The list of nodes is read once after the own registration, then by the fleet once in two seconds unless a peer is silent.

--- a/src/relay/catalogue.cc
+++ b/src/relay/catalogue.cc
@@ -60,6 +60,7 @@
         if (upstream)
             upstream->m_gone = true;
         upstream = std::make_shared<Upstream>();
+        table.m_byShortId[shortId(record.m_name.value())] = upstream;
     }
     // A run that was leaving doesn't come back.
     const auto wasLeaving = sameRun && upstream->m_record.m_leaving;
@@ -92,6 +93,7 @@
     if (found == table.m_upstreams.end())
         return;
     found->second->m_gone = true;
+    table.m_byShortId.erase(shortId(name.value()));
     table.m_upstreams.erase(found);
 }
 
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -8,8 +8,9 @@
 
 namespace {
 
-    constexpr auto aliveTime = Milliseconds(1'500); // Many summaries in a row were lost, or none was sent.
     constexpr auto lostTime = Milliseconds(20'000); // Beyond any cut after which a node is expected back.
+    constexpr auto memberReadInterval = Milliseconds(15'000);
+    constexpr auto memberReadTimeANode = Milliseconds(2'000); // So that the fleet reads once in two seconds.
     constexpr auto storeWatchers = std::size_t { 3 }; // So that the loss of two goes unnoticed.
     constexpr auto demandFloor = 0.25; // Of an even part, so that new demand finds something.
 
@@ -20,6 +21,24 @@
         return total > 0 ? std::min(even, demand / total) : even;
     }
 
+    auto addLoads(FleetView& fleet, const std::unordered_map<std::uint32_t, PeerLoad>& loads) -> void
+    {
+        for (const auto& [upstream, load] : loads) {
+            auto& sum = fleet.m_loadSums[upstream];
+            sum.m_inFlight += load.m_inFlight;
+            sum.m_tokens += load.m_tokens;
+        }
+    }
+
+    auto takeLoads(FleetView& fleet, const std::unordered_map<std::uint32_t, PeerLoad>& loads) -> void
+    {
+        for (const auto& [upstream, load] : loads) {
+            auto& sum = fleet.m_loadSums[upstream];
+            sum.m_inFlight -= std::min(sum.m_inFlight, load.m_inFlight);
+            sum.m_tokens -= std::min(sum.m_tokens, load.m_tokens);
+        }
+    }
+
 } // namespace
 
 auto uninterruptedNow() -> UninterruptedTime
@@ -36,7 +55,26 @@
 
 auto isAlive(const Peer& peer, MonotonicTime now) -> bool
 {
-    return peer.m_heardAt != MonotonicTime() && peer.m_heardAt + aliveTime > now;
+    return peer.m_heardAt != MonotonicTime() && peer.m_heardAt + peer.m_silenceBound > now;
+}
+
+auto sumLoads(FleetView& fleet, MonotonicTime now) -> void
+{
+    fleet.m_loadSums.clear();
+    for (auto& [vm, peer] : fleet.m_peers) {
+        peer.m_loadsCounted = isAlive(peer, now);
+        if (peer.m_loadsCounted)
+            addLoads(fleet, peer.m_loads);
+    }
+}
+
+auto replaceLoads(FleetView& fleet, Peer& peer, std::unordered_map<std::uint32_t, PeerLoad> loads) -> void
+{
+    if (peer.m_loadsCounted)
+        takeLoads(fleet, peer.m_loads);
+    peer.m_loads = std::move(loads);
+    peer.m_loadsCounted = true;
+    addLoads(fleet, peer.m_loads);
 }
 
 auto sharingNodes(const FleetView& fleet) -> std::size_t
@@ -51,6 +89,15 @@
     });
 }
 
+auto memberReadPause(const FleetView& fleet, MonotonicTime now) -> Milliseconds
+{
+    const auto whole = !fleet.m_peers.empty()
+        && std::all_of(fleet.m_peers.begin(), fleet.m_peers.end(),
+            [&](const auto& entry) { return isAlive(entry.second, now); });
+    return whole ? std::max<Milliseconds>(memberReadInterval, memberReadTimeANode * sharingNodes(fleet))
+                 : memberReadInterval;
+}
+
 auto organisationParts(const FleetView& fleet, std::uint32_t organisation, double ownDemand,
     MonotonicTime now) -> OrganisationParts
 {
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -37,13 +37,16 @@
     Address m_callerAddress;
     Address m_peerAddress;
     bool m_ready = false;
+    double m_processorShare = 0; // Cores that it may use.
     bool m_storeReachable = false;
     std::vector<std::uint64_t> m_revisions; // Of the store's objects, by kind.
     bool m_leaving = false;
     std::uint64_t m_configurationVersion = 0;
     MonotonicTime m_heardAt {}; // Zero: only read of in the store.
+    Milliseconds m_silenceBound { 1'500 }; // Silent for longer, it counts as lost; many summaries fit in.
     MonotonicTime m_knownSince {};
     std::unordered_map<std::uint32_t, PeerLoad> m_loads; // By the upstream's short id.
+    bool m_loadsCounted = false; // They are part of the fleet's sums.
     std::unordered_map<std::uint32_t, double> m_organisationDemand; // Tokens a second, by short id.
     UninterruptedTime m_heardHolderAt {}; // When it last heard this node hold the lease; zero: never.
 };
@@ -58,8 +61,16 @@
 struct FleetView {
     std::map<VmName, Peer> m_peers; // Without this node.
     KnownHolder m_holder;
+    std::unordered_map<std::uint32_t, PeerLoad> m_loadSums; // Of the peers' loads, by short id.
 };
 
+// Adds up the loads of the peers that are alive.
+auto sumLoads(FleetView&, MonotonicTime now) -> void;
+
+// Replaces what one peer has in flight, and brings the sums up to date. Costs no more than the peer's own
+// loads, as each summary of each peer comes here.
+auto replaceLoads(FleetView&, Peer&, std::unordered_map<std::uint32_t, PeerLoad> loads) -> void;
+
 // Whether the peer was heard of late enough to count as alive.
 auto isAlive(const Peer&, MonotonicTime now) -> bool;
 
@@ -69,6 +80,10 @@
 // Forgets peers that were silent for so long that they are gone.
 auto forgetLostPeers(FleetView&, MonotonicTime now) -> void;
 
+// Returns the time until the list of nodes is read again: soon while one is silent, as it may have started
+// again at another address; otherwise so that the fleet makes few calls.
+auto memberReadPause(const FleetView&, MonotonicTime now) -> Milliseconds;
+
 // How an organisation's allowance is shared out, as shares of 1.
 struct OrganisationParts {
     double m_own = 1; // This node's, by demand among the nodes that are heard.
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -26,6 +26,11 @@
     constexpr auto reportInterval = Milliseconds(1'500);
     constexpr auto planLogInterval = Milliseconds(1'000);
     constexpr auto planInterval = Milliseconds(200);
+    // Demand of a large fleet arrives hundreds of times a second, and a plan looks at all engines: planning
+    // takes a fifth of the processor at most, or the answers to orders are read too late.
+    constexpr auto planPauseFactor = 4;
+    constexpr auto shortestPlanPause = Milliseconds(2);
+    constexpr auto longestPlanPause = Milliseconds(60);
     constexpr auto orderMemory = Milliseconds(3'000); // Kept to tell the other nodes.
 
     auto contentOf(const LeaseRecord& record) -> nlohmann::json
@@ -203,10 +208,14 @@
     if (m_planPending || !m_lease.m_holding)
         return;
     m_planPending = true;
-    net::post(m_executor, [this] {
-        m_planPending = false;
-        plan();
-    });
+    net::co_spawn(
+        m_executor,
+        [this]() -> Awaitable<void> {
+            co_await sleepFor(m_planPause);
+            m_planPending = false;
+            plan();
+        },
+        net::detached);
 }
 
 auto OrderKeeper::planRegularly() -> Awaitable<void>
@@ -222,6 +231,14 @@
 {
     if (!mayOrderNow() || !m_board.m_configuration)
         return;
+    const auto begun = Clock::now();
+    giveOrders();
+    const auto time = std::chrono::duration_cast<Milliseconds>((Clock::now() - begun) * planPauseFactor);
+    m_planPause = std::clamp(time, shortestPlanPause, longestPlanPause);
+}
+
+auto OrderKeeper::giveOrders() -> void
+{
     const auto now = Clock::now();
     dropOldBookings(m_book, m_board.m_upstreams, now);
     std::erase_if(m_board.m_orders.m_recent,
@@ -375,7 +392,7 @@
         enterDroppedAdapter(upstream, order.m_adapter, answer == OrderAnswer::Accepted, now);
     }
     m_board.m_orders.m_recent.push_back(ordered);
-    m_peers.tellAll();
+    m_peers.tellSoon();
     m_board.m_capacityChanged();
 }
 
--- a/src/relay/order_keeper.h
+++ b/src/relay/order_keeper.h
@@ -30,6 +30,7 @@
     auto mayOrderNow() const -> bool;
     auto planRegularly() -> Awaitable<void>;
     auto plan() -> void;
+    auto giveOrders() -> void;
     auto askForReports(MonotonicTime now) -> void;
     auto fetchReport(UpstreamPointer) -> Awaitable<void>;
     auto logPlan(const AdapterPlan&, MonotonicTime now) -> void;
@@ -50,6 +51,7 @@
     LeaseState m_lease;
     EngineOrderBook m_book;
     bool m_planPending = false;
+    Milliseconds m_planPause { 0 }; // Before the next plan.
     MonotonicTime m_planLoggedAt {};
 };
 
--- a/src/relay/order_lease.cc
+++ b/src/relay/order_lease.cc
@@ -7,6 +7,7 @@
     constexpr auto renewalInterval = Milliseconds(500);
     constexpr auto renewalValidity = Milliseconds(1'300); // Some renewals may fail meanwhile.
     constexpr auto takeoverMargin = Milliseconds(300); // For orders on their way.
+    constexpr auto creationDelay = Milliseconds(1'500); // In which nodes that start together meet.
     constexpr auto rankDelay = Milliseconds(300); // So that candidates don't try at the same time.
 
 } // namespace
@@ -35,13 +36,15 @@
         return LeaseStep::Nothing;
     if (!state.m_seen)
         return LeaseStep::Read;
-    if (state.m_seen->m_fence == 0)
-        return LeaseStep::Create;
+    const auto rankTime = rankDelay * static_cast<int>(context.m_rank);
+    if (state.m_seen->m_fence == 0) {
+        const auto createAt = state.m_unchangedSince + creationDelay + rankTime;
+        return context.m_now >= createAt ? LeaseStep::Create : LeaseStep::Nothing;
+    }
     // The machine that held it gives the orders of its next process: no other has given any.
     if (state.m_seen->m_vm == context.m_self)
         return LeaseStep::TakeOver;
-    const auto silence = renewalValidity + context.m_leaseTime + takeoverMargin
-        + rankDelay * static_cast<int>(context.m_rank);
+    const auto silence = renewalValidity + context.m_leaseTime + takeoverMargin + rankTime;
     const auto quietSince = std::max(state.m_unchangedSince, context.m_holderHeardAt);
     return context.m_now >= quietSince + silence ? LeaseStep::TakeOver : LeaseStep::Read;
 }
--- a/src/relay/order_lease.h
+++ b/src/relay/order_lease.h
@@ -46,7 +46,7 @@
     UninterruptedTime m_now {};
     UninterruptedTime m_holderHeardAt {}; // By any node, as far as it is known here.
     bool m_mayHold = false; // This node is ready and not leaving.
-    std::size_t m_rank = 0; // Nodes that are ready and come before this one by name.
+    std::size_t m_rank = 0; // Nodes that are ready and should rather hold it than this one.
 };
 
 auto nextLeaseStep(const LeaseState&, const LeaseContext&) -> LeaseStep;
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -19,9 +19,13 @@
     constexpr auto memberKind = "members"; // Of this project's own objects: one for each node.
     constexpr auto shortestInterval = Milliseconds(100);
     constexpr auto intervalAPeer = Milliseconds(4); // So that a node's messages a second stay bounded.
-    constexpr auto memberReadInterval = Milliseconds(15'000);
-    constexpr auto firstReads = 3; // At the start, others register at about the same time.
-    constexpr auto firstReadInterval = Milliseconds(400);
+    // In a large fleet, bytes between data centres are mostly summaries, so far peers get each third one.
+    constexpr auto nodesToldEveryTime = std::size_t { 16 };
+    constexpr auto farRounds = 3U;
+    constexpr auto nearSilence = Milliseconds(1'500);
+    constexpr auto farSilence = Milliseconds(2'600);
+    // News that are not urgent wait so long for others: adapters take far longer to load.
+    constexpr auto tellDelay = Milliseconds(25);
     constexpr auto registrationPause = Milliseconds(500);
     constexpr auto missingMemory = Milliseconds(250); // Told in a few summaries.
     constexpr auto reloadTime = Milliseconds(700); // An adapter ordered since may be missing no more.
@@ -47,8 +51,7 @@
         return false;
     net::co_spawn(m_executor, receive(), net::detached);
     net::co_spawn(m_executor, tellRegularly(), net::detached);
-    net::co_spawn(m_executor, registerSelf(), net::detached);
-    net::co_spawn(m_executor, learnMembers(), net::detached);
+    net::co_spawn(m_executor, joinFleet(), net::detached);
     return true;
 }
 
@@ -74,9 +77,21 @@
     return std::max<Milliseconds>(shortestInterval, intervalAPeer * static_cast<int>(m_board.m_nodes));
 }
 
+auto PeerExchange::isFewNodes() const -> bool
+{
+    return m_board.m_nodes <= nodesToldEveryTime;
+}
+
+auto PeerExchange::isNear(const Peer& peer) const -> bool
+{
+    // Orders may go on while all hear the holder, so it hears from all, and all from it, in time.
+    return peer.m_dataCentre == m_settings.m_dataCentre || m_board.m_orders.m_holding
+        || peer.m_vm == m_board.m_fleet.m_holder.m_vm;
+}
+
 auto PeerExchange::tellRegularly() -> Awaitable<void>
 {
-    for (;;) {
+    for (auto round = 0U;; ++round) {
         co_await sleepFor(interval());
         const auto now = Clock::now();
         forgetLostPeers(m_board.m_fleet, now);
@@ -86,7 +101,10 @@
         m_board.m_nodes = sharingNodes(m_board.m_fleet);
         addUpLoads();
         updateBudgets(now);
-        tellAll();
+        // What the store tells spreads from the nodes that watch it.
+        const auto watches
+            = shouldWatchStore(m_board.m_fleet, m_settings.m_vm, m_board.m_storeReachable, now);
+        tell(isFewNodes() || watches || round % farRounds == 0);
     }
 }
 
@@ -103,10 +121,17 @@
 }
 
 auto PeerExchange::tellAll() -> void
+{
+    tell(true);
+}
+
+auto PeerExchange::tell(bool alsoFar) -> void
 {
     const auto plain = makeSummary(false);
     const auto& holder = m_board.m_fleet.m_holder.m_vm;
     for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+        if (!alsoFar && !isNear(peer))
+            continue;
         if (vm == holder)
             send(peer, makeSummary(true));
         else
@@ -114,6 +139,21 @@
     }
 }
 
+auto PeerExchange::tellSoon() -> void
+{
+    if (m_tellPending)
+        return;
+    m_tellPending = true;
+    net::co_spawn(
+        m_executor,
+        [this]() -> Awaitable<void> {
+            co_await sleepFor(tellDelay);
+            m_tellPending = false;
+            tellAll();
+        },
+        net::detached);
+}
+
 auto PeerExchange::tellHolder() -> void
 {
     if (m_holderTellPending)
@@ -131,11 +171,15 @@
 auto PeerExchange::rankAmongReady() const -> std::size_t
 {
     const auto now = Clock::now();
-    return static_cast<std::size_t>(
-        std::count_if(m_board.m_fleet.m_peers.begin(), m_board.m_fleet.m_peers.end(), [&](const auto& entry) {
-            const auto& peer = entry.second;
-            return entry.first < m_settings.m_vm && peer.m_ready && !peer.m_leaving && isAlive(peer, now);
-        }));
+    const auto comesBefore = [&](const Peer& peer) {
+        return std::pair(-peer.m_processorShare, peer.m_vm)
+            < std::pair(-m_settings.m_processorShare, m_settings.m_vm);
+    };
+    const auto& peers = m_board.m_fleet.m_peers;
+    return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto& entry) {
+        const auto& peer = entry.second;
+        return peer.m_ready && !peer.m_leaving && isAlive(peer, now) && comesBefore(peer);
+    }));
 }
 
 auto PeerExchange::heardByAll() const -> bool
@@ -200,16 +244,16 @@
     peer.m_callerAddress = Address { summary.caller_host, summary.caller_port };
     peer.m_peerAddress = Address { from.m_host, summary.peer_port };
     peer.m_ready = summary.ready;
+    peer.m_processorShare = summary.processor_share;
     if (summary.store_reachable && !peer.m_storeReachable && sameRun)
         m_board.m_storeBackAt = now;
     peer.m_storeReachable = summary.store_reachable;
     peer.m_revisions = summary.revisions;
     peer.m_leaving = summary.leaving;
+    peer.m_silenceBound = isNear(peer) || isFewNodes() ? nearSilence : farSilence;
     peer.m_configurationVersion = summary.configuration_version;
     peer.m_heardAt = now;
-    peer.m_loads.clear();
-    for (const auto& load : summary.loads)
-        peer.m_loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
+    enterLoads(summary, peer);
     peer.m_organisationDemand.clear();
     for (auto index = std::size_t { 0 }; index < summary.organisations.size(); ++index) {
         const auto& demand = summary.organisations[index];
@@ -231,10 +275,32 @@
         enterMissing(summary, now);
         m_board.m_adapterWanted();
     }
-    addUpLoads();
     m_board.m_capacityChanged();
 }
 
+auto PeerExchange::enterLoads(const messages::SummaryT& summary, Peer& peer) -> void
+{
+    auto loads = std::unordered_map<std::uint32_t, PeerLoad>();
+    for (const auto& load : summary.loads)
+        loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
+    const auto before = peer.m_loads;
+    replaceLoads(m_board.m_fleet, peer, std::move(loads));
+    for (const auto& [id, load] : before)
+        showLoad(id);
+    for (const auto& [id, load] : peer.m_loads)
+        showLoad(id);
+}
+
+auto PeerExchange::showLoad(std::uint32_t upstreamId) -> void
+{
+    const auto found = m_board.m_upstreams.m_byShortId.find(upstreamId);
+    if (found == m_board.m_upstreams.m_byShortId.end())
+        return;
+    const auto& sum = m_board.m_fleet.m_loadSums[upstreamId];
+    found->second->m_peersInFlight = sum.m_inFlight;
+    found->second->m_peersTokensInFlight = sum.m_tokens;
+}
+
 auto PeerExchange::enterHolder(const messages::SummaryT& summary, MonotonicTime now) -> void
 {
     auto& peer = m_board.m_fleet.m_peers[VmName(summary.vm)];
@@ -268,28 +334,22 @@
 auto PeerExchange::enterMissing(const messages::SummaryT& summary, MonotonicTime now) -> void
 {
     for (const auto& missing : summary.missing) {
-        for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
-            if (shortId(name.value()) != missing->upstream)
-                continue;
-            const auto found = upstream->m_adapters.find(missing->adapter);
-            if (found != upstream->m_adapters.end() && found->second.m_toldAt + reloadTime < now)
-                markMissing(found->second, now);
-        }
+        const auto upstream = m_board.m_upstreams.m_byShortId.find(missing->upstream);
+        if (upstream == m_board.m_upstreams.m_byShortId.end())
+            continue;
+        const auto found = upstream->second->m_adapters.find(missing->adapter);
+        if (found != upstream->second->m_adapters.end() && found->second.m_toldAt + reloadTime < now)
+            markMissing(found->second, now);
     }
 }
 
 auto PeerExchange::enterOrders(const messages::SummaryT& summary, MonotonicTime now) -> void
 {
-    if (summary.orders.empty())
-        return;
-    auto byId = std::unordered_map<std::uint32_t, Upstream*>();
-    for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams)
-        byId[shortId(name.value())] = upstream.get();
     // They come newest first; the newest of an adapter at an engine has to be the last one entered.
     for (auto at = summary.orders.rbegin(); at != summary.orders.rend(); ++at) {
         const auto& order = **at;
-        const auto found = byId.find(order.upstream);
-        if (found == byId.end())
+        const auto found = m_board.m_upstreams.m_byShortId.find(order.upstream);
+        if (found == m_board.m_upstreams.m_byShortId.end())
             continue;
         const auto orderedAt = now - Milliseconds(order.age_ms);
         const auto presence = found->second->m_adapters.find(order.adapter);
@@ -308,19 +368,15 @@
 
 auto PeerExchange::addUpLoads() -> void
 {
-    const auto now = Clock::now();
-    for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
-        upstream->m_peersInFlight = 0;
-        upstream->m_peersTokensInFlight = 0;
-        const auto id = shortId(name.value());
-        for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
-            const auto found = peer.m_loads.find(id);
-            if (found == peer.m_loads.end() || !isAlive(peer, now))
-                continue;
-            upstream->m_peersInFlight += found->second.m_inFlight;
-            upstream->m_peersTokensInFlight += found->second.m_tokens;
-        }
-    }
+    sumLoads(m_board.m_fleet, Clock::now());
+    for (const auto& [id, upstream] : m_board.m_upstreams.m_byShortId)
+        showLoad(id);
+}
+
+auto PeerExchange::joinFleet() -> Awaitable<void>
+{
+    co_await registerSelf();
+    co_await learnMembers();
 }
 
 auto PeerExchange::registerSelf() -> Awaitable<void>
@@ -350,29 +406,32 @@
     }
 }
 
+auto PeerExchange::enterMember(const StoredObject& object) -> void
+{
+    const auto vm = VmName(object.m_name);
+    const auto known = vm == m_settings.m_vm || m_board.m_fleet.m_peers.contains(vm);
+    if (known || !object.m_content.is_object())
+        return;
+    const auto address = parseAddress(object.m_content.value("peer_address", ""));
+    if (!address)
+        return;
+    auto& peer = m_board.m_fleet.m_peers[vm];
+    peer.m_vm = vm;
+    peer.m_peerAddress = *address;
+    peer.m_knownSince = Clock::now();
+}
+
+// A node that registers later reads this one's entry and tells it of itself, so one reading after the own
+// registration would do if nobody were ever cut off or started again elsewhere.
 auto PeerExchange::learnMembers() -> Awaitable<void>
 {
-    for (auto reads = 0;; ++reads) {
+    for (;;) {
         auto listing = co_await m_store.m_list(memberKind);
         if (listing) {
-            for (const auto& object : listing.value().m_objects) {
-                const auto vm = VmName(object.m_name);
-                if (vm == m_settings.m_vm || m_board.m_fleet.m_peers.contains(vm)
-                    || !object.m_content.is_object())
-                    continue;
-                const auto address = parseAddress(object.m_content.value("peer_address", ""));
-                if (!address)
-                    continue;
-                auto& peer = m_board.m_fleet.m_peers[vm];
-                peer.m_vm = vm;
-                peer.m_peerAddress = *address;
-                peer.m_knownSince = Clock::now();
-            }
+            for (const auto& object : listing.value().m_objects)
+                enterMember(object);
         }
-        auto pause = registrationPause;
-        if (listing)
-            pause = reads < firstReads ? firstReadInterval : memberReadInterval;
-        co_await sleepFor(pause);
+        co_await sleepFor(listing ? memberReadPause(m_board.m_fleet, Clock::now()) : registrationPause);
     }
 }
 
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -29,10 +29,14 @@
     // Tells all peers at once, besides the regular times: of orders, or that this node leaves.
     auto tellAll() -> void;
 
+    // Tells all peers in a moment, together with what else there is to tell by then.
+    auto tellSoon() -> void;
+
     // Tells the node that gives orders at once what adapters are waited for.
     auto tellHolder() -> void;
 
-    // How many nodes come before this one by name and could give orders.
+    // How many nodes could give orders and come before this one: those with more processor time, then by
+    // name.
     auto rankAmongReady() const -> std::size_t;
 
     // Whether every other node has told that it got a summary which this node sent lately; false when none is
@@ -43,9 +47,14 @@
     auto open() -> bool;
     auto tellRegularly() -> Awaitable<void>;
     auto receive() -> Awaitable<void>;
+    auto joinFleet() -> Awaitable<void>;
     auto registerSelf() -> Awaitable<void>;
+    auto enterMember(const StoredObject&) -> void;
     auto learnMembers() -> Awaitable<void>;
     auto interval() const -> Milliseconds;
+    auto isFewNodes() const -> bool;
+    auto isNear(const Peer&) const -> bool;
+    auto tell(bool alsoFar) -> void;
     auto makeSummary(bool toHolder) -> std::string;
     auto fillLoads(messages::SummaryT&) const -> void;
     auto fillOrganisations(messages::SummaryT&) const -> void;
@@ -61,6 +70,8 @@
     auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
     auto updateBudgets(MonotonicTime now) -> void;
     auto addUpLoads() -> void;
+    auto enterLoads(const messages::SummaryT&, Peer&) -> void;
+    auto showLoad(std::uint32_t upstreamId) -> void;
 
     Executor m_executor;
     const RelaySettings& m_settings;
@@ -71,6 +82,7 @@
     net::ip::udp::socket m_socket;
     std::uint64_t m_number = 0;
     std::deque<std::pair<std::uint64_t, UninterruptedTime>> m_sent; // Numbers and when they were sent.
+    bool m_tellPending = false;
     bool m_holderTellPending = false;
     std::array<char, 65'536> m_received {};
 };
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -43,6 +43,7 @@
     summary.caller_port = static_cast<std::uint16_t>(m_settings.m_callerAddress.m_port);
     summary.peer_port = static_cast<std::uint16_t>(m_settings.m_peerAddress.m_port);
     summary.ready = m_isReady();
+    summary.processor_share = static_cast<float>(m_settings.m_processorShare);
     summary.store_reachable = m_board.m_storeReachable;
     for (const auto kind : objectKinds)
         summary.revisions.push_back(m_board.m_objects[kind].m_revision);
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -9,6 +9,7 @@
     constexpr auto longestTime = 3'600'000.0; // Milliseconds; an hour.
     constexpr auto longestSeconds = 3'600.0;
     constexpr auto mostDescriptors = 1'048'576.0;
+    constexpr auto mostCores = 4'096.0;
 
     auto milliseconds(double value) -> Milliseconds
     {
@@ -71,6 +72,8 @@
     settings.m_firstStart = reader.optionalBool("first_start", false);
     settings.m_maxDescriptors
         = static_cast<std::size_t>(reader.optionalNumber("max_descriptors", 1024, { 64, mostDescriptors }));
+    const auto cores = reader.optionalNumber("processor_cores", 1, { 0.001, mostCores });
+    settings.m_processorShare = cores * reader.optionalNumber("processor_share", 1, { 0.001, 1 });
     settings.m_logLevel = reader.optionalText("log_level", "info");
     if (const auto* regions = reader.child("data_centre_regions"))
         settings.m_regions = readRegions(*regions, faults);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -78,6 +78,7 @@
 // All upstreams, by name.
 struct UpstreamTable {
     std::map<UpstreamName, UpstreamPointer> m_upstreams;
+    std::unordered_map<std::uint32_t, UpstreamPointer> m_byShortId; // The same ones, as nodes name them.
     std::map<DataCentreName, bool> m_evacuated; // Data centres that get no new work.
     std::unordered_map<std::string, std::uint64_t> m_newestVersions; // Announced, by `model/adapter`.
     std::unordered_map<std::string, MonotonicTime> m_announcedAt; // When this node learnt of it.
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -78,5 +78,40 @@
         EXPECT_EQ(sharingNodes(fleet), 1U);
     }
 
+    constexpr auto engine = std::uint32_t { 8 };
+
+    TEST(FleetViewTest, ANewSummaryReplacesAPeersPartOfTheSums)
+    {
+        auto fleet = fleetOf({ peer("one", 9.9, 0), peer("two", 9.9, 0) });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 3, 300 } } });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("two")), { { engine, { 2, 200 } } });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 1, 100 } } });
+        EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 3U);
+        EXPECT_NEAR(fleet.m_loadSums.at(engine).m_tokens, 300, 1e-9);
+    }
+
+    TEST(FleetViewTest, ASilentPeersLoadsLeaveTheSumsAndComeBackWithItsNextSummary)
+    {
+        auto fleet = fleetOf({ peer("one", 0, 0), peer("two", 9.9, 0) });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 3, 300 } } });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("two")), { { engine, { 2, 200 } } });
+        sumLoads(fleet, at(10));
+        EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 2U) << "one has been silent for 10 s";
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 4, 400 } } });
+        EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 6U);
+    }
+
+    TEST(FleetViewTest, ReadsTheListOfNodesOftenOnlyWhileOneIsSilent)
+    {
+        auto peers = std::vector<Peer>();
+        for (auto index = 0; index < 60; ++index)
+            peers.push_back(peer("vm-" + std::to_string(index), 9.9, 0));
+        auto fleet = fleetOf(peers);
+        EXPECT_GE(memberReadPause(fleet, at(10)), std::chrono::seconds(61))
+            << "61 nodes read once a second at most";
+        fleet.m_peers.at(VmName("vm-7")).m_heardAt = at(0);
+        EXPECT_LE(memberReadPause(fleet, at(10)), std::chrono::seconds(15));
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
