Number adapters while orders are planned

Cause: a plan for 60 engines and the demand of 61 nodes took 4.0 ms of a whole core (3.1 the plan, 0.9 adding up), most of it in comparing and copying adapters' names. The view of engines and adapters now stands in plan_view, where adapters are found by number; the decisions stay in adapter_plan, unchanged.

The plan's tests pass unchanged. Ruled out: a change of behaviour, by those tests.

--- a/src/relay/adapter_demand.cc
+++ b/src/relay/adapter_demand.cc
@@ -1,6 +1,8 @@
 #include "relay/adapter_demand.h"
 
 #include <cmath>
+#include <string_view>
+#include <unordered_map>
 
 namespace marigoldladder::relay {
 
@@ -34,21 +36,20 @@
 
 auto addUp(const FleetDemand& demand, MonotonicTime now) -> std::vector<AdapterWish>
 {
-    auto wishes = std::map<std::string, AdapterWish>();
+    auto wishes = std::vector<AdapterWish>();
+    auto numbers = std::unordered_map<std::string_view, std::size_t>();
     for (const auto& [vm, rates] : demand.m_byNode) {
         for (const auto& [adapter, rate] : rates) {
-            auto& wish = wishes[adapter];
-            wish.m_adapter = adapter;
+            const auto [found, isNew] = numbers.try_emplace(adapter, wishes.size());
+            if (isNew)
+                wishes.push_back(AdapterWish { adapter });
+            auto& wish = wishes[found->second];
             wish.m_rate += rateAt(rate, now);
             wish.m_waiting += rate.m_waiting;
             wish.m_inFlight += rate.m_inFlight;
         }
     }
-    auto list = std::vector<AdapterWish>();
-    list.reserve(wishes.size());
-    for (auto& [adapter, wish] : wishes)
-        list.push_back(std::move(wish));
-    return list;
+    return wishes;
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/adapter_plan.h
+++ b/src/relay/adapter_plan.h
@@ -5,21 +5,12 @@
 // copies of those that are asked for most, and some places stay free for the next rare one.
 #pragma once
 
-#include "relay/adapter_demand.h"
-#include "relay/engine_order_book.h"
+#include "relay/plan_view.h"
 
 #include <vector>
 
 namespace marigoldladder::relay {
 
-struct PlanInput {
-    const UpstreamTable* m_table = nullptr;
-    const RoutingConfiguration* m_configuration = nullptr;
-    const EngineOrderBook* m_book = nullptr;
-    std::vector<AdapterWish> m_wishes;
-    MonotonicTime m_now {};
-};
-
 struct AdapterPlan {
     std::vector<AdapterOrder> m_orders; // To give now, the most urgent first.
     std::size_t m_waited = 0; // Adapters that requests wait for and no engine has.
