Let many callers connect at once, and say when an unreachable upstream may be back

Cause of the listed FairnessTest.RefusesOnlyTheOrganisationThatSendsTooMuch: cpp-httplib listens with a queue of five connections (seen with ss). 120 callers that connect at once overflow it at the nodes and at the stand-in of the engine: some connections are set up a second late, others got no answer ("Read"), and a node that could not connect to its engine refused without a retry time.

openHttpPort binds and listens with 512 places; callers', operators' and stand-ins' servers use it. Refusals for an unreachable upstream carry a retry time of a second.

--- a/fakes/fake_server.cc
+++ b/fakes/fake_server.cc
@@ -1,5 +1,7 @@
 #include "fake_server.h"
 
+#include "objects/http_port.h"
+
 #include <chrono>
 #include <csignal>
 #include <iostream>
@@ -25,17 +27,13 @@
 
 auto serveUntilKilled(httplib::Server& server, const Address& address) -> int
 {
-    auto port = address.m_port;
-    if (port == 0)
-        port = server.bind_to_any_port(address.m_host);
-    else if (!server.bind_to_port(address.m_host, port))
-        port = -1;
-    if (port <= 0) {
+    const auto port = openHttpPort(server, address);
+    if (!port) {
         std::cerr << "can't listen on " << formatAddress(address) << "\n";
         return 1;
     }
     const auto line
-        = nlohmann::json { { "event", "ready" }, { "address", formatAddress({ address.m_host, port }) } };
+        = nlohmann::json { { "event", "ready" }, { "address", formatAddress({ address.m_host, *port }) } };
     std::cout << line.dump() << std::endl;
     server.listen_after_bind();
     return 0;
--- a/fakes/fault_proxy.cc
+++ b/fakes/fault_proxy.cc
@@ -10,6 +10,7 @@
 #include "fake_server.h"
 
 #include "core/posix_thread.h"
+#include "objects/http_port.h"
 #include "wire/socket.h"
 
 #include <array>
@@ -204,14 +205,13 @@
     auto proxy = fakes::FaultProxy(*target);
     auto server = httplib::Server();
     proxy.addRoutes(server);
-    const auto controlPort
-        = control->m_port == 0 ? server.bind_to_any_port(control->m_host) : control->m_port;
-    if (control->m_port != 0 && !server.bind_to_port(control->m_host, controlPort))
+    const auto controlPort = openHttpPort(server, *control);
+    if (!controlPort)
         return 1;
     const auto ready = nlohmann::json {
         { "event", "ready" },
         { "address", formatAddress(boundAddress(listener.value())) },
-        { "control_address", formatAddress({ control->m_host, controlPort }) },
+        { "control_address", formatAddress({ control->m_host, *controlPort }) },
     };
     std::cout << ready.dump() << std::endl;
     auto accepting = PosixThread("proxy-accept", [&] { proxy.acceptLoop(listener.value()); });
--- a/src/ops/operator_server.cc
+++ b/src/ops/operator_server.cc
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/posix_thread.h"
+#include "objects/http_port.h"
 #include "ops/operator_auth.h"
 
 #include <algorithm>
@@ -167,12 +168,10 @@
     m_server.Get("/v1/requests/([0-9a-zA-Z-]+)", guarded(&Implementation::answerRequest));
     m_server.Get("/v1/status", guarded(&Implementation::answerStatus));
     const auto& address = m_settings.m_operatorAddress;
-    if (address.m_port == 0)
-        m_port = m_server.bind_to_any_port(address.m_host);
-    else
-        m_port = m_server.bind_to_port(address.m_host, address.m_port) ? address.m_port : -1;
-    if (m_port <= 0)
+    const auto port = openHttpPort(m_server, address);
+    if (!port)
         throw std::runtime_error("can't listen on " + formatAddress(address));
+    m_port = *port;
     m_thread = PosixThread("operator-accept", [this] { m_server.listen_after_bind(); });
 }
 
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -22,6 +22,8 @@
     constexpr auto serviceSilence = std::chrono::milliseconds(10'000);
     constexpr auto promptTimePerToken = std::chrono::milliseconds(1);
     constexpr auto answerTimePerToken = std::chrono::milliseconds(100);
+    // In which an upstream that restarts is back, or another one has taken its work.
+    constexpr auto unreachableRetryAfter = std::chrono::milliseconds(1'000);
     constexpr auto eventPrefix = std::string_view("data: ");
     constexpr auto eventEnd = std::string_view("\n\n");
     constexpr auto streamDone = std::string_view("[DONE]");
@@ -42,10 +44,17 @@
         return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
     }
 
+    auto unreachable() -> Failure
+    {
+        auto failure = notRun(FailureType::Unavailable, "the upstream can't be reached");
+        failure.m_retryAfter = unreachableRetryAfter;
+        return failure;
+    }
+
     auto failureOf(httplib::Error error) -> Failure
     {
         if (isUnreachable(error))
-            return notRun(FailureType::Unavailable, "the upstream can't be reached");
+            return unreachable();
         return mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was lost");
     }
 
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -1,6 +1,7 @@
 #include "serving/caller_server.h"
 
 #include "core/posix_thread.h"
+#include "objects/http_port.h"
 #include "serving/address_answer.h"
 #include "serving/admission.h"
 #include "serving/caller_request.h"
@@ -143,12 +144,10 @@
     configureServer();
     addRoutes();
     const auto& address = m_settings.m_callerAddress;
-    if (address.m_port == 0)
-        m_port = m_server.bind_to_any_port(address.m_host);
-    else
-        m_port = m_server.bind_to_port(address.m_host, address.m_port) ? address.m_port : -1;
-    if (m_port <= 0)
+    const auto port = openHttpPort(m_server, address);
+    if (!port)
         throw std::runtime_error("can't listen on " + formatAddress(address));
+    m_port = *port;
     m_thread = PosixThread("caller-accept", [this] { m_server.listen_after_bind(); });
 }
 
