Tell all nodes which upstreams refuse connections, and load adapters where they were dropped

A node with many successes in its memory never avoided an engine that it could not reach, since failures had to be 40 % of its results. Requests for adapters that only a crashed engine held did not wait for a load elsewhere either.

An upstream that refuses a connection gets no request for 0.8 s; the node tells its peers, who believe two that say so, as one may be cut off itself. The plan of orders loads elsewhere what such engines held. An engine that dropped an adapter lately gets it back rather than another one, since nothing is fetched then.

--- a/src/relay/engine_order_book.cc
+++ b/src/relay/engine_order_book.cc
@@ -10,6 +10,7 @@
     constexpr auto doubtTime = Milliseconds(16'000); // An unanswered order may still be carried out.
     constexpr auto busyPause = Milliseconds(80); // Until one of the loads under way there has ended.
     constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
+    constexpr auto mostAtHand = std::size_t { 64 }; // Adapters dropped by one engine; it keeps about 100.
     constexpr auto reportAge = Milliseconds(2'000); // How old an engine's report may be, with a margin.
 
     auto unbook(EngineOrders& orders, const AdapterOrder& order) -> void
@@ -46,6 +47,21 @@
         dropVoidDoubts(orders);
     }
 
+    // Enters that an engine carries out an order.
+    auto noteHolding(EngineOrders& orders, const AdapterOrder& order, MonotonicTime now) -> void
+    {
+        if (order.m_kind == AdapterOrderKind::Load) {
+            orders.m_droppedAt.erase(order.m_adapter);
+            return;
+        }
+        orders.m_droppedAt[order.m_adapter] = now;
+        if (orders.m_droppedAt.size() <= mostAtHand)
+            return;
+        const auto oldest = std::min_element(orders.m_droppedAt.begin(), orders.m_droppedAt.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; });
+        orders.m_droppedAt.erase(oldest);
+    }
+
     auto enterModelAnswer(
         EngineOrders& orders, const AdapterOrder& order, OrderAnswer answer, MonotonicTime now) -> void
     {
@@ -122,6 +138,7 @@
     switch (answer) {
     case OrderAnswer::Accepted:
         countAccepted(orders, order, now);
+        noteHolding(orders, order, now);
         orders.m_unanswered.erase(order.m_adapter);
         orders.m_unloading.erase(order.m_adapter);
         break;
@@ -129,6 +146,7 @@
         // An engine counts what it drops at once, but not a load of what it holds already.
         if (!isLoad)
             countAccepted(orders, order, now);
+        noteHolding(orders, order, now);
         unbook(orders, order);
         if (isLoad)
             orders.m_loading[order.m_adapter] = now;
@@ -172,6 +190,11 @@
         orders.m_replacing.try_emplace(adapter, askedAt);
 }
 
+auto hasAtHand(const EngineOrders& orders, const std::string& adapter) -> bool
+{
+    return orders.m_droppedAt.contains(adapter);
+}
+
 auto dropOldBookings(EngineOrderBook& book, const UpstreamTable& table, MonotonicTime now) -> void
 {
     std::erase_if(book, [&](const auto& entry) {
--- a/src/relay/engine_order_book.h
+++ b/src/relay/engine_order_book.h
@@ -30,6 +30,9 @@
     std::map<std::string, DoubtfulOrder> m_doubtful; // By adapter.
     // Ordered in place of an older version, and when; each takes a place more until it has arrived.
     std::map<std::string, MonotonicTime> m_replacing;
+    // Adapters that it was ordered to drop, and when. It has them at hand and loads them much faster than
+    // from the weight store.
+    std::map<std::string, MonotonicTime> m_droppedAt;
     std::optional<std::uint64_t> m_accepted; // Orders the engine has accepted; nothing: it doesn't count.
     MonotonicTime m_acceptedAt {}; // When the last of this node's orders was answered as accepted.
     // When it last told what it holds. Zero: not since this node holds the lease, or not since an order's
@@ -68,6 +71,9 @@
 // Enters which adapters an engine reports as on their way while it has an older version.
 auto enterReplacing(EngineOrders&, const std::set<std::string>& adapters, MonotonicTime askedAt) -> void;
 
+// Whether the engine has lately held an adapter that it doesn't hold now.
+auto hasAtHand(const EngineOrders&, const std::string& adapter) -> bool;
+
 // Forgets what is over.
 auto dropOldBookings(EngineOrderBook&, const UpstreamTable&, MonotonicTime now) -> void;
 
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -110,9 +110,9 @@
         alive += isAlive(peer, now) ? 1 : 0;
     }
     if (alive == 0)
-        return { even, even, false };
+        return { even, even, total, false };
     if (total <= 0)
-        return { even, static_cast<double>(alive + 1) * even, true };
+        return { even, static_cast<double>(alive + 1) * even, total, true };
     auto reserved = 0.0;
     auto heard = ownDemand;
     for (const auto& [vm, peer] : fleet.m_peers) {
@@ -125,7 +125,7 @@
     const auto floor = demandFloor * heard / static_cast<double>(alive + 1);
     const auto weight = (ownDemand + floor) / (heard * (1 + demandFloor));
     const auto heardPart = std::max(0.0, 1.0 - reserved);
-    return { heardPart * weight, heardPart, true };
+    return { heardPart * weight, heardPart, total, true };
 }
 
 auto shouldWatchStore(const FleetView& fleet, const VmName& self, bool selfReachable, MonotonicTime now)
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -88,6 +88,7 @@
 struct OrganisationParts {
     double m_own = 1; // This node's, by demand among the nodes that are heard.
     double m_heard = 1; // All that of the nodes that are heard; the parts of silent ones stay reserved.
+    double m_demand = 0; // Tokens a second asked for lately, over all nodes.
     bool m_hearsOthers = false; // A node that hears nobody keeps an even part.
 };
 
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -323,6 +323,9 @@
 {
     if (order.m_adapter.empty())
         return now + modelTime(order);
+    const auto book = m_book.find(order.m_upstream->m_record.m_name);
+    if (book != m_book.end() && hasAtHand(book->second, order.m_adapter))
+        return now + expectedReloadTime();
     auto loading = std::size_t { 0 };
     for (const auto& [upstream, orders] : m_book)
         loading += orders.m_loading.size();
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "relay/catalogue.h"
 #include "relay/generated/peer_messages_generated.h"
+#include "relay/upstream_health.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -266,6 +267,7 @@
     for (const auto& suspect : summary.suspects)
         mergeReport(m_board.m_poison, vm, suspect.fingerprint(), CrashReport { suspect.crashes(), 0 }, now);
     enterHolder(summary, now);
+    enterUnreachable(summary, now);
     if (m_board.m_orders.m_holding && !summary.demands.empty()) {
         auto& rates = m_board.m_fleetDemand.m_byNode[vm];
         rates.clear();
@@ -331,6 +333,20 @@
     return m_sent[number - m_sent.front().first].second;
 }
 
+auto PeerExchange::enterUnreachable(const messages::SummaryT& summary, MonotonicTime now) -> void
+{
+    for (const auto id : summary.unreachable) {
+        const auto found = m_board.m_upstreams.m_byShortId.find(id);
+        if (found == m_board.m_upstreams.m_byShortId.end())
+            continue;
+        auto& reach = found->second->m_reach;
+        const auto wasKnown = isUnreachable(reach, now);
+        reach.m_refusedPeers[VmName(summary.vm)] = now;
+        if (!wasKnown && isUnreachable(reach, now) && m_board.m_orders.m_holding)
+            m_board.m_adapterWanted();
+    }
+}
+
 auto PeerExchange::enterMissing(const messages::SummaryT& summary, MonotonicTime now) -> void
 {
     for (const auto& missing : summary.missing) {
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -58,6 +58,7 @@
     auto makeSummary(bool toHolder) -> std::string;
     auto fillLoads(messages::SummaryT&) const -> void;
     auto fillOrganisations(messages::SummaryT&) const -> void;
+    auto fillUnreachable(messages::SummaryT&) const -> void;
     auto fillSuspects(messages::SummaryT&) const -> void;
     auto fillDemands(messages::SummaryT&) const -> void;
     auto fillMissing(messages::SummaryT&) const -> void;
@@ -66,6 +67,7 @@
     auto enter(const messages::SummaryT&, const Address& from) -> void;
     auto enterHolder(const messages::SummaryT&, MonotonicTime now) -> void;
     auto sentAt(std::uint64_t number) const -> UninterruptedTime;
+    auto enterUnreachable(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterMissing(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
     auto updateBudgets(MonotonicTime now) -> void;
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -1,6 +1,7 @@
 // What a node tells its peers of itself: the parts of its summary.
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
+#include "relay/upstream_health.h"
 
 #include <algorithm>
 #include <limits>
@@ -14,6 +15,7 @@
     constexpr auto mostSuspects = std::size_t { 32 }; // In one summary.
     constexpr auto mostDemands = std::size_t { 56 }; // Adapters in one summary, those asked for most.
     constexpr auto mostOrders = std::size_t { 24 }; // In one summary, the newest.
+    constexpr auto mostUnreachable = std::size_t { 64 }; // Upstreams in one summary.
     constexpr auto mostSentTimes = std::size_t { 512 }; // Of the latest summaries, a few seconds' worth.
     constexpr auto orderMemory = Milliseconds(2'500); // Until the engines' own lists show what was ordered.
 
@@ -59,6 +61,7 @@
     fillLoads(summary);
     fillOrganisations(summary);
     fillSuspects(summary);
+    fillUnreachable(summary);
     if (toHolder) {
         fillDemands(summary);
         fillMissing(summary);
@@ -104,6 +107,17 @@
     }
 }
 
+auto PeerExchange::fillUnreachable(messages::SummaryT& summary) const -> void
+{
+    const auto now = Clock::now();
+    for (const auto& [id, upstream] : m_board.m_upstreams.m_byShortId) {
+        const auto refusedAt = upstream->m_reach.m_refusedAt;
+        if (refusedAt != MonotonicTime() && refusedAt + unreachableTime > now
+            && summary.unreachable.size() < mostUnreachable)
+            summary.unreachable.push_back(id);
+    }
+}
+
 auto PeerExchange::fillDemands(messages::SummaryT& summary) const -> void
 {
     const auto now = Clock::now();
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -1,5 +1,7 @@
 #include "relay/plan_view.h"
 
+#include "relay/upstream_health.h"
+
 #include <algorithm>
 
 namespace marigoldladder::relay {
@@ -73,9 +75,11 @@
             engine.m_places = places > spareMargin ? places - spareMargin : places;
             readPresences(engine);
             const auto inService = upstream->m_health.m_avoidUntil <= m_input.m_now
+                && !isUnreachable(upstream->m_reach, m_input.m_now)
                 && !m_input.m_table->m_evacuated.contains(upstream->m_record.m_dataCentre);
             const auto book = m_input.m_book->find(upstream->m_record.m_name);
             if (book != m_input.m_book->end()) {
+                engine.m_orders = &book->second;
                 readBook(book->second, engine);
                 engine.m_sound = inService && book->second.m_reportedAt != MonotonicTime()
                     && book->second.m_avoidUntil <= m_input.m_now;
--- a/src/relay/plan_view.h
+++ b/src/relay/plan_view.h
@@ -43,6 +43,7 @@
 struct PlannedEngine {
     UpstreamPointer m_upstream;
     const EnginePool* m_pool = nullptr;
+    const EngineOrders* m_orders = nullptr; // Null: nothing is known of it yet.
     std::size_t m_places = 0;
     std::vector<HeldAdapter> m_held;
     std::size_t m_replacing = 0; // Of these, on their way beside an older version: one place more each.
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -69,6 +69,9 @@
     // Called when a request that waits may find an upstream now.
     std::function<void()> m_capacityChanged = [] {};
 
+    // Called when nobody listens at an upstream any more.
+    std::function<void(const Upstream&)> m_upstreamLost = [](const Upstream&) {};
+
     // Called when a request waits for an adapter that no engine has.
     std::function<void()> m_adapterWanted = [] {};
 };
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -160,6 +160,7 @@
         { { "organisation", organisation.m_name.value() }, { "tokens", number(attempts.m_tokens) },
             { "own_level", number(budget.m_bucket.m_tokens) }, { "fleet_level", number(budget.m_fleetLevel) },
             { "rate", number(organisation.m_tokensPerSecond) },
+            { "burst", number(organisation.m_burstTokens) }, { "fleet_demand", number(parts.m_demand) },
             { "share_percent", number(parts.m_own * percent) } });
     return refusal(
         FailureType::AllowanceExceeded, "the organisation's allowance is spent", decision.m_retryAfter);
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -56,6 +56,12 @@
     Milliseconds m_avoidTime { 0 }; // The last avoidance; doubles while failures go on.
 };
 
+// Whether connections to an upstream were refused lately: nobody listens there, as after a crash.
+struct UpstreamReach {
+    MonotonicTime m_refusedAt {}; // To this node; zero: not since the last answer.
+    std::map<VmName, MonotonicTime> m_refusedPeers; // To which other nodes, and when this node was told.
+};
+
 struct Upstream {
     UpstreamRecord m_record;
     std::unordered_map<std::string, AdapterPresence> m_adapters; // By `model/adapter`.
@@ -70,6 +76,7 @@
     MonotonicTime m_fullUntil {}; // It refused for load.
     MonotonicTime m_blockedUntil {}; // An order keeps it from starting requests.
     UpstreamHealth m_health;
+    UpstreamReach m_reach;
     bool m_gone = false; // Left the list; only running requests still refer to it.
 };
 
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -257,6 +257,7 @@
         case UpstreamCallEnd::Failed:
             return CallEnd::Failed;
         case UpstreamCallEnd::NotReached:
+            return CallEnd::NotReached;
         case UpstreamCallEnd::Broken:
         case UpstreamCallEnd::Cut:
             return CallEnd::Broken;
@@ -301,15 +302,30 @@
         upstream.m_fullUntil = now + fullPause;
 }
 
+auto UpstreamCaller::noteReach(Upstream& upstream, UpstreamCallEnd end, bool refused) -> void
+{
+    const auto now = Clock::now();
+    if (end == UpstreamCallEnd::Delivered || end == UpstreamCallEnd::Refused)
+        upstream.m_reach = {};
+    if (!refused)
+        return;
+    const auto wasKnown = isUnreachable(upstream.m_reach, now);
+    upstream.m_reach.m_refusedAt = now;
+    if (!wasKnown)
+        m_board.m_upstreamLost(upstream);
+}
+
 auto UpstreamCaller::call(CallState& state, CallerAnswer& answer, const UpstreamPointer& upstream,
     MonotonicTime silentAt) -> Awaitable<UpstreamCallEnd>
 {
-    auto connection = co_await m_connections.acquire(upstream);
+    auto refused = false;
+    auto connection = co_await m_connections.acquire(upstream, refused);
     auto end = UpstreamCallEnd::NotReached;
     if (state.m_callerGone)
         co_return UpstreamCallEnd::CallerGone;
     if (connection)
         end = co_await exchange(state, answer, upstream, std::move(connection), silentAt);
+    noteReach(*upstream, end, refused);
     if (const auto noted = callEndFor(end))
         noteCallEnd(upstream->m_health, *noted, Clock::now());
     co_return end;
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -67,6 +67,7 @@
 private:
     auto exchange(CallState&, CallerAnswer&, const UpstreamPointer&, UpstreamConnectionPointer,
         MonotonicTime silentAt) -> Awaitable<UpstreamCallEnd>;
+    auto noteReach(Upstream&, UpstreamCallEnd, bool refused) -> void;
     auto noteMissing(const std::string& adapter, Upstream&, MonotonicTime now) -> void;
     auto noteRefusal(const CallState&, Upstream&, const UpstreamAnswer&) -> void;
 
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -1,5 +1,7 @@
 #include "relay/upstream_choice.h"
 
+#include "relay/upstream_health.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -198,6 +200,12 @@
         if (upstream->m_record.m_pool != needs.m_pool || !takesWork(table, *upstream)
             || !staysInRegions(*upstream, needs, context))
             continue;
+        if (isUnreachable(upstream->m_reach, context.m_now)) {
+            // Where an adapter is needed, it has to be loaded at another one.
+            const auto outcome = needs.m_adapter.empty() ? ChoiceOutcome::Full : ChoiceOutcome::NotLoaded;
+            raise(choice, outcome, reachableAgainAt(upstream->m_reach));
+            continue;
+        }
         const auto adapter = adapterState(*upstream, needs, version, context.m_now);
         if (!adapter.m_ready) {
             raise(choice, adapter.m_loading ? ChoiceOutcome::Loading : ChoiceOutcome::NotLoaded,
--- a/src/relay/upstream_connections.cc
+++ b/src/relay/upstream_connections.cc
@@ -23,7 +23,8 @@
 {
 }
 
-auto UpstreamConnections::acquire(const UpstreamPointer& upstream) -> Awaitable<UpstreamConnectionPointer>
+auto UpstreamConnections::acquire(const UpstreamPointer& upstream, bool& refused)
+    -> Awaitable<UpstreamConnectionPointer>
 {
     const auto now = std::chrono::steady_clock::now();
     if (const auto found = m_idle.find(upstream.get()); found != m_idle.end()) {
@@ -39,6 +40,7 @@
     auto error = ErrorCode();
     m_board.m_metrics.add(Counter::UpstreamConnects);
     co_await connectTo(connection->m_stream, upstream->m_record.m_address, connectTimeout, error);
+    refused = error == net::error::connection_refused || error == net::error::connection_reset;
     if (error)
         co_return nullptr;
     boundSilence(connection->m_stream.socket(), silenceBound);
--- a/src/relay/upstream_connections.h
+++ b/src/relay/upstream_connections.h
@@ -25,7 +25,8 @@
     UpstreamConnections(Executor, RelayBoard&);
 
     // Returns a kept connection that still looks open, or opens one; a null pointer when that fails.
-    auto acquire(const UpstreamPointer&) -> Awaitable<UpstreamConnectionPointer>;
+    // `refused` tells whether nobody listens there.
+    auto acquire(const UpstreamPointer&, bool& refused) -> Awaitable<UpstreamConnectionPointer>;
 
     // Keeps a connection for the next request. `idleTime` is how long the upstream keeps it.
     auto keep(const UpstreamPointer&, UpstreamConnectionPointer, Milliseconds idleTime) -> void;
--- a/src/relay/upstream_health.cc
+++ b/src/relay/upstream_health.cc
@@ -15,6 +15,7 @@
     constexpr auto failuresUntilAvoided = 1.8; // Weighted; so many and
     constexpr auto failedShareUntilAvoided = 0.4; // this share of the results lately.
     constexpr auto successesUntilForgiven = 3.0;
+    constexpr auto refusedPeersBelieved = 2;
 
     auto decay(UpstreamHealth& health, MonotonicTime now) -> void
     {
@@ -55,10 +56,32 @@
     case CallEnd::Silent:
         health.m_failures += failuresUntilAvoided;
         break;
+    case CallEnd::NotReached:
+        health.m_failures += failuresUntilAvoided;
+        avoid(health, now);
+        return;
     }
     const auto share = health.m_failures / (health.m_failures + health.m_successes);
     if (health.m_failures >= failuresUntilAvoided && share >= failedShareUntilAvoided)
         avoid(health, now);
 }
 
+auto isUnreachable(const UpstreamReach& reach, MonotonicTime now) -> bool
+{
+    if (reach.m_refusedAt != MonotonicTime() && reach.m_refusedAt + unreachableTime > now)
+        return true;
+    const auto& peers = reach.m_refusedPeers;
+    const auto refused = std::count_if(
+        peers.begin(), peers.end(), [&](const auto& entry) { return entry.second + unreachableTime > now; });
+    return refused >= refusedPeersBelieved;
+}
+
+auto reachableAgainAt(const UpstreamReach& reach) -> MonotonicTime
+{
+    auto last = reach.m_refusedAt;
+    for (const auto& [vm, toldAt] : reach.m_refusedPeers)
+        last = std::max(last, toldAt);
+    return last + unreachableTime;
+}
+
 } // namespace marigoldladder::relay
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -144,5 +144,14 @@
         EXPECT_GE(sent, 2);
     }
 
+    TEST_F(UpstreamChoiceTest, AnAdapterAtACrashedEngineHasToBeLoadedElsewhere)
+    {
+        auto& crashed = add(engineRecord("crashed", { "a1" }));
+        crashed.m_reach.m_refusedAt = at(0.9);
+        const auto choice = choose();
+        EXPECT_EQ(choice.m_outcome, ChoiceOutcome::NotLoaded);
+        EXPECT_EQ(choice.m_retryAt, at(1.7)) << "it may have been only a moment";
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
--- a/test/relay/upstream_health_test.cc
+++ b/test/relay/upstream_health_test.cc
@@ -33,5 +33,24 @@
         EXPECT_GT(health.m_avoidUntil, at(0.1));
     }
 
+    TEST(UpstreamHealthTest, AnUpstreamThatCannotBeReachedIsAvoidedWhateverItAnsweredBefore)
+    {
+        auto health = UpstreamHealth();
+        for (auto call = 0; call < 50; ++call)
+            noteCallEnd(health, CallEnd::Answered, at(call * 0.02));
+        noteCallEnd(health, CallEnd::NotReached, at(1.1));
+        EXPECT_GT(health.m_avoidUntil, at(1.1));
+    }
+
+    TEST(UpstreamHealthTest, TwoPeersAreBelievedThatAnUpstreamIsGoneAndOneIsNot)
+    {
+        auto reach = UpstreamReach();
+        reach.m_refusedPeers[VmName("one")] = at(0);
+        EXPECT_FALSE(isUnreachable(reach, at(0.1))) << "one may be cut off itself";
+        reach.m_refusedPeers[VmName("two")] = at(0.1);
+        EXPECT_TRUE(isUnreachable(reach, at(0.2)));
+        EXPECT_FALSE(isUnreachable(reach, at(2))) << "it is tried again soon";
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
