Load further copies before rare adapters where requests wait, and make room early

Copies were planned only while less than 0.6 of the loads at full speed were under way, and adapters that nobody had kept all 40 busy; the adapter asked for most was waited for 986 times because its engines were full. Later, fewer than three places were free on most engines, so no copies were made at all.

A load now goes by the requests that need not wait then: waiting ones for an adapter that no engine has; of one that is served, those that one more copy takes, or four requests a second for each copy. Adapters that were hardly asked for are dropped before their places are needed.

One test changed: ReplacesOnlyAsManyVersions... now has a place less to fill, as the spare one stays free, and counts loads, since idle adapters leave in the same plan.

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -11,10 +11,14 @@
 
     constexpr auto copiesShare
         = 0.6; // What copies may take of the loads at full speed; the rest is for adapters waited for.
-    constexpr auto modelsAtOnce = std::size_t { 2 }; // Over all engines; the weight store is slow with more.
+    constexpr auto leastModelsAtOnce
+        = std::size_t { 2 }; // Over all engines; some come from engines' own disks.
     constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
     constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
     constexpr auto rateForCopy = 1.0; // Requests a second for each copy that make one more worth a place.
+    constexpr auto rateForUrgentCopy = 4.0; // Requests a second for each copy that soon fill an engine.
+    constexpr auto idleValue = 0.3; // Of keeping an adapter that was asked for once some seconds ago.
+    constexpr auto atHandGain = 8.0; // Requests a second; nothing is brought from the weight store.
     constexpr auto returnRate = 0.15; // Requests a second above which a lost adapter comes back unasked.
 
     auto isWaitedFor(const PlannedAdapter& adapter) -> bool
@@ -38,9 +42,28 @@
         return std::find(models.begin(), models.end(), adapter.m_model) != models.end();
     }
 
-    auto orderingCost(const PlannedEngine& engine) -> double
+    // What loading the adapter at the engine costs others there.
+    auto loadingCost(const PlannedEngine& engine, const PlannedAdapter& adapter) -> double
     {
-        return engine.m_load + static_cast<double>(engine.m_loading);
+        const auto atHand = engine.m_orders && hasAtHand(*engine.m_orders, *adapter.m_name);
+        return engine.m_load + static_cast<double>(engine.m_loading) - (atHand ? atHandGain : 0);
+    }
+
+    // What one more copy of the adapter gains: requests that need not wait. 0: it is not urgent.
+    auto gainOfCopy(const PlannedAdapter& adapter) -> double
+    {
+        if (!adapter.m_wish)
+            return 0;
+        const auto waiting = static_cast<double>(adapter.m_wish->m_waiting);
+        const auto rate = rateOf(adapter);
+        if (adapter.m_copies == 0)
+            return waiting > 0 ? waiting : (rate >= returnRate ? rate : 0);
+        // While the first copy is on its way, requests wait for that one.
+        if (!adapter.m_serving)
+            return 0;
+        const auto copies = static_cast<double>(adapter.m_copies);
+        const auto gain = std::max(waiting / (copies + 1), rate / copies / rateForUrgentCopy);
+        return gain >= 1 ? gain : 0;
     }
 
     class Planner {
@@ -49,6 +72,7 @@
             : m_input(input)
             , m_view(viewForPlan(input))
             , m_fullSpeed(loadsAtFullSpeed(*input.m_configuration))
+            , m_modelsAtOnce(std::max(leastModelsAtOnce, modelsAtFullSpeed(*input.m_configuration)))
         {
         }
 
@@ -59,9 +83,10 @@
                 plan.m_waited += isWaitedFor(adapter) && adapter.m_copies == 0 ? 1 : 0;
             plan.m_placesComing = m_view.m_placesComing;
             planModels();
-            planWaited();
+            planUrgent();
             planVersions();
             planCopies();
+            planRoom();
             plan.m_loading = m_view.m_loading;
             plan.m_engines = m_view.m_engines.size();
             for (const auto& engine : m_view.m_engines) {
@@ -74,19 +99,21 @@
         }
 
     private:
-        // Returns the engine that draws the least load among those with more than `reserved` free places.
+        // Returns the engine that draws the least load among those with more than `reserved` free places,
+        // rather one that has the adapter at hand.
         auto engineFor(AdapterNumber number, std::size_t reserved) -> PlannedEngine*
         {
             const auto& adapter = m_view.m_adapters[number];
             auto* best = static_cast<PlannedEngine*>(nullptr);
+            auto lowest = std::numeric_limits<double>::infinity();
             for (auto& engine : m_view.m_engines) {
                 if (placesTaken(engine) + reserved >= engine.m_places || !takesOrders(engine))
                     continue;
-                if (best && orderingCost(engine) >= orderingCost(*best))
-                    continue;
-                if (findHeld(engine, number) || !servesModel(engine, adapter))
+                const auto cost = loadingCost(engine, adapter);
+                if (cost >= lowest || findHeld(engine, number) || !servesModel(engine, adapter))
                     continue;
                 best = &engine;
+                lowest = cost;
             }
             return best;
         }
@@ -154,11 +181,15 @@
                     }
                 }
             }
-            if (!from)
-                return;
-            from->m_dropping = true;
-            const auto& dropped = m_view.m_adapters[victim->m_adapter];
-            m_orders.push_back({ AdapterOrderKind::Unload, from->m_upstream, std::string(dropped.m_model),
+            if (from)
+                orderDrop(*from, *victim);
+        }
+
+        auto orderDrop(PlannedEngine& engine, const HeldAdapter& held) -> void
+        {
+            engine.m_dropping = true;
+            const auto& dropped = m_view.m_adapters[held.m_adapter];
+            m_orders.push_back({ AdapterOrderKind::Unload, engine.m_upstream, std::string(dropped.m_model),
                 *dropped.m_name, 0, false, {} });
         }
 
@@ -167,7 +198,7 @@
         {
             for (auto& engine : m_view.m_engines) {
                 if (!engine.m_upstream->m_record.m_models.empty() || engine.m_loadingModel
-                    || m_view.m_loadingModels >= modelsAtOnce || !takesOrders(engine))
+                    || m_view.m_loadingModels >= m_modelsAtOnce || !takesOrders(engine))
                     continue;
                 const auto* model = mostWanted(engine);
                 if (!model)
@@ -197,40 +228,56 @@
             return best;
         }
 
-        // Returns the adapters asked for that no engine can serve, those that most requests wait for first.
-        auto absentAdapters() const -> std::vector<AdapterNumber>
+        // Returns the adapters of which requests need one more copy soon, those that gain most first.
+        auto urgentAdapters() const -> std::vector<AdapterNumber>
         {
-            auto absent = std::vector<AdapterNumber>();
+            auto urgent = std::vector<std::pair<std::pair<double, double>, AdapterNumber>>();
             for (auto number = AdapterNumber { 0 }; number < m_view.m_adapters.size(); ++number) {
-                if (m_view.m_adapters[number].m_wish && m_view.m_adapters[number].m_copies == 0)
-                    absent.push_back(number);
+                const auto& adapter = m_view.m_adapters[number];
+                if (const auto gain = gainOfCopy(adapter); gain > 0)
+                    urgent.push_back({ { gain, rateOf(adapter) }, number });
             }
-            const auto rank = [this](AdapterNumber number) {
-                const auto& wish = *m_view.m_adapters[number].m_wish;
-                return std::pair(wish.m_waiting, wish.m_rate);
-            };
-            std::sort(absent.begin(), absent.end(),
-                [&](AdapterNumber left, AdapterNumber right) { return rank(left) > rank(right); });
-            return absent;
+            std::sort(urgent.begin(), urgent.end(),
+                [](const auto& left, const auto& right) { return left.first > right.first; });
+            auto numbers = std::vector<AdapterNumber>();
+            for (const auto& [gain, number] : urgent)
+                numbers.push_back(number);
+            return numbers;
         }
 
-        auto planWaited() -> void
+        auto planUrgent() -> void
         {
-            for (const auto number : absentAdapters()) {
+            for (const auto number : urgentAdapters()) {
                 if (m_view.m_loading >= m_fullSpeed)
                     return;
-                const auto& wish = *m_view.m_adapters[number].m_wish;
-                if (wish.m_waiting == 0 && wish.m_rate < returnRate)
-                    continue;
+                const auto& adapter = m_view.m_adapters[number];
                 if (auto* engine = engineFor(number, 0))
                     orderLoad(*engine, number);
-                else if (wish.m_waiting > 0 && m_view.m_placesComing > 0)
+                else if (adapter.m_copies > 0 || adapter.m_wish->m_waiting == 0)
+                    continue;
+                else if (m_view.m_placesComing > 0)
                     --m_view.m_placesComing;
-                else if (wish.m_waiting > 0 && !anyFreePlace())
+                else if (!anyFreePlace())
                     orderUnload(number);
             }
         }
 
+        // Drops adapters that are hardly asked for any more before their places are needed.
+        auto planRoom() -> void
+        {
+            for (auto& engine : m_view.m_engines) {
+                if (!takesOrders(engine) || engine.m_dropping
+                    || placesTaken(engine) + reservedPlaces <= engine.m_places)
+                    continue;
+                const auto least = std::min_element(engine.m_held.begin(), engine.m_held.end(),
+                    [this](const HeldAdapter& left, const HeldAdapter& right) {
+                        return keepingValue(left) < keepingValue(right);
+                    });
+                if (least != engine.m_held.end() && keepingValue(*least) < idleValue)
+                    orderDrop(engine, *least);
+            }
+        }
+
         // Replaces older versions where a newer one serves elsewhere, so that nobody waits for it.
         auto planVersions() -> void
         {
@@ -248,7 +295,7 @@
                 || presence->m_version >= adapter.m_newestVersion)
                 return;
             if (!adapter.m_serving || m_view.m_loading >= m_fullSpeed || !takesOrders(engine)
-                || placesTaken(engine) >= engine.m_places + spareMargin)
+                || placesTaken(engine) >= engine.m_places)
                 return;
             orderLoad(engine, held.m_adapter);
         }
@@ -277,6 +324,7 @@
         const PlanInput& m_input;
         PlanView m_view;
         std::size_t m_fullSpeed;
+        std::size_t m_modelsAtOnce;
         std::vector<AdapterOrder> m_orders;
     };
 
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+    constexpr auto spareMargin
+        = std::size_t { 1 }; // Place kept free at each engine, as a listing may lag behind.
+
     class ViewBuilder {
     public:
         explicit ViewBuilder(const PlanInput& input)
--- a/src/relay/plan_view.h
+++ b/src/relay/plan_view.h
@@ -63,9 +63,6 @@
     std::size_t m_placesComing = 0; // Adapters on their way out.
 };
 
-// One place at each engine is left out of the plan, as a listing may lag behind.
-inline constexpr auto spareMargin = std::size_t { 1 };
-
 // Returns the view of an input that has a configuration.
 auto viewForPlan(const PlanInput&) -> PlanView;
 
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -8,6 +8,14 @@
 namespace marigoldladder::relay {
 namespace {
 
+    auto loadsOf(const AdapterPlan& plan) -> std::vector<AdapterOrder>
+    {
+        auto loads = std::vector<AdapterOrder>();
+        std::copy_if(plan.m_orders.begin(), plan.m_orders.end(), std::back_inserter(loads),
+            [](const AdapterOrder& order) { return order.m_kind == AdapterOrderKind::Load; });
+        return loads;
+    }
+
     class AdapterPlanTest : public testing::Test {
     protected:
         AdapterPlanTest()
@@ -165,18 +173,18 @@
     // Seen on a site: versions announced during an outage of the store were all replaced at once after it.
     TEST_F(AdapterPlanTest, ReplacesOnlyAsManyVersionsAtOnceAsThereArePlacesLeft)
     {
-        addEngine("full", { "a1", "a2", "a3", "a4" });
+        // 5 places, one of them always kept free.
+        addEngine("full", { "a1", "a2", "a3" });
         auto& fresh = addEngine("fresh");
         for (const auto* adapter : { "model/a1", "model/a2", "model/a3" }) {
             enterAdapterVersion(m_table, { adapter, 2 }, at(0));
             enterOrderedAdapter(fresh, { adapter, 2 }, at(0.5), at(0.2));
         }
-        const auto planned = plan();
-        ASSERT_EQ(planned.m_orders.size(), 1U)
-            << "an adapter on its way takes a place beside its older version";
-        EXPECT_TRUE(planned.m_orders[0].m_replaces);
-        bookOrder(ordersOf(m_book, *planned.m_orders[0].m_upstream), planned.m_orders[0], at(1), at(2));
-        EXPECT_TRUE(plan().m_orders.empty()) << "the place is taken until the engine says otherwise";
+        const auto loads = loadsOf(plan());
+        ASSERT_EQ(loads.size(), 1U) << "an adapter on its way takes a place beside its older version";
+        EXPECT_TRUE(loads[0].m_replaces);
+        bookOrder(ordersOf(m_book, *loads[0].m_upstream), loads[0], at(1), at(2));
+        EXPECT_TRUE(loadsOf(plan()).empty()) << "the place is taken until the engine says otherwise";
     }
 
     TEST_F(AdapterPlanTest, AnEnginesNextRunMayStillGetOrdersWithoutAnswer)
@@ -209,5 +217,79 @@
                 << "the four that are waited for most come first";
     }
 
+    TEST_F(AdapterPlanTest, LoadsAnAdapterAgainWhereItWasDropped)
+    {
+        addEngine("idle");
+        auto& engine = addEngine("dropped-it", { "busy" });
+        wish("busy", 3);
+        auto& orders = ordersOf(m_book, engine);
+        const auto drop = AdapterOrder { AdapterOrderKind::Unload,
+            m_table.m_upstreams.at(UpstreamName("dropped-it")), "model", "model/back", 0, false, {} };
+        enterAnswer(orders, drop, OrderAnswer::AlreadyDone, at(0.5));
+        wish("back", 0.3, 1);
+        const auto planned = plan();
+        ASSERT_FALSE(planned.m_orders.empty());
+        EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("dropped-it"))
+            << "it loads ten times as fast there, and nothing is brought from the weight store";
+    }
+
+    TEST_F(AdapterPlanTest, AnEngineThatRestartedHasNothingAtHand)
+    {
+        auto& engine = addEngine("engine");
+        auto& orders = ordersOf(m_book, engine);
+        const auto drop = AdapterOrder { AdapterOrderKind::Unload,
+            m_table.m_upstreams.at(UpstreamName("engine")), "model", "model/back", 0, false, {} };
+        enterAnswer(orders, drop, OrderAnswer::Accepted, at(0.5));
+        EXPECT_TRUE(hasAtHand(orders, "model/back"));
+        auto restarted = engineRecord("engine");
+        restarted.m_startedAt = 7;
+        enterUpstream(m_table, restarted, at(0.6));
+        EXPECT_FALSE(
+            hasAtHand(ordersOf(m_book, *m_table.m_upstreams.at(UpstreamName("engine"))), "model/back"));
+    }
+
+    TEST_F(AdapterPlanTest, LoadsElsewhereWhatACrashedEngineHeld)
+    {
+        auto& crashed = addEngine("crashed", { "wanted" });
+        crashed.m_reach.m_refusedPeers = { { VmName("one"), at(0.9) }, { VmName("two"), at(0.9) } };
+        addEngine("sound");
+        wish("wanted", 1, 1);
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("sound"));
+    }
+
+    TEST_F(AdapterPlanTest, ACopyThatManyRequestsNeedGoesBeforeAnAdapterThatOneRequestNeeds)
+    {
+        addEngine("full", { "popular" });
+        addEngine("other");
+        wish("rare", 0.2, 1);
+        wish("popular", 30, 12, 40);
+        const auto planned = plan();
+        ASSERT_FALSE(planned.m_orders.empty());
+        EXPECT_EQ(planned.m_orders[0].m_adapter, "model/popular") << "its only engine can't take all";
+    }
+
+    TEST_F(AdapterPlanTest, RequestsWaitForTheFirstCopyThatIsOnItsWay)
+    {
+        auto& engine = addEngine("loading");
+        ordersOf(m_book, engine).m_loading["model/new"] = at(2);
+        addEngine("other");
+        wish("new", 0.5, 3);
+        EXPECT_TRUE(plan().m_orders.empty());
+    }
+
+    TEST_F(AdapterPlanTest, DropsAnIdleAdapterBeforeItsPlaceIsNeeded)
+    {
+        addEngine("engine", { "a1", "a2", "a3" });
+        wish("a1", 2, 0, 1);
+        wish("a2", 0.01);
+        wish("a3", 1);
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_kind, AdapterOrderKind::Unload);
+        EXPECT_EQ(planned.m_orders[0].m_adapter, "model/a2");
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
