Watch the store from each data centre of a large fleet, and tell of news at once

Ruled out: the store (every other node reached it) and peers' fetches (each took less than 0.1 s).

Nodes that reach the store are ranked within their data centres first, so watchers stand apart; beyond 16 nodes there is one in each data centre at least. A watcher that was silent for a second is no longer counted.

--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <ctime>
+#include <set>
+#include <tuple>
 #include <xxhash.h>
 
 namespace marigoldladder::relay {
@@ -9,9 +11,14 @@
 namespace {
 
     constexpr auto lostTime = Milliseconds(20'000); // Beyond any cut after which a node is expected back.
+    constexpr auto mostNodesOfSmallFleet = std::size_t { 16 };
     constexpr auto memberReadInterval = Milliseconds(15'000);
     constexpr auto memberReadTimeANode = Milliseconds(2'000); // So that the fleet reads once in two seconds.
-    constexpr auto storeWatchers = std::size_t { 3 }; // So that the loss of two goes unnoticed.
+    constexpr auto fewestWatchers = std::size_t { 3 }; // So that the loss of two goes unnoticed.
+
+    // Those that watch the store tell four times a second; silent for longer, another one takes their place,
+    // as a change has to be in force within seconds.
+    constexpr auto watcherSilence = Milliseconds(1'000);
     constexpr auto demandFloor = 0.25; // Of an even part, so that new demand finds something.
 
     auto silentShare(const Peer& peer, std::uint32_t organisation, double total, double even) -> double
@@ -39,6 +46,17 @@
         }
     }
 
+    // A large fleet has one in each data centre, since a cut may hit many nodes at a time.
+    auto storeWatchers(const FleetView& fleet) -> std::size_t
+    {
+        if (isSmallFleet(fleet))
+            return fewestWatchers;
+        auto dataCentres = std::set<DataCentreName>();
+        for (const auto& [vm, peer] : fleet.m_peers)
+            dataCentres.insert(peer.m_dataCentre);
+        return std::max(fewestWatchers, dataCentres.size());
+    }
+
 } // namespace
 
 auto uninterruptedNow() -> UninterruptedTime
@@ -77,6 +95,11 @@
     addLoads(fleet, peer.m_loads);
 }
 
+auto isSmallFleet(const FleetView& fleet) -> bool
+{
+    return sharingNodes(fleet) <= mostNodesOfSmallFleet;
+}
+
 auto sharingNodes(const FleetView& fleet) -> std::size_t
 {
     return fleet.m_peers.size() + 1;
@@ -128,18 +151,26 @@
     return { heardPart * weight, heardPart, total, true };
 }
 
-auto shouldWatchStore(const FleetView& fleet, const VmName& self, bool selfReachable, MonotonicTime now)
-    -> bool
+auto shouldWatchStore(const FleetView& fleet, const StoreWatcher& self, MonotonicTime now) -> bool
 {
-    auto before = std::size_t { 0 };
+    auto candidates = std::vector<StoreWatcher> { self };
     for (const auto& [vm, peer] : fleet.m_peers) {
-        if (!isAlive(peer, now) || peer.m_leaving)
-            continue;
-        // Those that reach the store come first, then by name.
-        if (std::pair(!peer.m_storeReachable, vm) < std::pair(!selfReachable, self))
-            ++before;
+        if (!peer.m_leaving && peer.m_heardAt != MonotonicTime() && peer.m_heardAt + watcherSilence > now)
+            candidates.push_back({ vm, peer.m_dataCentre, peer.m_storeReachable });
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const StoreWatcher& left, const StoreWatcher& right) {
+        return std::pair(!left.m_storeReachable, left.m_vm) < std::pair(!right.m_storeReachable, right.m_vm);
+    });
+    auto rankInDataCentre = std::map<std::pair<DataCentreName, bool>, std::size_t>();
+    auto ranks = std::vector<std::tuple<bool, std::size_t, VmName>>();
+    for (const auto& candidate : candidates) {
+        auto& rank = rankInDataCentre[{ candidate.m_dataCentre, candidate.m_storeReachable }];
+        ranks.emplace_back(!candidate.m_storeReachable, rank++, candidate.m_vm);
     }
-    return before < storeWatchers;
+    std::sort(ranks.begin(), ranks.end());
+    const auto own = std::find_if(
+        ranks.begin(), ranks.end(), [&](const auto& rank) { return std::get<VmName>(rank) == self.m_vm; });
+    return static_cast<std::size_t>(own - ranks.begin()) < storeWatchers(fleet);
 }
 
 auto peerThatKnowsMore(const FleetView& fleet, std::size_t kind, std::uint64_t revision,
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -77,6 +77,9 @@
 // Returns the number of nodes that share the fleet's bounds, this one included.
 auto sharingNodes(const FleetView&) -> std::size_t;
 
+// Whether all nodes can afford to tell all others every time.
+auto isSmallFleet(const FleetView&) -> bool;
+
 // Forgets peers that were silent for so long that they are gone.
 auto forgetLostPeers(FleetView&, MonotonicTime now) -> void;
 
@@ -95,8 +98,16 @@
 auto organisationParts(const FleetView&, std::uint32_t organisation, double ownDemand, MonotonicTime now)
     -> OrganisationParts;
 
-// Whether this node should watch the store: a few do, those whose calls are answered first.
-auto shouldWatchStore(const FleetView&, const VmName& self, bool selfReachable, MonotonicTime now) -> bool;
+// A node that may watch the store for others.
+struct StoreWatcher {
+    VmName m_vm;
+    DataCentreName m_dataCentre;
+    bool m_storeReachable = false;
+};
+
+// Whether this node should watch the store: a few do, those whose calls are answered first, and rather one in
+// each data centre than several in one.
+auto shouldWatchStore(const FleetView&, const StoreWatcher& self, MonotonicTime now) -> bool;
 
 // Returns the peer to ask for later objects of a kind than this node knows: a near one if any, so that few
 // bytes go between data centres. A null pointer when none knows more.
--- /dev/null
+++ b/src/relay/order_keeper_lease.cc
@@ -0,0 +1,154 @@
+// How the node that gives orders gets its lease, keeps it and loses it.
+#include "core/log.h"
+#include "relay/order_keeper.h"
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr auto leaseKind = "leases"; // Of this project's own objects.
+    constexpr auto leaseName = "engine-orders";
+    constexpr auto leaseStepInterval = Milliseconds(100);
+    constexpr auto leaseReadInterval = Milliseconds(700);
+
+    auto contentOf(const LeaseRecord& record) -> nlohmann::json
+    {
+        return nlohmann::json { { "vm", record.m_vm.value() }, { "fence", record.m_fence },
+            { "renewals", record.m_renewals } };
+    }
+
+    auto recordOf(const StoredObject& object) -> LeaseRecord
+    {
+        auto record = LeaseRecord();
+        record.m_revision = object.m_revision;
+        if (!object.m_content.is_object())
+            return record;
+        record.m_vm = VmName(object.m_content.value("vm", ""));
+        record.m_fence = object.m_content.value("fence", std::uint64_t { 1 });
+        record.m_renewals = object.m_content.value("renewals", std::uint64_t { 0 });
+        return record;
+    }
+
+} // namespace
+
+auto OrderKeeper::keepLease() -> Awaitable<void>
+{
+    for (;;) {
+        co_await sleepFor(leaseStepInterval);
+        const auto& holder = m_board.m_fleet.m_holder;
+        if (m_lease.m_holding && holder.m_fence > m_board.m_orders.m_fence)
+            loseLease("another node holds a newer one");
+        auto context = LeaseContext();
+        context.m_self = m_settings.m_vm;
+        context.m_leaseTime = m_settings.m_bounds.m_leaseTime;
+        context.m_now = uninterruptedNow();
+        if (holder.m_heardAt != MonotonicTime() && holder.m_vm != m_settings.m_vm)
+            context.m_holderHeardAt = context.m_now - (Clock::now() - holder.m_heardAt);
+        context.m_mayHold = m_isReady();
+        context.m_rank = m_peers.rankAmongReady();
+        const auto step = nextLeaseStep(m_lease, context);
+        if (step == LeaseStep::Nothing)
+            continue;
+        co_await takeStep(step);
+        if (step == LeaseStep::Read)
+            co_await sleepFor(leaseReadInterval);
+    }
+}
+
+auto OrderKeeper::takeStep(LeaseStep step) -> Awaitable<void>
+{
+    switch (step) {
+    case LeaseStep::Nothing:
+        break;
+    case LeaseStep::Read:
+        co_await readLease();
+        break;
+    case LeaseStep::Create:
+        co_await writeLease(true, 1, 0);
+        break;
+    case LeaseStep::Renew:
+        co_await writeLease(false, m_lease.m_seen->m_fence, m_lease.m_seen->m_renewals + 1);
+        break;
+    case LeaseStep::TakeOver:
+        co_await writeLease(false, m_lease.m_seen->m_fence + 1, 0);
+        break;
+    }
+}
+
+auto OrderKeeper::readLease() -> Awaitable<void>
+{
+    auto object = co_await m_store.m_get(leaseKind, leaseName);
+    if (object)
+        enterLease(m_lease, recordOf(object.value()), uninterruptedNow());
+    else if (object.error().m_type == StoreFailureType::Conflict)
+        enterLease(m_lease, LeaseRecord(), uninterruptedNow());
+}
+
+auto OrderKeeper::writeLease(bool create, std::uint64_t fence, std::uint64_t renewals) -> Awaitable<void>
+{
+    const auto sentAt = uninterruptedNow();
+    auto record = LeaseRecord { m_settings.m_vm, fence, renewals, create ? 0 : m_lease.m_seen->m_revision };
+    auto object = StoredObject();
+    object.m_name = leaseName;
+    object.m_revision = record.m_revision;
+    object.m_content = contentOf(record);
+    // gcc 12 destroys temporaries twice where a conditional expression holds both calls.
+    auto call = create ? m_store.m_create(leaseKind, object) : m_store.m_replace(leaseKind, object);
+    auto written = co_await std::move(call);
+    if (written) {
+        record.m_revision = written.value().m_revision;
+        holdWith(record, sentAt);
+        co_return;
+    }
+    if (written.error().m_type == StoreFailureType::Refused)
+        co_return;
+    // Either another node wrote, or an answer to this one's own write was lost.
+    auto present = co_await m_store.m_get(leaseKind, leaseName);
+    if (!present)
+        co_return;
+    const auto found = recordOf(present.value());
+    if (found.m_vm == m_settings.m_vm && found.m_fence == fence && found.m_renewals == renewals) {
+        holdWith(found, sentAt);
+        co_return;
+    }
+    enterLease(m_lease, found, uninterruptedNow());
+    if (m_lease.m_holding && (found.m_vm != m_settings.m_vm || found.m_fence != fence))
+        loseLease("another node took over");
+}
+
+auto OrderKeeper::holdWith(const LeaseRecord& record, UninterruptedTime sentAt) -> void
+{
+    enterLease(m_lease, record, uninterruptedNow());
+    m_lease.m_renewedAt = sentAt;
+    const auto isNew = !m_lease.m_holding;
+    m_lease.m_holding = true;
+    m_board.m_orders.m_holding = true;
+    m_board.m_orders.m_fence = record.m_fence;
+    if (!isNew)
+        return;
+    logChange("order_lease_held", { { "fence", std::to_string(record.m_fence) } });
+    auto& holder = m_board.m_fleet.m_holder;
+    holder = KnownHolder { m_settings.m_vm, record.m_fence, Clock::now() };
+    m_board.m_fleetDemand.m_byNode.clear();
+    m_peers.tellAll();
+    planSoon();
+}
+
+auto OrderKeeper::loseLease(const char* reason) -> void
+{
+    m_lease.m_holding = false;
+    m_board.m_orders.m_holding = false;
+    m_board.m_orders.m_recent.clear();
+    m_book.clear();
+    logChange("order_lease_lost", { { "reason", reason } });
+}
+
+auto OrderKeeper::mayOrderNow() const -> bool
+{
+    const auto succeeded = m_board.m_fleet.m_holder.m_fence > m_board.m_orders.m_fence;
+    return !succeeded && mayOrder(m_lease, m_peers.heardByAll(), uninterruptedNow());
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -52,7 +52,6 @@
     auto enterMember(const StoredObject&) -> void;
     auto learnMembers() -> Awaitable<void>;
     auto interval() const -> Milliseconds;
-    auto isFewNodes() const -> bool;
     auto isNear(const Peer&) const -> bool;
     auto tell(bool alsoFar) -> void;
     auto makeSummary(bool toHolder) -> std::string;
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -69,6 +69,9 @@
     // Called when a request that waits may find an upstream now.
     std::function<void()> m_capacityChanged = [] {};
 
+    // Called when the store has told of a change that other nodes wait for.
+    std::function<void()> m_newsLearnt = [] {};
+
     // Called when nobody listens at an upstream any more.
     std::function<void(const Upstream&)> m_upstreamLost = [](const Upstream&) {};
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -52,6 +52,7 @@
 {
     m_board.m_budgets.m_startFull = settings.m_firstStart;
     m_board.m_capacityChanged = [this] { m_waitList.serveLater(); };
+    m_board.m_newsLearnt = [this] { m_peers.tellSoon(); };
     m_board.m_upstreamLost = [this](const Upstream& upstream) {
         logChange("upstream_unreachable", { { "upstream", upstream.m_record.m_name.value() } });
         m_peers.tellSoon();
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -109,8 +109,8 @@
 {
     const auto found = m_board.m_objects.find(kind);
     const auto unknown = found == m_board.m_objects.end() || found->second.m_revision == 0;
-    return unknown
-        || shouldWatchStore(m_board.m_fleet, m_settings.m_vm, m_board.m_storeReachable, Clock::now());
+    const auto self = StoreWatcher { m_settings.m_vm, m_settings.m_dataCentre, m_board.m_storeReachable };
+    return unknown || shouldWatchStore(m_board.m_fleet, self, Clock::now());
 }
 
 auto StoreSync::follow(ObjectKind kind) -> Awaitable<void>
@@ -148,6 +148,8 @@
         noteReachable(true);
         auto told = CacheChanges { std::move(changes.value().m_changes), changes.value().m_revision, false };
         enter(kind, takeChanges(cache, told));
+        if (kind != ObjectKind::Upstreams && !told.m_changes.empty())
+            m_board.m_newsLearnt();
         if (pauseOf(kind).count() > 0)
             co_await sleepFor(pauseOf(kind));
     }
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -113,5 +113,44 @@
         EXPECT_LE(memberReadPause(fleet, at(10)), std::chrono::seconds(15));
     }
 
+    // Nodes of four data centres, by name one data centre after the other.
+    auto largeFleet(double heardAt) -> FleetView
+    {
+        auto fleet = FleetView();
+        for (const auto* dataCentre : { "a", "b", "c", "d" }) {
+            for (auto number = 0; number < 10; ++number) {
+                auto entry = peer(std::string(dataCentre) + std::to_string(number), heardAt, 0);
+                entry.m_dataCentre = DataCentreName(dataCentre);
+                entry.m_storeReachable = true;
+                fleet.m_peers[entry.m_vm] = entry;
+            }
+        }
+        return fleet;
+    }
+
+    auto watches(FleetView fleet, const std::string& name) -> bool
+    {
+        const auto self = StoreWatcher { VmName(name), DataCentreName(name.substr(0, 1)), true };
+        fleet.m_peers.erase(self.m_vm);
+        return shouldWatchStore(fleet, self, at(10));
+    }
+
+    TEST(FleetViewTest, OneNodeOfEachDataCentreWatchesTheStore)
+    {
+        const auto fleet = largeFleet(9.9);
+        for (const auto* name : { "a0", "b0", "c0", "d0" })
+            EXPECT_TRUE(watches(fleet, name)) << name;
+        EXPECT_FALSE(watches(fleet, "a1")) << "a cut of one data centre must not silence all watchers";
+        EXPECT_FALSE(watches(fleet, "d9"));
+    }
+
+    // Seen on a site: a cut hit all watchers at once, and it took 2.6 s until others took their place.
+    TEST(FleetViewTest, AnotherNodeWatchesASecondAfterAWatcherFellSilent)
+    {
+        auto fleet = largeFleet(9.9);
+        fleet.m_peers.at(VmName("b0")).m_heardAt = at(8.9);
+        EXPECT_TRUE(watches(fleet, "b1"));
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
