Play random faults on real relay processes from outside them

Three relays, three upstreams and a store, a fault proxy on each way, twelve callers that keep their connections. 15 kinds of faults come in series and overlap: relays killed, frozen and stopped; the store refusing, silent, slow, losing replies or its history; upstreams and connections likewise; new configurations. Checked: one run at most of what may run once, true refusals, whole and right answers, pieces in order, service at every relay within 12 s after the faults.

Not covered: orders to engines, allowances, drains, clocks.

The stand-ins of the platform tests serve it; only ChildProcess learnt to read the first log line of a relay.

--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -1,5 +1,6 @@
 #include "harness/child_process.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <fcntl.h>
@@ -65,7 +66,10 @@
     const auto started = start(program, arguments);
     m_pid = started.m_pid;
     m_output = started.m_output;
-    m_ready = nlohmann::json::parse(readLine(m_output), nullptr, false);
+    // Some programs print the JSON behind the time and level of a log line.
+    const auto line = readLine(m_output);
+    const auto begin = std::min(line.find('{'), line.size());
+    m_ready = nlohmann::json::parse(line.substr(begin), nullptr, false);
     if (m_ready.is_discarded()) {
         kill();
         throw std::runtime_error(program + " did not become ready");
--- /dev/null
+++ b/test/soak/relay_site.cc
@@ -0,0 +1,181 @@
+#include "soak/relay_site.h"
+
+#include "platform/relay_harness.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <fstream>
+#include <future>
+#include <httplib.h>
+#include <unistd.h>
+
+namespace marigoldladder::soak {
+
+namespace net = boost::asio;
+
+namespace {
+
+    constexpr auto orderTimeout = std::chrono::seconds(2);
+    constexpr auto readyPoll = std::chrono::milliseconds(50);
+    constexpr auto slots = 16;
+
+    auto freeAddress() -> Address
+    {
+        auto context = net::io_context();
+        const auto acceptor
+            = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+        return Address { "127.0.0.1", acceptor.local_endpoint().port() };
+    }
+
+    auto startProxy(const Address& target) -> harness::ChildProcess
+    {
+        return harness::ChildProcess("fakes/fault-proxy", { "--target", formatAddress(target) });
+    }
+
+    auto addressOf(const harness::ChildProcess& proxy) -> std::string
+    {
+        return proxy.ready().value("address", "");
+    }
+
+    auto chunk(const std::string& text) -> std::string
+    {
+        auto length = std::array<char, 16>();
+        std::snprintf(length.data(), length.size(), "%zx", text.size());
+        return std::string(length.data()) + "\r\n" + text + "\r\n";
+    }
+
+} // namespace
+
+RelaySite::RelaySite(std::size_t relays, std::size_t upstreams, SoakRecord& record)
+    : m_record(record)
+    , m_work(m_context.get_executor())
+    , m_store(m_context)
+    , m_thread([this] { m_context.run(); })
+{
+    writeConfiguration();
+    for (auto number = std::size_t { 0 }; number < upstreams; ++number)
+        addUpstream(number);
+    for (auto number = std::size_t { 0 }; number < relays; ++number)
+        addRelay(number);
+}
+
+RelaySite::~RelaySite()
+{
+    for (auto& relay : m_relays) {
+        relay.m_relay.kill();
+        ::unlink(relay.m_settingsFile.c_str());
+    }
+    m_context.stop();
+    m_thread.join();
+}
+
+auto RelaySite::onLoop(std::function<void()> function) -> void
+{
+    auto done = std::promise<void>();
+    net::post(m_context, [&] {
+        function();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+auto RelaySite::answer(const platform::UpstreamRequest& request) -> platform::UpstreamReply
+{
+    const auto id = std::string(request["X-Marigoldladder-Request-Id"]);
+    const auto target = std::string(request.target());
+    if (target == "/report" || target == "/order")
+        return { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n" };
+    m_record.noteRun(id);
+    if (!target.starts_with("/stream/") && !target.starts_with("/once/"))
+        return { platform::answerTo(request, 200, wholeBody(id)) };
+    const auto lastEvent = std::string(request["Last-Event-Id"]);
+    const auto after = lastEvent.empty() ? 0U : std::stoul(lastEvent);
+    auto bytes = "HTTP/1.1 200 OK\r\nX-Marigoldladder-Request-Id: " + id
+        + "\r\nX-Marigoldladder-Server-Stamp: stamp-1\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n";
+    const auto events = streamEvents(id);
+    for (auto number = after; number < events.size(); ++number)
+        bytes += chunk(events[number]);
+    return { bytes + "0\r\n\r\n" };
+}
+
+auto RelaySite::addUpstream(std::size_t number) -> void
+{
+    auto upstream = ProxiedUpstream();
+    onLoop([&] {
+        upstream.m_upstream = std::make_unique<platform::UpstreamStandIn>(
+            m_context, [this](const platform::UpstreamRequest& request) { return answer(request); });
+    });
+    upstream.m_proxy = startProxy(upstream.m_upstream->address());
+    onLoop([&] {
+        m_store.put("servers", "i-" + std::to_string(number),
+            { { "service", "pool" }, { "address", addressOf(upstream.m_proxy) }, { "zone", "here" },
+                { "version", "v1" }, { "slots", slots }, { "state", "ready" }, { "cold_left_ms", 0 },
+                { "models", nlohmann::json::array() }, { "sequence", 0 } });
+    });
+    m_upstreams.push_back(std::move(upstream));
+}
+
+auto RelaySite::addRelay(std::size_t number) -> void
+{
+    auto relay = RelayProcess();
+    relay.m_callerAddress = freeAddress();
+    relay.m_readinessAddress = freeAddress();
+    relay.m_storeProxy = startProxy(m_store.address());
+    const auto settings = nlohmann::json { { "vm", "relay-" + std::to_string(number) },
+        { "data_centre", "here" }, { "region", "r" }, { "data_centre_regions", { { "here", "r" } } },
+        { "caller_address", formatAddress(relay.m_callerAddress) },
+        { "readiness_address", formatAddress(relay.m_readinessAddress) },
+        { "directory_address", formatAddress(freeAddress()) },
+        { "peer_address", formatAddress(freeAddress()) }, { "metrics_address", formatAddress(freeAddress()) },
+        { "store_address", addressOf(relay.m_storeProxy) }, { "first_start", true } };
+    relay.m_settingsFile
+        = "relay-soak-" + std::to_string(::getpid()) + "-" + std::to_string(number) + ".json";
+    std::ofstream(relay.m_settingsFile) << settings.dump();
+    restart(relay);
+    m_relays.push_back(std::move(relay));
+}
+
+auto RelaySite::restart(RelayProcess& relay) -> void
+{
+    relay.m_relay = harness::ChildProcess("marigoldladder-relay", { "--settings", relay.m_settingsFile });
+}
+
+auto RelaySite::orderProxy(
+    const harness::ChildProcess& proxy, const std::string& path, const nlohmann::json& order) -> void
+{
+    const auto control = parseAddress(proxy.ready().value("control_address", ""));
+    auto client = httplib::Client(control->m_host, control->m_port);
+    client.set_connection_timeout(orderTimeout);
+    client.set_read_timeout(orderTimeout);
+    (void)client.Post(path, order.dump(), "application/json");
+}
+
+auto RelaySite::writeConfiguration() -> void
+{
+    ++m_version;
+    onLoop([&] { m_store.put("config", "main", platform::testConfiguration(m_version)); });
+}
+
+auto RelaySite::dropStoreHistory() -> void
+{
+    onLoop([&] { m_store.dropHistory(); });
+}
+
+auto RelaySite::allReady(std::chrono::milliseconds time) -> bool
+{
+    const auto until = std::chrono::steady_clock::now() + time;
+    const auto isReady = [](const RelayProcess& relay) {
+        auto client = httplib::Client(relay.m_readinessAddress.m_host, relay.m_readinessAddress.m_port);
+        const auto reply = client.Get("/readyz");
+        return reply && reply->status == 200;
+    };
+    while (std::chrono::steady_clock::now() < until) {
+        if (std::all_of(m_relays.begin(), m_relays.end(), isReady))
+            return true;
+        std::this_thread::sleep_for(readyPoll);
+    }
+    return false;
+}
+
+} // namespace marigoldladder::soak
--- /dev/null
+++ b/test/soak/relay_soak_test.cc
@@ -0,0 +1,223 @@
+// Randomized faults on real relay processes, from outside them; what callers and upstreams see is checked.
+//
+// SOAK_SEEDS lists seeds, separated by spaces; without it a short fixed list is played. SOAK_ROUNDS is how
+// many faults each seed has.
+#include "soak/relay_site.h"
+#include "soak/soak_callers.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <random>
+#include <sstream>
+
+namespace marigoldladder::soak {
+namespace {
+
+    constexpr auto relays = std::size_t { 3 };
+    constexpr auto upstreams = std::size_t { 3 };
+    constexpr auto callers = std::size_t { 12 };
+    constexpr auto defaultRounds = 10;
+    constexpr auto startTime = std::chrono::milliseconds(10'000);
+    constexpr auto stopMilliseconds = 9'000; // A stopping relay may take 8 s.
+
+    // The users' bound: service is back 12 s after all is sound again.
+    constexpr auto recoveryTime = std::chrono::milliseconds(12'000);
+    constexpr auto settleTime = std::chrono::milliseconds(3'500); // Until nothing of the load runs any more.
+
+    // Seeds of the short run. Each seed that ever failed is added with a line on the cause.
+    constexpr auto shortSeeds = "1 2";
+
+    enum class Fault {
+        KillRelay,
+        FreezeRelay,
+        StopRelay,
+        StoreRefuses,
+        StoreSilent,
+        StoreLosesReplies,
+        StoreSlow,
+        StoreConnectionsSilent,
+        StoreForgets,
+        UpstreamHangs,
+        UpstreamRefuses,
+        UpstreamLosesReplies,
+        UpstreamConnectionsCut,
+        UpstreamConnectionsSilent,
+        ConfigurationChanges,
+    };
+    constexpr auto faults = 15U;
+
+    // Plays one seed's faults, some of them at the same time, and mends what still lasts at its end.
+    class FaultPlayer {
+    public:
+        FaultPlayer(RelaySite& site, std::uint32_t seed)
+            : m_site(site)
+            , m_random(seed)
+        {
+        }
+
+        auto play(int rounds) -> void
+        {
+            for (auto round = 0; round < rounds; ++round) {
+                begin(static_cast<Fault>(m_random() % faults));
+                std::this_thread::sleep_for(std::chrono::milliseconds(100 + m_random() % 900));
+                if (m_random() % 3 == 0)
+                    mend();
+            }
+            mend();
+        }
+
+    private:
+        auto anyRelay() -> RelayProcess& { return m_site.relays()[m_random() % relays]; }
+        auto anyUpstream() -> ProxiedUpstream& { return m_site.upstreams()[m_random() % upstreams]; }
+
+        auto setProxy(const harness::ChildProcess& proxy, const nlohmann::json& fault) -> void
+        {
+            m_site.orderProxy(proxy, "/fault", fault);
+        }
+
+        auto begin(Fault fault) -> void
+        {
+            const auto nothing = nlohmann::json::object();
+            switch (fault) {
+            case Fault::KillRelay:
+                anyRelay().m_relay.kill();
+                break;
+            case Fault::FreezeRelay:
+                anyRelay().m_relay.signal(SIGSTOP);
+                break;
+            case Fault::StopRelay:
+                anyRelay().m_relay.signal(SIGTERM);
+                break;
+            case Fault::StoreRefuses:
+                setProxy(anyRelay().m_storeProxy, { { "mode", "refuse" } });
+                break;
+            case Fault::StoreSilent:
+                setProxy(anyRelay().m_storeProxy, { { "mode", "hang" } });
+                break;
+            case Fault::StoreLosesReplies:
+                setProxy(anyRelay().m_storeProxy, { { "mode", "drop_replies" } });
+                break;
+            case Fault::StoreSlow:
+                setProxy(anyRelay().m_storeProxy, { { "mode", "pass" }, { "delay_ms", 200 } });
+                break;
+            case Fault::StoreConnectionsSilent:
+                m_site.orderProxy(anyRelay().m_storeProxy, "/silence", nothing);
+                break;
+            case Fault::StoreForgets:
+                m_site.dropStoreHistory();
+                break;
+            case Fault::UpstreamHangs:
+                setProxy(anyUpstream().m_proxy, { { "mode", "hang" } });
+                break;
+            case Fault::UpstreamRefuses:
+                setProxy(anyUpstream().m_proxy, { { "mode", "refuse" } });
+                break;
+            case Fault::UpstreamLosesReplies:
+                setProxy(anyUpstream().m_proxy, { { "mode", "drop_replies" } });
+                break;
+            case Fault::UpstreamConnectionsCut:
+                m_site.orderProxy(anyUpstream().m_proxy, "/cut", nothing);
+                break;
+            case Fault::UpstreamConnectionsSilent:
+                m_site.orderProxy(anyUpstream().m_proxy, "/silence", nothing);
+                break;
+            case Fault::ConfigurationChanges:
+                m_site.writeConfiguration();
+                break;
+            }
+        }
+
+        auto mend() -> void
+        {
+            const auto sound = nlohmann::json { { "mode", "pass" } };
+            for (auto& relay : m_site.relays()) {
+                relay.m_relay.signal(SIGCONT);
+                setProxy(relay.m_storeProxy, sound);
+            }
+            for (auto& upstream : m_site.upstreams())
+                setProxy(upstream.m_proxy, sound);
+            for (auto& relay : m_site.relays()) {
+                if (relay.m_relay.hasEnded())
+                    m_site.restart(relay);
+            }
+        }
+
+        RelaySite& m_site;
+        std::mt19937 m_random;
+    };
+
+    auto addressesOf(RelaySite& site) -> std::vector<Address>
+    {
+        auto addresses = std::vector<Address>();
+        for (const auto& relay : site.relays())
+            addresses.push_back(relay.m_callerAddress);
+        return addresses;
+    }
+
+    // Relays that were told to stop may end after the last fault.
+    auto restartEnded(RelaySite& site) -> void
+    {
+        for (auto& relay : site.relays()) {
+            if (relay.m_relay.hasEnded())
+                site.restart(relay);
+        }
+    }
+
+    auto servesAll(RelaySite& site) -> bool
+    {
+        static auto number = 0;
+        auto served = true;
+        for (const auto& address : addressesOf(site)) {
+            const auto attempt
+                = callOnce(address, RouteKind::Repeatable, "after-" + std::to_string(++number));
+            served = served && attempt.m_status == 200 && attempt.m_complete;
+        }
+        return served;
+    }
+
+    auto recovers(RelaySite& site) -> bool
+    {
+        // A stopping relay counts as sound again when it was restarted.
+        std::this_thread::sleep_for(std::chrono::milliseconds(stopMilliseconds));
+        restartEnded(site);
+        const auto until = std::chrono::steady_clock::now() + recoveryTime;
+        while (std::chrono::steady_clock::now() < until) {
+            if (servesAll(site))
+                return true;
+        }
+        return false;
+    }
+
+    auto environment(const char* name, const std::string& fallback) -> std::string
+    {
+        const auto* value = std::getenv(name);
+        return value ? value : fallback;
+    }
+
+    auto playSeed(std::uint32_t seed, int rounds) -> void
+    {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        auto record = SoakRecord();
+        auto site = RelaySite(relays, upstreams, record);
+        ASSERT_TRUE(site.allReady(startTime)) << "the site did not start";
+        {
+            const auto load = SoakCallers(addressesOf(site), callers, seed, record);
+            FaultPlayer(site, seed).play(rounds);
+            EXPECT_TRUE(recovers(site)) << "not every relay serves after the faults";
+        }
+        std::this_thread::sleep_for(settleTime);
+        for (const auto& broken : record.brokenPromises())
+            ADD_FAILURE() << broken;
+        EXPECT_GT(record.served() * 4, record.attempts()) << "less than a quarter was served";
+    }
+
+    TEST(RelaySoakTest, KeepsItsPromisesUnderRandomFaults)
+    {
+        const auto rounds = std::stoi(environment("SOAK_ROUNDS", std::to_string(defaultRounds)));
+        auto seeds = std::istringstream(environment("SOAK_SEEDS", shortSeeds));
+        for (auto seed = std::uint32_t(); seeds >> seed;)
+            playSeed(seed, rounds);
+    }
+
+} // namespace
+} // namespace marigoldladder::soak
--- /dev/null
+++ b/test/soak/soak_callers.h
@@ -0,0 +1,32 @@
+// Callers of a soak: each keeps a connection open to one relay after the other and sends requests of all
+// kinds.
+#pragma once
+
+#include "soak/relay_site.h"
+
+#include <atomic>
+
+namespace marigoldladder::soak {
+
+class SoakCallers {
+public:
+    SoakCallers(std::vector<Address> relays, std::size_t callers, std::uint32_t seed, SoakRecord&);
+
+    // Ends the callers; each finishes the request that it has sent.
+    ~SoakCallers();
+    SoakCallers(const SoakCallers&) = delete;
+    auto operator=(const SoakCallers&) -> SoakCallers& = delete;
+
+private:
+    auto callAgainAndAgain(std::uint32_t seed) -> void;
+
+    std::vector<Address> m_relays;
+    SoakRecord& m_record;
+    std::atomic<bool> m_ending { false };
+    std::vector<std::thread> m_callers;
+};
+
+// Sends one request over a connection of its own and returns what came back.
+auto callOnce(const Address& relay, RouteKind, const std::string& requestId) -> Attempt;
+
+} // namespace marigoldladder::soak
--- /dev/null
+++ b/test/soak/soak_record.cc
@@ -0,0 +1,102 @@
+#include "soak/soak_record.h"
+
+namespace marigoldladder::soak {
+
+namespace {
+
+    constexpr auto eventsOfStream = 12;
+    constexpr auto successStatus = 200;
+
+    auto isStream(RouteKind kind) -> bool
+    {
+        return kind == RouteKind::Resumable || kind == RouteKind::StreamOnce;
+    }
+
+    auto mayRunTwice(RouteKind kind) -> bool
+    {
+        return kind == RouteKind::Repeatable || kind == RouteKind::Resumable;
+    }
+
+    // Statuses that promise that the request hasn't run and never will.
+    auto saysNotRun(int status) -> bool
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    auto expectedBody(const Attempt& attempt) -> std::string
+    {
+        if (!isStream(attempt.m_kind))
+            return wholeBody(attempt.m_id);
+        auto body = std::string();
+        for (const auto& event : streamEvents(attempt.m_id))
+            body += event;
+        return body;
+    }
+
+} // namespace
+
+auto wholeBody(const std::string& requestId) -> std::string
+{
+    return "the answer to " + requestId;
+}
+
+auto streamEvents(const std::string& requestId) -> std::vector<std::string>
+{
+    auto events = std::vector<std::string>();
+    for (auto number = 1; number <= eventsOfStream; ++number)
+        events.push_back("id: " + std::to_string(number) + "\ndata: " + requestId + "\n\n");
+    return events;
+}
+
+auto SoakRecord::noteRun(const std::string& requestId) -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    ++m_runs[requestId];
+}
+
+auto SoakRecord::noteAttempt(Attempt attempt) -> void
+{
+    const auto lock = std::lock_guard(m_mutex);
+    m_attempts.push_back(std::move(attempt));
+}
+
+auto SoakRecord::attempts() const -> std::size_t
+{
+    const auto lock = std::lock_guard(m_mutex);
+    return m_attempts.size();
+}
+
+auto SoakRecord::served() const -> std::size_t
+{
+    const auto lock = std::lock_guard(m_mutex);
+    auto count = std::size_t { 0 };
+    for (const auto& attempt : m_attempts)
+        count += attempt.m_status == successStatus && attempt.m_complete ? 1 : 0;
+    return count;
+}
+
+auto SoakRecord::brokenPromises() const -> std::vector<std::string>
+{
+    const auto lock = std::lock_guard(m_mutex);
+    auto broken = std::vector<std::string>();
+    for (const auto& attempt : m_attempts) {
+        const auto found = m_runs.find(attempt.m_id);
+        const auto runs = found == m_runs.end() ? 0 : found->second;
+        const auto expected = expectedBody(attempt);
+        if (runs > 1 && !mayRunTwice(attempt.m_kind))
+            broken.push_back(attempt.m_id + " may run once and ran " + std::to_string(runs) + " times");
+        if (runs > 0 && saysNotRun(attempt.m_status) && !mayRunTwice(attempt.m_kind))
+            broken.push_back(attempt.m_id + " ran and was answered " + std::to_string(attempt.m_status));
+        if (attempt.m_status != successStatus)
+            continue;
+        if (!attempt.m_signed)
+            broken.push_back(attempt.m_id + " was answered without an upstream's stamp");
+        if (attempt.m_complete && attempt.m_body != expected)
+            broken.push_back(attempt.m_id + " has another body than its upstream gave: " + attempt.m_body);
+        if (!expected.starts_with(attempt.m_body))
+            broken.push_back(attempt.m_id + " has pieces that are missing or come twice: " + attempt.m_body);
+    }
+    return broken;
+}
+
+} // namespace marigoldladder::soak
