Spread choices wider where the peers' figures are older

Cause: streams on the grown sites are late for pauses between events, as prompts that reach an engine together are read between its tokens (2,048 tokens in 70 ms, seven tokens an event, 300 ms allowed). 61 nodes that see the same figures, up to 0.7 s old, choose the same least loaded engine. In fleets of more than 16 nodes the draw among engines now weighs 0.15 of an engine's places instead of 0.03; it is a hash of engine and draw, since the old rotation kept neighbours in memory together.

The replayed load: 60 nodes with the same figures, one engine of eight ahead by one request of 48; before, all 60 choose it, now 45 at most.

--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <xxhash.h>
 
 namespace marigoldladder::relay {
 
@@ -13,7 +14,11 @@
     constexpr auto otherDataCentreCost = 0.04; // Bytes between data centres cost a little.
     constexpr auto avoidedCost = 100.0; // Only when no other upstream can serve the request.
     constexpr auto triedCost = 50.0; // Another upstream is more likely to answer.
-    constexpr auto jitterWeight = 0.03;
+
+    // Nodes that see the same figures must not all choose the same upstream. The older the figures, the more
+    // of them choose before the others' requests show: in a large fleet, far peers tell about once a second.
+    constexpr auto jitterInSmallFleet = 0.03;
+    constexpr auto jitterInLargeFleet = 0.15;
     constexpr auto coldCost = 1.0; // Work goes to warm upstreams while they have room.
 
     // Share of an upstream's memory that requests may fill by their stated sizes; these state the most
@@ -103,6 +108,15 @@
         return held + tokens <= pool->m_engine->m_memoryTokens * memoryShare;
     }
 
+    auto jitter(const Upstream& upstream, const ChoiceContext& context) -> double
+    {
+        const auto* address = &upstream;
+        const auto draw = XXH3_64bits_withSeed(&address, sizeof(address), context.m_jitterSeed);
+        constexpr auto draws = 18'446'744'073'709'551'616.0; // 2 to the 64th.
+        const auto weight = context.m_smallFleet ? jitterInSmallFleet : jitterInLargeFleet;
+        return weight * static_cast<double>(draw) / draws;
+    }
+
     auto costOf(const Upstream& upstream, const Pool* pool, const UpstreamNeeds& needs,
         const ChoiceContext& context) -> double
     {
@@ -119,10 +133,7 @@
             cost += coldCost;
         if (std::find(needs.m_tried.begin(), needs.m_tried.end(), &upstream) != needs.m_tried.end())
             cost += triedCost;
-        // The lowest bits of the address and the draw together spread nodes that see the same figures.
-        const auto salt = reinterpret_cast<std::uintptr_t>(&upstream) >> 6U;
-        const auto mixed = context.m_jitter * 61.0 + static_cast<double>(salt % 61U);
-        return cost + jitterWeight * (mixed - 61.0 * static_cast<int>(mixed / 61.0)) / 61.0;
+        return cost + jitter(upstream, context);
     }
 
     auto coldAllows(const Upstream& upstream, const Pool* pool, const ChoiceContext& context) -> bool
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -48,7 +48,8 @@
     const std::map<DataCentreName, std::string>* m_regions = nullptr; // Of data centres; null: not known.
     std::size_t m_nodes = 1; // That share what a cold upstream takes.
     MonotonicTime m_now {};
-    double m_jitter = 0; // 0 to 1, drawn anew for each choice, so that nodes don't all choose alike.
+    bool m_smallFleet = true; // What peers have in flight is known as of a moment ago.
+    std::uint64_t m_jitterSeed = 0; // Drawn anew for each choice, so that nodes don't all choose alike.
 };
 
 auto chooseUpstream(const UpstreamTable&, const UpstreamNeeds&, const ChoiceContext&) -> UpstreamChoice;
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -75,7 +75,8 @@
     context.m_regions = &m_settings.m_regions;
     context.m_nodes = m_board.m_nodes;
     context.m_now = Clock::now();
-    context.m_jitter = std::uniform_real_distribution<double>(0, 1)(m_random);
+    context.m_smallFleet = isSmallFleet(m_board.m_fleet);
+    context.m_jitterSeed = m_random();
     return chooseUpstream(m_board.m_upstreams, needs, context);
 }
 
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -30,6 +30,8 @@
             context.m_configuration = &m_configuration;
             context.m_regions = &m_regions;
             context.m_now = now;
+            context.m_smallFleet = m_smallFleet;
+            context.m_jitterSeed = m_jitterSeed;
             return chooseUpstream(m_table, m_needs, context);
         }
 
@@ -37,6 +39,8 @@
         std::map<DataCentreName, std::string> m_regions;
         UpstreamTable m_table;
         UpstreamNeeds m_needs;
+        bool m_smallFleet = true;
+        std::uint64_t m_jitterSeed = 0;
     };
 
     TEST_F(UpstreamChoiceTest, TakesTheEngineThatHasTheAdapter)
@@ -153,5 +157,24 @@
         EXPECT_EQ(choice.m_retryAt, at(1.7)) << "it may have been only a moment";
     }
 
+    // The load: many nodes with the same figures, a second old, send to the same engines.
+    TEST_F(UpstreamChoiceTest, NodesOfALargeFleetThatSeeTheSameDoNotAllChooseTheSame)
+    {
+        for (auto engine = 0; engine < 8; ++engine) {
+            auto record = engineRecord("engine-" + std::to_string(engine), { "a1" });
+            record.m_slots = 48;
+            add(record).m_peersInFlight = engine == 0 ? 2 : 3;
+        }
+        m_smallFleet = false;
+        auto chosen = std::map<UpstreamName, int>();
+        constexpr auto nodes = 60;
+        for (auto node = 0; node < nodes; ++node) {
+            m_jitterSeed = static_cast<std::uint64_t>(node);
+            ++chosen[choose().m_upstream->m_record.m_name];
+        }
+        for (const auto& [name, count] : chosen)
+            EXPECT_LE(count, nodes * 3 / 4) << name.value() << " differs from the others by one request only";
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
