Let engines report before the first order after a pause

At the store's return entries of engines arrive that were written before the outage; as the last reports were older than 4 s by then, they replaced what the holder knew of its own orders after 18.0 s, and the number of orders accepted still matched.

Engines whose last report is older than 3 s get no order, and after a second without a plan, by a clock that counts suspensions, all report first. A report takes milliseconds.

Tests: GivesNoOrderToAnEngineThatHasNotReportedForSeconds failed before.

--- a/src/relay/engine_order_book.cc
+++ b/src/relay/engine_order_book.cc
@@ -10,6 +10,7 @@
     constexpr auto doubtTime = Milliseconds(16'000); // An unanswered order may still be carried out.
     constexpr auto busyPause = Milliseconds(80); // Until one of the loads under way there has ended.
     constexpr auto refusedPause = Milliseconds(500); // Until an engine that took no order is asked again.
+    constexpr auto reportTrust = Milliseconds(3'000); // Two reports in a row were lost.
     constexpr auto mostAtHand = std::size_t { 64 }; // Adapters dropped by one engine; it keeps about 100.
     constexpr auto reportAge = Milliseconds(2'000); // How old an engine's report may be, with a margin.
 
@@ -195,6 +196,17 @@
     return orders.m_droppedAt.contains(adapter);
 }
 
+auto hasReportedLately(const EngineOrders& orders, MonotonicTime now) -> bool
+{
+    return orders.m_reportedAt != MonotonicTime() && orders.m_reportedAt + reportTrust > now;
+}
+
+auto requireReports(EngineOrderBook& book) -> void
+{
+    for (auto& [upstream, orders] : book)
+        requireReport(orders);
+}
+
 auto dropOldBookings(EngineOrderBook& book, const UpstreamTable& table, MonotonicTime now) -> void
 {
     std::erase_if(book, [&](const auto& entry) {
--- a/src/relay/engine_order_book.h
+++ b/src/relay/engine_order_book.h
@@ -74,6 +74,14 @@
 // Whether the engine has lately held an adapter that it doesn't hold now.
 auto hasAtHand(const EngineOrders&, const std::string& adapter) -> bool;
 
+// Whether the engine told lately enough what it holds. What its entry in the store lists may be older than
+// the orders it has carried out since.
+auto hasReportedLately(const EngineOrders&, MonotonicTime now) -> bool;
+
+// Lets no engine get an order before it has reported again. Call it after a time in which this node gave no
+// orders: what it knows of engines may have been replaced by older entries meanwhile.
+auto requireReports(EngineOrderBook&) -> void;
+
 // Forgets what is over.
 auto dropOldBookings(EngineOrderBook&, const UpstreamTable&, MonotonicTime now) -> void;
 
--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -26,6 +26,8 @@
     // takes a fifth of the processor at most, or the answers to orders are read too late.
     constexpr auto planPauseFactor = 4;
     constexpr auto shortestPlanPause = Milliseconds(2);
+    // After a longer time without a plan, frozen or without the right to order, engines report first.
+    constexpr auto longestUnplanned = Milliseconds(1'000);
     constexpr auto longestPlanPause = Milliseconds(60);
     constexpr auto orderMemory = Milliseconds(3'000); // Kept to tell the other nodes.
 
@@ -91,6 +93,9 @@
 {
     if (!mayOrderNow() || !m_board.m_configuration)
         return;
+    if (m_plannedAt + longestUnplanned < uninterruptedNow())
+        requireReports(m_book);
+    m_plannedAt = uninterruptedNow();
     const auto begun = Clock::now();
     giveOrders();
     const auto time = std::chrono::duration_cast<Milliseconds>((Clock::now() - begun) * planPauseFactor);
--- a/src/relay/order_keeper.h
+++ b/src/relay/order_keeper.h
@@ -52,6 +52,7 @@
     EngineOrderBook m_book;
     bool m_planPending = false;
     Milliseconds m_planPause { 0 }; // Before the next plan.
+    UninterruptedTime m_plannedAt {}; // When it last planned; counts suspensions.
     MonotonicTime m_planLoggedAt {};
 };
 
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -84,7 +84,7 @@
             if (book != m_input.m_book->end()) {
                 engine.m_orders = &book->second;
                 readBook(book->second, engine);
-                engine.m_sound = inService && book->second.m_reportedAt != MonotonicTime()
+                engine.m_sound = inService && hasReportedLately(book->second, m_input.m_now)
                     && book->second.m_avoidUntil <= m_input.m_now;
             }
             if (inService)
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -291,5 +291,26 @@
         EXPECT_EQ(planned.m_orders[0].m_adapter, "model/a2");
     }
 
+    // Seen on a site: a holder that could not order during an outage of the store took entries that were
+    // older than its own last orders for what engines held, and overfilled one with its first order after the
+    // outage.
+    TEST_F(AdapterPlanTest, GivesNoOrderToAnEngineThatHasNotReportedForSeconds)
+    {
+        auto& engine = addEngine("engine");
+        ordersOf(m_book, engine).m_reportedAt = at(-3);
+        wish("a1", 1, 1);
+        EXPECT_TRUE(plan().m_orders.empty());
+        ordersOf(m_book, engine).m_reportedAt = at(0.9);
+        EXPECT_EQ(loadsOf(plan()).size(), 1U);
+    }
+
+    TEST_F(AdapterPlanTest, AfterATimeWithoutOrdersEnginesReportFirst)
+    {
+        addEngine("engine");
+        wish("a1", 1, 1);
+        requireReports(m_book);
+        EXPECT_TRUE(plan().m_orders.empty());
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
