Draw among engines of a large fleet more widely still

Ruled out: that nodes need the least loaded engine; a quarter of the slots is in use, and the figures are old.

--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -18,7 +18,7 @@
     // Nodes that see the same figures must not all choose the same upstream. The older the figures, the more
     // of them choose before the others' requests show: in a large fleet, far peers tell about once a second.
     constexpr auto jitterInSmallFleet = 0.03;
-    constexpr auto jitterInLargeFleet = 0.15;
+    constexpr auto jitterInLargeFleet = 0.4;
     constexpr auto coldCost = 1.0; // Work goes to warm upstreams while they have room.
 
     // Share of an upstream's memory that requests may fill by their stated sizes; these state the most
