Notice a silent store within a second, so that others watch it in time

The three nodes that watch the store were cut off from it, and only from it, at 1.0 s. Peers heard them all the time and left the watching to them; they themselves noticed at 3.3 s, when a watch of upstreams had gone unanswered for its time and 1.5 s more. Ruled out: the spread from node to node, which took 0.2 s.

A node whose watch got no answer says at once that it doesn't reach the store, and one that does takes its place.

Test: ANodeNoticesWithinASecondAndAHalfThatTheStoreFellSilent; without the change it takes 25 s.

--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -30,6 +30,9 @@
     // Serves until the process is told to stop; returns its exit code.
     auto run() -> int;
 
+    // What the node believes; to be read on its event loop.
+    auto board() const -> const RelayBoard& { return m_board; }
+
 private:
     auto isReady() const -> bool;
     auto callerAddresses() const -> std::vector<Address>;
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -13,6 +13,8 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr auto watchTime = Milliseconds(25'000);
+    // Upstreams renew their entries all the time, so this watch also tells soon when the store falls silent.
+    constexpr auto upstreamWatchTime = Milliseconds(400);
     // Between two watches of upstreams, so that changes close together cost one call.
     constexpr auto upstreamPause = Milliseconds(350);
     constexpr auto versionPause = Milliseconds(100);
@@ -105,6 +107,16 @@
     logChange(reachable ? "store_reached" : "store_lost");
 }
 
+// A watch got no answer: until one does, other nodes watch rather than this one.
+auto StoreSync::doubtStore() -> void
+{
+    if (!m_board.m_storeReachable)
+        return;
+    m_board.m_storeReachable = false;
+    logChange("store_lost");
+    m_board.m_newsLearnt();
+}
+
 auto StoreSync::mustAskStore(ObjectKind kind) const -> bool
 {
     const auto found = m_board.m_objects.find(kind);
@@ -134,11 +146,14 @@
 {
     auto& cache = m_board.m_objects[kind];
     while (mustAskStore(kind)) {
-        auto changes = co_await m_store.m_watch(nameOfKind(kind), cache.m_revision, watchTime);
+        const auto time = kind == ObjectKind::Upstreams ? upstreamWatchTime : watchTime;
+        auto changes = co_await m_store.m_watch(nameOfKind(kind), cache.m_revision, time);
         if (!changes) {
             // A watch from a history that is lost may hang instead of failing, so whatever ended this one,
             // the kind is listed anew.
             const auto lost = changes.error().m_type != StoreFailureType::HistoryLost;
+            if (changes.error().m_type == StoreFailureType::Unavailable)
+                doubtStore();
             logChange("store_watch_ended",
                 { { "kind", nameOfKind(kind) }, { "reason", changes.error().m_message } });
             if (lost)
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -44,6 +44,7 @@
     auto enterRemoval(ObjectKind, const std::string& name) -> void;
     auto removeUpstreamLater(const std::string& name) -> void;
     auto noteReachable(bool) -> void;
+    auto doubtStore() -> void;
     auto backoff() -> Milliseconds;
 
     Executor m_executor;
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -209,6 +209,18 @@
     onLoop([&] { m_parts->m_store.dropHistory(); });
 }
 
+auto RelayHarness::silenceStore() -> void
+{
+    onLoop([&] { m_parts->m_store.silence(); });
+}
+
+auto RelayHarness::reachesStore() -> bool
+{
+    auto reaches = false;
+    onLoop([&] { reaches = m_parts->m_node.board().m_storeReachable; });
+    return reaches;
+}
+
 auto RelayHarness::send(const std::string& bytes) -> CallerReply
 {
     const auto socket = CallerSocket(m_parts->m_settings.m_callerAddress);
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -49,6 +49,12 @@
     auto refuseStoreCalls(bool refuses) -> void;
     auto dropStoreHistory() -> void;
 
+    // Lets the store take calls and answer none of them.
+    auto silenceStore() -> void;
+
+    // Whether the node believes that it reaches the store.
+    auto reachesStore() -> bool;
+
     // Sends raw bytes on a new connection and reads one answer; `closeTime` is how long it waits for the end.
     auto send(const std::string& bytes) -> CallerReply;
 
--- a/test/platform/relay_path_test.cc
+++ b/test/platform/relay_path_test.cc
@@ -270,5 +270,17 @@
         EXPECT_EQ(m_relay.requestsAt("i-1")[0].body(), "abcde");
     }
 
+    // Seen on a site: the nodes that watched the store were cut off from it, and noticed too late for others
+    // to take their place within the time in which a configuration has to be in force.
+    TEST_F(RelayPathTest, ANodeNoticesWithinASecondAndAHalfThatTheStoreFellSilent)
+    {
+        addUpstream("i-1", saying("ok"));
+        configure();
+        m_relay.silenceStore();
+        const auto begun = std::chrono::steady_clock::now();
+        EXPECT_TRUE(m_relay.eventually([&] { return !m_relay.reachesStore(); }));
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::milliseconds(1'500));
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -73,6 +73,8 @@
             co_return;
         ++m_calls;
         auto response = co_await answer(request);
+        while (m_silent)
+            co_await sleepFor(lookInterval);
         response.prepare_payload();
         co_await http::async_write(stream, response, errorTo(error));
         if (error)
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -31,6 +31,9 @@
     // While set, every call is answered 503.
     auto refuse(bool refuses) -> void { m_refuses = refuses; }
 
+    // From now on no call is answered.
+    auto silence() -> void { m_silent = true; }
+
     auto calls() const -> int { return m_calls; }
     auto revision() const -> std::uint64_t { return m_revision; }
 
@@ -67,6 +70,7 @@
     std::uint64_t m_oldestRevision = 0;
     int m_calls = 0;
     bool m_refuses = false;
+    bool m_silent = false;
 };
 
 } // namespace marigoldladder::platform
