--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -173,6 +173,12 @@
     return static_cast<std::size_t>(own - ranks.begin()) < storeWatchers(fleet);
 }
 
+auto anyReachesStore(const FleetView& fleet, MonotonicTime now) -> bool
+{
+    return std::any_of(fleet.m_peers.begin(), fleet.m_peers.end(),
+        [&](const auto& entry) { return entry.second.m_storeReachable && isAlive(entry.second, now); });
+}
+
 auto peerThatKnowsMore(const FleetView& fleet, std::size_t kind, std::uint64_t revision,
     const DataCentreName& here, MonotonicTime now) -> const Peer*
 {
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -109,6 +109,9 @@
 // each data centre than several in one.
 auto shouldWatchStore(const FleetView&, const StoreWatcher& self, MonotonicTime now) -> bool;
 
+// Whether any peer that is heard says that it reaches the store.
+auto anyReachesStore(const FleetView&, MonotonicTime now) -> bool;
+
 // Returns the peer to ask for later objects of a kind than this node knows: a near one if any, so that few
 // bytes go between data centres. A null pointer when none knows more.
 auto peerThatKnowsMore(const FleetView&, std::size_t kind, std::uint64_t revision, const DataCentreName& here,
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -20,6 +20,7 @@
     constexpr auto versionPause = Milliseconds(100);
     constexpr auto shortestBackoff = 60; // Milliseconds.
     constexpr auto longestBackoff = 120; // Milliseconds; short, as changes must be in force soon after.
+    constexpr auto probeInterval = Milliseconds(1'000);
     constexpr auto peerLookInterval = Milliseconds(60);
     constexpr auto farPeerDelay = 80; // Milliseconds at most, in which a near peer may learn it first.
 
@@ -107,6 +108,18 @@
     logChange(reachable ? "store_reached" : "store_lost");
 }
 
+// While no node is known to reach the store, those that would not watch it look at it now and then: the ones
+// that would may be cut off.
+auto StoreSync::mustProbeStore(ObjectKind kind) -> bool
+{
+    const auto now = Clock::now();
+    if (kind != ObjectKind::Configuration || m_board.m_storeReachable || now < m_probeAt
+        || anyReachesStore(m_board.m_fleet, now))
+        return false;
+    m_probeAt = now + probeInterval;
+    return true;
+}
+
 // A watch got no answer: until one does, other nodes watch rather than this one.
 auto StoreSync::doubtStore() -> void
 {
@@ -128,37 +141,43 @@
 auto StoreSync::follow(ObjectKind kind) -> Awaitable<void>
 {
     for (;;) {
-        while (!mustAskStore(kind))
+        while (!mustAskStore(kind) && !mustProbeStore(kind))
             co_await sleepFor(peerLookInterval);
-        auto listing = co_await m_store.m_list(nameOfKind(kind));
-        if (!listing) {
-            noteReachable(false);
-            co_await sleepFor(backoff());
-            continue;
+        // A watch that failed is followed by a listing, whoever else may watch by then.
+        auto watchFailed = true;
+        while (watchFailed) {
+            auto listing = co_await m_store.m_list(nameOfKind(kind));
+            if (!listing) {
+                noteReachable(false);
+                co_await sleepFor(backoff());
+                break;
+            }
+            noteReachable(true);
+            enter(kind, takeListing(m_board.m_objects[kind], listing.value()));
+            watchFailed = co_await watchWhileItHolds(kind);
         }
-        noteReachable(true);
-        enter(kind, takeListing(m_board.m_objects[kind], listing.value()));
-        co_await watchWhileItHolds(kind);
     }
 }
 
-auto StoreSync::watchWhileItHolds(ObjectKind kind) -> Awaitable<void>
+auto StoreSync::watchWhileItHolds(ObjectKind kind) -> Awaitable<bool>
 {
     auto& cache = m_board.m_objects[kind];
     while (mustAskStore(kind)) {
         const auto time = kind == ObjectKind::Upstreams ? upstreamWatchTime : watchTime;
+        const auto begun = Clock::now();
         auto changes = co_await m_store.m_watch(nameOfKind(kind), cache.m_revision, time);
         if (!changes) {
             // A watch from a history that is lost may hang instead of failing, so whatever ended this one,
             // the kind is listed anew.
             const auto lost = changes.error().m_type != StoreFailureType::HistoryLost;
-            if (changes.error().m_type == StoreFailureType::Unavailable)
+            const auto silent = Clock::now() - begun >= time;
+            if (silent && changes.error().m_type == StoreFailureType::Unavailable)
                 doubtStore();
             logChange("store_watch_ended",
                 { { "kind", nameOfKind(kind) }, { "reason", changes.error().m_message } });
             if (lost)
                 co_await sleepFor(backoff());
-            co_return;
+            co_return true;
         }
         noteReachable(true);
         auto told = CacheChanges { std::move(changes.value().m_changes), changes.value().m_revision, false };
@@ -168,6 +187,7 @@
         if (pauseOf(kind).count() > 0)
             co_await sleepFor(pauseOf(kind));
     }
+    co_return false;
 }
 
 auto StoreSync::followPeers(ObjectKind kind) -> Awaitable<void>
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -36,7 +36,8 @@
 private:
     auto nameOfKind(ObjectKind) const -> const std::string&;
     auto follow(ObjectKind) -> Awaitable<void>;
-    auto watchWhileItHolds(ObjectKind) -> Awaitable<void>;
+    // Returns whether the watch failed, rather than that other nodes should watch.
+    auto watchWhileItHolds(ObjectKind) -> Awaitable<bool>;
     auto followPeers(ObjectKind) -> Awaitable<void>;
     auto mustAskStore(ObjectKind) const -> bool;
     auto enter(ObjectKind, const std::vector<ObjectChange>&) -> void;
@@ -45,6 +46,7 @@
     auto removeUpstreamLater(const std::string& name) -> void;
     auto noteReachable(bool) -> void;
     auto doubtStore() -> void;
+    auto mustProbeStore(ObjectKind) -> bool;
     auto backoff() -> Milliseconds;
 
     Executor m_executor;
@@ -53,6 +55,7 @@
     const ObjectStore& m_store;
     const ObjectSchema& m_schema;
     CacheExchange m_exchange;
+    MonotonicTime m_probeAt {}; // No look at the store before it, where other nodes should watch.
     bool m_wasLost = false;
     std::mt19937 m_random;
 };
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -152,5 +152,14 @@
         EXPECT_TRUE(watches(fleet, "b1"));
     }
 
+    TEST(FleetViewTest, ASilentPeerDoesNotCountAsReachingTheStore)
+    {
+        auto fleet = fleetOf({ peer("heard", 9.9, 0), peer("silent", 0, 0) });
+        fleet.m_peers.at(VmName("silent")).m_storeReachable = true;
+        EXPECT_FALSE(anyReachesStore(fleet, at(10)));
+        fleet.m_peers.at(VmName("heard")).m_storeReachable = true;
+        EXPECT_TRUE(anyReachesStore(fleet, at(10)));
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
