Wait and call in one place, and share the tests' free address

The plan's pause, the delay of news and the delayed removal of an upstream each started a coroutine that sleeps and then calls; runAfter does it. freeAddress stood in two test files.

--- a/src/relay/order_keeper.cc
+++ b/src/relay/order_keeper.cc
@@ -70,14 +70,10 @@
     if (m_planPending || !m_lease.m_holding)
         return;
     m_planPending = true;
-    net::co_spawn(
-        m_executor,
-        [this]() -> Awaitable<void> {
-            co_await sleepFor(m_planPause);
-            m_planPending = false;
-            plan();
-        },
-        net::detached);
+    runAfter(m_executor, m_planPause, [this] {
+        m_planPending = false;
+        plan();
+    });
 }
 
 auto OrderKeeper::planRegularly() -> Awaitable<void>
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -133,14 +133,10 @@
     if (m_tellPending)
         return;
     m_tellPending = true;
-    net::co_spawn(
-        m_executor,
-        [this]() -> Awaitable<void> {
-            co_await sleepFor(tellDelay);
-            m_tellPending = false;
-            tellAll();
-        },
-        net::detached);
+    runAfter(m_executor, tellDelay, [this] {
+        m_tellPending = false;
+        tellAll();
+    });
 }
 
 auto PeerExchange::tellHolder() -> void
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -278,14 +278,11 @@
         removeUpstream(m_board.m_upstreams, UpstreamName(name));
         return;
     }
-    net::co_spawn(
-        m_executor,
-        [this, name, until]() -> Awaitable<void> {
-            co_await sleepFor(std::chrono::duration_cast<Milliseconds>(until - Clock::now()));
-            if (!m_board.m_objects[ObjectKind::Upstreams].m_objects.contains(name))
-                removeUpstream(m_board.m_upstreams, UpstreamName(name));
-        },
-        net::detached);
+    const auto time = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
+    runAfter(m_executor, time, [this, name] {
+        if (!m_board.m_objects[ObjectKind::Upstreams].m_objects.contains(name))
+            removeUpstream(m_board.m_upstreams, UpstreamName(name));
+    });
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -1,5 +1,7 @@
 #include "relay/tcp.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -16,6 +18,12 @@
         (void)::setsockopt(socket, level, option, &value, sizeof(value));
     }
 
+    auto waitAndCall(std::chrono::milliseconds time, std::function<void()> function) -> Awaitable<void>
+    {
+        co_await sleepFor(time);
+        function();
+    }
+
 } // namespace
 
 auto endpointOf(const Address& address) -> std::optional<net::ip::tcp::endpoint>
@@ -53,6 +61,12 @@
     co_await timer.async_wait(errorTo(error));
 }
 
+auto runAfter(const Executor& executor, std::chrono::milliseconds time, std::function<void()> function)
+    -> void
+{
+    net::co_spawn(executor, waitAndCall(time, std::move(function)), net::detached);
+}
+
 auto connectTo(tcp_stream& stream, const Address& address, std::chrono::milliseconds timeout,
     ErrorCode& error) -> Awaitable<void>
 {
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 
 namespace marigoldladder::relay {
 
@@ -39,6 +40,9 @@
 // Waits; returns early only when the loop stops.
 auto sleepFor(std::chrono::milliseconds) -> Awaitable<void>;
 
+// Calls a function on the loop after a time.
+auto runAfter(const Executor&, std::chrono::milliseconds, std::function<void()>) -> void;
+
 // Opens a connection within the time given; on failure the error is set.
 auto connectTo(tcp_stream&, const Address&, std::chrono::milliseconds timeout, ErrorCode&) -> Awaitable<void>;
 
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -17,14 +17,6 @@
     constexpr auto answerTime = std::chrono::milliseconds(5'000); // For a whole answer.
     constexpr auto closeTime = std::chrono::milliseconds(150); // In which a close after it is noticed.
 
-    auto freeAddress() -> Address
-    {
-        auto context = net::io_context();
-        const auto acceptor
-            = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
-        return Address { "127.0.0.1", acceptor.local_endpoint().port() };
-    }
-
     auto testSettings(const Address& store) -> RelaySettings
     {
         auto settings = RelaySettings();
@@ -119,6 +111,14 @@
 
 } // namespace
 
+auto freeAddress() -> Address
+{
+    auto context = net::io_context();
+    const auto acceptor
+        = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
+    return Address { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
 struct RelayHarness::Parts {
     Parts()
         : m_store(m_context)
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -70,6 +70,9 @@
     std::thread m_thread;
 };
 
+// An address on loopback where nobody listens.
+auto freeAddress() -> Address;
+
 // The head and body of a caller's request.
 auto callerRequest(const std::string& method, const std::string& path, const std::string& headers = "",
     const std::string& body = "") -> std::string;
--- a/test/soak/relay_site.cc
+++ b/test/soak/relay_site.cc
@@ -19,14 +19,6 @@
     constexpr auto readyPoll = std::chrono::milliseconds(50);
     constexpr auto slots = 16;
 
-    auto freeAddress() -> Address
-    {
-        auto context = net::io_context();
-        const auto acceptor
-            = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
-        return Address { "127.0.0.1", acceptor.local_endpoint().port() };
-    }
-
     auto startProxy(const Address& target) -> harness::ChildProcess
     {
         return harness::ChildProcess("fakes/fault-proxy", { "--target", formatAddress(target) });
@@ -119,15 +111,16 @@
 auto RelaySite::addRelay(std::size_t number) -> void
 {
     auto relay = RelayProcess();
-    relay.m_callerAddress = freeAddress();
-    relay.m_readinessAddress = freeAddress();
+    relay.m_callerAddress = platform::freeAddress();
+    relay.m_readinessAddress = platform::freeAddress();
     relay.m_storeProxy = startProxy(m_store.address());
     const auto settings = nlohmann::json { { "vm", "relay-" + std::to_string(number) },
         { "data_centre", "here" }, { "region", "r" }, { "data_centre_regions", { { "here", "r" } } },
         { "caller_address", formatAddress(relay.m_callerAddress) },
         { "readiness_address", formatAddress(relay.m_readinessAddress) },
-        { "directory_address", formatAddress(freeAddress()) },
-        { "peer_address", formatAddress(freeAddress()) }, { "metrics_address", formatAddress(freeAddress()) },
+        { "directory_address", formatAddress(platform::freeAddress()) },
+        { "peer_address", formatAddress(platform::freeAddress()) },
+        { "metrics_address", formatAddress(platform::freeAddress()) },
         { "store_address", addressOf(relay.m_storeProxy) }, { "first_start", true } };
     relay.m_settingsFile
         = "relay-soak-" + std::to_string(::getpid()) + "-" + std::to_string(number) + ".json";
