Keep organisations' allowances in parts at few nodes instead of shares at all of them

Each node weighed its own fresh demand against the others' old figures, so that the parts' sum was above one, and a restarted node spent a part of its own.

Change: three token buckets an organisation, each at one node that all derive from the same names; a request is charged by asking one of them by datagram, then the others. Window and excess come from the settings. organisation_budget, its levels, debts and parts by demand are gone, with the demand and charges in every summary.

--- /dev/null
+++ b/src/relay/allowance_parts.h
@@ -0,0 +1,104 @@
+// An organisation's allowance over all nodes, kept as a few parts by one node each.
+//
+// The load pattern it answers: an organisation's requests arrive at all nodes, at times several times its
+// rate, while nodes restart. Each part is a token bucket with its share of rate and burst, and any node
+// charges a request to a part by asking the node that keeps it. So the sum over all nodes holds however many
+// they are and however old their figures of each other; one node's loss takes away one part for a moment
+// only.
+//
+// Every node derives from the same names which node keeps a part; there is no election. A node that
+// hears only some of the others keeps its parts at that share of their size, so that nodes that are cut off
+// from each other hold the limit together.
+#pragma once
+
+#include "limits/token_bucket.h"
+#include "relay/fleet_view.h"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace marigoldladder::relay {
+
+// What one organisation's requests may come to in any window: burst and rate, and a share of these more.
+struct AllowanceBounds {
+    std::chrono::seconds m_window { 8 };
+    double m_excess = 0.1;
+};
+
+// This node as others may choose it to keep parts.
+struct PartCandidate {
+    VmName m_vm;
+    double m_processorShare = 0; // Cores that it may use.
+    bool m_ready = false; // It takes requests, and doesn't leave.
+};
+
+struct PartName {
+    std::uint32_t m_organisation = 0; // Short id.
+    std::size_t m_part = 0;
+    auto operator<=>(const PartName&) const = default; // NOLINT(modernize-use-nullptr): a false alarm.
+};
+
+// A part that this node keeps.
+struct KeptPart {
+    TokenBucket m_bucket;
+    std::uint64_t m_number = 0; // Tells this bucket from all others, also of earlier processes.
+};
+
+struct KeptParts {
+    std::map<PartName, KeptPart> m_parts;
+    std::uint64_t m_nextNumber = 0; // Begins at a number that no earlier process has used.
+    double m_heardShare = 0; // Of all nodes, as of the last update.
+    UninterruptedTime m_updatedAt {};
+};
+
+// Returns how many parts the organisation's allowance has: fewer if they would be too small for requests.
+auto partsOf(const Organisation&) -> std::size_t;
+
+// Returns the nodes that may keep parts, as far as this node knows: those with most processor time among the
+// ready ones. Empty while this node doesn't know the fleet.
+auto partCandidates(const FleetView&, const PartCandidate& self, MonotonicTime now) -> std::vector<VmName>;
+
+// Returns which of the candidates keeps a part; nothing when there are none.
+auto keeperOf(const std::vector<VmName>& candidates, const PartName&) -> std::optional<VmName>;
+
+// The share of all nodes that this node hears, itself included.
+auto heardShare(const FleetView&, MonotonicTime now) -> double;
+
+// What decides which parts this node keeps, and at what size.
+struct PartContext {
+    VmName m_self;
+    std::vector<VmName> m_candidates;
+    double m_heardShare = 1;
+    AllowanceBounds m_bounds;
+    MonotonicTime m_now {};
+    UninterruptedTime m_uninterrupted {};
+};
+
+// Takes over the parts that this node should keep, and drops the others. A part that it takes over starts
+// nearly empty, as nobody may know what was spent; after a pause of this process all parts do. Call it often.
+auto updateKeptParts(KeptParts&, const std::vector<Organisation>&, const PartContext&) -> void;
+
+enum class ChargeOutcome {
+    Granted,
+    Refused, // The part doesn't have the tokens now.
+    NotKept, // This node doesn't keep the part, as far as it knows.
+};
+
+// What was granted to a request, for its refund.
+struct PartCharge {
+    ChargeOutcome m_outcome = ChargeOutcome::NotKept;
+    std::uint64_t m_bucket = 0; // `KeptPart::m_number`.
+    ChargeId m_charge = 0;
+    Milliseconds m_retryAfter { 0 }; // When refused: until the part has the tokens.
+};
+
+// Charges a request to a part that this node keeps. A request larger than a part is charged once the part is
+// full.
+auto chargePart(KeptParts&, const PartName&, const Organisation&, double tokens, MonotonicTime now)
+    -> PartCharge;
+
+// Gives back what a request was granted that did not run; nothing if the part changed hands since.
+auto refundPart(KeptParts&, const PartName&, std::uint64_t bucket, ChargeId, double tokens) -> void;
+
+} // namespace marigoldladder::relay
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -19,14 +19,6 @@
     // Those that watch the store tell four times a second; silent for longer, another one takes their place,
     // as a change has to be in force within seconds.
     constexpr auto watcherSilence = Milliseconds(1'000);
-    constexpr auto demandFloor = 0.25; // Of an even part, so that new demand finds something.
-
-    auto silentShare(const Peer& peer, std::uint32_t organisation, double total, double even) -> double
-    {
-        const auto found = peer.m_organisationDemand.find(organisation);
-        const auto demand = found == peer.m_organisationDemand.end() ? 0.0 : found->second;
-        return total > 0 ? std::min(even, demand / total) : even;
-    }
 
     auto addLoads(FleetView& fleet, const std::unordered_map<std::uint32_t, PeerLoad>& loads) -> void
     {
@@ -121,36 +113,6 @@
                  : memberReadInterval;
 }
 
-auto organisationParts(const FleetView& fleet, std::uint32_t organisation, double ownDemand,
-    MonotonicTime now) -> OrganisationParts
-{
-    const auto even = 1.0 / static_cast<double>(sharingNodes(fleet));
-    auto total = ownDemand;
-    auto alive = std::size_t { 0 };
-    for (const auto& [vm, peer] : fleet.m_peers) {
-        const auto found = peer.m_organisationDemand.find(organisation);
-        total += found == peer.m_organisationDemand.end() ? 0.0 : found->second;
-        alive += isAlive(peer, now) ? 1 : 0;
-    }
-    if (alive == 0)
-        return { even, even, total, false };
-    if (total <= 0)
-        return { even, static_cast<double>(alive + 1) * even, total, true };
-    auto reserved = 0.0;
-    auto heard = ownDemand;
-    for (const auto& [vm, peer] : fleet.m_peers) {
-        const auto found = peer.m_organisationDemand.find(organisation);
-        if (!isAlive(peer, now))
-            reserved += silentShare(peer, organisation, total, even);
-        else if (found != peer.m_organisationDemand.end())
-            heard += found->second;
-    }
-    const auto floor = demandFloor * heard / static_cast<double>(alive + 1);
-    const auto weight = (ownDemand + floor) / (heard * (1 + demandFloor));
-    const auto heardPart = std::max(0.0, 1.0 - reserved);
-    return { heardPart * weight, heardPart, total, true };
-}
-
 auto shouldWatchStore(const FleetView& fleet, const StoreWatcher& self, MonotonicTime now) -> bool
 {
     auto candidates = std::vector<StoreWatcher> { self };
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -47,7 +47,6 @@
     MonotonicTime m_knownSince {};
     std::unordered_map<std::uint32_t, PeerLoad> m_loads; // By the upstream's short id.
     bool m_loadsCounted = false; // They are part of the fleet's sums.
-    std::unordered_map<std::uint32_t, double> m_organisationDemand; // Tokens a second, by short id.
     UninterruptedTime m_heardHolderAt {}; // When it last heard this node hold the lease; zero: never.
 };
 
@@ -62,6 +61,8 @@
     std::map<VmName, Peer> m_peers; // Without this node.
     KnownHolder m_holder;
     std::unordered_map<std::uint32_t, PeerLoad> m_loadSums; // Of the peers' loads, by short id.
+    bool m_membersRead = false; // The store's list of nodes was read.
+    MonotonicTime m_firstHeardAt {}; // When any peer was first heard.
 };
 
 // Adds up the loads of the peers that are alive.
@@ -87,17 +88,6 @@
 // again at another address; otherwise so that the fleet makes few calls.
 auto memberReadPause(const FleetView&, MonotonicTime now) -> Milliseconds;
 
-// How an organisation's allowance is shared out, as shares of 1.
-struct OrganisationParts {
-    double m_own = 1; // This node's, by demand among the nodes that are heard.
-    double m_heard = 1; // All that of the nodes that are heard; the parts of silent ones stay reserved.
-    double m_demand = 0; // Tokens a second asked for lately, over all nodes.
-    bool m_hearsOthers = false; // A node that hears nobody keeps an even part.
-};
-
-auto organisationParts(const FleetView&, std::uint32_t organisation, double ownDemand, MonotonicTime now)
-    -> OrganisationParts;
-
 // A node that may watch the store for others.
 struct StoreWatcher {
     VmName m_vm;
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -28,42 +28,21 @@
 } // namespace
 
 PeerExchange::PeerExchange(Executor executor, const RelaySettings& settings, RelayBoard& board,
-    const ObjectStore& store, Incarnation incarnation)
+    const ObjectStore& store, PeerSocket& socket, Incarnation incarnation)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_board(board)
     , m_store(store)
+    , m_socket(socket)
     , m_incarnation(incarnation)
-    , m_socket(m_executor)
 {
 }
 
-auto PeerExchange::start(std::function<bool()> isReady) -> bool
+auto PeerExchange::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    if (!open())
-        return false;
-    net::co_spawn(m_executor, receive(), net::detached);
     net::co_spawn(m_executor, tellRegularly(), net::detached);
     net::co_spawn(m_executor, joinFleet(), net::detached);
-    return true;
-}
-
-auto PeerExchange::open() -> bool
-{
-    auto error = ErrorCode();
-    const auto ip = net::ip::make_address(m_settings.m_peerAddress.m_host, error);
-    const auto endpoint
-        = net::ip::udp::endpoint(ip, static_cast<unsigned short>(m_settings.m_peerAddress.m_port));
-    if (!error)
-        m_socket.open(endpoint.protocol(), error);
-    if (!error)
-        m_socket.bind(endpoint, error);
-    if (!error)
-        m_socket.non_blocking(true, error);
-    if (error)
-        logWarning("peer_port_failed", { { "reason", error.message() } });
-    return !error;
 }
 
 auto PeerExchange::interval() const -> Milliseconds
@@ -89,7 +68,6 @@
             [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingMemory <= now; });
         m_board.m_nodes = sharingNodes(m_board.m_fleet);
         addUpLoads();
-        updateBudgets(now);
         // What the store tells spreads from the nodes that watch it.
         const auto self = StoreWatcher { m_settings.m_vm, m_settings.m_dataCentre, m_board.m_storeReachable };
         const auto watches = shouldWatchStore(m_board.m_fleet, self, now);
@@ -97,18 +75,6 @@
     }
 }
 
-auto PeerExchange::updateBudgets(MonotonicTime now) -> void
-{
-    if (!m_board.m_configuration)
-        return;
-    for (const auto& organisation : m_board.m_configuration->m_organisations) {
-        const auto demand = demandOf(m_board.m_budgets.m_budgets[organisation.m_name], now);
-        const auto parts
-            = organisationParts(m_board.m_fleet, shortId(organisation.m_name.value()), demand, now);
-        updateFleetLevels(m_board.m_budgets, organisation, parts.m_heard, now);
-    }
-}
-
 auto PeerExchange::tellAll() -> void
 {
     tell(true);
@@ -122,9 +88,9 @@
         if (!alsoFar && !isNear(peer))
             continue;
         if (vm == holder)
-            send(peer, makeSummary(true));
+            m_socket.send(peer.m_peerAddress, makeSummary(true));
         else
-            send(peer, plain);
+            m_socket.send(peer.m_peerAddress, plain);
     }
 }
 
@@ -149,7 +115,7 @@
         m_holderTellPending = false;
         const auto found = m_board.m_fleet.m_peers.find(m_board.m_fleet.m_holder.m_vm);
         if (found != m_board.m_fleet.m_peers.end())
-            send(found->second, makeSummary(true));
+            m_socket.send(found->second.m_peerAddress, makeSummary(true));
     });
 }
 
@@ -176,17 +142,6 @@
     });
 }
 
-auto PeerExchange::send(const Peer& peer, const std::string& datagram) -> void
-{
-    auto error = ErrorCode();
-    const auto ip = net::ip::make_address(peer.m_peerAddress.m_host, error);
-    if (error)
-        return;
-    const auto endpoint = net::ip::udp::endpoint(ip, static_cast<unsigned short>(peer.m_peerAddress.m_port));
-    // A datagram that can't be sent now is lost like any other; the next one says more.
-    m_socket.send_to(net::buffer(datagram), endpoint, 0, error);
-}
-
 auto PeerExchange::joinFleet() -> Awaitable<void>
 {
     co_await registerSelf();
@@ -244,6 +199,7 @@
         if (listing) {
             for (const auto& object : listing.value().m_objects)
                 enterMember(object);
+            m_board.m_fleet.m_membersRead = true;
         }
         co_await sleepFor(listing ? memberReadPause(m_board.m_fleet, Clock::now()) : registrationPause);
     }
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -3,28 +3,31 @@
 
 #include "relay/adapter_demand.h"
 #include "relay/object_store.h"
+#include "relay/peer_socket.h"
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
 #include "relay/tcp.h"
 
-#include <array>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 
 namespace marigoldladder::relay::messages {
+struct Summary;
 struct SummaryT;
-}
+} // namespace marigoldladder::relay::messages
 
 namespace marigoldladder::relay {
 
 class PeerExchange {
 public:
-    PeerExchange(Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, Incarnation);
+    PeerExchange(Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, PeerSocket&, Incarnation);
 
-    // Opens the port and starts to tell; false when the port can't be had, which is logged.
-    auto start(std::function<bool()> isReady) -> bool;
+    // Starts to tell.
+    auto start(std::function<bool()> isReady) -> void;
+
+    // Takes a peer's summary.
+    auto enter(const messages::Summary&, const Address& from) -> void;
 
     // Tells all peers at once, besides the regular times: of orders, or that this node leaves.
     auto tellAll() -> void;
@@ -44,9 +47,7 @@
     auto heardByAll() const -> bool;
 
 private:
-    auto open() -> bool;
     auto tellRegularly() -> Awaitable<void>;
-    auto receive() -> Awaitable<void>;
     auto joinFleet() -> Awaitable<void>;
     auto registerSelf() -> Awaitable<void>;
     auto enterMember(const StoredObject&) -> void;
@@ -56,20 +57,17 @@
     auto tell(bool alsoFar) -> void;
     auto makeSummary(bool toHolder) -> std::string;
     auto fillLoads(messages::SummaryT&) const -> void;
-    auto fillOrganisations(messages::SummaryT&) const -> void;
     auto fillUnreachable(messages::SummaryT&) const -> void;
     auto fillSuspects(messages::SummaryT&) const -> void;
     auto fillDemands(messages::SummaryT&) const -> void;
     auto fillMissing(messages::SummaryT&) const -> void;
     auto fillOrders(messages::SummaryT&) const -> void;
-    auto send(const Peer&, const std::string& datagram) -> void;
-    auto enter(const messages::SummaryT&, const Address& from) -> void;
+    auto enterSummary(const messages::SummaryT&, const Address& from) -> void;
     auto enterHolder(const messages::SummaryT&, MonotonicTime now) -> void;
     auto sentAt(std::uint64_t number) const -> UninterruptedTime;
     auto enterUnreachable(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterMissing(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
-    auto updateBudgets(MonotonicTime now) -> void;
     auto addUpLoads() -> void;
     auto enterLoads(const messages::SummaryT&, Peer&) -> void;
     auto showLoad(std::uint32_t upstreamId) -> void;
@@ -78,14 +76,13 @@
     const RelaySettings& m_settings;
     RelayBoard& m_board;
     const ObjectStore& m_store;
+    PeerSocket& m_socket;
     Incarnation m_incarnation;
     std::function<bool()> m_isReady;
-    net::ip::udp::socket m_socket;
     std::uint64_t m_number = 0;
     std::deque<std::pair<std::uint64_t, UninterruptedTime>> m_sent; // Numbers and when they were sent.
     bool m_tellPending = false;
     bool m_holderTellPending = false;
-    std::array<char, 65'536> m_received {};
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/peer_intake.cc
+++ b/src/relay/peer_intake.cc
@@ -6,7 +6,6 @@
 #include "relay/upstream_health.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace marigoldladder::relay {
 
@@ -20,28 +19,14 @@
 
 } // namespace
 
-auto PeerExchange::receive() -> Awaitable<void>
+auto PeerExchange::enter(const messages::Summary& message, const Address& from) -> void
 {
-    for (;;) {
-        auto error = ErrorCode();
-        auto from = net::ip::udp::endpoint();
-        const auto length
-            = co_await m_socket.async_receive_from(net::buffer(m_received), from, errorTo(error));
-        if (error == net::error::operation_aborted)
-            co_return;
-        if (error)
-            continue;
-        auto verifier
-            = flatbuffers::Verifier(reinterpret_cast<const std::uint8_t*>(m_received.data()), length);
-        if (!messages::VerifySummaryBuffer(verifier))
-            continue;
-        auto summary = messages::SummaryT();
-        messages::GetSummary(m_received.data())->UnPackTo(&summary);
-        enter(summary, Address { from.address().to_string(), from.port() });
-    }
+    auto summary = messages::SummaryT();
+    message.UnPackTo(&summary);
+    enterSummary(summary, from);
 }
 
-auto PeerExchange::enter(const messages::SummaryT& summary, const Address& from) -> void
+auto PeerExchange::enterSummary(const messages::SummaryT& summary, const Address& from) -> void
 {
     const auto vm = VmName(summary.vm);
     if (vm.empty() || vm == m_settings.m_vm)
@@ -54,6 +39,8 @@
         return;
     if (peer.m_heardAt == MonotonicTime() && peer.m_knownSince == MonotonicTime())
         peer.m_knownSince = now;
+    if (m_board.m_fleet.m_firstHeardAt == MonotonicTime())
+        m_board.m_fleet.m_firstHeardAt = now;
     const auto sameRun = peer.m_incarnation == summary.incarnation;
     peer.m_vm = vm;
     peer.m_dataCentre = DataCentreName(summary.data_centre);
@@ -72,15 +59,6 @@
     peer.m_configurationVersion = summary.configuration_version;
     peer.m_heardAt = now;
     enterLoads(summary, peer);
-    peer.m_organisationDemand.clear();
-    for (auto index = std::size_t { 0 }; index < summary.organisations.size(); ++index) {
-        const auto& demand = summary.organisations[index];
-        peer.m_organisationDemand[demand.organisation()] = demand.tokens_per_second();
-        auto spending = PeerSpending { summary.incarnation, demand.spent(), {} };
-        if (index < summary.fleet_levels.size() && std::isfinite(summary.fleet_levels[index]))
-            spending.m_fleetLevel = summary.fleet_levels[index];
-        enterPeerSpending(m_board.m_budgets, demand.organisation(), vm, spending);
-    }
     for (const auto& suspect : summary.suspects)
         mergeReport(m_board.m_poison, vm, suspect.fingerprint(), CrashReport { suspect.crashes(), 0 }, now);
     enterHolder(summary, now);
--- /dev/null
+++ b/src/relay/peer_socket.cc
@@ -0,0 +1,82 @@
+#include "relay/peer_socket.h"
+
+#include "core/log.h"
+#include "relay/generated/peer_messages_generated.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    auto udpEndpointOf(const Address& address, ErrorCode& error) -> net::ip::udp::endpoint
+    {
+        const auto ip = net::ip::make_address(address.m_host, error);
+        return { ip, static_cast<unsigned short>(address.m_port) };
+    }
+
+} // namespace
+
+PeerSocket::PeerSocket(Executor executor)
+    : m_executor(std::move(executor))
+    , m_socket(m_executor)
+{
+}
+
+auto PeerSocket::open(const Address& address, Handler handler) -> bool
+{
+    m_handler = std::move(handler);
+    auto error = ErrorCode();
+    const auto endpoint = udpEndpointOf(address, error);
+    if (!error)
+        m_socket.open(endpoint.protocol(), error);
+    if (!error)
+        m_socket.bind(endpoint, error);
+    if (!error)
+        m_socket.non_blocking(true, error);
+    if (error) {
+        logWarning("peer_port_failed", { { "reason", error.message() } });
+        return false;
+    }
+    net::co_spawn(m_executor, receive(), net::detached);
+    return true;
+}
+
+auto PeerSocket::send(const Address& address, const std::string& datagram) -> void
+{
+    auto error = ErrorCode();
+    const auto endpoint = udpEndpointOf(address, error);
+    if (error)
+        return;
+    // A datagram that can't be sent now is lost like any other; the next one says more.
+    m_socket.send_to(net::buffer(datagram), endpoint, 0, error);
+}
+
+auto PeerSocket::receive() -> Awaitable<void>
+{
+    for (;;) {
+        auto error = ErrorCode();
+        auto from = net::ip::udp::endpoint();
+        const auto length
+            = co_await m_socket.async_receive_from(net::buffer(m_received), from, errorTo(error));
+        if (error == net::error::operation_aborted)
+            co_return;
+        if (error)
+            continue;
+        const auto* data = reinterpret_cast<const std::uint8_t*>(m_received.data());
+        auto verifier = flatbuffers::Verifier(data, length);
+        if (messages::VerifyDatagramBuffer(verifier))
+            m_handler(*messages::GetDatagram(data), Address { from.address().to_string(), from.port() });
+    }
+}
+
+auto encodeDatagram(const messages::PeerMessageUnion& message) -> std::string
+{
+    auto builder = flatbuffers::FlatBufferBuilder();
+    const auto packed = message.Pack(builder);
+    builder.Finish(messages::CreateDatagram(builder, message.type, packed));
+    return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -4,7 +4,6 @@
 #include "relay/upstream_health.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace marigoldladder::relay {
 
@@ -59,7 +58,6 @@
     summary.holder_number = holderPeer == m_board.m_fleet.m_peers.end() ? 0 : holderPeer->second.m_number;
     summary.holder_age_ms = orders.m_holding ? 0 : age(holder.m_heardAt, now);
     fillLoads(summary);
-    fillOrganisations(summary);
     fillSuspects(summary);
     fillUnreachable(summary);
     if (toHolder) {
@@ -68,9 +66,9 @@
     }
     if (orders.m_holding)
         fillOrders(summary);
-    auto builder = flatbuffers::FlatBufferBuilder();
-    builder.Finish(messages::Summary::Pack(builder, &summary));
-    return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    auto message = messages::PeerMessageUnion();
+    message.Set(std::move(summary));
+    return encodeDatagram(message);
 }
 
 auto PeerExchange::fillLoads(messages::SummaryT& summary) const -> void
@@ -84,17 +82,6 @@
     }
 }
 
-auto PeerExchange::fillOrganisations(messages::SummaryT& summary) const -> void
-{
-    const auto now = Clock::now();
-    for (const auto& [name, budget] : m_board.m_budgets.m_budgets) {
-        summary.organisations.emplace_back(
-            shortId(name.value()), static_cast<float>(demandOf(budget, now)), budget.m_spent);
-        const auto level = knownFleetLevel(budget).value_or(std::numeric_limits<double>::infinity());
-        summary.fleet_levels.push_back(static_cast<float>(level));
-    }
-}
-
 auto PeerExchange::fillSuspects(messages::SummaryT& summary) const -> void
 {
     for (const auto& [fingerprint, entry] : m_board.m_poison.m_entries) {
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -5,7 +5,6 @@
 #include "relay/adapter_demand.h"
 #include "relay/fleet_view.h"
 #include "relay/object_cache.h"
-#include "relay/organisation_budget.h"
 #include "relay/retry_ledger.h"
 #include "relay/upstream.h"
 #include "routing/poison.h"
@@ -45,7 +44,6 @@
     std::shared_ptr<const RoutingConfiguration>
         m_configuration; // Null until one is known. By the store's sync.
     UpstreamTable m_upstreams; // By the store's sync, the runner (in flight, health) and the orders.
-    OrganisationBudgets m_budgets; // By admission.
     RetryLedger m_retries; // By the runner.
     PoisonTable m_poison; // By the runner and the peer exchange.
     FleetView m_fleet; // By the peer exchange.
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -1,6 +1,7 @@
 #include "relay/relay_node.h"
 
 #include "core/log.h"
+#include "relay/generated/peer_messages_generated.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,10 +30,14 @@
     : m_context(context)
     , m_settings(settings)
     , m_deployment(deployment)
+    , m_incarnation(makeIncarnation())
+    , m_peerSocket(context.get_executor())
+    , m_allowances(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_waitList(context.get_executor(), m_board, settings)
     , m_connections(context.get_executor(), m_board)
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
-    , m_runner(context.get_executor(), settings, m_board, m_waitList, m_upstreamCaller, deployment.m_dialect)
+    , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_upstreamCaller,
+          deployment.m_dialect)
     , m_callerServer(context.get_executor(), m_board, m_runner, m_waitList)
     , m_readiness(context.get_executor(),
           [this](const std::string& target) { return m_deployment.m_answerReadiness(target, isReady()); })
@@ -46,11 +51,10 @@
                   m_board.m_metrics.formatForPrometheus() };
           })
     , m_storeSync(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_schema)
-    , m_peers(context.get_executor(), settings, m_board, deployment.m_store, makeIncarnation())
+    , m_peers(context.get_executor(), settings, m_board, deployment.m_store, m_peerSocket, m_incarnation)
     , m_orders(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_engines, m_peers)
     , m_signals(context)
 {
-    m_board.m_budgets.m_startFull = settings.m_firstStart;
     m_board.m_capacityChanged = [this] { m_waitList.serveLater(); };
     m_board.m_newsLearnt = [this] { m_peers.tellSoon(); };
     m_board.m_upstreamLost = [this](const Upstream& upstream) {
@@ -86,8 +90,12 @@
         return 1;
     logChange("started", { { "vm", m_settings.m_vm.value() } });
     const auto ready = [this] { return isReady(); };
-    if (!m_peers.start(ready) || !m_storeSync.start())
+    const auto enter
+        = [this](const messages::Datagram& datagram, const Address& from) { enterDatagram(datagram, from); };
+    if (!m_peerSocket.open(m_settings.m_peerAddress, enter) || !m_storeSync.start())
         return 1;
+    m_peers.start(ready);
+    m_allowances.start(ready);
     m_orders.start(ready);
     awaitSignals();
     net::co_spawn(m_context, sweep(), net::detached);
@@ -96,6 +104,18 @@
     return 0;
 }
 
+auto RelayNode::enterDatagram(const messages::Datagram& datagram, const Address& from) -> void
+{
+    if (const auto* summary = datagram.message_as_Summary())
+        m_peers.enter(*summary, from);
+    else if (const auto* request = datagram.message_as_ChargeRequest())
+        m_allowances.enter(*request, from);
+    else if (const auto* answer = datagram.message_as_ChargeAnswer())
+        m_allowances.enter(*answer);
+    else if (const auto* refund = datagram.message_as_Refund())
+        m_allowances.enter(*refund);
+}
+
 auto RelayNode::sweep() -> Awaitable<void>
 {
     for (;;) {
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -1,6 +1,7 @@
 // Puts one relay node together and runs it.
 #pragma once
 
+#include "relay/allowance_exchange.h"
 #include "relay/caller_server.h"
 #include "relay/order_keeper.h"
 #include "relay/small_server.h"
@@ -35,6 +36,7 @@
 
 private:
     auto isReady() const -> bool;
+    auto enterDatagram(const messages::Datagram&, const Address& from) -> void;
     auto callerAddresses() const -> std::vector<Address>;
     auto sweep() -> Awaitable<void>;
     auto awaitSignals() -> void;
@@ -44,6 +46,9 @@
     const RelaySettings& m_settings;
     const RelayDeployment& m_deployment;
     RelayBoard m_board;
+    Incarnation m_incarnation;
+    PeerSocket m_peerSocket;
+    AllowanceExchange m_allowances;
     WaitList m_waitList;
     UpstreamConnections m_connections;
     UpstreamCaller m_upstreamCaller;
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -32,6 +32,12 @@
         bounds.m_leaseTime = milliseconds(reader.optionalNumber("lease_ms", 3'000, { 0, longestTime }));
         bounds.m_versionTime
             = milliseconds(reader.optionalNumber("adapter_version_ms", 5'000, { 0, longestTime }));
+        const auto allowance = AllowanceBounds();
+        const auto seconds = static_cast<double>(allowance.m_window.count());
+        bounds.m_allowance.m_window = std::chrono::seconds(
+            static_cast<int>(reader.optionalNumber("allowance_window_s", seconds, { 1, longestSeconds })));
+        bounds.m_allowance.m_excess
+            = reader.optionalNumber("allowance_excess", allowance.m_excess, { 0, 10 });
         reader.rejectUnknownFields();
         return bounds;
     }
@@ -69,7 +75,6 @@
     settings.m_peerAddress = reader.requiredAddress("peer_address");
     settings.m_metricsAddress = reader.requiredAddress("metrics_address");
     settings.m_storeAddress = reader.requiredAddress("store_address");
-    settings.m_firstStart = reader.optionalBool("first_start", false);
     settings.m_maxDescriptors
         = static_cast<std::size_t>(reader.optionalNumber("max_descriptors", 1024, { 64, mostDescriptors }));
     const auto cores = reader.optionalNumber("processor_cores", 1, { 0.001, mostCores });
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "marigoldladder/settings.h"
+#include "relay/allowance_parts.h"
 #include "relay/routing_configuration.h"
 
 #include <cstddef>
@@ -20,6 +21,7 @@
     Milliseconds m_stopTime { 8'000 }; // From the request to stop until the process is killed.
     Milliseconds m_leaseTime { 3'000 }; // Two nodes' orders must lie this far apart.
     Milliseconds m_versionTime { 5'000 }; // After it no request may begin on an older adapter.
+    AllowanceBounds m_allowance; // Of what each organisation's requests come to.
 };
 
 struct RelaySettings {
@@ -33,7 +35,6 @@
     Address m_peerAddress;
     Address m_metricsAddress;
     Address m_storeAddress;
-    bool m_firstStart = false; // The whole system starts for the first time.
     std::size_t m_maxDescriptors = 1024;
     double m_processorShare = 1; // Cores that this node may use.
     FleetBounds m_bounds;
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -16,7 +16,6 @@
     constexpr auto defaultTimeLeft = Milliseconds(60'000); // Of callers that state no deadline.
     constexpr auto answerMargin = Milliseconds(30); // In which the last answer still reaches the caller.
     constexpr auto mostRefusedSends = std::size_t { 4 }; // Upstreams asked that refuse one request.
-    constexpr auto debtTokens = 10'000.0; // Over all nodes; see `debtShare`.
     constexpr auto plainRetryAfter = Milliseconds(1'000);
     constexpr auto stoppingRetryAfter = Milliseconds(50); // Another node takes it at once.
     constexpr auto poisonRetryAfter = Milliseconds(30'000);
@@ -83,15 +82,15 @@
     std::size_t m_sends = 0; // Upstreams that it was sent to.
     bool m_timedOut = false;
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
-    BudgetDecision m_charge;
-    double m_tokens = 0;
+    AllowanceDecision m_charge;
 };
 
 RequestRunner::RequestRunner(Executor executor, const RelaySettings& settings, RelayBoard& board,
-    WaitList& waitList, UpstreamCaller& upstreamCaller, const Dialect& dialect)
+    AllowanceExchange& allowances, WaitList& waitList, UpstreamCaller& upstreamCaller, const Dialect& dialect)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_board(board)
+    , m_allowances(allowances)
     , m_waitList(waitList)
     , m_upstreamCaller(upstreamCaller)
     , m_dialect(dialect)
@@ -139,30 +138,26 @@
 }
 
 auto RequestRunner::charge(CallState& state, const Organisation& organisation, Attempts& attempts)
-    -> Result<bool>
+    -> Awaitable<std::optional<Failure>>
 {
     const auto& request = state.m_request;
-    attempts.m_tokens
-        = tokensOf(organisation, request.m_statesTokens, request.m_promptTokens, request.m_outputTokens);
-    const auto now = Clock::now();
-    const auto parts = organisationParts(m_board.m_fleet, shortId(organisation.m_name.value()),
-        demandOf(m_board.m_budgets.m_budgets[organisation.m_name], now), now);
-    const auto debt = debtTokens / static_cast<double>(sharingNodes(m_board.m_fleet));
-    const auto share = BudgetShare { parts.m_own, parts.m_heard, parts.m_hearsOthers, debt };
-    const auto decision = chargeOrganisation(m_board.m_budgets, organisation, attempts.m_tokens, share, now);
-    attempts.m_charge = decision;
-    if (decision.m_allowed)
-        return true;
-    const auto& budget = m_board.m_budgets.m_budgets[organisation.m_name];
+    const auto tokens = request.m_statesTokens ? request.m_promptTokens + request.m_outputTokens
+                                               : organisation.m_plainTokens;
+    attempts.m_charge = co_await m_allowances.charge(organisation, tokens);
+    const auto& decision = attempts.m_charge;
+    if (decision.m_outcome == AllowanceOutcome::Granted)
+        co_return std::nullopt;
     const auto number = [](double value) { return std::to_string(static_cast<std::int64_t>(value)); };
-    constexpr auto percent = 100;
-    m_log.write("allowance_spent", request.m_id,
-        { { "organisation", organisation.m_name.value() }, { "tokens", number(attempts.m_tokens) },
-            { "own_level", number(budget.m_bucket.m_tokens) }, { "fleet_level", number(budget.m_fleetLevel) },
+    m_log.write("allowance_refused", request.m_id,
+        { { "organisation", organisation.m_name.value() },
+            { "outcome", std::string(nameOf(allowanceOutcomeNames, decision.m_outcome)) },
+            { "tokens", number(tokens) }, { "retry_after_ms", std::to_string(decision.m_retryAfter.count()) },
             { "rate", number(organisation.m_tokensPerSecond) },
-            { "burst", number(organisation.m_burstTokens) }, { "fleet_demand", number(parts.m_demand) },
-            { "share_percent", number(parts.m_own * percent) } });
-    return refusal(
+            { "burst", number(organisation.m_burstTokens) } });
+    if (decision.m_outcome == AllowanceOutcome::Unknown)
+        co_return refusal(FailureType::Unavailable, "no node answered for the organisation's allowance",
+            decision.m_retryAfter);
+    co_return refusal(
         FailureType::AllowanceExceeded, "the organisation's allowance is spent", decision.m_retryAfter);
 }
 
@@ -250,9 +245,9 @@
     auto attempts = Attempts();
     const auto* organisation = admitted.value();
     if (organisation) {
-        const auto charged = charge(state, *organisation, attempts);
-        if (!charged) {
-            co_await refuse(state, answer, charged.error());
+        const auto refused = co_await charge(state, *organisation, attempts);
+        if (refused) {
+            co_await refuse(state, answer, *refused);
             co_return;
         }
     }
@@ -273,7 +268,7 @@
         again = co_await attempt(state, answer, attempts);
     --m_board.m_requestsInFlight;
     if (attempts.m_runs == 0)
-        refundOrganisation(m_board.m_budgets, state.m_organisation, attempts.m_charge);
+        m_allowances.refund(attempts.m_charge);
     co_await finish(state, answer, attempts);
 }
 
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -1,6 +1,7 @@
 // Takes a caller's request to its end: admits it, finds upstreams for it, repeats it where it may.
 #pragma once
 
+#include "relay/allowance_exchange.h"
 #include "relay/relay_settings.h"
 #include "relay/request_log.h"
 #include "relay/upstream_call.h"
@@ -10,7 +11,8 @@
 
 class RequestRunner {
 public:
-    RequestRunner(Executor, const RelaySettings&, RelayBoard&, WaitList&, UpstreamCaller&, const Dialect&);
+    RequestRunner(Executor, const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&, UpstreamCaller&,
+        const Dialect&);
 
     // Answers the request that `state` holds; afterwards the answer is complete or the connection must end.
     auto run(CallState&, CallerAnswer&) -> Awaitable<void>;
@@ -20,7 +22,8 @@
 
     auto admit(CallState&, const std::shared_ptr<const RoutingConfiguration>&) -> Result<const Organisation*>;
     auto takesStream(const CallState&) const -> bool;
-    auto charge(CallState&, const Organisation&, Attempts&) -> Result<bool>;
+    // Returns the refusal if the organisation's allowance doesn't cover the request.
+    auto charge(CallState&, const Organisation&, Attempts&) -> Awaitable<std::optional<Failure>>;
     auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<bool>;
     auto refuse(CallState&, CallerAnswer&, const Failure&) -> Awaitable<void>;
     auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
@@ -39,6 +42,7 @@
     Executor m_executor;
     const RelaySettings& m_settings;
     RelayBoard& m_board;
+    AllowanceExchange& m_allowances;
     WaitList& m_waitList;
     UpstreamCaller& m_upstreamCaller;
     const Dialect& m_dialect;
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -28,7 +28,6 @@
         settings.m_peerAddress = freeAddress();
         settings.m_metricsAddress = freeAddress();
         settings.m_storeAddress = store;
-        settings.m_firstStart = true;
         return settings;
     }
 
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -7,9 +7,7 @@
 namespace marigoldladder::relay {
 namespace {
 
-    constexpr auto organisation = std::uint32_t { 5 };
-
-    auto peer(const std::string& name, double heardAt, double demand) -> Peer
+    auto peer(const std::string& name, double heardAt) -> Peer
     {
         auto result = Peer();
         result.m_vm = VmName(name);
@@ -17,7 +15,6 @@
         result.m_knownSince = at(-100);
         result.m_ready = true;
         result.m_callerAddress = Address { "10.0.0.1", 80 };
-        result.m_organisationDemand[organisation] = demand;
         return result;
     }
 
@@ -29,49 +26,18 @@
         return fleet;
     }
 
-    TEST(FleetViewTest, PartsOfAllNodesSumToOneAtMost)
-    {
-        const auto demands = std::array { 10.0, 200.0, 0.0 };
-        auto sum = 0.0;
-        for (auto self = std::size_t { 0 }; self < demands.size(); ++self) {
-            auto peers = std::vector<Peer>();
-            for (auto other = std::size_t { 0 }; other < demands.size(); ++other) {
-                if (other != self)
-                    peers.push_back(peer("vm-" + std::to_string(other), 0, demands[other]));
-            }
-            sum += organisationParts(fleetOf(peers), organisation, demands[self], at(0.1)).m_own;
-        }
-        EXPECT_NEAR(sum, 1.0, 1e-9);
-    }
-
-    TEST(FleetViewTest, ASilentNodesPartStaysReserved)
-    {
-        const auto fleet = fleetOf({ peer("heard", 9.9, 100), peer("silent", 0, 100) });
-        const auto parts = organisationParts(fleet, organisation, 100, at(10));
-        EXPECT_NEAR(parts.m_heard, 2.0 / 3, 1e-9);
-        EXPECT_TRUE(parts.m_hearsOthers);
-    }
-
-    TEST(FleetViewTest, ANodeThatHearsNobodyKeepsAnEvenPart)
-    {
-        const auto fleet = fleetOf({ peer("one", 0, 100), peer("two", 0, 100), peer("three", 0, 0) });
-        const auto parts = organisationParts(fleet, organisation, 1'000, at(10));
-        EXPECT_NEAR(parts.m_own, 0.25, 1e-9);
-        EXPECT_FALSE(parts.m_hearsOthers);
-    }
-
     TEST(FleetViewTest, NamesOnlyNodesThatAreHeardAndReady)
     {
-        auto leaving = peer("leaving", 10, 0);
+        auto leaving = peer("leaving", 10);
         leaving.m_leaving = true;
-        auto fleet = fleetOf({ peer("ready", 10, 0), peer("silent", 5, 0), leaving });
+        auto fleet = fleetOf({ peer("ready", 10), peer("silent", 5), leaving });
         const auto addresses = readyAddresses(fleet, Address { "10.0.0.9", 80 }, at(10.1));
         EXPECT_EQ(addresses.size(), 2U) << "itself and the one that is ready";
     }
 
     TEST(FleetViewTest, ForgetsANodeThatWasSilentForLong)
     {
-        auto fleet = fleetOf({ peer("lost", 0, 0) });
+        auto fleet = fleetOf({ peer("lost", 0) });
         forgetLostPeers(fleet, at(5));
         EXPECT_EQ(sharingNodes(fleet), 2U);
         forgetLostPeers(fleet, at(60));
@@ -82,7 +48,7 @@
 
     TEST(FleetViewTest, ANewSummaryReplacesAPeersPartOfTheSums)
     {
-        auto fleet = fleetOf({ peer("one", 9.9, 0), peer("two", 9.9, 0) });
+        auto fleet = fleetOf({ peer("one", 9.9), peer("two", 9.9) });
         replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 3, 300 } } });
         replaceLoads(fleet, fleet.m_peers.at(VmName("two")), { { engine, { 2, 200 } } });
         replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 1, 100 } } });
@@ -92,7 +58,7 @@
 
     TEST(FleetViewTest, ASilentPeersLoadsLeaveTheSumsAndComeBackWithItsNextSummary)
     {
-        auto fleet = fleetOf({ peer("one", 0, 0), peer("two", 9.9, 0) });
+        auto fleet = fleetOf({ peer("one", 0), peer("two", 9.9) });
         replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 3, 300 } } });
         replaceLoads(fleet, fleet.m_peers.at(VmName("two")), { { engine, { 2, 200 } } });
         sumLoads(fleet, at(10));
@@ -105,7 +71,7 @@
     {
         auto peers = std::vector<Peer>();
         for (auto index = 0; index < 60; ++index)
-            peers.push_back(peer("vm-" + std::to_string(index), 9.9, 0));
+            peers.push_back(peer("vm-" + std::to_string(index), 9.9));
         auto fleet = fleetOf(peers);
         EXPECT_GE(memberReadPause(fleet, at(10)), std::chrono::seconds(61))
             << "61 nodes read once a second at most";
@@ -119,7 +85,7 @@
         auto fleet = FleetView();
         for (const auto* dataCentre : { "a", "b", "c", "d" }) {
             for (auto number = 0; number < 10; ++number) {
-                auto entry = peer(std::string(dataCentre) + std::to_string(number), heardAt, 0);
+                auto entry = peer(std::string(dataCentre) + std::to_string(number), heardAt);
                 entry.m_dataCentre = DataCentreName(dataCentre);
                 entry.m_storeReachable = true;
                 fleet.m_peers[entry.m_vm] = entry;
@@ -154,7 +120,7 @@
 
     TEST(FleetViewTest, ASilentPeerDoesNotCountAsReachingTheStore)
     {
-        auto fleet = fleetOf({ peer("heard", 9.9, 0), peer("silent", 0, 0) });
+        auto fleet = fleetOf({ peer("heard", 9.9), peer("silent", 0) });
         fleet.m_peers.at(VmName("silent")).m_storeReachable = true;
         EXPECT_FALSE(anyReachesStore(fleet, at(10)));
         fleet.m_peers.at(VmName("heard")).m_storeReachable = true;
