Let relays of data centres tell far nodes, instead of every node telling all

Change: a node tells its data centre's nodes (each 0.3 s there) and the holder of orders; two relays a data centre exchange digests and pass them on, orders too. Each data centre decides by itself who watches the store.

The test of who watches keeps its checks; the fleet view in it now says where it stands.

--- /dev/null
+++ b/src/relay/data_centre_relays.cc
@@ -0,0 +1,70 @@
+#include "relay/data_centre_relays.h"
+
+#include <algorithm>
+#include <set>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    // Orders nodes by how gladly they relay: those with most processor time first. By name the last first,
+    // as the node that gives orders to engines is chosen the other way round.
+    auto relaysRather(double leftShare, const VmName& left, double rightShare, const VmName& right) -> bool
+    {
+        return std::pair(leftShare, left) > std::pair(rightShare, right);
+    }
+
+    auto mayRelay(const Peer& peer, MonotonicTime now) -> bool
+    {
+        return isAlive(peer, now) && !peer.m_leaving;
+    }
+
+} // namespace
+
+auto ownRelayRank(const FleetView& fleet, const RelayCandidate& self, MonotonicTime now)
+    -> std::optional<std::size_t>
+{
+    if (self.m_leaving)
+        return std::nullopt;
+    const auto before = std::count_if(fleet.m_peers.begin(), fleet.m_peers.end(), [&](const auto& entry) {
+        const auto& [vm, peer] = entry;
+        return isNear(fleet, peer) && mayRelay(peer, now)
+            && relaysRather(peer.m_processorShare, vm, self.m_processorShare, self.m_vm);
+    });
+    const auto rank = static_cast<std::size_t>(before);
+    return rank < relaysADataCentre ? std::optional(rank) : std::nullopt;
+}
+
+auto relaysOf(const FleetView& fleet, const DataCentreName& dataCentre, MonotonicTime now, std::size_t draw)
+    -> std::vector<const Peer*>
+{
+    auto known = std::vector<const Peer*>();
+    auto relays = std::vector<const Peer*>();
+    for (const auto& [vm, peer] : fleet.m_peers) {
+        if (peer.m_dataCentre != dataCentre)
+            continue;
+        known.push_back(&peer);
+        if (mayRelay(peer, now))
+            relays.push_back(&peer);
+    }
+    std::sort(relays.begin(), relays.end(), [](const Peer* left, const Peer* right) {
+        return relaysRather(left->m_processorShare, left->m_vm, right->m_processorShare, right->m_vm);
+    });
+    if (relays.size() > relaysADataCentre)
+        relays.resize(relaysADataCentre);
+    if (relays.empty() && !known.empty())
+        relays.push_back(known[draw % known.size()]);
+    return relays;
+}
+
+auto farDataCentres(const FleetView& fleet) -> std::vector<DataCentreName>
+{
+    auto names = std::set<DataCentreName>();
+    for (const auto& [vm, peer] : fleet.m_peers) {
+        if (!isNear(fleet, peer) && !peer.m_dataCentre.empty())
+            names.insert(peer.m_dataCentre);
+    }
+    return { names.begin(), names.end() };
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/digest_exchange.cc
@@ -0,0 +1,254 @@
+#include "relay/digest_exchange.h"
+
+#include "relay/data_centre_relays.h"
+#include "relay/generated/peer_messages_generated.h"
+#include "relay/peer_loads.h"
+#include "relay/upstream_health.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr auto digestInterval = Milliseconds(600); // Of each relay; two take turns.
+    constexpr auto mostSuspects = std::size_t { 64 };
+    constexpr auto mostUnreachable = std::size_t { 64 };
+
+    auto makeMember(const Peer& peer, MonotonicTime now) -> std::unique_ptr<messages::MemberT>
+    {
+        auto member = std::make_unique<messages::MemberT>();
+        member->vm = peer.m_vm.value();
+        member->incarnation = peer.m_incarnation;
+        member->number = peer.m_number;
+        member->caller_host = peer.m_callerAddress.m_host;
+        member->caller_port = static_cast<std::uint16_t>(peer.m_callerAddress.m_port);
+        member->peer_port = static_cast<std::uint16_t>(peer.m_peerAddress.m_port);
+        member->processor_share = static_cast<float>(peer.m_processorShare);
+        const auto age = std::chrono::duration_cast<Milliseconds>(now - peer.m_heardAt);
+        member->age_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0));
+        member->ready = peer.m_ready;
+        member->leaving = peer.m_leaving;
+        member->store_reachable = peer.m_storeReachable;
+        return member;
+    }
+
+} // namespace
+
+DigestExchange::DigestExchange(Executor executor, const RelaySettings& settings, RelayBoard& board,
+    PeerSocket& socket, Incarnation incarnation)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_board(board)
+    , m_socket(socket)
+    , m_incarnation(incarnation)
+    , m_random(std::random_device()())
+{
+}
+
+auto DigestExchange::start(std::function<bool()> isReady) -> void
+{
+    m_isReady = std::move(isReady);
+    net::co_spawn(m_executor, tellRegularly(), net::detached);
+}
+
+auto DigestExchange::tellRegularly() -> Awaitable<void>
+{
+    for (;;) {
+        co_await sleepFor(digestInterval);
+        if (!isSmallFleet(m_board.m_fleet))
+            tell();
+    }
+}
+
+auto DigestExchange::tell() -> void
+{
+    const auto now = Clock::now();
+    const auto self = RelayCandidate { m_settings.m_vm, m_settings.m_processorShare, m_board.m_leaving };
+    const auto rank = ownRelayRank(m_board.m_fleet, self, now);
+    if (!rank)
+        return;
+    const auto digest = makeDigest();
+    for (const auto& dataCentre : farDataCentres(m_board.m_fleet)) {
+        const auto relays = relaysOf(m_board.m_fleet, dataCentre, now, m_random());
+        if (!relays.empty())
+            m_socket.send(relays[*rank % relays.size()]->m_peerAddress, digest);
+    }
+}
+
+auto DigestExchange::makeDigest() -> std::string
+{
+    const auto now = Clock::now();
+    auto digest = messages::DigestT();
+    digest.vm = m_settings.m_vm.value();
+    digest.incarnation = m_incarnation;
+    digest.number = ++m_number;
+    digest.data_centre = m_settings.m_dataCentre.value();
+    digest.peer_host = m_settings.m_peerAddress.m_host;
+    digest.peer_port = static_cast<std::uint16_t>(m_settings.m_peerAddress.m_port);
+    for (const auto kind : objectKinds)
+        digest.revisions.push_back(m_board.m_objects[kind].m_revision);
+    fillMembers(digest, now);
+    fillLoads(digest);
+    fillTrouble(digest, now);
+    auto message = messages::PeerMessageUnion();
+    message.Set(std::move(digest));
+    return encodeDatagram(message);
+}
+
+auto DigestExchange::fillMembers(messages::DigestT& digest, MonotonicTime now) const -> void
+{
+    auto self = Peer();
+    self.m_vm = m_settings.m_vm;
+    self.m_incarnation = m_incarnation;
+    self.m_callerAddress = m_settings.m_callerAddress;
+    self.m_peerAddress = m_settings.m_peerAddress;
+    self.m_processorShare = m_settings.m_processorShare;
+    self.m_heardAt = now;
+    self.m_ready = m_isReady();
+    self.m_leaving = m_board.m_leaving;
+    self.m_storeReachable = m_board.m_storeReachable;
+    digest.members.push_back(makeMember(self, now));
+    for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+        if (isNear(m_board.m_fleet, peer) && isAlive(peer, now))
+            digest.members.push_back(makeMember(peer, now));
+    }
+}
+
+auto DigestExchange::fillLoads(messages::DigestT& digest) const -> void
+{
+    auto sums = std::unordered_map<std::uint32_t, PeerLoad>();
+    const auto add = [&](std::uint32_t upstream, const PeerLoad& load) {
+        sums[upstream].m_inFlight += load.m_inFlight;
+        sums[upstream].m_tokens += load.m_tokens;
+    };
+    for (const auto& [id, upstream] : m_board.m_upstreams.m_byShortId) {
+        if (upstream->m_inFlight > 0)
+            add(id, { upstream->m_inFlight, std::max(upstream->m_tokensInFlight, 0.0) });
+    }
+    for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+        if (!peer.m_loads.m_counted)
+            continue;
+        for (const auto& [id, load] : peer.m_loads.m_loads)
+            add(id, load);
+    }
+    for (const auto& [id, load] : sums) {
+        digest.loads.emplace_back(
+            id, static_cast<std::uint32_t>(load.m_tokens), static_cast<std::uint16_t>(load.m_inFlight));
+    }
+}
+
+auto DigestExchange::fillTrouble(messages::DigestT& digest, MonotonicTime now) const -> void
+{
+    for (const auto& [id, upstream] : m_board.m_upstreams.m_byShortId) {
+        const auto refusedAt = upstream->m_reach.m_refusedAt;
+        const auto refusedHere = refusedAt != MonotonicTime() && refusedAt + unreachableTime > now;
+        if ((refusedHere || isUnreachable(upstream->m_reach, now))
+            && digest.unreachable.size() < mostUnreachable)
+            digest.unreachable.push_back(id);
+    }
+    for (const auto& [fingerprint, entry] : m_board.m_poison.m_entries) {
+        auto crashes = std::uint32_t { 0 };
+        for (const auto& [reporter, report] : entry.m_reports) {
+            const auto peer = m_board.m_fleet.m_peers.find(reporter);
+            const auto isHere = reporter == m_settings.m_vm
+                || (peer != m_board.m_fleet.m_peers.end() && isNear(m_board.m_fleet, peer->second));
+            crashes += isHere ? report.m_crashes : 0;
+        }
+        constexpr auto most = std::uint32_t { 255 };
+        if (crashes > 0 && digest.suspects.size() < mostSuspects)
+            digest.suspects.emplace_back(fingerprint, static_cast<std::uint8_t>(std::min(crashes, most)));
+    }
+}
+
+auto DigestExchange::passOn(std::string_view datagram) -> void
+{
+    const auto copy = std::string(datagram);
+    const auto now = Clock::now();
+    for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+        if (isNear(m_board.m_fleet, peer) && isAlive(peer, now))
+            m_socket.send(peer.m_peerAddress, copy);
+    }
+}
+
+auto DigestExchange::enter(const messages::Digest& message, std::string_view datagram, const Address& from)
+    -> void
+{
+    auto digest = messages::DigestT();
+    message.UnPackTo(&digest);
+    const auto relay = VmName(digest.vm);
+    const auto dataCentre = DataCentreName(digest.data_centre);
+    auto& latest = m_entered[relay];
+    const auto version = std::pair(digest.incarnation, digest.number);
+    if (dataCentre == m_settings.m_dataCentre || version <= latest)
+        return;
+    latest = version;
+    if (from.m_host == digest.peer_host && from.m_port == digest.peer_port)
+        passOn(datagram);
+    const auto now = Clock::now();
+    for (const auto& member : digest.members)
+        enterMember(*member, dataCentre, now);
+    const auto known = m_board.m_fleet.m_peers.find(relay);
+    if (known != m_board.m_fleet.m_peers.end())
+        known->second.m_revisions = digest.revisions;
+    enterLoads(digest, now);
+    enterTrouble(digest, now);
+    m_board.m_capacityChanged();
+}
+
+auto DigestExchange::enterMember(
+    const messages::MemberT& member, const DataCentreName& dataCentre, MonotonicTime now) -> void
+{
+    const auto vm = VmName(member.vm);
+    if (vm.empty() || vm == m_settings.m_vm)
+        return;
+    auto& fleet = m_board.m_fleet;
+    auto& peer = fleet.m_peers[vm];
+    const auto heardAt = now - Milliseconds(member.age_ms);
+    const auto known = member.incarnation < peer.m_incarnation
+        || (member.incarnation == peer.m_incarnation && heardAt <= peer.m_heardAt);
+    if (known)
+        return;
+    if (fleet.m_firstHeardAt == MonotonicTime())
+        fleet.m_firstHeardAt = now;
+    if (peer.m_knownSince == MonotonicTime())
+        peer.m_knownSince = now;
+    const auto sameRun = peer.m_incarnation == member.incarnation;
+    if (sameRun && member.store_reachable && !peer.m_storeReachable)
+        m_board.m_storeBackAt = now;
+    peer.m_vm = vm;
+    peer.m_dataCentre = dataCentre;
+    peer.m_number = sameRun ? std::max(peer.m_number, member.number) : member.number;
+    peer.m_incarnation = member.incarnation;
+    peer.m_callerAddress = Address { member.caller_host, member.caller_port };
+    peer.m_peerAddress = Address { member.caller_host, member.peer_port };
+    peer.m_processorShare = member.processor_share;
+    peer.m_ready = member.ready;
+    peer.m_leaving = member.leaving;
+    peer.m_storeReachable = member.store_reachable;
+    peer.m_silenceBound = silenceBoundOf(fleet, peer);
+    peer.m_heardAt = heardAt;
+}
+
+auto DigestExchange::enterLoads(const messages::DigestT& digest, MonotonicTime now) -> void
+{
+    auto& report = m_board.m_fleet.m_farLoads[DataCentreName(digest.data_centre)];
+    replaceShownLoads(m_board, report, digest.loads, now);
+}
+
+auto DigestExchange::enterTrouble(const messages::DigestT& digest, MonotonicTime now) -> void
+{
+    for (const auto id : digest.unreachable)
+        enterUnreachable(m_board, VmName(digest.vm), id, now);
+    // Both relays tell of the same crashes, so they count as those of the data centre.
+    for (const auto& suspect : digest.suspects) {
+        mergeReport(m_board.m_poison, VmName(digest.data_centre), suspect.fingerprint(),
+            CrashReport { suspect.crashes(), 0 }, now);
+    }
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -11,9 +11,13 @@
 namespace {
 
     constexpr auto lostTime = Milliseconds(20'000); // Beyond any cut after which a node is expected back.
+    constexpr auto nearSilence = Milliseconds(1'500);
+    constexpr auto farSilence = Milliseconds(2'600);
     constexpr auto mostNodesOfSmallFleet = std::size_t { 16 };
     constexpr auto memberReadInterval = Milliseconds(15'000);
     constexpr auto memberReadTimeANode = Milliseconds(2'000); // So that the fleet reads once in two seconds.
+    // Digests of a data centre come several times in this time.
+    constexpr auto farLoadsMemory = Milliseconds(2'000);
     constexpr auto fewestWatchers = std::size_t { 3 }; // So that the loss of two goes unnoticed.
 
     // Those that watch the store tell four times a second; silent for longer, another one takes their place,
@@ -38,15 +42,39 @@
         }
     }
 
-    // A large fleet has one in each data centre, since a cut may hit many nodes at a time.
-    auto storeWatchers(const FleetView& fleet) -> std::size_t
+    auto watchesRather(const StoreWatcher& left, const StoreWatcher& right) -> bool
     {
-        if (isSmallFleet(fleet))
-            return fewestWatchers;
-        auto dataCentres = std::set<DataCentreName>();
+        return std::pair(!left.m_storeReachable, left.m_vm) < std::pair(!right.m_storeReachable, right.m_vm);
+    }
+
+    auto placesBefore(const std::vector<StoreWatcher>& candidates, const StoreWatcher& self) -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(),
+            [&](const StoreWatcher& candidate) { return watchesRather(candidate, self); }));
+    }
+
+    // Returns a node's place where the first of each data centre come before the second ones.
+    auto rankOverDataCentres(std::vector<StoreWatcher> candidates, const StoreWatcher& self) -> std::size_t
+    {
+        std::sort(candidates.begin(), candidates.end(), watchesRather);
+        auto rankInDataCentre = std::map<std::pair<DataCentreName, bool>, std::size_t>();
+        auto ranks = std::vector<std::tuple<bool, std::size_t, VmName>>();
+        for (const auto& candidate : candidates) {
+            auto& rank = rankInDataCentre[{ candidate.m_dataCentre, candidate.m_storeReachable }];
+            ranks.emplace_back(!candidate.m_storeReachable, rank++, candidate.m_vm);
+        }
+        std::sort(ranks.begin(), ranks.end());
+        const auto own = std::find_if(ranks.begin(), ranks.end(),
+            [&](const auto& rank) { return std::get<VmName>(rank) == self.m_vm; });
+        return static_cast<std::size_t>(own - ranks.begin());
+    }
+
+    auto dataCentresOf(const FleetView& fleet, const DataCentreName& here) -> std::size_t
+    {
+        auto dataCentres = std::set<DataCentreName> { here };
         for (const auto& [vm, peer] : fleet.m_peers)
             dataCentres.insert(peer.m_dataCentre);
-        return std::max(fewestWatchers, dataCentres.size());
+        return dataCentres.size();
     }
 
 } // namespace
@@ -71,20 +99,44 @@
 auto sumLoads(FleetView& fleet, MonotonicTime now) -> void
 {
     fleet.m_loadSums.clear();
+    const auto small = isSmallFleet(fleet);
     for (auto& [vm, peer] : fleet.m_peers) {
-        peer.m_loadsCounted = isAlive(peer, now);
-        if (peer.m_loadsCounted)
-            addLoads(fleet, peer.m_loads);
+        peer.m_loads.m_counted = isAlive(peer, now) && (small || isNear(fleet, peer));
+        if (peer.m_loads.m_counted)
+            addLoads(fleet, peer.m_loads.m_loads);
+    }
+    for (auto& [dataCentre, report] : fleet.m_farLoads) {
+        report.m_counted = !small && report.m_at + farLoadsMemory > now;
+        if (report.m_counted)
+            addLoads(fleet, report.m_loads);
     }
 }
 
-auto replaceLoads(FleetView& fleet, Peer& peer, std::unordered_map<std::uint32_t, PeerLoad> loads) -> void
+auto replaceLoads(FleetView& fleet, LoadReport& report, std::unordered_map<std::uint32_t, PeerLoad> loads,
+    MonotonicTime now) -> void
 {
-    if (peer.m_loadsCounted)
-        takeLoads(fleet, peer.m_loads);
-    peer.m_loads = std::move(loads);
-    peer.m_loadsCounted = true;
-    addLoads(fleet, peer.m_loads);
+    if (report.m_counted)
+        takeLoads(fleet, report.m_loads);
+    report.m_loads = std::move(loads);
+    report.m_at = now;
+    report.m_counted = true;
+    addLoads(fleet, report.m_loads);
+}
+
+auto isNear(const FleetView& fleet, const Peer& peer) -> bool
+{
+    return peer.m_dataCentre == fleet.m_here;
+}
+
+auto silenceBoundOf(const FleetView& fleet, const Peer& peer) -> Milliseconds
+{
+    return isNear(fleet, peer) || isSmallFleet(fleet) ? nearSilence : farSilence;
+}
+
+auto nearNodes(const FleetView& fleet) -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(fleet.m_peers.begin(), fleet.m_peers.end(),
+        [&](const auto& entry) { return isNear(fleet, entry.second); }));
 }
 
 auto isSmallFleet(const FleetView& fleet) -> bool
@@ -115,24 +167,20 @@
 
 auto shouldWatchStore(const FleetView& fleet, const StoreWatcher& self, MonotonicTime now) -> bool
 {
+    const auto small = isSmallFleet(fleet);
     auto candidates = std::vector<StoreWatcher> { self };
     for (const auto& [vm, peer] : fleet.m_peers) {
-        if (!peer.m_leaving && peer.m_heardAt != MonotonicTime() && peer.m_heardAt + watcherSilence > now)
+        const auto heard = peer.m_heardAt != MonotonicTime() && peer.m_heardAt + watcherSilence > now;
+        if (heard && !peer.m_leaving && (small || peer.m_dataCentre == self.m_dataCentre))
             candidates.push_back({ vm, peer.m_dataCentre, peer.m_storeReachable });
     }
-    std::sort(candidates.begin(), candidates.end(), [](const StoreWatcher& left, const StoreWatcher& right) {
-        return std::pair(!left.m_storeReachable, left.m_vm) < std::pair(!right.m_storeReachable, right.m_vm);
-    });
-    auto rankInDataCentre = std::map<std::pair<DataCentreName, bool>, std::size_t>();
-    auto ranks = std::vector<std::tuple<bool, std::size_t, VmName>>();
-    for (const auto& candidate : candidates) {
-        auto& rank = rankInDataCentre[{ candidate.m_dataCentre, candidate.m_storeReachable }];
-        ranks.emplace_back(!candidate.m_storeReachable, rank++, candidate.m_vm);
+    if (!small) {
+        // Every data centre has its own, since a cut may hit many nodes at a time.
+        const auto dataCentres = dataCentresOf(fleet, self.m_dataCentre);
+        const auto here = (fewestWatchers + dataCentres - 1) / dataCentres;
+        return placesBefore(candidates, self) < here;
     }
-    std::sort(ranks.begin(), ranks.end());
-    const auto own = std::find_if(
-        ranks.begin(), ranks.end(), [&](const auto& rank) { return std::get<VmName>(rank) == self.m_vm; });
-    return static_cast<std::size_t>(own - ranks.begin()) < storeWatchers(fleet);
+    return rankOverDataCentres(candidates, self) < fewestWatchers;
 }
 
 auto anyReachesStore(const FleetView& fleet, MonotonicTime now) -> bool
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -29,6 +29,13 @@
     double m_tokens = 0;
 };
 
+// What a node, or a whole data centre, has in flight.
+struct LoadReport {
+    std::unordered_map<std::uint32_t, PeerLoad> m_loads; // By the upstream's short id.
+    MonotonicTime m_at {};
+    bool m_counted = false; // It is part of the fleet's sums.
+};
+
 struct Peer {
     VmName m_vm;
     DataCentreName m_dataCentre;
@@ -45,8 +52,7 @@
     MonotonicTime m_heardAt {}; // Zero: only read of in the store.
     Milliseconds m_silenceBound { 1'500 }; // Silent for longer, it counts as lost; many summaries fit in.
     MonotonicTime m_knownSince {};
-    std::unordered_map<std::uint32_t, PeerLoad> m_loads; // By the upstream's short id.
-    bool m_loadsCounted = false; // They are part of the fleet's sums.
+    LoadReport m_loads;
     UninterruptedTime m_heardHolderAt {}; // When it last heard this node hold the lease; zero: never.
 };
 
@@ -58,19 +64,32 @@
 };
 
 struct FleetView {
+    DataCentreName m_here; // This node's.
     std::map<VmName, Peer> m_peers; // Without this node.
+    std::map<DataCentreName, LoadReport> m_farLoads; // Of other data centres, in a large fleet.
     KnownHolder m_holder;
-    std::unordered_map<std::uint32_t, PeerLoad> m_loadSums; // Of the peers' loads, by short id.
+    std::unordered_map<std::uint32_t, PeerLoad> m_loadSums; // Of all these loads, by short id.
     bool m_membersRead = false; // The store's list of nodes was read.
     MonotonicTime m_firstHeardAt {}; // When any peer was first heard.
 };
 
-// Adds up the loads of the peers that are alive.
+// Adds up the loads of the peers that are alive, and of far data centres that were heard of lately.
 auto sumLoads(FleetView&, MonotonicTime now) -> void;
 
-// Replaces what one peer has in flight, and brings the sums up to date. Costs no more than the peer's own
-// loads, as each summary of each peer comes here.
-auto replaceLoads(FleetView&, Peer&, std::unordered_map<std::uint32_t, PeerLoad> loads) -> void;
+// Replaces what one peer or data centre has in flight, and brings the sums up to date. Costs no more than the
+// report's own loads, as each message of each peer comes here.
+auto replaceLoads(
+    FleetView&, LoadReport&, std::unordered_map<std::uint32_t, PeerLoad> loads, MonotonicTime now) -> void;
+
+// Returns the silence after which the peer counts as lost: many of its messages fit in, longer where relays
+// tell of it.
+auto silenceBoundOf(const FleetView&, const Peer&) -> Milliseconds;
+
+// Whether the peer stands in this node's data centre.
+auto isNear(const FleetView&, const Peer&) -> bool;
+
+// Returns how many of the other nodes stand in this node's data centre.
+auto nearNodes(const FleetView&) -> std::size_t;
 
 // Whether the peer was heard of late enough to count as alive.
 auto isAlive(const Peer&, MonotonicTime now) -> bool;
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -1,7 +1,9 @@
 #include "relay/peer_exchange.h"
 
 #include "core/log.h"
+#include "relay/data_centre_relays.h"
 #include "relay/generated/peer_messages_generated.h"
+#include "relay/peer_loads.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -17,8 +19,9 @@
     constexpr auto memberKind = "members"; // Of this project's own objects: one for each node.
     constexpr auto shortestInterval = Milliseconds(100);
     constexpr auto intervalAPeer = Milliseconds(4); // So that a node's messages a second stay bounded.
-    // In a large fleet, bytes between data centres are mostly summaries, so far peers get each third one.
-    constexpr auto farRounds = 3U;
+    constexpr auto intervalANearPeer = Milliseconds(10); // The same in a large fleet.
+    constexpr auto demandRounds
+        = std::size_t { 3 }; // In a large fleet, the holder hears of demand in each third.
     // News that are not urgent wait so long for others: adapters take far longer to load.
     constexpr auto tellDelay = Milliseconds(25);
     constexpr auto registrationPause = Milliseconds(500);
@@ -36,6 +39,7 @@
     , m_socket(socket)
     , m_incarnation(incarnation)
 {
+    m_board.m_fleet.m_here = settings.m_dataCentre;
 }
 
 auto PeerExchange::start(std::function<bool()> isReady) -> void
@@ -47,19 +51,15 @@
 
 auto PeerExchange::interval() const -> Milliseconds
 {
-    return std::max<Milliseconds>(shortestInterval, intervalAPeer * static_cast<int>(m_board.m_nodes));
-}
-
-auto PeerExchange::isNear(const Peer& peer) const -> bool
-{
-    // Orders may go on while all hear the holder, so it hears from all, and all from it, in time.
-    return peer.m_dataCentre == m_settings.m_dataCentre || m_board.m_orders.m_holding
-        || peer.m_vm == m_board.m_fleet.m_holder.m_vm;
+    const auto& fleet = m_board.m_fleet;
+    const auto time = isSmallFleet(fleet) ? intervalAPeer * static_cast<int>(sharingNodes(fleet))
+                                          : intervalANearPeer * static_cast<int>(nearNodes(fleet));
+    return std::max<Milliseconds>(shortestInterval, time);
 }
 
 auto PeerExchange::tellRegularly() -> Awaitable<void>
 {
-    for (auto round = 0U;; ++round) {
+    for (;; ++m_round) {
         co_await sleepFor(interval());
         const auto now = Clock::now();
         forgetLostPeers(m_board.m_fleet, now);
@@ -67,31 +67,72 @@
         std::erase_if(m_board.m_missing,
             [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingMemory <= now; });
         m_board.m_nodes = sharingNodes(m_board.m_fleet);
-        addUpLoads();
-        // What the store tells spreads from the nodes that watch it.
-        const auto self = StoreWatcher { m_settings.m_vm, m_settings.m_dataCentre, m_board.m_storeReachable };
-        const auto watches = shouldWatchStore(m_board.m_fleet, self, now);
-        tell(isSmallFleet(m_board.m_fleet) || watches || round % farRounds == 0);
+        addUpShownLoads(m_board, now);
+        if (isSmallFleet(m_board.m_fleet)) {
+            tellSmallFleet();
+            continue;
+        }
+        tellNear();
+        tellFar();
     }
 }
 
-auto PeerExchange::tellAll() -> void
+auto PeerExchange::tellSmallFleet() -> void
 {
-    tell(true);
+    const auto plain = makeSummary(Reader::Near);
+    const auto& holder = m_board.m_fleet.m_holder.m_vm;
+    for (const auto& [vm, peer] : m_board.m_fleet.m_peers)
+        m_socket.send(peer.m_peerAddress, vm == holder ? makeSummary(Reader::Holder) : plain);
 }
 
-auto PeerExchange::tell(bool alsoFar) -> void
+auto PeerExchange::tellNear() -> void
 {
-    const auto plain = makeSummary(false);
+    const auto plain = makeSummary(Reader::Near);
     const auto& holder = m_board.m_fleet.m_holder.m_vm;
     for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
-        if (!alsoFar && !isNear(peer))
-            continue;
-        if (vm == holder)
-            m_socket.send(peer.m_peerAddress, makeSummary(true));
-        else
+        if (isNear(m_board.m_fleet, peer) && vm != holder)
             m_socket.send(peer.m_peerAddress, plain);
     }
+    const auto found = m_board.m_fleet.m_peers.find(holder);
+    if (found == m_board.m_fleet.m_peers.end())
+        return;
+    const auto isFar = !isNear(m_board.m_fleet, found->second);
+    const auto plainReader = isFar ? Reader::Far : Reader::Near;
+    const auto reader = m_round % demandRounds == 0 ? Reader::Holder : plainReader;
+    m_socket.send(found->second.m_peerAddress, makeSummary(reader));
+}
+
+// Orders may go on while all hear the holder, so it tells all others of itself.
+auto PeerExchange::tellFar() -> void
+{
+    if (!m_board.m_orders.m_holding)
+        return;
+    const auto summary = makeSummary(Reader::Far);
+    for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
+        if (!isNear(m_board.m_fleet, peer))
+            m_socket.send(peer.m_peerAddress, summary);
+    }
+}
+
+auto PeerExchange::tellRelays() -> void
+{
+    const auto summary = makeSummary(Reader::Relay);
+    const auto now = Clock::now();
+    for (const auto& dataCentre : farDataCentres(m_board.m_fleet)) {
+        for (const auto* relay : relaysOf(m_board.m_fleet, dataCentre, now, m_number))
+            m_socket.send(relay->m_peerAddress, summary);
+    }
+}
+
+auto PeerExchange::tellAll() -> void
+{
+    if (isSmallFleet(m_board.m_fleet)) {
+        tellSmallFleet();
+        return;
+    }
+    tellNear();
+    if (m_board.m_orders.m_holding || m_board.m_leaving)
+        tellRelays();
 }
 
 auto PeerExchange::tellSoon() -> void
@@ -115,7 +156,7 @@
         m_holderTellPending = false;
         const auto found = m_board.m_fleet.m_peers.find(m_board.m_fleet.m_holder.m_vm);
         if (found != m_board.m_fleet.m_peers.end())
-            m_socket.send(found->second.m_peerAddress, makeSummary(true));
+            m_socket.send(found->second.m_peerAddress, makeSummary(Reader::Holder));
     });
 }
 
@@ -187,6 +228,7 @@
     auto& peer = m_board.m_fleet.m_peers[vm];
     peer.m_vm = vm;
     peer.m_peerAddress = *address;
+    peer.m_dataCentre = DataCentreName(object.m_content.value("data_centre", ""));
     peer.m_knownSince = Clock::now();
 }
 
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -26,8 +26,8 @@
     // Starts to tell.
     auto start(std::function<bool()> isReady) -> void;
 
-    // Takes a peer's summary.
-    auto enter(const messages::Summary&, const Address& from) -> void;
+    // Takes a peer's summary. Returns whether it was new.
+    auto enter(const messages::Summary&) -> bool;
 
     // Tells all peers at once, besides the regular times: of orders, or that this node leaves.
     auto tellAll() -> void;
@@ -53,24 +53,31 @@
     auto enterMember(const StoredObject&) -> void;
     auto learnMembers() -> Awaitable<void>;
     auto interval() const -> Milliseconds;
-    auto isNear(const Peer&) const -> bool;
-    auto tell(bool alsoFar) -> void;
-    auto makeSummary(bool toHolder) -> std::string;
+    // What a summary tells, by who reads it.
+    enum class Reader {
+        Near, // All that a node has to tell.
+        Holder, // Beside it, which adapters are asked for.
+        Far, // Only that the sender is there: of the rest digests tell.
+        Relay, // What the holder has ordered, to be passed on.
+    };
+
+    auto tellSmallFleet() -> void;
+    auto tellNear() -> void;
+    auto tellFar() -> void;
+    auto tellRelays() -> void;
+    auto makeSummary(Reader) -> std::string;
+    auto fillTold(messages::SummaryT&, Reader) const -> void;
     auto fillLoads(messages::SummaryT&) const -> void;
     auto fillUnreachable(messages::SummaryT&) const -> void;
     auto fillSuspects(messages::SummaryT&) const -> void;
     auto fillDemands(messages::SummaryT&) const -> void;
     auto fillMissing(messages::SummaryT&) const -> void;
     auto fillOrders(messages::SummaryT&) const -> void;
-    auto enterSummary(const messages::SummaryT&, const Address& from) -> void;
+    auto enterSummary(const messages::SummaryT&) -> bool;
     auto enterHolder(const messages::SummaryT&, MonotonicTime now) -> void;
     auto sentAt(std::uint64_t number) const -> UninterruptedTime;
-    auto enterUnreachable(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterMissing(const messages::SummaryT&, MonotonicTime now) -> void;
     auto enterOrders(const messages::SummaryT&, MonotonicTime now) -> void;
-    auto addUpLoads() -> void;
-    auto enterLoads(const messages::SummaryT&, Peer&) -> void;
-    auto showLoad(std::uint32_t upstreamId) -> void;
 
     Executor m_executor;
     const RelaySettings& m_settings;
@@ -81,6 +88,7 @@
     std::function<bool()> m_isReady;
     std::uint64_t m_number = 0;
     std::deque<std::pair<std::uint64_t, UninterruptedTime>> m_sent; // Numbers and when they were sent.
+    std::size_t m_round = 0; // Of the regular summaries.
     bool m_tellPending = false;
     bool m_holderTellPending = false;
 };
--- a/src/relay/peer_intake.cc
+++ b/src/relay/peer_intake.cc
@@ -3,7 +3,7 @@
 #include "relay/catalogue.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
-#include "relay/upstream_health.h"
+#include "relay/peer_loads.h"
 
 #include <algorithm>
 
@@ -13,30 +13,28 @@
 
     using Clock = std::chrono::steady_clock;
 
-    constexpr auto nearSilence = Milliseconds(1'500);
-    constexpr auto farSilence = Milliseconds(2'600);
     constexpr auto reloadTime = Milliseconds(700); // An adapter ordered since may be missing no more.
 
 } // namespace
 
-auto PeerExchange::enter(const messages::Summary& message, const Address& from) -> void
+auto PeerExchange::enter(const messages::Summary& message) -> bool
 {
     auto summary = messages::SummaryT();
     message.UnPackTo(&summary);
-    enterSummary(summary, from);
+    return enterSummary(summary);
 }
 
-auto PeerExchange::enterSummary(const messages::SummaryT& summary, const Address& from) -> void
+auto PeerExchange::enterSummary(const messages::SummaryT& summary) -> bool
 {
     const auto vm = VmName(summary.vm);
     if (vm.empty() || vm == m_settings.m_vm)
-        return;
+        return false;
     const auto now = Clock::now();
     auto& peer = m_board.m_fleet.m_peers[vm];
     const auto newer
         = std::pair(summary.incarnation, summary.number) > std::pair(peer.m_incarnation, peer.m_number);
     if (!newer)
-        return;
+        return false;
     if (peer.m_heardAt == MonotonicTime() && peer.m_knownSince == MonotonicTime())
         peer.m_knownSince = now;
     if (m_board.m_fleet.m_firstHeardAt == MonotonicTime())
@@ -47,7 +45,7 @@
     peer.m_incarnation = summary.incarnation;
     peer.m_number = summary.number;
     peer.m_callerAddress = Address { summary.caller_host, summary.caller_port };
-    peer.m_peerAddress = Address { from.m_host, summary.peer_port };
+    peer.m_peerAddress = Address { summary.peer_host, summary.peer_port };
     peer.m_ready = summary.ready;
     peer.m_processorShare = summary.processor_share;
     if (summary.store_reachable && !peer.m_storeReachable && sameRun)
@@ -55,14 +53,17 @@
     peer.m_storeReachable = summary.store_reachable;
     peer.m_revisions = summary.revisions;
     peer.m_leaving = summary.leaving;
-    peer.m_silenceBound = isNear(peer) || isSmallFleet(m_board.m_fleet) ? nearSilence : farSilence;
+    peer.m_silenceBound = silenceBoundOf(m_board.m_fleet, peer);
     peer.m_configurationVersion = summary.configuration_version;
     peer.m_heardAt = now;
-    enterLoads(summary, peer);
+    // Of other data centres' nodes a large fleet's digests tell.
+    if (isSmallFleet(m_board.m_fleet) || isNear(m_board.m_fleet, peer))
+        replaceShownLoads(m_board, peer.m_loads, summary.loads, now);
     for (const auto& suspect : summary.suspects)
         mergeReport(m_board.m_poison, vm, suspect.fingerprint(), CrashReport { suspect.crashes(), 0 }, now);
     enterHolder(summary, now);
-    enterUnreachable(summary, now);
+    for (const auto id : summary.unreachable)
+        enterUnreachable(m_board, vm, id, now);
     if (m_board.m_orders.m_holding && !summary.demands.empty()) {
         auto& rates = m_board.m_fleetDemand.m_byNode[vm];
         rates.clear();
@@ -73,29 +74,7 @@
         m_board.m_adapterWanted();
     }
     m_board.m_capacityChanged();
-}
-
-auto PeerExchange::enterLoads(const messages::SummaryT& summary, Peer& peer) -> void
-{
-    auto loads = std::unordered_map<std::uint32_t, PeerLoad>();
-    for (const auto& load : summary.loads)
-        loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
-    const auto before = peer.m_loads;
-    replaceLoads(m_board.m_fleet, peer, std::move(loads));
-    for (const auto& [id, load] : before)
-        showLoad(id);
-    for (const auto& [id, load] : peer.m_loads)
-        showLoad(id);
-}
-
-auto PeerExchange::showLoad(std::uint32_t upstreamId) -> void
-{
-    const auto found = m_board.m_upstreams.m_byShortId.find(upstreamId);
-    if (found == m_board.m_upstreams.m_byShortId.end())
-        return;
-    const auto& sum = m_board.m_fleet.m_loadSums[upstreamId];
-    found->second->m_peersInFlight = sum.m_inFlight;
-    found->second->m_peersTokensInFlight = sum.m_tokens;
+    return true;
 }
 
 auto PeerExchange::enterHolder(const messages::SummaryT& summary, MonotonicTime now) -> void
@@ -128,20 +107,6 @@
     return m_sent[number - m_sent.front().first].second;
 }
 
-auto PeerExchange::enterUnreachable(const messages::SummaryT& summary, MonotonicTime now) -> void
-{
-    for (const auto id : summary.unreachable) {
-        const auto found = m_board.m_upstreams.m_byShortId.find(id);
-        if (found == m_board.m_upstreams.m_byShortId.end())
-            continue;
-        auto& reach = found->second->m_reach;
-        const auto wasKnown = isUnreachable(reach, now);
-        reach.m_refusedPeers[VmName(summary.vm)] = now;
-        if (!wasKnown && isUnreachable(reach, now) && m_board.m_orders.m_holding)
-            m_board.m_adapterWanted();
-    }
-}
-
 auto PeerExchange::enterMissing(const messages::SummaryT& summary, MonotonicTime now) -> void
 {
     for (const auto& missing : summary.missing) {
@@ -177,11 +142,4 @@
     }
 }
 
-auto PeerExchange::addUpLoads() -> void
-{
-    sumLoads(m_board.m_fleet, Clock::now());
-    for (const auto& [id, upstream] : m_board.m_upstreams.m_byShortId)
-        showLoad(id);
-}
-
 } // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/peer_loads.cc
@@ -0,0 +1,56 @@
+#include "relay/peer_loads.h"
+
+#include "relay/generated/peer_messages_generated.h"
+#include "relay/upstream_health.h"
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    auto showLoad(RelayBoard& board, std::uint32_t upstreamId) -> void
+    {
+        const auto found = board.m_upstreams.m_byShortId.find(upstreamId);
+        if (found == board.m_upstreams.m_byShortId.end())
+            return;
+        const auto& sum = board.m_fleet.m_loadSums[upstreamId];
+        found->second->m_peersInFlight = sum.m_inFlight;
+        found->second->m_peersTokensInFlight = sum.m_tokens;
+    }
+
+} // namespace
+
+auto replaceShownLoads(RelayBoard& board, LoadReport& report, const std::vector<messages::UpstreamLoad>& told,
+    MonotonicTime now) -> void
+{
+    auto loads = std::unordered_map<std::uint32_t, PeerLoad>();
+    for (const auto& load : told)
+        loads[load.upstream()] = PeerLoad { load.in_flight(), static_cast<double>(load.tokens()) };
+    const auto before = report.m_loads;
+    replaceLoads(board.m_fleet, report, std::move(loads), now);
+    for (const auto& [id, load] : before)
+        showLoad(board, id);
+    for (const auto& [id, load] : report.m_loads)
+        showLoad(board, id);
+}
+
+auto addUpShownLoads(RelayBoard& board, MonotonicTime now) -> void
+{
+    sumLoads(board.m_fleet, now);
+    for (const auto& [id, upstream] : board.m_upstreams.m_byShortId)
+        showLoad(board, id);
+}
+
+auto enterUnreachable(RelayBoard& board, const VmName& peer, std::uint32_t upstreamId, MonotonicTime now)
+    -> void
+{
+    const auto found = board.m_upstreams.m_byShortId.find(upstreamId);
+    if (found == board.m_upstreams.m_byShortId.end())
+        return;
+    auto& reach = found->second->m_reach;
+    const auto wasKnown = isUnreachable(reach, now);
+    reach.m_refusedPeers[peer] = now;
+    if (!wasKnown && isUnreachable(reach, now) && board.m_orders.m_holding)
+        board.m_adapterWanted();
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/peer_socket.cc
+++ b/src/relay/peer_socket.cc
@@ -67,7 +67,8 @@
         const auto* data = reinterpret_cast<const std::uint8_t*>(m_received.data());
         auto verifier = flatbuffers::Verifier(data, length);
         if (messages::VerifyDatagramBuffer(verifier))
-            m_handler(*messages::GetDatagram(data), Address { from.address().to_string(), from.port() });
+            m_handler(*messages::GetDatagram(data), std::string_view(m_received.data(), length),
+                Address { from.address().to_string(), from.port() });
     }
 }
 
--- a/src/relay/peer_socket.h
+++ b/src/relay/peer_socket.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace marigoldladder::relay::messages {
 struct Datagram;
@@ -17,8 +18,9 @@
 
 class PeerSocket {
 public:
-    // Takes a datagram that was verified, and where it came from.
-    using Handler = std::function<void(const messages::Datagram&, const Address& from)>;
+    // Takes a datagram that was verified, its bytes, and where it came from.
+    using Handler
+        = std::function<void(const messages::Datagram&, std::string_view bytes, const Address& from)>;
 
     explicit PeerSocket(Executor);
 
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -29,7 +29,7 @@
 
 } // namespace
 
-auto PeerExchange::makeSummary(bool toHolder) -> std::string
+auto PeerExchange::makeSummary(Reader reader) -> std::string
 {
     const auto now = Clock::now();
     auto summary = messages::SummaryT();
@@ -42,6 +42,7 @@
     summary.data_centre = m_settings.m_dataCentre.value();
     summary.caller_host = m_settings.m_callerAddress.m_host;
     summary.caller_port = static_cast<std::uint16_t>(m_settings.m_callerAddress.m_port);
+    summary.peer_host = m_settings.m_peerAddress.m_host;
     summary.peer_port = static_cast<std::uint16_t>(m_settings.m_peerAddress.m_port);
     summary.ready = m_isReady();
     summary.processor_share = static_cast<float>(m_settings.m_processorShare);
@@ -57,18 +58,25 @@
     const auto holderPeer = m_board.m_fleet.m_peers.find(holder.m_vm);
     summary.holder_number = holderPeer == m_board.m_fleet.m_peers.end() ? 0 : holderPeer->second.m_number;
     summary.holder_age_ms = orders.m_holding ? 0 : age(holder.m_heardAt, now);
-    fillLoads(summary);
-    fillSuspects(summary);
-    fillUnreachable(summary);
-    if (toHolder) {
+    fillTold(summary, reader);
+    auto message = messages::PeerMessageUnion();
+    message.Set(std::move(summary));
+    return encodeDatagram(message);
+}
+
+auto PeerExchange::fillTold(messages::SummaryT& summary, Reader reader) const -> void
+{
+    if (reader == Reader::Near || reader == Reader::Holder) {
+        fillLoads(summary);
+        fillSuspects(summary);
+        fillUnreachable(summary);
+    }
+    if (reader == Reader::Holder) {
         fillDemands(summary);
         fillMissing(summary);
     }
-    if (orders.m_holding)
+    if (m_board.m_orders.m_holding && reader != Reader::Far)
         fillOrders(summary);
-    auto message = messages::PeerMessageUnion();
-    message.Set(std::move(summary));
-    return encodeDatagram(message);
 }
 
 auto PeerExchange::fillLoads(messages::SummaryT& summary) const -> void
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -52,6 +52,7 @@
           })
     , m_storeSync(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_schema)
     , m_peers(context.get_executor(), settings, m_board, deployment.m_store, m_peerSocket, m_incarnation)
+    , m_digests(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_orders(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_engines, m_peers)
     , m_signals(context)
 {
@@ -90,11 +91,12 @@
         return 1;
     logChange("started", { { "vm", m_settings.m_vm.value() } });
     const auto ready = [this] { return isReady(); };
-    const auto enter
-        = [this](const messages::Datagram& datagram, const Address& from) { enterDatagram(datagram, from); };
+    const auto enter = [this](const messages::Datagram& datagram, std::string_view bytes,
+                           const Address& from) { enterDatagram(datagram, bytes, from); };
     if (!m_peerSocket.open(m_settings.m_peerAddress, enter) || !m_storeSync.start())
         return 1;
     m_peers.start(ready);
+    m_digests.start(ready);
     m_allowances.start(ready);
     m_orders.start(ready);
     awaitSignals();
@@ -104,10 +106,13 @@
     return 0;
 }
 
-auto RelayNode::enterDatagram(const messages::Datagram& datagram, const Address& from) -> void
+auto RelayNode::enterDatagram(const messages::Datagram& datagram, std::string_view bytes, const Address& from)
+    -> void
 {
     if (const auto* summary = datagram.message_as_Summary())
-        m_peers.enter(*summary, from);
+        enterSummary(*summary, bytes, from);
+    else if (const auto* digest = datagram.message_as_Digest())
+        m_digests.enter(*digest, bytes, from);
     else if (const auto* request = datagram.message_as_ChargeRequest())
         m_allowances.enter(*request, from);
     else if (const auto* answer = datagram.message_as_ChargeAnswer())
@@ -116,6 +121,22 @@
         m_allowances.enter(*refund);
 }
 
+// Orders that come right from another data centre are passed on to the nodes of this one.
+auto RelayNode::enterSummary(const messages::Summary& summary, std::string_view bytes, const Address& from)
+    -> void
+{
+    const auto isNew = m_peers.enter(summary);
+    const auto hasOrders = summary.orders() && summary.orders()->size() > 0;
+    if (!isNew || !hasOrders || isSmallFleet(m_board.m_fleet))
+        return;
+    const auto isFar
+        = summary.data_centre() && summary.data_centre()->str() != m_settings.m_dataCentre.value();
+    const auto isDirect = summary.peer_host() && summary.peer_host()->str() == from.m_host
+        && summary.peer_port() == from.m_port;
+    if (isFar && isDirect)
+        m_digests.passOn(bytes);
+}
+
 auto RelayNode::sweep() -> Awaitable<void>
 {
     for (;;) {
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -3,6 +3,7 @@
 
 #include "relay/allowance_exchange.h"
 #include "relay/caller_server.h"
+#include "relay/digest_exchange.h"
 #include "relay/order_keeper.h"
 #include "relay/small_server.h"
 #include "relay/store_sync.h"
@@ -36,7 +37,8 @@
 
 private:
     auto isReady() const -> bool;
-    auto enterDatagram(const messages::Datagram&, const Address& from) -> void;
+    auto enterDatagram(const messages::Datagram&, std::string_view bytes, const Address& from) -> void;
+    auto enterSummary(const messages::Summary&, std::string_view bytes, const Address& from) -> void;
     auto callerAddresses() const -> std::vector<Address>;
     auto sweep() -> Awaitable<void>;
     auto awaitSignals() -> void;
@@ -59,6 +61,7 @@
     SmallServer m_metrics;
     StoreSync m_storeSync;
     PeerExchange m_peers;
+    DigestExchange m_digests;
     OrderKeeper m_orders;
     net::signal_set m_signals;
 };
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -44,14 +44,29 @@
         EXPECT_EQ(sharingNodes(fleet), 1U);
     }
 
+    // Nodes of four data centres, by name one data centre after the other.
+    auto largeFleet(double heardAt) -> FleetView
+    {
+        auto fleet = FleetView();
+        for (const auto* dataCentre : { "a", "b", "c", "d" }) {
+            for (auto number = 0; number < 10; ++number) {
+                auto entry = peer(std::string(dataCentre) + std::to_string(number), heardAt);
+                entry.m_dataCentre = DataCentreName(dataCentre);
+                entry.m_storeReachable = true;
+                fleet.m_peers[entry.m_vm] = entry;
+            }
+        }
+        return fleet;
+    }
+
     constexpr auto engine = std::uint32_t { 8 };
 
     TEST(FleetViewTest, ANewSummaryReplacesAPeersPartOfTheSums)
     {
         auto fleet = fleetOf({ peer("one", 9.9), peer("two", 9.9) });
-        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 3, 300 } } });
-        replaceLoads(fleet, fleet.m_peers.at(VmName("two")), { { engine, { 2, 200 } } });
-        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 1, 100 } } });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")).m_loads, { { engine, { 3, 300 } } }, at(10));
+        replaceLoads(fleet, fleet.m_peers.at(VmName("two")).m_loads, { { engine, { 2, 200 } } }, at(10));
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")).m_loads, { { engine, { 1, 100 } } }, at(10));
         EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 3U);
         EXPECT_NEAR(fleet.m_loadSums.at(engine).m_tokens, 300, 1e-9);
     }
@@ -59,14 +74,27 @@
     TEST(FleetViewTest, ASilentPeersLoadsLeaveTheSumsAndComeBackWithItsNextSummary)
     {
         auto fleet = fleetOf({ peer("one", 0), peer("two", 9.9) });
-        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 3, 300 } } });
-        replaceLoads(fleet, fleet.m_peers.at(VmName("two")), { { engine, { 2, 200 } } });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")).m_loads, { { engine, { 3, 300 } } }, at(10));
+        replaceLoads(fleet, fleet.m_peers.at(VmName("two")).m_loads, { { engine, { 2, 200 } } }, at(10));
         sumLoads(fleet, at(10));
         EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 2U) << "one has been silent for 10 s";
-        replaceLoads(fleet, fleet.m_peers.at(VmName("one")), { { engine, { 4, 400 } } });
+        replaceLoads(fleet, fleet.m_peers.at(VmName("one")).m_loads, { { engine, { 4, 400 } } }, at(10));
         EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 6U);
     }
 
+    TEST(FleetViewTest, ALargeFleetCountsFarNodesByTheirDataCentresDigest)
+    {
+        auto fleet = largeFleet(9.9);
+        fleet.m_here = DataCentreName("a");
+        replaceLoads(fleet, fleet.m_peers.at(VmName("a1")).m_loads, { { engine, { 1, 100 } } }, at(9.9));
+        replaceLoads(fleet, fleet.m_peers.at(VmName("b1")).m_loads, { { engine, { 2, 200 } } }, at(9.9));
+        replaceLoads(fleet, fleet.m_farLoads[DataCentreName("b")], { { engine, { 4, 400 } } }, at(9.9));
+        sumLoads(fleet, at(10));
+        EXPECT_EQ(fleet.m_loadSums.at(engine).m_inFlight, 5U) << "b1 is part of its data centre's 4";
+        sumLoads(fleet, at(13));
+        EXPECT_EQ(fleet.m_loadSums[engine].m_inFlight, 0U) << "all have been silent for 3 s";
+    }
+
     TEST(FleetViewTest, ReadsTheListOfNodesOftenOnlyWhileOneIsSilent)
     {
         auto peers = std::vector<Peer>();
@@ -79,25 +107,11 @@
         EXPECT_LE(memberReadPause(fleet, at(10)), std::chrono::seconds(15));
     }
 
-    // Nodes of four data centres, by name one data centre after the other.
-    auto largeFleet(double heardAt) -> FleetView
-    {
-        auto fleet = FleetView();
-        for (const auto* dataCentre : { "a", "b", "c", "d" }) {
-            for (auto number = 0; number < 10; ++number) {
-                auto entry = peer(std::string(dataCentre) + std::to_string(number), heardAt);
-                entry.m_dataCentre = DataCentreName(dataCentre);
-                entry.m_storeReachable = true;
-                fleet.m_peers[entry.m_vm] = entry;
-            }
-        }
-        return fleet;
-    }
-
     auto watches(FleetView fleet, const std::string& name) -> bool
     {
         const auto self = StoreWatcher { VmName(name), DataCentreName(name.substr(0, 1)), true };
         fleet.m_peers.erase(self.m_vm);
+        fleet.m_here = self.m_dataCentre;
         return shouldWatchStore(fleet, self, at(10));
     }
 
