Take no amount from a peer that is none, and grant all where a limit is gone

Found by reading: a peer's request for a negative or undefined number of tokens would have filled a bucket, and a node that still knew a limit asked a keeper that didn't, which divided by its rate. Both have tests.

--- a/src/relay/allowance_exchange.cc
+++ b/src/relay/allowance_exchange.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 
 namespace marigoldladder::relay {
 
@@ -22,6 +23,12 @@
     constexpr auto longestRetryAfter = Milliseconds(60'000);
     constexpr auto answerMemory = Milliseconds(500); // Longer than a request is sent again.
 
+    // Whether a peer's number can be one of tokens.
+    auto isAmount(double tokens) -> bool
+    {
+        return std::isfinite(tokens) && tokens >= 0;
+    }
+
 } // namespace
 
 AllowanceExchange::AllowanceExchange(Executor executor, const RelaySettings& settings, RelayBoard& board,
@@ -189,7 +196,7 @@
     if (before != m_answered.rend())
         return before->m_charge;
     const auto* organisation = findOrganisation(request.organisation());
-    if (!organisation)
+    if (!organisation || !isAmount(request.tokens()))
         return {};
     const auto now = Clock::now();
     const auto part = PartName { request.organisation(), request.part() };
@@ -224,6 +231,8 @@
 
 auto AllowanceExchange::enter(const messages::Refund& refund) -> void
 {
+    if (!isAmount(refund.tokens()))
+        return;
     refundPart(m_kept, PartName { refund.organisation(), refund.part() }, refund.bucket(), refund.charge(),
         refund.tokens());
 }
--- a/src/relay/allowance_parts.cc
+++ b/src/relay/allowance_parts.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <xxhash.h>
 
 namespace marigoldladder::relay {
@@ -18,6 +19,8 @@
     // take them over. All nodes may restart twice in a window.
     constexpr auto takeoverShare = 0.3;
 
+    constexpr auto noCharge = std::numeric_limits<ChargeId>::max(); // No refund finds it.
+
     // Refused requests line up for so long; beyond it a request that returns finds others in its place
     // anyway.
     constexpr auto longestQueue = std::chrono::milliseconds(5'000);
@@ -146,6 +149,9 @@
     const auto found = kept.m_parts.find(name);
     if (found == kept.m_parts.end())
         return {};
+    // The asker may not know yet that the organisation's limit is gone.
+    if (organisation.m_tokensPerSecond <= 0)
+        return { ChargeOutcome::Granted, found->second.m_number, noCharge, Milliseconds(0) };
     auto& bucket = found->second.m_bucket;
     const auto rate = rateOfPart(organisation, kept.m_heardShare);
     refill(bucket, rate, now);
--- a/test/relay/allowance_exchange_test.cc
+++ b/test/relay/allowance_exchange_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <limits>
 
 namespace marigoldladder::relay {
 namespace {
@@ -142,6 +143,22 @@
         EXPECT_GT(decision.m_retryAfter, Milliseconds(0));
     }
 
+    TEST_F(AllowanceExchangeTest, RequestsAndRefundsForWhatIsNoAmountChangeNothing)
+    {
+        const auto first = charge(m_left, 1'000);
+        for (const auto tokens : { -1e9, std::numeric_limits<double>::quiet_NaN() }) {
+            EXPECT_EQ(charge(m_left, tokens).m_outcome, AllowanceOutcome::Unknown);
+            auto refund = first;
+            refund.m_tokens = tokens;
+            m_left.m_allowances.refund(refund);
+        }
+        runFor(Milliseconds(20));
+        auto granted = 0;
+        while (charge(m_left, 5'000).m_outcome == AllowanceOutcome::Granted && granted < 40)
+            ++granted;
+        EXPECT_LE(granted, 10) << "a burst of three and what comes in meanwhile";
+    }
+
     TEST_F(AllowanceExchangeTest, AKeeperThatDoesNotAnswerIsUnknownSoonAndNotAskedAgainAtOnce)
     {
         m_left.m_board.m_fleet.m_peers.at(VmName("keeper")).m_peerAddress
--- a/test/relay/allowance_parts_test.cc
+++ b/test/relay/allowance_parts_test.cc
@@ -364,6 +364,20 @@
         EXPECT_LE(returns.back(), 52 * requestTokens / rate) << "no longer than the tokens take";
     }
 
+    TEST(AllowancePartsTest, AnOrganisationWhoseLimitIsGoneIsGrantedEverything)
+    {
+        auto kept = KeptParts();
+        keptBy(kept, at(0), 10);
+        auto unlimited = organisation();
+        unlimited.m_tokensPerSecond = 0;
+        const auto name = PartName { shortId("acme"), 0 };
+        const auto charged = chargePart(kept, name, unlimited, 100 * burst, at(0));
+        EXPECT_EQ(charged.m_outcome, ChargeOutcome::Granted);
+        const auto before = kept.m_parts.at(name).m_bucket.m_tokens;
+        refundPart(kept, name, charged.m_bucket, charged.m_charge, 100 * burst);
+        EXPECT_EQ(kept.m_parts.at(name).m_bucket.m_tokens, before);
+    }
+
     TEST(AllowancePartsTest, ANodeThatDoesNotKnowTheFleetKeepsNothing)
     {
         const auto self = PartCandidate { VmName("self"), 1, true };
