Let few engines wait for requests on adapters that they drop

Meanwhile adapters fell idle on others.

Change: room is made where an adapter is idle; one engine in sixteen at a time may wait for one in use, so that no adapter starves. The test with twelve full engines gave 12 orders before, 1 now.

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -15,6 +15,8 @@
         = std::size_t { 2 }; // Over all engines; some come from engines' own disks.
     constexpr auto loadsAtOnce = std::size_t { 4 }; // At one engine.
     constexpr auto reservedPlaces = std::size_t { 3 }; // At each engine, for adapters nobody has yet.
+    constexpr auto enginesForOneWaiting
+        = std::size_t { 16 }; // Of so many, one more may wait for requests on what it drops.
     constexpr auto rateForCopy = 1.0; // Requests a second for each copy that make one more worth a place.
     constexpr auto rateForUrgentCopy = 4.0; // Requests a second for each copy that soon fill an engine.
     constexpr auto idleValue = 0.3; // Of keeping an adapter that was asked for once some seconds ago.
@@ -161,33 +163,50 @@
             return used + rateOf(adapter) / static_cast<double>(adapter.m_copies);
         }
 
-        // Makes room for the adapter at the engine where the least is lost by it.
+        // Makes room for the adapter at the engine where the least is lost by it. An engine that drops an
+        // adapter in use takes no other order until that one's requests have ended, so few do so at a time.
         auto orderUnload(AdapterNumber number) -> void
         {
-            const auto& adapter = m_view.m_adapters[number];
-            auto* from = static_cast<PlannedEngine*>(nullptr);
-            const auto* victim = static_cast<const HeldAdapter*>(nullptr);
+            auto victim = leastWorthKeeping(number, [](const PlannedAdapter& held) { return !isUsed(held); });
+            const auto mayWait = m_view.m_dropping < 1 + m_view.m_engines.size() / enginesForOneWaiting;
+            if (!victim.m_engine && mayWait)
+                victim = leastWorthKeeping(number, [](const PlannedAdapter&) { return true; });
+            if (victim.m_engine)
+                orderDrop(*victim.m_engine, *victim.m_held);
+        }
+
+        // What an engine may lose.
+        struct Victim {
+            PlannedEngine* m_engine = nullptr; // Null: there is none.
+            const HeldAdapter* m_held = nullptr;
+        };
+
+        // Returns what an engine that could load the adapter holds and may best lose, among those adapters
+        // that may go.
+        template <typename MayGo> auto leastWorthKeeping(AdapterNumber wanted, MayGo mayGo) -> Victim
+        {
+            const auto& adapter = m_view.m_adapters[wanted];
+            auto victim = Victim();
             auto least = std::numeric_limits<double>::infinity();
             for (auto& engine : m_view.m_engines) {
                 if (!takesOrders(engine) || engine.m_dropping || !servesModel(engine, adapter)
-                    || findHeld(engine, number))
+                    || findHeld(engine, wanted))
                     continue;
                 for (const auto& held : engine.m_held) {
                     const auto value = keepingValue(held);
-                    if (value < least) {
-                        least = value;
-                        from = &engine;
-                        victim = &held;
-                    }
+                    if (value >= least || !mayGo(m_view.m_adapters[held.m_adapter]))
+                        continue;
+                    least = value;
+                    victim = { &engine, &held };
                 }
             }
-            if (from)
-                orderDrop(*from, *victim);
+            return victim;
         }
 
         auto orderDrop(PlannedEngine& engine, const HeldAdapter& held) -> void
         {
             engine.m_dropping = true;
+            ++m_view.m_dropping;
             const auto& dropped = m_view.m_adapters[held.m_adapter];
             m_orders.push_back({ AdapterOrderKind::Unload, engine.m_upstream, std::string(dropped.m_model),
                 *dropped.m_name, 0, false, {} });
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -90,6 +90,7 @@
             if (inService)
                 countCopies(engine);
             m_view.m_loading += engine.m_loading;
+            m_view.m_dropping += engine.m_dropping ? 1 : 0;
             m_view.m_engines.push_back(std::move(engine));
         }
 
--- a/src/relay/plan_view.h
+++ b/src/relay/plan_view.h
@@ -61,6 +61,7 @@
     std::size_t m_loading = 0; // Over all engines.
     std::size_t m_loadingModels = 0;
     std::size_t m_placesComing = 0; // Adapters on their way out.
+    std::size_t m_dropping = 0; // Engines that let an adapter go.
 };
 
 // Returns the view of an input that has a configuration.
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -117,6 +117,27 @@
         EXPECT_EQ(planned.m_orders[0].m_adapter, "model/idle");
     }
 
+    // Seen on a site of 5 places an engine: most engines waited for the requests on what they were to drop,
+    // and took no order, while three times as many adapters became idle elsewhere.
+    TEST_F(AdapterPlanTest, FewEnginesWaitForRequestsOnWhatTheyDrop)
+    {
+        for (auto number = 0; number < 12; ++number) {
+            const auto name = std::to_string(number);
+            addEngine("engine" + name, { "a" + name, "b" + name, "c" + name, "d" + name });
+            for (const auto* letter : { "a", "b", "c", "d" })
+                wish(letter + name, 0.5, 0, 1);
+            wish("waited" + name, 0.2, 1);
+        }
+        EXPECT_EQ(plan().m_orders.size(), 1U)
+            << "all adapters are in use, and one has to make room in the end";
+        for (auto number = 0; number < 12; ++number)
+            m_wishes[static_cast<std::size_t>(number) * 5].m_inFlight = 0;
+        const auto planned = plan();
+        EXPECT_EQ(planned.m_orders.size(), 12U) << "idle ones go at once";
+        for (const auto& order : planned.m_orders)
+            EXPECT_EQ(order.m_adapter.substr(0, 7), "model/a") << order.m_adapter;
+    }
+
     TEST_F(AdapterPlanTest, DropsNoSecondAdapterWhileAPlaceIsComing)
     {
         auto& engine = addEngine("engine", { "a1", "a2", "a3", "a4" });
