--- a/test/relay/allowance_exchange_test.cc
+++ b/test/relay/allowance_exchange_test.cc
@@ -7,22 +7,12 @@
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 #include <limits>
-#include <unistd.h>
 
 namespace marigoldladder::relay {
 namespace {
 
     constexpr auto port = 28'610;
 
-    // Returns a loopback address of this process alone, as tests run side by side.
-    auto hostOf(int node) -> std::string
-    {
-        constexpr auto byteValues = 256;
-        const auto process = ::getpid();
-        return "127." + std::to_string(node) + "." + std::to_string(process / byteValues % byteValues) + "."
-            + std::to_string(process % byteValues);
-    }
-
     auto organisation() -> Organisation
     {
         auto result = Organisation();
@@ -122,9 +112,9 @@
 
         Organisation m_organisation = organisation();
         net::io_context m_context;
-        Node m_keeper { m_context, hostOf(11), "keeper", 0.5 };
-        Node m_left { m_context, hostOf(12), "left", 0 };
-        Node m_right { m_context, hostOf(13), "right", 0 };
+        Node m_keeper { m_context, loopbackHost(11), "keeper", 0.5 };
+        Node m_left { m_context, loopbackHost(12), "left", 0 };
+        Node m_right { m_context, loopbackHost(13), "right", 0 };
     };
 
     TEST_F(AllowanceExchangeTest, ANodeThatKeepsNoPartAsksTheOneThatDoes)
@@ -171,7 +161,8 @@
 
     TEST_F(AllowanceExchangeTest, AKeeperThatDoesNotAnswerIsUnknownSoonAndNotAskedAgainAtOnce)
     {
-        m_left.m_board.m_fleet.m_peers.at(VmName("keeper")).m_peerAddress = Address { hostOf(14), port };
+        m_left.m_board.m_fleet.m_peers.at(VmName("keeper")).m_peerAddress
+            = Address { loopbackHost(14), port };
         const auto begun = std::chrono::steady_clock::now();
         EXPECT_EQ(charge(m_left, 1'000).m_outcome, AllowanceOutcome::Unknown);
         EXPECT_LT(std::chrono::steady_clock::now() - begun, Milliseconds(600));
--- a/test/relay/relay_fixtures.h
+++ b/test/relay/relay_fixtures.h
@@ -5,6 +5,7 @@
 #include "relay/upstream_choice.h"
 
 #include <string>
+#include <unistd.h>
 
 namespace marigoldladder::relay {
 
@@ -16,6 +17,15 @@
         std::chrono::duration_cast<MonotonicTime::duration>(std::chrono::duration<double>(start + seconds)));
 }
 
+// Returns a loopback address of this process alone, as tests run side by side.
+inline auto loopbackHost(int node) -> std::string
+{
+    constexpr auto byteValues = 256;
+    const auto process = ::getpid();
+    return "127." + std::to_string(node) + "." + std::to_string(process / byteValues % byteValues) + "."
+        + std::to_string(process % byteValues);
+}
+
 // A pool of engines that hold four adapters and run eight requests at once.
 inline auto enginePool() -> Pool
 {
