Check two promises on allowances that their replaced tests had checked

Reading the change again: the tests of organisation_budget also covered nodes that all hear nobody and requests that all arrive at one node; the new ones cut fleets in two groups and spread requests only. Nothing else changes.

--- a/test/relay/allowance_parts_test.cc
+++ b/test/relay/allowance_parts_test.cc
@@ -56,6 +56,12 @@
         // Cuts the fleet into two groups of nodes that hear only each other.
         auto cut(std::size_t firstOfSecondGroup) -> void { m_cut = firstOfSecondGroup; }
 
+        // Lets no node hear any other.
+        auto isolate() -> void { m_isolated = true; }
+
+        // Lets all requests arrive at one node.
+        auto offerAt(std::size_t node) -> void { m_onlyNode = node; }
+
         // Lets time go by; every node tells all others each 2 s and looks after its parts each 0.2 s.
         auto advance(double seconds) -> void
         {
@@ -111,7 +117,7 @@
         auto hears(std::size_t left, std::size_t right) const -> bool
         {
             const auto cut = m_cut != 0 && (left < m_cut) != (right < m_cut);
-            return !cut && !m_nodes[left].m_down && !m_nodes[right].m_down;
+            return !cut && !m_isolated && !m_nodes[left].m_down && !m_nodes[right].m_down;
         }
 
         auto tell(std::size_t from) -> void
@@ -145,7 +151,7 @@
         {
             m_due += m_demand * tick;
             for (; m_due >= requestTokens; m_due -= requestTokens) {
-                const auto node = m_random() % m_nodes.size();
+                const auto node = m_onlyNode.value_or(m_random() % m_nodes.size());
                 if (!m_nodes[node].m_down && isGranted(node))
                     m_granted.push_back(m_time);
             }
@@ -174,6 +180,8 @@
         std::vector<Node> m_nodes;
         std::vector<double> m_granted; // When.
         std::size_t m_cut = 0;
+        bool m_isolated = false;
+        std::optional<std::size_t> m_onlyNode;
         std::size_t m_step = 0;
         double m_time = 0;
         double m_demand = 0;
@@ -270,6 +278,29 @@
         }
     }
 
+    TEST(AllowancePartsTest, NodesThatAllHearNobodyHoldTheLimitTogether)
+    {
+        for (const auto nodes : { std::size_t { 8 }, nodesOfLargeFleet }) {
+            auto fleet = Fleet(nodes);
+            fleet.advance(10);
+            fleet.setDemand(5 * rate);
+            fleet.advance(2);
+            fleet.isolate();
+            fleet.advance(12);
+            EXPECT_LE(fleet.mostInAWindow(), windowBound) << nodes << " nodes";
+        }
+    }
+
+    TEST(AllowancePartsTest, RequestsWithinTheRateAreGrantedWhereverTheyArrive)
+    {
+        auto fleet = Fleet(8);
+        fleet.advance(10);
+        fleet.offerAt(5);
+        fleet.setDemand(0.6 * rate);
+        fleet.advance(8);
+        EXPECT_GE(fleet.granted(), 0.98 * 0.6 * rate * 8) << "all at one of 8 nodes";
+    }
+
     TEST(AllowancePartsTest, TheLossOfAKeeperTakesAwayOnePart)
     {
         auto fleet = Fleet(8);
