Give the relay's test harness ports that no other process can take

Cause: the harness closed a free port of 127.0.0.1 before its node opened it, so another process could take it. The node's event loop then ended, and onLoop waited for it for ever (RequestParsingTest hung once in its set-up). Ports are now drawn on a loopback host of the process's own, and onLoop throws after 20 s. Ruled out: a lost wake-up of the loop; the stacks kept with the entry show the loop's thread gone.

--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -1,9 +1,12 @@
 #include "platform/relay_harness.h"
 
+#include "relay/relay_fixtures.h"
+
 #include <arpa/inet.h>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,6 +18,7 @@
 
     constexpr auto deliveryTime = std::chrono::milliseconds(50); // Of an answer over loopback.
     constexpr auto answerTimeout = std::chrono::milliseconds(5'000); // For a whole answer.
+    constexpr auto loopTimeout = std::chrono::seconds(20); // For a function to run on the event loop.
     constexpr auto closeTimeout = std::chrono::milliseconds(150); // For a close after the answer.
 
     auto testSettings(const Address& store) -> RelaySettings
@@ -112,10 +116,12 @@
 
 auto freeAddress() -> Address
 {
+    constexpr auto hostNumber = 200; // No other fixture of a test process uses this one.
+    const auto host = loopbackHost(hostNumber);
     auto context = net::io_context();
     const auto acceptor
-        = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address("127.0.0.1"), 0));
-    return Address { "127.0.0.1", acceptor.local_endpoint().port() };
+        = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address(host), 0));
+    return Address { host, acceptor.local_endpoint().port() };
 }
 
 struct RelayHarness::Parts {
@@ -151,12 +157,13 @@
 
 auto RelayHarness::onLoop(std::function<void()> function) -> void
 {
-    auto done = std::promise<void>();
-    net::post(m_parts->m_context, [&] {
+    const auto done = std::make_shared<std::promise<void>>();
+    net::post(m_parts->m_context, [done, function = std::move(function)] {
         function();
-        done.set_value();
+        done->set_value();
     });
-    done.get_future().wait();
+    if (done->get_future().wait_for(loopTimeout) != std::future_status::ready)
+        throw std::runtime_error("the node's event loop ran no function within 20 s");
 }
 
 auto RelayHarness::put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -31,7 +31,8 @@
     RelayHarness(const RelayHarness&) = delete;
     auto operator=(const RelayHarness&) -> RelayHarness& = delete;
 
-    // Runs a function on the event loop's thread and waits for it.
+    // Runs a function on the event loop's thread and waits for it. Throws std::runtime_error if the loop does
+    // not run it in time, for example as the node could not open an address.
     auto onLoop(std::function<void()>) -> void;
 
     // Writes an object to the store, as an operator or a replica would.
@@ -71,7 +72,8 @@
     std::thread m_thread;
 };
 
-// Returns a loopback address with a free port.
+// Returns an address with a free port on a loopback host that only this process uses, so that no other
+// process can take the port before the node opens it.
 auto freeAddress() -> Address;
 
 // Returns a caller's request as bytes, with a new request id, a deadline of 3 s and a known key.
