Load models at empty engines as soon as their state allows

Cause: an engine counted as loading its model for three load times, although it listed the model long before; two such loads at a time then blocked the engines behind them. And a load from an engine's own disk was held back like one from the weight store, though it doesn't use the store. Change: the load ends when the engine lists a model. Engines report which models they have copies of; those load at once, the others as many at a time as the store carries at full speed. The planning of models is a module of its own (model_plan), with the load pattern it answers.

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -1,6 +1,7 @@
 #include "relay/adapter_plan.h"
 
 #include "relay/load_speed.h"
+#include "relay/model_plan.h"
 
 #include <algorithm>
 #include <limits>
@@ -12,10 +13,6 @@
     // Share of the concurrent loads at full speed that additional copies may use. The rest is reserved for
     // adapters that requests wait for.
     constexpr auto copiesShare = 0.6;
-    // Concurrent model loads over all engines. Two are always allowed, as some models load from the disk of
-    // the engine and not from the weight store.
-    constexpr auto minConcurrentModelLoads = std::size_t { 2 };
-    constexpr auto maxLoadsPerEngine = std::size_t { 4 };
     constexpr auto reservedSlots = std::size_t { 3 }; // Per engine, for adapters that no engine has yet.
     // One engine, and one more for each so many engines, may unload an adapter that is in use.
     constexpr auto enginesPerUnloadInUse = std::size_t { 16 };
@@ -35,11 +32,6 @@
         return adapter.m_demand && (adapter.m_demand->m_inFlight > 0 || adapter.m_demand->m_waiting > 0);
     }
 
-    auto takesOrders(const PlannedEngine& engine) -> bool
-    {
-        return engine.m_loading < maxLoadsPerEngine && engine.m_healthy;
-    }
-
     auto servesModel(const PlannedEngine& engine, const PlannedAdapter& adapter) -> bool
     {
         const auto& models = engine.m_upstream->m_record.m_models;
@@ -78,7 +70,6 @@
             : m_input(input)
             , m_view(makePlanView(input))
             , m_maxLoads(loadsAtFullSpeed(*input.m_configuration))
-            , m_maxModelLoads(std::max(minConcurrentModelLoads, modelsAtFullSpeed(*input.m_configuration)))
         {
         }
 
@@ -88,7 +79,7 @@
             for (const auto& adapter : m_view.m_adapters)
                 plan.m_unservedAdapters += isWaitedFor(adapter) && adapter.m_copies == 0 ? 1 : 0;
             plan.m_pendingUnloads = m_view.m_pendingUnloads;
-            planModels();
+            m_orders = planModelLoads(m_view, *m_input.m_configuration);
             planUrgentCopies();
             planVersions();
             planCopies();
@@ -219,41 +210,6 @@
                 *evicted.m_name, 0, false, {} });
         }
 
-        // Orders engines without a model, such as restarted ones, to load the model with the highest rate.
-        auto planModels() -> void
-        {
-            for (auto& engine : m_view.m_engines) {
-                if (!engine.m_upstream->m_record.m_models.empty() || engine.m_loadingModel
-                    || m_view.m_loadingModels >= m_maxModelLoads || !takesOrders(engine))
-                    continue;
-                const auto* model = modelWithHighestRate(engine);
-                if (!model)
-                    continue;
-                ++m_view.m_loadingModels;
-                engine.m_loadingModel = true;
-                m_orders.push_back(
-                    { AdapterOrderKind::Load, engine.m_upstream, model->m_name, "", 0, false, {} });
-            }
-        }
-
-        auto modelWithHighestRate(const PlannedEngine& engine) const -> const EngineModel*
-        {
-            const auto* best = static_cast<const EngineModel*>(nullptr);
-            auto most = -1.0;
-            for (const auto& model : engine.m_pool->m_models) {
-                if (model.m_megabytes > engine.m_pool->m_megabytes)
-                    continue;
-                auto rate = 0.0;
-                for (const auto& adapter : m_view.m_adapters)
-                    rate += adapter.m_model == model.m_name ? rateOf(adapter) : 0.0;
-                if (rate > most) {
-                    most = rate;
-                    best = &model;
-                }
-            }
-            return best;
-        }
-
         // Returns the adapters that urgently need one more copy, the most urgent first.
         auto urgentAdapters() const -> std::vector<AdapterIndex>
         {
@@ -352,7 +308,6 @@
         const PlanInput& m_input;
         PlanView m_view;
         std::size_t m_maxLoads;
-        std::size_t m_maxModelLoads;
         std::vector<AdapterOrder> m_orders;
     };
 
--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -79,6 +79,7 @@
 {
     upstream.m_reportedAt = askedAt;
     upstream.m_record.m_models = report.m_models;
+    upstream.m_cachedModels = report.m_cachedModels;
     applyListedAdapters(upstream, report.m_adapters, askedAt - maxReportAge);
     for (const auto& adapter : report.m_pending) {
         auto& presence = upstream.m_adapters[adapter.m_key];
--- a/src/relay/engine_calls.h
+++ b/src/relay/engine_calls.h
@@ -11,6 +11,7 @@
 // The state of an engine as it reports it, up to a few hundred milliseconds old.
 struct EngineReport {
     std::vector<std::string> m_models;
+    std::vector<std::string> m_cachedModels; // In its own memory or on its own disk, loaded or not.
     std::vector<ListedAdapter> m_adapters;
     std::vector<ListedAdapter> m_pending; // Loading from the weight store; they occupy slots too.
     std::uint64_t m_startedAt = 0; // Unix milliseconds; 0 if not reported.
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -11,6 +11,8 @@
     // Slots kept free at each engine, as its list of adapters may be out of date.
     constexpr auto spareSlots = std::size_t { 1 };
 
+    constexpr auto maxLoadsPerEngine = std::size_t { 4 }; // Adapters that an engine loads concurrently.
+
     class ViewBuilder {
     public:
         explicit ViewBuilder(const PlanInput& input)
@@ -123,8 +125,10 @@
             markPendingOrders(orders, engine);
             engine.m_replacing = orders.m_replacing.size();
             m_view.m_pendingUnloads += orders.m_unloading.size();
-            engine.m_loadingModel = orders.m_modelLoadingUntil > m_input.m_now;
-            m_view.m_loadingModels += engine.m_loadingModel ? 1 : 0;
+            const auto listsModel = !engine.m_upstream->m_record.m_models.empty();
+            engine.m_loadingModel = orders.m_modelLoadingUntil > m_input.m_now && !listsModel;
+            const auto fromStore = engine.m_loadingModel && engine.m_upstream->m_cachedModels.empty();
+            m_view.m_storeModelLoads += fromStore ? 1 : 0;
             engine.m_isUnloading = engine.m_isUnloading || !orders.m_unloading.empty()
                 || orders.m_noUnloadsUntil > m_input.m_now;
         }
@@ -176,6 +180,17 @@
     return found == engine.m_held.end() ? nullptr : &*found;
 }
 
+auto takesOrders(const PlannedEngine& engine) -> bool
+{
+    return engine.m_loading < maxLoadsPerEngine && engine.m_healthy;
+}
+
+auto hasModelCached(const PlannedEngine& engine, const std::string& model) -> bool
+{
+    const auto& cached = engine.m_upstream->m_cachedModels;
+    return std::find(cached.begin(), cached.end(), model) != cached.end();
+}
+
 auto usedAdapterSlots(const PlannedEngine& engine) -> std::size_t
 {
     return engine.m_held.size() + engine.m_replacing;
--- a/src/relay/plan_view.h
+++ b/src/relay/plan_view.h
@@ -51,7 +51,7 @@
     std::size_t m_loading = 0;
     double m_load = 0; // Requests per second for its adapters, each divided by the adapter's copies.
     bool m_healthy = false; // It accepts orders, and adapters loaded there can serve requests.
-    bool m_loadingModel = false;
+    bool m_loadingModel = false; // It was ordered to load a model and does not list one yet.
     // It is unloading an adapter, which will free a slot, or accepts no unload at present.
     bool m_isUnloading = false;
 };
@@ -61,7 +61,7 @@
     std::unordered_map<std::string_view, AdapterIndex> m_indices; // By `model/adapter`.
     std::vector<PlannedEngine> m_engines;
     std::size_t m_loading = 0; // Over all engines.
-    std::size_t m_loadingModels = 0;
+    std::size_t m_storeModelLoads = 0; // Models that engines load from the weight store.
     std::size_t m_pendingUnloads = 0; // Adapters being unloaded.
     std::size_t m_unloadingEngines = 0; // Engines with `m_isUnloading` set.
 };
@@ -72,6 +72,13 @@
 // Returns the engine's entry of an adapter; null if the engine doesn't hold it.
 auto findHeld(const PlannedEngine&, AdapterIndex) -> const HeldAdapter*;
 
+// Whether the engine accepts another order to load something.
+auto takesOrders(const PlannedEngine&) -> bool;
+
+// Whether the engine has the model in its own memory or on its own disk, and so loads it without the weight
+// store.
+auto hasModelCached(const PlannedEngine&, const std::string& model) -> bool;
+
 // Returns the slots in use, including those of replacements that are loading.
 auto usedAdapterSlots(const PlannedEngine&) -> std::size_t;
 
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -65,6 +65,7 @@
 struct Upstream {
     UpstreamRecord m_record;
     std::unordered_map<std::string, AdapterPresence> m_adapters; // By `model/adapter`.
+    std::vector<std::string> m_cachedModels; // Loads of these need no weight store; as of its last report.
     MonotonicTime m_reportedAt {}; // When the engine itself last reported to this node what it holds.
     MonotonicTime m_coldUntil {};
     double m_coldAllowance = 0; // Requests that this node may still send during its warm-up.
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -124,6 +124,17 @@
         EXPECT_FALSE(decodeEngineReport(nlohmann::json::parse(R"({"models":"none"})")));
     }
 
+    TEST(ObjectDecoderTest, DecodesTheModelsThatAnEngineHasCopiesOf)
+    {
+        const auto report = decodeEngineReport(
+            nlohmann::json::parse(R"({"models":[],"available":{"in_memory":["m1"],"on_disk":["m1","m2"]}})"));
+        ASSERT_TRUE(report);
+        EXPECT_EQ(report->m_cachedModels, (std::vector<std::string> { "m1", "m1", "m2" }));
+        const auto odd = decodeEngineReport(nlohmann::json::parse(R"({"models":[],"available":["m1"]})"));
+        ASSERT_TRUE(odd);
+        EXPECT_TRUE(odd->m_cachedModels.empty());
+    }
+
     TEST(ObjectDecoderTest, DecodesAnAnnouncedVersion)
     {
         const auto version
