Observe how many adapters the weight store loads at full speed

Cause: the number was derived from the store's rate by a figure that fits some sites. On the grown further site it gave 48 where the store carries 32: each load took half as long again as expected, so requests were sent before their adapter was there and engines were told to unload adapters that were still loading. Change: each node counts whether a request that is sent at the expected end of a load finds its adapter. Late loads lower the number of concurrent loads, others raise it, between half of the estimate and all of it.

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -62,7 +62,7 @@
         explicit Planner(const PlanInput& input)
             : m_input(input)
             , m_view(makePlanView(input))
-            , m_maxLoads(loadsAtFullSpeed(*input.m_configuration))
+            , m_maxLoads(observedLoadsAtFullSpeed(*input.m_configuration, input.m_loadSpeed))
         {
         }
 
--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -23,6 +23,8 @@
     constexpr auto maxLoadTime = Milliseconds(2'000);
     constexpr auto minLoadRetryDelay = Milliseconds(60);
     constexpr auto maxRefusals = 5;
+    constexpr auto minStoreLoadTime = Milliseconds(150); // Loads of cached adapters are much faster.
+    constexpr auto loadTestTime = Milliseconds(60); // After the expected end of a load.
 
     // Whether the engine waits for the adapter's requests to end and then unloads it.
     auto isDraining(const AdapterPresence& presence, MonotonicTime now) -> bool
@@ -158,6 +160,23 @@
     return true;
 }
 
+auto isAtExpectedLoadEnd(const Upstream& upstream, const std::string& adapter, MonotonicTime now) -> bool
+{
+    const auto found = upstream.m_adapters.find(adapter);
+    if (found == upstream.m_adapters.end())
+        return false;
+    const auto& presence = found->second;
+    const auto fromStore = presence.m_readyAt - presence.m_learntAt >= minStoreLoadTime;
+    return fromStore && !presence.m_listed && presence.m_refusals == 0 && presence.m_readyAt <= now
+        && presence.m_readyAt + loadTestTime > now;
+}
+
+auto adapterRefusals(const Upstream& upstream, const std::string& adapter) -> int
+{
+    const auto found = upstream.m_adapters.find(adapter);
+    return found == upstream.m_adapters.end() ? 0 : found->second.m_refusals;
+}
+
 auto markMissing(AdapterPresence& presence, MonotonicTime now) -> void
 {
     presence.m_missing = true;
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -36,6 +36,13 @@
 // the adapter is now marked as missing; it isn't at once, as a load may take longer than expected.
 auto recordAdapterRefusal(Upstream&, const std::string& adapter, MonotonicTime now) -> bool;
 
+// Whether a load of the adapter from the weight store should have ended just now, so that a request sent now
+// tests whether it has.
+auto isAtExpectedLoadEnd(const Upstream&, const std::string& adapter, MonotonicTime now) -> bool;
+
+// Returns the consecutive requests that the upstream refused because it lacked the adapter.
+auto adapterRefusals(const Upstream&, const std::string& adapter) -> int;
+
 // Excludes the adapter from routing until the engine lists it again. It keeps its adapter slot in the plan,
 // as the refusals may have another cause.
 auto markMissing(AdapterPresence&, MonotonicTime now) -> void;
--- a/src/relay/load_speed.cc
+++ b/src/relay/load_speed.cc
@@ -14,6 +14,12 @@
     constexpr auto adaptersPerModel = std::size_t { 8 };
     constexpr auto ratePerConcurrentModel = 4.2; // Model loads per second.
 
+    // Bounds and steps of the observed share. A late load costs several requests an attempt, a load that
+    // could have been started costs nothing unless adapters are waited for, so it falls faster than it rises.
+    constexpr auto minShare = 0.5;
+    constexpr auto lateFactor = 0.9;
+    constexpr auto expectedStep = 0.01;
+
 } // namespace
 
 auto modelsAtFullSpeed(const RoutingConfiguration& configuration) -> std::size_t
@@ -29,6 +35,19 @@
     return adaptersPerModel * modelsAtFullSpeed(configuration);
 }
 
+auto recordLoadEnd(LoadSpeed& speed, LoadEnd end) -> void
+{
+    speed.m_share = end == LoadEnd::Late ? std::max(minShare, speed.m_share * lateFactor)
+                                         : std::min(1.0, speed.m_share + expectedStep);
+}
+
+auto observedLoadsAtFullSpeed(const RoutingConfiguration& configuration, const LoadSpeed& speed)
+    -> std::size_t
+{
+    const auto loads = static_cast<double>(loadsAtFullSpeed(configuration)) * speed.m_share;
+    return std::max(adaptersPerModel, static_cast<std::size_t>(loads));
+}
+
 auto expectedLoadTime(std::size_t loading, std::size_t fullSpeed) -> Milliseconds
 {
     const auto slowdown = std::max(1.0, static_cast<double>(loading + 1) / static_cast<double>(fullSpeed));
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -101,6 +101,7 @@
     input.m_configuration = m_board.m_configuration.get();
     input.m_orderTracker = &m_orderTracker;
     input.m_demands = totalDemand(m_board.m_fleetDemand, now);
+    input.m_loadSpeed = m_board.m_loadSpeed;
     input.m_now = now;
     auto planned = planAdapterOrders(input);
     logPlan(planned, now);
@@ -179,7 +180,8 @@
     auto loading = std::size_t { 0 };
     for (const auto& [upstream, orders] : m_orderTracker)
         loading += orders.m_loading.size();
-    return now + expectedLoadTime(loading, loadsAtFullSpeed(*m_board.m_configuration));
+    return now
+        + expectedLoadTime(loading, observedLoadsAtFullSpeed(*m_board.m_configuration, m_board.m_loadSpeed));
 }
 
 auto OrderController::sendQueued(UpstreamPointer upstream) -> Awaitable<void>
--- a/src/relay/plan_view.h
+++ b/src/relay/plan_view.h
@@ -7,6 +7,7 @@
 
 #include "relay/adapter_demand.h"
 #include "relay/engine_order_tracker.h"
+#include "relay/load_speed.h"
 
 #include <string>
 #include <string_view>
@@ -20,6 +21,7 @@
     const RoutingConfiguration* m_configuration = nullptr;
     const EngineOrderTracker* m_orderTracker = nullptr;
     std::vector<TotalAdapterDemand> m_demands;
+    LoadSpeed m_loadSpeed;
     MonotonicTime m_now {};
 };
 
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "relay/adapter_demand.h"
 #include "relay/fleet_view.h"
+#include "relay/load_speed.h"
 #include "relay/object_cache.h"
 #include "relay/retry_budget.h"
 #include "relay/upstream.h"
@@ -50,6 +51,7 @@
     AdapterRates m_adapterRates; // Of this node's requests. By the runner and the wait list.
     FleetDemand m_fleetDemand; // While this node holds the order lease. By the peer exchange.
     std::vector<MissingAdapter> m_missingAdapters; // By the runner and the peer exchange.
+    LoadSpeed m_loadSpeed; // By the runner.
     OrderState m_orders; // By the order controller.
     Metrics m_metrics; // By all.
     std::size_t m_nodes = 1; // Among which the fleet's bounds are divided. By the peer exchange.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -1,5 +1,6 @@
 #include "relay/request_runner.h"
 
+#include "relay/blackboard_updates.h"
 #include "relay/stream_time.h"
 
 #include <algorithm>
@@ -303,7 +304,10 @@
     }
     const auto upstream = found.m_slot.upstream();
     const auto use = AdapterUse(m_board.m_adapterRates, attempts.m_needs.m_adapter, &AdapterRate::m_inFlight);
+    const auto testsLoad = isAtExpectedLoadEnd(*upstream, attempts.m_needs.m_adapter, Clock::now());
     const auto outcome = co_await m_upstreamCaller.call(state, answer, upstream, answerDeadline);
+    if (testsLoad)
+        recordTestedLoad(*upstream, attempts.m_needs.m_adapter, outcome);
     attempts.m_needs.m_tried.push_back(upstream.get());
     logAttempt(state, *upstream, outcome, wait);
     if (outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted)
@@ -333,6 +337,18 @@
         && attempts.m_runs < state.m_route->m_maxUpstreams&& Clock::now() < state.m_deadline;
 }
 
+// Learns from a request that was sent at the expected end of its adapter's load.
+auto RequestRunner::recordTestedLoad(
+    const Upstream& upstream, const std::string& adapter, UpstreamCallOutcome outcome) -> void
+{
+    const auto refusals = adapterRefusals(upstream, adapter);
+    if (outcome == UpstreamCallOutcome::Delivered && refusals == 0)
+        recordLoadEnd(m_board.m_loadSpeed, LoadEnd::AsExpected);
+    // Further requests that waited for the same load say the same.
+    if (outcome == UpstreamCallOutcome::Refused && refusals == 1)
+        recordLoadEnd(m_board.m_loadSpeed, LoadEnd::Late);
+}
+
 auto RequestRunner::failureFor(const CallState& state, const Attempts& attempts) const -> Failure
 {
     if (attempts.m_runs > 0) {
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -37,6 +37,7 @@
 
     auto logAttempt(const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&) -> void;
     auto logEnd(const CallState&, std::string_view event, std::string reason) -> void;
+    auto recordTestedLoad(const Upstream&, const std::string& adapter, UpstreamCallOutcome) -> void;
     auto failureFor(const CallState&, const Attempts&) const -> Failure;
 
     Executor m_executor;
--- a/test/relay/blackboard_updates_test.cc
+++ b/test/relay/blackboard_updates_test.cc
@@ -135,6 +135,20 @@
         EXPECT_TRUE(upstream.m_adapters.empty()) << "expected no adapter, as the engine reports none";
     }
 
+    TEST(BlackboardUpdatesTest, ARequestAtTheExpectedEndTestsALoadFromTheWeightStore)
+    {
+        auto upstream = Upstream();
+        recordLoadOrder(upstream, { "model/a1", 1 }, at(0.25), at(0));
+        recordLoadOrder(upstream, { "model/cached", 1 }, at(0.25), at(0.22));
+        EXPECT_FALSE(isAtExpectedLoadEnd(upstream, "model/a1", at(0.2)));
+        EXPECT_TRUE(isAtExpectedLoadEnd(upstream, "model/a1", at(0.26)));
+        EXPECT_FALSE(isAtExpectedLoadEnd(upstream, "model/a1", at(0.4))) << "too late to say anything";
+        EXPECT_FALSE(isAtExpectedLoadEnd(upstream, "model/cached", at(0.26)));
+        EXPECT_FALSE(isAtExpectedLoadEnd(upstream, "model/unknown", at(0.26)));
+        EXPECT_FALSE(recordAdapterRefusal(upstream, "model/a1", at(0.26)));
+        EXPECT_EQ(adapterRefusals(upstream, "model/a1"), 1);
+    }
+
     TEST(BlackboardUpdatesTest, AMissingAdapterThatTheEngineReportsIsNoLongerMissing)
     {
         auto upstream = Upstream();
