--- a/bench/order_plan_bench.cc
+++ b/bench/order_plan_bench.cc
@@ -75,7 +75,7 @@
         auto orders = std::size_t { 0 };
         for (auto count = 0; count < plans; ++count) {
             auto input
-                = PlanInput { &fleet.m_table, &fleet.m_configuration, &fleet.m_orderTracker, {}, origin };
+                = PlanInput { &fleet.m_table, &fleet.m_configuration, &fleet.m_orderTracker, {}, {}, origin };
             input.m_demands = totalDemand(fleet.m_demand, origin);
             orders += planAdapterOrders(input).m_orders.size();
         }
