--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -14,8 +14,8 @@
     constexpr auto maxLoadsPerEngine = std::size_t { 4 }; // Adapters that an engine loads concurrently.
 
     // Returns the slots that the plan may fill. An engine that counts its orders carries out none that was
-    // planned on an earlier state, so what it holds is known whenever an order takes effect. At other
-    // engines, and with a single slot, a late order could take one slot more than is known.
+    // planned on an earlier state, so what it holds is known whenever an order takes effect. Elsewhere a late
+    // order could take one more slot than is known, so one stays free, unless the engine has no other.
     auto plannableSlots(const EnginePool& pool, const EngineOrders* orders) -> std::size_t
     {
         const auto isCounted = orders && orders->m_acceptedCount;
