Log the shared prompt parts of requests that were at an upstream when it crashed

Cause: the logs could not show whether the prompts under which upstreams crash have a part in common, so they could not tell the three hypotheses of docs/incidents/prompt-part-crashes.md apart. The list of prompt parts is decoded in platform/ (bounded, without duplicates, up to a malformed entry); the line upstream_crashed names the request, its shared parts and whether its answer had begun, and is limited in rate as other lines about requests are. No decision changed.

--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -8,11 +8,18 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigoldladder::relay {
 
 using HeaderFields = boost::beast::http::fields;
 
+// Identifies a part of a prompt. Prompts with a common beginning have their first parts in common.
+using PromptPartId = std::uint64_t;
+
+// Parts of one prompt that are read; further ones are ignored.
+inline constexpr auto maxPromptParts = std::size_t { 16 };
+
 // What a request's header fields state.
 struct CallerRequest {
     std::string m_id; // Unique for each attempt of the caller.
@@ -24,6 +31,9 @@
     double m_promptTokens = 0;
     double m_outputTokens = 0; // At most.
     std::string m_lastEventId; // A stream is resumed after this event; empty: it begins anew.
+    // The parts of the prompt that other requests may have too, without duplicates. The last part, which only
+    // this request or its session has, is left out.
+    std::vector<PromptPartId> m_sharedParts;
 };
 
 // What this node adds to a request when it sends it to an upstream.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <sstream>
 #include <xxhash.h>
 
 namespace marigoldladder::relay {
@@ -61,6 +62,15 @@
         return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
     }
 
+    auto formatParts(const std::vector<PromptPartId>& parts) -> std::string
+    {
+        auto text = std::ostringstream();
+        text << std::hex;
+        for (const auto part : parts)
+            text << (text.tellp() > 0 ? "," : "") << part;
+        return text.str();
+    }
+
     auto drawPool(const std::vector<WeightedPool>& pools, std::mt19937& random) -> const PoolName&
     {
         auto total = 0.0;
@@ -181,7 +191,7 @@
 }
 
 // Checks whether a connection broke because the upstream crashed: after a crash, new connections are refused.
-auto RequestRunner::checkForCrash(UpstreamPointer upstream, std::uint64_t fingerprint) -> Awaitable<void>
+auto RequestRunner::checkForCrash(UpstreamPointer upstream, BrokenRequest request) -> Awaitable<void>
 {
     co_await sleepFor(crashCheckDelay);
     auto stream = tcp_stream(m_executor);
@@ -190,11 +200,14 @@
     if (error != net::error::connection_refused && error != net::error::connection_reset)
         co_return;
     const auto now = Clock::now();
-    const auto report = noteCrash(m_board.m_poison, m_settings.m_vm, fingerprint, 0, now);
+    const auto report = noteCrash(m_board.m_poison, m_settings.m_vm, request.m_fingerprint, 0, now);
     recordCallEnd(upstream->m_health, CallEnd::TimedOut, now);
-    logChange("upstream_crashed",
-        { { "upstream", upstream->m_record.m_name.value() }, { "fingerprint", std::to_string(fingerprint) },
-            { "crashes_seen", std::to_string(report.m_crashes) } });
+    m_log.write("upstream_crashed", request.m_id,
+        { { "upstream", upstream->m_record.m_name.value() },
+            { "fingerprint", std::to_string(request.m_fingerprint) },
+            { "crashes_seen", std::to_string(report.m_crashes) },
+            { "answer_began", request.m_answerBegan ? "yes" : "no" },
+            { "shared_parts", request.m_sharedParts } });
 }
 
 auto RequestRunner::logAttempt(const CallState& state, const Upstream& upstream, UpstreamCallOutcome outcome,
@@ -311,7 +324,11 @@
     attempts.m_needs.m_tried.push_back(upstream.get());
     logAttempt(state, *upstream, outcome, wait);
     if (outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted)
-        net::co_spawn(m_executor, checkForCrash(upstream, fingerprintOf(state)), net::detached);
+        net::co_spawn(m_executor,
+            checkForCrash(upstream,
+                BrokenRequest { state.m_request.m_id, fingerprintOf(state),
+                    formatParts(state.m_request.m_sharedParts), state.m_answerBegan }),
+            net::detached);
     switch (outcome) {
     case UpstreamCallOutcome::Delivered:
     case UpstreamCallOutcome::CallerDisconnected:
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -28,7 +28,15 @@
     auto refuse(CallState&, CallerAnswer&, const Failure&) -> Awaitable<void>;
     auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
     auto isPoison(const CallState&) const -> bool;
-    auto checkForCrash(UpstreamPointer, std::uint64_t fingerprint) -> Awaitable<void>;
+    // A request that an upstream broke off, as logged if the upstream crashed.
+    struct BrokenRequest {
+        std::string m_id;
+        std::uint64_t m_fingerprint = 0;
+        std::string m_sharedParts; // In hexadecimal digits, separated by commas.
+        bool m_answerBegan = false;
+    };
+
+    auto checkForCrash(UpstreamPointer, BrokenRequest) -> Awaitable<void>;
     // How long a request waited for a slot on an upstream, and why.
     struct SlotWait {
         Milliseconds m_time { 0 };
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -226,6 +226,7 @@
             const auto length = done ? pending.size() : wholeEventsLength(pending);
             if (length > 0) {
                 const auto events = std::string_view(pending).substr(0, length);
+                state.m_answerBegan = true;
                 if (auto id = lastEventId(events); !id.empty())
                     state.m_lastEventId = std::move(id);
                 if (!state.m_timeToFirstPart) {
@@ -322,6 +323,7 @@
 auto UpstreamCaller::call(CallState& state, CallerAnswer& answer, const UpstreamPointer& upstream,
     MonotonicTime answerDeadline) -> Awaitable<UpstreamCallOutcome>
 {
+    state.m_answerBegan = false;
     auto refused = false;
     auto connection = co_await m_connections.acquire(upstream, refused);
     auto outcome = UpstreamCallOutcome::NotReached;
@@ -373,6 +375,7 @@
     }
     if (error)
         co_return outcomeWithoutAnswer(state, error == beast::error::timeout);
+    state.m_answerBegan = true;
     releaseIfReusable(m_connections, state, upstream, std::move(connection), keepAlive, idleTime);
     removeConnectionFields(whole.m_fields);
     if (answer.begun())
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -52,6 +52,7 @@
     bool m_callerDisconnected = false;
     std::function<void()> m_cancelUpstream; // Set while a call to an upstream runs.
     std::optional<Milliseconds> m_timeToFirstPart; // From arrival to the first part of a stream.
+    bool m_answerBegan = false; // The upstream called last sent an event, or a whole answer.
     std::string m_lastEventId; // Of the last event sent to the caller by this node.
     std::optional<WholeAnswer> m_upstreamFailure; // Sent to the caller if no retry succeeds.
 };
--- a/test/platform/header_dialect_test.cc
+++ b/test/platform/header_dialect_test.cc
@@ -32,6 +32,32 @@
         EXPECT_EQ(request.m_lastEventId, "12");
     }
 
+    TEST(HeaderDialectTest, ReadsThePromptPartsThatRequestsShare)
+    {
+        auto fields = callerHeaders();
+        fields.set("X-Marigoldladder-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,5c1e07a2:800,e4402b7d:250");
+        const auto expected = std::vector<PromptPartId> { 0x5c1e07a2, 0x91bd3f06 };
+        EXPECT_EQ(makeDialect().m_readRequest(fields).m_sharedParts, expected);
+    }
+
+    TEST(HeaderDialectTest, ReadsAListOfPromptPartsUpToAMalformedOne)
+    {
+        auto fields = callerHeaders();
+        fields.set("X-Marigoldladder-Prompt-Prefix", "5c1e07a2:800,not an id:410,e4402b7d:250,1:1");
+        const auto expected = std::vector<PromptPartId> { 0x5c1e07a2 };
+        EXPECT_EQ(makeDialect().m_readRequest(fields).m_sharedParts, expected);
+    }
+
+    TEST(HeaderDialectTest, ReadsABoundedNumberOfPromptParts)
+    {
+        auto text = std::string();
+        for (auto part = 1; part < 1'000; ++part)
+            text += std::to_string(part) + ":1,";
+        auto fields = callerHeaders();
+        fields.set("X-Marigoldladder-Prompt-Prefix", text + "1000:1");
+        EXPECT_EQ(makeDialect().m_readRequest(fields).m_sharedParts.size(), maxPromptParts);
+    }
+
     TEST(HeaderDialectTest, InvalidNumbersCountAsMissing)
     {
         auto fields = callerHeaders();
