--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -29,9 +29,24 @@
     return Address { "127.0.0.1", m_acceptor.local_endpoint().port() };
 }
 
+auto FakeUpstream::crash() -> void
+{
+    auto error = ErrorCode();
+    m_acceptor.close(error);
+    for (const auto& entry : m_connections) {
+        const auto connection = entry.lock();
+        if (!connection)
+            continue;
+        connection->socket().set_option(net::socket_base::linger(true, 0), error);
+        connection->socket().close(error);
+    }
+}
+
 auto FakeUpstream::serve(boost::asio::ip::tcp::socket socket) -> Awaitable<void>
 {
-    auto stream = tcp_stream(std::move(socket));
+    const auto connection = std::make_shared<tcp_stream>(std::move(socket));
+    m_connections.push_back(connection);
+    auto& stream = *connection;
     auto buffer = beast::flat_buffer();
     for (;;) {
         auto error = ErrorCode();
@@ -41,6 +56,10 @@
             co_return;
         m_requests.push_back(request);
         const auto reply = m_reply(request);
+        if (reply.m_crashes) {
+            crash();
+            co_return;
+        }
         co_await net::async_write(stream, net::buffer(reply.m_bytes), errorTo(error));
         if (reply.m_resets)
             stream.socket().set_option(net::socket_base::linger(true, 0), error);
--- a/test/platform/fake_upstream.h
+++ b/test/platform/fake_upstream.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
     std::string m_bytes;
     bool m_closes = false;
     bool m_resets = false; // Closes with a TCP reset.
+    bool m_crashes = false; // The upstream closes its port and resets all its connections; nothing is sent.
 };
 
 class FakeUpstream {
@@ -31,11 +33,13 @@
 
 private:
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
+    auto crash() -> void;
 
     boost::asio::io_context& m_context;
     std::function<UpstreamReply(const UpstreamRequest&)> m_reply;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<UpstreamRequest> m_requests;
+    std::vector<std::weak_ptr<relay::tcp_stream>> m_connections; // Also closed ones.
 };
 
 } // namespace marigoldladder::platform
--- a/test/platform/relay_path_test.cc
+++ b/test/platform/relay_path_test.cc
@@ -1,34 +1,9 @@
 // Requests through a whole node: what callers and upstreams receive, also when either side fails.
-#include "platform/relay_harness.h"
-
-#include <gtest/gtest.h>
+#include "platform/relay_path_fixture.h"
 
 namespace marigoldladder::platform {
 namespace {
 
-    auto answerWith(const std::string& body)
-    {
-        return
-            [body](const UpstreamRequest& request) { return UpstreamReply { answerTo(request, 200, body) }; };
-    }
-
-    class RelayPathTest : public testing::Test {
-    protected:
-        auto configure(std::uint64_t version = 1) -> void
-        {
-            m_relay.put("config", "main", testConfiguration(version));
-            ASSERT_TRUE(m_relay.eventually([&] { return m_relay.readiness() == 200; }));
-        }
-
-        auto addUpstream(const std::string& name, std::function<UpstreamReply(const UpstreamRequest&)> reply)
-            -> void
-        {
-            m_relay.addUpstream(name, "pool", std::move(reply));
-        }
-
-        RelayHarness m_relay;
-    };
-
     TEST_F(RelayPathTest, ANodeWithoutAConfigurationIsNotReadyAndRefusesRequests)
     {
         ASSERT_TRUE(m_relay.eventually([&] { return m_relay.readiness() == 503; }));
@@ -165,13 +140,6 @@
         EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_status, 502);
     }
 
-    auto streamHead(const UpstreamRequest& request, const std::string& stamp) -> std::string
-    {
-        return "HTTP/1.1 200 OK\r\nX-Marigoldladder-Request-Id: "
-            + std::string(request["X-Marigoldladder-Request-Id"]) + "\r\nX-Marigoldladder-Server-Stamp: "
-            + stamp + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    }
-
     auto chunk(const std::string& data) -> std::string
     {
         auto length = std::array<char, 16>();
