Take an unframed stream that ends inside an event as broken off

Callers saw: an answer without length and chunks that broke off inside an event was passed on as complete, with half an event at its end, and was not resumed elsewhere; one that ended before its first event was complete and empty. Cause: for an answer that ends with its connection the parser is done at any close, and the end of a stream was judged by the parser alone. Now the events judge: rest bytes, or no event at all, mean that the stream broke; only whole events are passed on. Streams with a length or chunks are as before. Ruled out: whole answers, which are complete at a close and failures at a reset (two tests that passed before). Test: UnframedAnswerTest, 3 of 6 failed before, 6 pass; RelayPathTest 15 pass.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -196,6 +196,19 @@
         bool m_keepAlive = false;
     };
 
+    // Records that the upstream sent these events: whole ones, or the rest of its answer.
+    auto recordEvents(CallState& state, std::string_view events, RelayBoard& board) -> void
+    {
+        state.m_answerBegan = true;
+        if (auto id = lastEventId(events); !id.empty())
+            state.m_lastEventId = std::move(id);
+        if (state.m_timeToFirstPart)
+            return;
+        const auto age = Clock::now() - state.m_arrivedAt;
+        state.m_timeToFirstPart = std::chrono::duration_cast<Milliseconds>(age);
+        board.m_metrics.observe(Latency::FirstToken, std::chrono::duration<double>(age).count());
+    }
+
     // Forwards whole events only, so that another upstream can resume the stream after the last one sent.
     auto forwardStream(CallState& state, CallerAnswer& answer, UpstreamConnection& connection,
         HeadParser& head, RelayBoard& board) -> Awaitable<StreamResult>
@@ -207,6 +220,7 @@
         }
         auto parser = http::response_parser<http::buffer_body>(std::move(head));
         parser.body_limit(boost::none);
+        const auto isFramed = !parser.need_eof(); // By a length or chunks; else it ends with its connection.
         auto part = std::string(readBufferBytes, '\0');
         auto pending = std::string();
         for (;;) {
@@ -222,30 +236,25 @@
             if (error == http::error::need_buffer)
                 error = {};
             pending.append(part.data(), part.size() - body.size);
-            const auto done = !error && parser.is_done();
-            const auto length = done ? pending.size() : wholeEventsLength(pending);
+            const auto atEnd = !error && parser.is_done();
+            const auto length = atEnd && isFramed ? pending.size() : wholeEventsLength(pending);
             if (length > 0) {
                 const auto events = std::string_view(pending).substr(0, length);
-                state.m_answerBegan = true;
-                if (auto id = lastEventId(events); !id.empty())
-                    state.m_lastEventId = std::move(id);
-                if (!state.m_timeToFirstPart) {
-                    const auto age = Clock::now() - state.m_arrivedAt;
-                    state.m_timeToFirstPart = std::chrono::duration_cast<Milliseconds>(age);
-                    board.m_metrics.observe(Latency::FirstToken, std::chrono::duration<double>(age).count());
-                }
+                recordEvents(state, events, board);
                 const auto sent = co_await answer.sendPart(events);
                 if (sent == SendOutcome::CallerDisconnected)
                     co_return StreamResult { UpstreamCallOutcome::CallerDisconnected, false };
                 pending.erase(0, length);
             }
-            if (done) {
+            // Without framing, an end before the first event or inside an event shows that the stream broke.
+            const auto broke = error || (atEnd && !isFramed && (!pending.empty() || !state.m_answerBegan));
+            if (atEnd && !broke) {
                 const auto ended = co_await answer.endStream();
                 const auto outcome = ended == SendOutcome::Sent ? UpstreamCallOutcome::Delivered
                                                                 : UpstreamCallOutcome::CallerDisconnected;
                 co_return StreamResult { outcome, parser.get().keep_alive() && !parser.need_eof() };
             }
-            if (error) {
+            if (broke) {
                 const auto outcome = state.m_callerDisconnected ? UpstreamCallOutcome::CallerDisconnected
                                                                 : UpstreamCallOutcome::Interrupted;
                 co_return StreamResult { outcome, false };
