Convict the prompt part that crashes upstreams, by crashes without an answer since

Cause: a crash was remembered by the identity of the whole request, so requests that share only a part never added up; each was also repeated at a second upstream. Class of fault: blame laid on an identity where the cause is a trait that many have. Now every shared prompt part and the request itself are suspects. A crash counts once by the upstream's run, against suspects without an answer; an answer that begins clears its suspects; three crashes apart in time and none since convict, least recently answered first, and take the crash off the other suspects of the same requests. Convicted ones are refused at once with the time of the next trial, which one node begins and which doubles. Crashes, answers and convictions travel in summaries and digests, bounded, without the store. Requests are not repeated after their suspect's second crash.

--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -58,6 +58,8 @@
         EnumName<Counter> { Counter::CallersGone, "callers_gone_total" },
         EnumName<Counter> { Counter::UpstreamConnects, "upstream_connects_total" },
         EnumName<Counter> { Counter::EngineOrders, "engine_orders_total" },
+        EnumName<Counter> { Counter::UpstreamCrashes, "upstream_crashes_total" },
+        EnumName<Counter> { Counter::SuspectsConvicted, "suspects_convicted_total" },
     };
     static_assert(counterNames.size() == static_cast<std::size_t>(Counter::Last));
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -45,6 +45,8 @@
     CallersGone,
     UpstreamConnects,
     EngineOrders,
+    UpstreamCrashes,
+    SuspectsConvicted,
     Last, // Counts the values above.
 };
 
--- /dev/null
+++ b/src/relay/crash_watch.cc
@@ -0,0 +1,214 @@
+#include "relay/crash_watch.h"
+
+#include "core/log.h"
+#include "relay/upstream_health.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <xxhash.h>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    constexpr auto checkDelay = Milliseconds(15);
+    constexpr auto checkTimeout = Milliseconds(500);
+    constexpr auto judgeInterval = Milliseconds(50);
+    constexpr auto minRetryAfter = Milliseconds(1'000);
+    constexpr auto maxLoggedSuspects = std::size_t { 8 };
+    constexpr auto maxPosition = std::size_t { 255 };
+
+    // Longer than it takes until the other nodes know of a trial.
+    constexpr auto trialStaggerInSmallFleet = Milliseconds(400);
+    constexpr auto trialStaggerInLargeFleet = Milliseconds(2'500);
+
+    // Hashes path, organisation and body, so that a request is recognised when it is sent under another id.
+    auto fingerprintOf(const CallState& state) -> std::uint64_t
+    {
+        const auto target
+            = std::string_view(state.m_message.target().data(), state.m_message.target().size());
+        const auto path = target.substr(0, target.find('?'));
+        const auto& body = state.m_message.body();
+        const auto& organisation = state.m_organisation.value();
+        const auto seed = XXH3_64bits(path.data(), path.size());
+        const auto withCaller = XXH3_64bits_withSeed(organisation.data(), organisation.size(), seed);
+        return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
+    }
+
+    auto runIdOf(const Upstream& upstream) -> UpstreamRunId
+    {
+        const auto& name = upstream.m_record.m_name.value();
+        return static_cast<UpstreamRunId>(
+            XXH3_64bits_withSeed(name.data(), name.size(), upstream.m_record.m_startedAt));
+    }
+
+    auto formatSuspect(const Suspect& suspect) -> std::string
+    {
+        constexpr auto hexadecimal = 16;
+        auto digits = std::array<char, hexadecimal>();
+        const auto [end, error]
+            = std::to_chars(digits.data(), digits.data() + digits.size(), suspect.m_id, hexadecimal);
+        return std::string(nameOf(suspectKindNames, suspect.m_kind)) + " " + std::string(digits.data(), end);
+    }
+
+    // Returns one notice for each suspect, those that have other causes less likely first.
+    auto noticesOf(const std::vector<std::vector<Suspect>>& requests, UpstreamRunId run,
+        MonotonicTime crashedAt) -> std::vector<CrashNotice>
+    {
+        auto notices = std::vector<CrashNotice>();
+        for (const auto& suspects : requests) {
+            for (auto index = std::size_t { 0 }; index < suspects.size(); ++index) {
+                const auto isListed = [&](const auto& notice) { return notice.m_suspect == suspects[index]; };
+                if (notices.size() >= maxSuspectsPerCrash
+                    || std::any_of(notices.begin(), notices.end(), isListed))
+                    continue;
+                const auto position = static_cast<std::uint8_t>(std::min(index, maxPosition));
+                notices.push_back({ suspects[index], run, crashedAt, position, EvidenceSource::Self });
+            }
+        }
+        return notices;
+    }
+
+} // namespace
+
+auto suspectsOf(const CallState& state) -> std::vector<Suspect>
+{
+    auto suspects = std::vector<Suspect>();
+    suspects.reserve(state.m_request.m_sharedParts.size() + 1);
+    for (const auto part : state.m_request.m_sharedParts)
+        suspects.push_back({ SuspectKind::PromptPart, part });
+    suspects.push_back({ SuspectKind::Request, fingerprintOf(state) });
+    return suspects;
+}
+
+CrashWatch::CrashWatch(Executor executor, const RelaySettings& settings, RelayBoard& board)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_board(board)
+{
+}
+
+auto CrashWatch::noteBroken(const UpstreamPointer& upstream, const CallState& state) -> void
+{
+    auto& broken = m_broken[upstream.get()];
+    if (++broken.m_requests == 1) {
+        broken.m_firstAt = Clock::now();
+        net::co_spawn(m_executor, check(upstream), net::detached);
+    }
+    if (!state.m_answerBegan)
+        broken.m_unanswered.push_back(state.m_suspects);
+}
+
+// Checks whether connections broke because the upstream crashed: after a crash, new connections are refused.
+auto CrashWatch::check(UpstreamPointer upstream) -> Awaitable<void>
+{
+    co_await sleepFor(checkDelay);
+    auto stream = tcp_stream(m_executor);
+    auto error = ErrorCode();
+    co_await connectTo(stream, upstream->m_record.m_address, checkTimeout, error);
+    const auto broken = std::move(m_broken[upstream.get()]);
+    m_broken.erase(upstream.get());
+    const auto refused = error == net::error::connection_refused || error == net::error::connection_reset;
+    // One that said that it would leave has ended as it said.
+    if (!refused || upstream->m_record.m_leaving)
+        co_return;
+    recordCallEnd(upstream->m_health, CallEnd::TimedOut, Clock::now());
+    recordCrashOf(*upstream, broken);
+}
+
+auto CrashWatch::recordCrashOf(const Upstream& upstream, const BrokenConnections& broken) -> void
+{
+    const auto notices = noticesOf(broken.m_unanswered, runIdOf(upstream), broken.m_firstAt);
+    auto names = std::string();
+    for (auto index = std::size_t { 0 }; index < notices.size(); ++index) {
+        recordCrash(m_board.m_crashEvidence, notices[index], Clock::now());
+        if (index < maxLoggedSuspects)
+            names += (names.empty() ? "" : ", ") + formatSuspect(notices[index].m_suspect);
+    }
+    m_board.m_metrics.add(Counter::UpstreamCrashes);
+    logChange("upstream_crashed",
+        { { "upstream", upstream.m_record.m_name.value() }, { "requests", std::to_string(broken.m_requests) },
+            { "unanswered", std::to_string(broken.m_unanswered.size()) }, { "suspects", names } });
+    if (!notices.empty())
+        m_board.m_crashEvidenceChanged();
+}
+
+auto CrashWatch::judge() -> void
+{
+    auto& evidence = m_board.m_crashEvidence;
+    const auto now = Clock::now();
+    if (evidence.m_records.empty() || m_judgedAt + judgeInterval > now)
+        return;
+    m_judgedAt = now;
+    dropOldEvidence(evidence, now);
+    const auto convicted = convictSuspects(evidence, now);
+    for (const auto& suspect : convicted) {
+        m_board.m_metrics.add(Counter::SuspectsConvicted);
+        const auto crashes = evidence.m_records.at(suspect).m_crashes.size();
+        logChange("suspect_convicted",
+            { { "suspect", formatSuspect(suspect) }, { "crashes", std::to_string(crashes) } });
+    }
+    if (!convicted.empty())
+        m_board.m_crashEvidenceChanged();
+}
+
+// The nodes' order for a suspect's trials differs from suspect to suspect.
+auto CrashWatch::trialWait(const Suspect& suspect) const -> Milliseconds
+{
+    const auto rankOf = [&](const VmName& vm) {
+        return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), suspect.m_id);
+    };
+    const auto own = rankOf(m_settings.m_vm);
+    const auto now = Clock::now();
+    const auto& peers = m_board.m_fleet.m_peers;
+    const auto earlier = std::count_if(peers.begin(), peers.end(),
+        [&](const auto& entry) { return rankOf(entry.first) < own && isAlive(entry.second, now); });
+    const auto stagger = isSmallFleet(m_board.m_fleet) ? trialStaggerInSmallFleet : trialStaggerInLargeFleet;
+    return stagger * earlier;
+}
+
+auto CrashWatch::refusalFor(const Suspect& suspect) -> Failure
+{
+    m_board.m_metrics.add(Counter::PoisonRefusals);
+    auto failure = notRun(FailureType::Unavailable,
+        "upstreams crash under this " + formatSuspect(suspect) + "; it is not sent");
+    const auto dueAt = trialDueAt(m_board.m_crashEvidence, suspect, Milliseconds(0));
+    failure.m_retryAfter
+        = std::max(minRetryAfter, std::chrono::duration_cast<Milliseconds>(dueAt - Clock::now()));
+    return failure;
+}
+
+auto CrashWatch::refusalOf(const CallState& state) -> std::optional<Failure>
+{
+    judge();
+    const auto suspect = findConvicted(m_board.m_crashEvidence, state.m_suspects);
+    if (!suspect || trialDueAt(m_board.m_crashEvidence, *suspect, trialWait(*suspect)) <= Clock::now())
+        return std::nullopt;
+    return refusalFor(*suspect);
+}
+
+auto CrashWatch::refusalAtDispatch(const CallState& state) -> std::optional<Failure>
+{
+    judge();
+    const auto suspect = findConvicted(m_board.m_crashEvidence, state.m_suspects);
+    if (!suspect)
+        return std::nullopt;
+    if (!tryBeginTrial(m_board.m_crashEvidence, *suspect, trialWait(*suspect), Clock::now()))
+        return refusalFor(*suspect);
+    logChange("suspect_trial_begun",
+        { { "suspect", formatSuspect(*suspect) }, { "request", state.m_request.m_id } });
+    m_board.m_crashEvidenceChanged();
+    return std::nullopt;
+}
+
+auto CrashWatch::mayRepeat(const CallState& state) -> bool
+{
+    judge();
+    return state.m_answerBegan || !isLikelyCause(m_board.m_crashEvidence, state.m_suspects);
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/crash_watch.h
@@ -0,0 +1,52 @@
+// Notices crashes of upstreams, and decides which requests may be sent in view of what crashes them.
+#pragma once
+
+#include "relay/relay_settings.h"
+#include "relay/upstream_call.h"
+
+namespace marigoldladder::relay {
+
+// Returns what the request has that may crash upstreams: the parts of its prompt that others share, and
+// itself. The organisation has to be known.
+auto suspectsOf(const CallState&) -> std::vector<Suspect>;
+
+class CrashWatch {
+public:
+    CrashWatch(Executor, const RelaySettings&, RelayBoard&);
+
+    // Records that the connection to an upstream broke during a request; checks soon after whether the
+    // upstream crashed.
+    auto noteBroken(const UpstreamPointer&, const CallState&) -> void;
+
+    // Returns the refusal of a request that must not be sent because it would crash the upstream. It may be
+    // sent while a trial is due.
+    auto refusalOf(const CallState&) -> std::optional<Failure>;
+
+    // The same just before the request is sent, which begins a trial if one is due.
+    auto refusalAtDispatch(const CallState&) -> std::optional<Failure>;
+
+    // Whether a request whose connection broke may be sent to another upstream.
+    auto mayRepeat(const CallState&) -> bool;
+
+private:
+    // Requests that were broken off by one upstream, until it is known whether it crashed.
+    struct BrokenConnections {
+        MonotonicTime m_firstAt {};
+        std::size_t m_requests = 0;
+        std::vector<std::vector<Suspect>> m_unanswered; // The suspects of each request without an answer.
+    };
+
+    auto check(UpstreamPointer) -> Awaitable<void>;
+    auto recordCrashOf(const Upstream&, const BrokenConnections&) -> void;
+    auto judge() -> void;
+    auto trialWait(const Suspect&) const -> Milliseconds;
+    auto refusalFor(const Suspect&) -> Failure;
+
+    Executor m_executor;
+    const RelaySettings& m_settings;
+    RelayBoard& m_board;
+    std::map<const Upstream*, BrokenConnections> m_broken;
+    MonotonicTime m_judgedAt {};
+};
+
+} // namespace marigoldladder::relay
--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -1,5 +1,6 @@
 #include "relay/digest_exchange.h"
 
+#include "relay/crash_evidence_report.h"
 #include "relay/data_centre_gateways.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_loads.h"
@@ -16,7 +17,6 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr auto digestInterval = Milliseconds(600); // Of each of a data centre's two gateways.
-    constexpr auto maxSuspects = std::size_t { 64 };
     constexpr auto maxUnreachable = std::size_t { 64 };
 
     auto makeMember(const Peer& peer, MonotonicTime now) -> std::unique_ptr<messages::MemberT>
@@ -151,20 +151,7 @@
             && digest.unreachable.size() < maxUnreachable)
             digest.unreachable.push_back(id);
     }
-    for (const auto& [fingerprint, entry] : m_board.m_poison.m_entries) {
-        auto crashes = std::uint32_t { 0 };
-        for (const auto& [reporter, report] : entry.m_reports) {
-            const auto peer = m_board.m_fleet.m_peers.find(reporter);
-            const auto isLocal = reporter == m_settings.m_vm
-                || (peer != m_board.m_fleet.m_peers.end()
-                    && isInLocalDataCentre(m_board.m_fleet, peer->second));
-            crashes += isLocal ? report.m_crashes : 0;
-        }
-        constexpr auto maxCrashes = std::uint32_t { 255 };
-        if (crashes > 0 && digest.suspects.size() < maxSuspects)
-            digest.suspects.emplace_back(
-                fingerprint, static_cast<std::uint8_t>(std::min(crashes, maxCrashes)));
-    }
+    digest.crash_evidence = makeEvidenceReport(m_board.m_crashEvidence, ReportScope::DataCentre, now);
 }
 
 auto DigestExchange::forwardToLocalPeers(std::string_view datagram) -> void
@@ -246,12 +233,8 @@
 {
     for (const auto id : digest.unreachable)
         applyUnreachableReport(m_board, VmName(digest.vm), id, now);
-    // Both gateways report the same crashes, so they are recorded under the data centre's name and count
-    // once.
-    for (const auto& suspect : digest.suspects) {
-        mergeReport(m_board.m_poison, VmName(digest.data_centre), suspect.fingerprint(),
-            CrashReport { suspect.crashes(), 0 }, now);
-    }
+    if (digest.crash_evidence)
+        applyEvidenceReport(m_board.m_crashEvidence, *digest.crash_evidence, EvidenceSource::RemotePeer, now);
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -62,7 +62,7 @@
     // The kinds of recipients, which determine the contents of a summary. When this node is the order lease
     // holder, all summaries but those to `Remote` also contain its recent orders.
     enum class Recipient {
-        Local, // Loads, crash suspects and unreachable upstreams.
+        Local, // Loads, evidence on crashes and unreachable upstreams.
         Holder, // The same, the adapter demand and the missing adapters.
         Remote, // Only that the sender is alive: the digests contain the rest.
         Gateway, // Only the orders, to be forwarded.
@@ -76,7 +76,6 @@
     auto fillContents(messages::SummaryT&, Recipient) const -> void;
     auto fillLoads(messages::SummaryT&) const -> void;
     auto fillUnreachable(messages::SummaryT&) const -> void;
-    auto fillSuspects(messages::SummaryT&) const -> void;
     auto fillDemands(messages::SummaryT&) const -> void;
     auto fillMissing(messages::SummaryT&) const -> void;
     auto fillOrders(messages::SummaryT&) const -> void;
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -1,4 +1,5 @@
 // Builds this node's summary, the state that it sends to its peers.
+#include "relay/crash_evidence_report.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
 #include "relay/upstream_health.h"
@@ -12,7 +13,6 @@
     using Clock = std::chrono::steady_clock;
 
     // Limits of the entries in one summary.
-    constexpr auto maxSuspects = std::size_t { 32 };
     constexpr auto maxDemands = std::size_t { 56 }; // The adapters with the highest demand.
     constexpr auto maxOrders = std::size_t { 24 }; // The newest.
     constexpr auto maxUnreachable = std::size_t { 64 };
@@ -71,7 +71,7 @@
 {
     if (recipient == Recipient::Local || recipient == Recipient::Holder) {
         fillLoads(summary);
-        fillSuspects(summary);
+        summary.crash_evidence = makeEvidenceReport(m_board.m_crashEvidence, ReportScope::Self, Clock::now());
         fillUnreachable(summary);
     }
     if (recipient == Recipient::Holder) {
@@ -93,18 +93,6 @@
     }
 }
 
-auto PeerExchange::fillSuspects(messages::SummaryT& summary) const -> void
-{
-    for (const auto& [fingerprint, entry] : m_board.m_poison.m_entries) {
-        const auto own = entry.m_reports.find(m_settings.m_vm);
-        if (own == entry.m_reports.end() || summary.suspects.size() >= maxSuspects)
-            continue;
-        constexpr auto maxCrashes = std::uint32_t { 255 };
-        summary.suspects.emplace_back(
-            fingerprint, static_cast<std::uint8_t>(std::min(own->second.m_crashes, maxCrashes)));
-    }
-}
-
 auto PeerExchange::fillUnreachable(messages::SummaryT& summary) const -> void
 {
     const auto now = Clock::now();
--- a/src/relay/peer_summary_receiver.cc
+++ b/src/relay/peer_summary_receiver.cc
@@ -1,6 +1,7 @@
 // Applies the summaries of peers to this node's relay board.
 #include "core/log.h"
 #include "relay/blackboard_updates.h"
+#include "relay/crash_evidence_report.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
 #include "relay/peer_loads.h"
@@ -60,8 +61,8 @@
     // In a large fleet, digests contain the loads of other data centres' nodes.
     if (isSmallFleet(m_board.m_fleet) || isInLocalDataCentre(m_board.m_fleet, peer))
         replacePeerLoads(m_board, peer.m_loads, summary.loads, now);
-    for (const auto& suspect : summary.suspects)
-        mergeReport(m_board.m_poison, vm, suspect.fingerprint(), CrashReport { suspect.crashes(), 0 }, now);
+    if (summary.crash_evidence)
+        applyEvidenceReport(m_board.m_crashEvidence, *summary.crash_evidence, EvidenceSource::LocalPeer, now);
     applyHolder(summary, now);
     for (const auto id : summary.unreachable)
         applyUnreachableReport(m_board, vm, id, now);
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -4,12 +4,12 @@
 
 #include "core/metrics.h"
 #include "relay/adapter_demand.h"
+#include "relay/crash_evidence.h"
 #include "relay/fleet_view.h"
 #include "relay/load_speed.h"
 #include "relay/object_cache.h"
 #include "relay/retry_budget.h"
 #include "relay/upstream.h"
-#include "routing/poison.h"
 
 #include <cstdint>
 #include <functional>
@@ -46,7 +46,7 @@
         m_configuration; // Null until one has been read. By the store's sync.
     UpstreamTable m_upstreams; // By the store's sync, the runner (in flight, health) and the orders.
     RetryBudget m_retryBudget; // By the runner.
-    PoisonTable m_poison; // By the runner and the peer exchange.
+    CrashEvidence m_crashEvidence; // By the crash watch, the upstream caller and the peer exchange.
     FleetView m_fleet; // By the peer exchange.
     AdapterRates m_adapterRates; // Of this node's requests. By the runner and the wait list.
     FleetDemand m_fleetDemand; // While this node holds the order lease. By the peer exchange.
@@ -74,6 +74,9 @@
     // Called when an upstream begins to refuse connections.
     std::function<void(const Upstream&)> m_upstreamUnreachable = [](const Upstream&) {};
 
+    // Called when there is news on what crashes upstreams that the other nodes should have soon.
+    std::function<void()> m_crashEvidenceChanged = [] {};
+
     // Called when a request starts to wait for an adapter that no engine has loaded.
     std::function<void()> m_adapterWanted = [] {};
 };
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -36,8 +36,9 @@
     , m_waitList(context.get_executor(), m_board, settings)
     , m_connections(context.get_executor(), m_board)
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
-    , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_upstreamCaller,
-          deployment.m_dialect)
+    , m_crashWatch(context.get_executor(), settings, m_board)
+    , m_runner(
+          settings, m_board, m_allowances, m_waitList, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
     , m_callerServer(context.get_executor(), m_board, m_runner, m_waitList)
     , m_readiness(context.get_executor(),
           [this](const std::string& target) { return m_deployment.m_answerReadiness(target, isReady()); })
@@ -63,6 +64,7 @@
         m_peers.scheduleSendToAll();
         m_board.m_adapterWanted();
     };
+    m_board.m_crashEvidenceChanged = [this] { m_peers.scheduleSendToAll(); };
     m_board.m_adapterWanted = [this] {
         if (m_board.m_orders.m_holdsLease)
             m_orders.planSoon();
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -56,6 +56,7 @@
     WaitList m_waitList;
     UpstreamConnectionPool m_connections;
     UpstreamCaller m_upstreamCaller;
+    CrashWatch m_crashWatch;
     RequestRunner m_runner;
     CallerServer m_callerServer;
     SimpleHttpServer m_readiness;
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -4,10 +4,6 @@
 #include "relay/stream_time.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <sstream>
-#include <xxhash.h>
 
 namespace marigoldladder::relay {
 
@@ -20,11 +16,6 @@
     constexpr auto maxUpstreamsTried = std::size_t { 4 }; // For a request that none of them runs.
     constexpr auto defaultRetryAfter = Milliseconds(1'000);
     constexpr auto drainRetryAfter = Milliseconds(50); // Another node can serve it at once.
-    constexpr auto poisonRetryAfter = Milliseconds(30'000);
-    // Harmless requests also run on upstreams that other requests crash, so one crash proves nothing.
-    constexpr auto poisonCrashThreshold = std::uint32_t { 3 };
-    constexpr auto crashCheckDelay = Milliseconds(15);
-    constexpr auto crashCheckTimeout = Milliseconds(500);
     constexpr auto configurationRetryAfter = Milliseconds(500);
 
     // Longest wait for a slot. Callers abandon a stream soon after; an adapter takes a few hundred
@@ -51,26 +42,6 @@
         return failure;
     }
 
-    // Hashes path, organisation and body, so that a request is recognised when it is sent under another id.
-    auto fingerprintOf(const CallState& state) -> std::uint64_t
-    {
-        const auto path = requestPath(state);
-        const auto& body = state.m_message.body();
-        const auto& organisation = state.m_organisation.value();
-        const auto seed = XXH3_64bits(path.data(), path.size());
-        const auto withCaller = XXH3_64bits_withSeed(organisation.data(), organisation.size(), seed);
-        return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
-    }
-
-    auto formatParts(const std::vector<PromptPartId>& parts) -> std::string
-    {
-        auto text = std::ostringstream();
-        text << std::hex;
-        for (const auto part : parts)
-            text << (text.tellp() > 0 ? "," : "") << part;
-        return text.str();
-    }
-
     auto drawPool(const std::vector<WeightedPool>& pools, std::mt19937& random) -> const PoolName&
     {
         auto total = 0.0;
@@ -93,22 +64,22 @@
     std::size_t m_runs = 0; // Upstreams that ran the request or may have run it.
     std::size_t m_sends = 0; // Upstreams to which the request was sent.
     bool m_timedOut = false;
+    std::optional<Failure> m_refusal; // Why it isn't sent although an upstream could take it.
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
     AllowanceDecision m_charge;
 };
 
-RequestRunner::RequestRunner(Executor executor, const RelaySettings& settings, RelayBoard& board,
-    AllowanceExchange& allowances, WaitList& waitList, UpstreamCaller& upstreamCaller, const Dialect& dialect)
-    : m_executor(std::move(executor))
-    , m_settings(settings)
+RequestRunner::RequestRunner(const RelaySettings& settings, RelayBoard& board, AllowanceExchange& allowances,
+    WaitList& waitList, UpstreamCaller& upstreamCaller, CrashWatch& crashWatch, const Dialect& dialect)
+    : m_settings(settings)
     , m_board(board)
     , m_allowances(allowances)
     , m_waitList(waitList)
     , m_upstreamCaller(upstreamCaller)
+    , m_crashWatch(crashWatch)
     , m_dialect(dialect)
     , m_random(std::random_device()())
 {
-    m_board.m_poison.m_crashesUntilRefused = poisonCrashThreshold;
 }
 
 auto RequestRunner::admit(CallState& state, const std::shared_ptr<const RoutingConfiguration>& configuration)
@@ -183,33 +154,6 @@
     co_await answer.sendLocalAnswer(own);
 }
 
-auto RequestRunner::isPoison(const CallState& state) const -> bool
-{
-    const auto& poison = m_board.m_poison;
-    return !poison.m_entries.empty()
-        && poisonState(poison, fingerprintOf(state), Clock::now()) == PoisonState::Refused;
-}
-
-// Checks whether a connection broke because the upstream crashed: after a crash, new connections are refused.
-auto RequestRunner::checkForCrash(UpstreamPointer upstream, BrokenRequest request) -> Awaitable<void>
-{
-    co_await sleepFor(crashCheckDelay);
-    auto stream = tcp_stream(m_executor);
-    auto error = ErrorCode();
-    co_await connectTo(stream, upstream->m_record.m_address, crashCheckTimeout, error);
-    if (error != net::error::connection_refused && error != net::error::connection_reset)
-        co_return;
-    const auto now = Clock::now();
-    const auto report = noteCrash(m_board.m_poison, m_settings.m_vm, request.m_fingerprint, 0, now);
-    recordCallEnd(upstream->m_health, CallEnd::TimedOut, now);
-    m_log.write("upstream_crashed", request.m_id,
-        { { "upstream", upstream->m_record.m_name.value() },
-            { "fingerprint", std::to_string(request.m_fingerprint) },
-            { "crashes_seen", std::to_string(report.m_crashes) },
-            { "answer_began", request.m_answerBegan ? "yes" : "no" },
-            { "shared_parts", request.m_sharedParts } });
-}
-
 auto RequestRunner::logAttempt(const CallState& state, const Upstream& upstream, UpstreamCallOutcome outcome,
     const SlotWait& wait) -> void
 {
@@ -252,10 +196,9 @@
         co_await refuse(state, answer, admitted.error());
         co_return;
     }
-    if (isPoison(state)) {
-        const auto failure = refusal(
-            FailureType::Unavailable, "the request crashes the upstreams that run it", poisonRetryAfter);
-        co_await refuse(state, answer, failure);
+    state.m_suspects = suspectsOf(state);
+    if (const auto refused = m_crashWatch.refusalOf(state)) {
+        co_await refuse(state, answer, *refused);
         co_return;
     }
     auto attempts = Attempts();
@@ -301,6 +244,9 @@
     attempts.m_lastOutcome = found.m_outcome;
     if (state.m_callerDisconnected || !found.m_slot)
         co_return false;
+    attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
+    if (attempts.m_refusal)
+        co_return false;
     if (attempts.m_sends > 0) {
         if (!tryAcquireRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds,
                 m_board.m_nodes, Clock::now()))
@@ -323,12 +269,9 @@
         recordTestedLoad(*upstream, attempts.m_needs.m_adapter, outcome);
     attempts.m_needs.m_tried.push_back(upstream.get());
     logAttempt(state, *upstream, outcome, wait);
-    if (outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted)
-        net::co_spawn(m_executor,
-            checkForCrash(upstream,
-                BrokenRequest { state.m_request.m_id, fingerprintOf(state),
-                    formatParts(state.m_request.m_sharedParts), state.m_answerBegan }),
-            net::detached);
+    const auto broke = outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted;
+    if (broke)
+        m_crashWatch.noteBroken(upstream, state);
     switch (outcome) {
     case UpstreamCallOutcome::Delivered:
     case UpstreamCallOutcome::CallerDisconnected:
@@ -350,6 +293,8 @@
         break;
     }
     ++attempts.m_runs;
+    if (broke && !m_crashWatch.mayRepeat(state))
+        co_return false;
     co_return mayRetry(*state.m_route)
         && attempts.m_runs < state.m_route->m_maxUpstreams&& Clock::now() < state.m_deadline;
 }
@@ -373,6 +318,8 @@
             return mayHaveRun(FailureType::DeadlineExceeded, "no upstream answered in time");
         return mayHaveRun(FailureType::UpstreamFailed, "the upstream's answer was lost");
     }
+    if (attempts.m_refusal)
+        return *attempts.m_refusal;
     const auto outcome = std::string(nameOf(choiceOutcomeNames, attempts.m_lastOutcome));
     return refusal(
         FailureType::Unavailable, "no upstream could take the request: " + outcome, defaultRetryAfter);
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/allowance_exchange.h"
+#include "relay/crash_watch.h"
 #include "relay/relay_settings.h"
 #include "relay/request_log.h"
 #include "relay/upstream_call.h"
@@ -11,8 +12,8 @@
 
 class RequestRunner {
 public:
-    RequestRunner(Executor, const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&, UpstreamCaller&,
-        const Dialect&);
+    RequestRunner(const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&, UpstreamCaller&,
+        CrashWatch&, const Dialect&);
 
     // Answers the request in the call state. If the answer is incomplete then, the connection must be closed.
     auto run(CallState&, CallerAnswer&) -> Awaitable<void>;
@@ -27,16 +28,6 @@
     auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<bool>;
     auto refuse(CallState&, CallerAnswer&, const Failure&) -> Awaitable<void>;
     auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
-    auto isPoison(const CallState&) const -> bool;
-    // A request that an upstream broke off, as logged if the upstream crashed.
-    struct BrokenRequest {
-        std::string m_id;
-        std::uint64_t m_fingerprint = 0;
-        std::string m_sharedParts; // In hexadecimal digits, separated by commas.
-        bool m_answerBegan = false;
-    };
-
-    auto checkForCrash(UpstreamPointer, BrokenRequest) -> Awaitable<void>;
     // How long a request waited for a slot on an upstream, and why.
     struct SlotWait {
         Milliseconds m_time { 0 };
@@ -48,12 +39,12 @@
     auto recordTestedLoad(const Upstream&, const std::string& adapter, UpstreamCallOutcome) -> void;
     auto failureFor(const CallState&, const Attempts&) const -> Failure;
 
-    Executor m_executor;
     const RelaySettings& m_settings;
     RelayBoard& m_board;
     AllowanceExchange& m_allowances;
     WaitList& m_waitList;
     UpstreamCaller& m_upstreamCaller;
+    CrashWatch& m_crashWatch;
     const Dialect& m_dialect;
     RequestLog m_log;
     std::mt19937 m_random;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -196,10 +196,17 @@
         bool m_keepAlive = false;
     };
 
+    auto recordAnswerBegan(CallState& state, RelayBoard& board) -> void
+    {
+        if (std::exchange(state.m_answerBegan, true))
+            return;
+        (void)recordAnswer(board.m_crashEvidence, state.m_suspects, Clock::now());
+    }
+
     // Records that the upstream sent these events: whole ones, or the rest of its answer.
     auto recordEvents(CallState& state, std::string_view events, RelayBoard& board) -> void
     {
-        state.m_answerBegan = true;
+        recordAnswerBegan(state, board);
         if (auto id = lastEventId(events); !id.empty())
             state.m_lastEventId = std::move(id);
         if (state.m_timeToFirstPart)
@@ -384,7 +391,7 @@
     }
     if (error)
         co_return outcomeWithoutAnswer(state, error == beast::error::timeout);
-    state.m_answerBegan = true;
+    recordAnswerBegan(state, m_board);
     releaseIfReusable(m_connections, state, upstream, std::move(connection), keepAlive, idleTime);
     removeConnectionFields(whole.m_fields);
     if (answer.begun())
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -47,6 +47,7 @@
     const Route* m_route = nullptr;
     OrganisationName m_organisation;
     int m_priority = 0;
+    std::vector<Suspect> m_suspects; // What it has that may crash upstreams.
     MonotonicTime m_arrivedAt {};
     MonotonicTime m_deadline {}; // The caller's deadline or the route's timeout, whichever is earlier.
     bool m_callerDisconnected = false;
