Keep to the request limit that an upstream names, by shares of a few nodes

Class of fault: a bound for the whole fleet of which no node has a share. Now the limit of each answer's head is kept with the upstream's run. The first nodes in an order computed from the nodes' names send to it, each its share of the rate with a bucket of one request; the others load the adapter elsewhere. How many they are follows from the rate alone, so that single requests and rate stay within the bound together. Limits and their ends travel in summaries and digests by who learnt them; without news for 10 s one no longer holds.

--- a/src/relay/crash_evidence.cc
+++ b/src/relay/crash_evidence.cc
@@ -34,7 +34,7 @@
     template <typename Notice> auto addNotice(std::deque<Notice>& notices, const Notice& notice) -> void
     {
         // Nodes in other data centres report theirs to all data centres themselves.
-        if (notice.m_source == EvidenceSource::RemotePeer)
+        if (notice.m_source == ReportSource::RemotePeer)
             return;
         if (notices.size() >= maxNotices)
             notices.pop_front();
@@ -183,7 +183,7 @@
         if (cleared || suspect.m_kind == SuspectKind::PromptPart)
             rememberAnswer(evidence.m_answers, suspect, now);
         if (cleared)
-            addNotice(evidence.m_answerNotices, AnswerNotice { suspect, now, EvidenceSource::Self });
+            addNotice(evidence.m_answerNotices, AnswerNotice { suspect, now, ReportSource::Self });
         clearedAny = clearedAny || cleared;
     }
     return clearedAny;
--- a/src/relay/crash_evidence.h
+++ b/src/relay/crash_evidence.h
@@ -8,6 +8,7 @@
 
 #include "core/blackboard.h"
 #include "marigoldladder/enum_names.h"
+#include "relay/report_source.h"
 
 #include <array>
 #include <chrono>
@@ -48,27 +49,20 @@
 // Identifies one run of an upstream, from its start to its end.
 using UpstreamRunId = std::uint32_t;
 
-// Who first reported something to this node.
-enum class EvidenceSource {
-    Self,
-    LocalPeer, // A node in this node's data centre.
-    RemotePeer,
-};
-
 // A crash of an upstream's run while a request with a suspect was there without an answer.
 struct CrashNotice {
     Suspect m_suspect;
     UpstreamRunId m_run = 0;
     MonotonicTime m_crashedAt {};
     std::uint8_t m_position = 0; // Of the suspect in its request; higher ones are shared by fewer requests.
-    EvidenceSource m_source = EvidenceSource::Self;
+    ReportSource m_source = ReportSource::Self;
 };
 
 // An answer to a request with a suspect, begun after crashes.
 struct AnswerNotice {
     Suspect m_suspect;
     MonotonicTime m_begunAt {};
-    EvidenceSource m_source = EvidenceSource::Self;
+    ReportSource m_source = ReportSource::Self;
 };
 
 struct Conviction {
--- a/src/relay/crash_evidence_report.cc
+++ b/src/relay/crash_evidence_report.cc
@@ -21,12 +21,6 @@
         return static_cast<Number>(std::clamp<std::int64_t>(age, 0, most));
     }
 
-    auto isInScope(EvidenceSource source, ReportScope scope) -> bool
-    {
-        return source == EvidenceSource::Self
-            || (scope == ReportScope::DataCentre && source == EvidenceSource::LocalPeer);
-    }
-
     // Returns nothing if this version doesn't know the kind.
     auto readSuspect(std::uint8_t kind, std::uint64_t id) -> std::optional<Suspect>
     {
@@ -73,7 +67,7 @@
 }
 
 auto applyEvidenceReport(CrashEvidence& evidence, const messages::CrashEvidenceReportT& report,
-    EvidenceSource source, MonotonicTime now) -> void
+    ReportSource source, MonotonicTime now) -> void
 {
     for (const auto& answer : report.answers) {
         const auto begunAt = now - std::chrono::milliseconds(answer.age_ms());
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -67,7 +67,7 @@
                     || std::any_of(notices.begin(), notices.end(), isListed))
                     continue;
                 const auto position = static_cast<std::uint8_t>(std::min(index, maxPosition));
-                notices.push_back({ suspects[index], run, crashedAt, position, EvidenceSource::Self });
+                notices.push_back({ suspects[index], run, crashedAt, position, ReportSource::Self });
             }
         }
         return notices;
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -53,6 +53,8 @@
     bool m_instanceMismatch = false; // Refused because the upstream or its adapter isn't the requested one.
     std::string m_instance; // The upstream's name; empty: not stated.
     std::optional<Milliseconds> m_coldLeft; // Remaining time of its cold start.
+    // Requests a second that it takes from all nodes together while its answers say so.
+    std::optional<double> m_requestLimit;
 };
 
 // Translates between header fields and the structs above.
--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -4,6 +4,7 @@
 #include "relay/data_centre_gateways.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_loads.h"
+#include "relay/request_limit_report.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -151,6 +152,7 @@
             && digest.unreachable.size() < maxUnreachable)
             digest.unreachable.push_back(id);
     }
+    digest.limits = makeLimitReports(m_board.m_upstreams, ReportScope::DataCentre, now);
     digest.crash_evidence = makeEvidenceReport(m_board.m_crashEvidence, ReportScope::DataCentre, now);
 }
 
@@ -233,8 +235,9 @@
 {
     for (const auto id : digest.unreachable)
         applyUnreachableReport(m_board, VmName(digest.vm), id, now);
+    applyLimitReports(m_board, digest.limits, ReportSource::RemotePeer, now);
     if (digest.crash_evidence)
-        applyEvidenceReport(m_board.m_crashEvidence, *digest.crash_evidence, EvidenceSource::RemotePeer, now);
+        applyEvidenceReport(m_board.m_crashEvidence, *digest.crash_evidence, ReportSource::RemotePeer, now);
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -4,6 +4,7 @@
 #include "relay/data_centre_gateways.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_loads.h"
+#include "relay/request_limit_report.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -69,6 +70,7 @@
             [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingRetention <= now; });
         m_board.m_nodes = fleetSize(m_board.m_fleet);
         recomputePeerLoads(m_board, now);
+        updateLimitShares(m_board, m_settings.m_vm, now);
         if (isSmallFleet(m_board.m_fleet)) {
             sendToSmallFleet();
             continue;
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -2,6 +2,7 @@
 #include "relay/crash_evidence_report.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
+#include "relay/request_limit_report.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
         fillLoads(summary);
         summary.crash_evidence = makeEvidenceReport(m_board.m_crashEvidence, ReportScope::Self, Clock::now());
         fillUnreachable(summary);
+        summary.limits = makeLimitReports(m_board.m_upstreams, ReportScope::Self, Clock::now());
     }
     if (recipient == Recipient::Holder) {
         fillDemands(summary);
--- a/src/relay/peer_summary_receiver.cc
+++ b/src/relay/peer_summary_receiver.cc
@@ -5,6 +5,7 @@
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
 #include "relay/peer_loads.h"
+#include "relay/request_limit_report.h"
 
 #include <algorithm>
 
@@ -62,7 +63,8 @@
     if (isSmallFleet(m_board.m_fleet) || isInLocalDataCentre(m_board.m_fleet, peer))
         replacePeerLoads(m_board, peer.m_loads, summary.loads, now);
     if (summary.crash_evidence)
-        applyEvidenceReport(m_board.m_crashEvidence, *summary.crash_evidence, EvidenceSource::LocalPeer, now);
+        applyEvidenceReport(m_board.m_crashEvidence, *summary.crash_evidence, ReportSource::LocalPeer, now);
+    applyLimitReports(m_board, summary.limits, ReportSource::LocalPeer, now);
     applyHolder(summary, now);
     for (const auto id : summary.unreachable)
         applyUnreachableReport(m_board, vm, id, now);
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -74,6 +74,9 @@
     // Called when an upstream begins to refuse connections.
     std::function<void(const Upstream&)> m_upstreamUnreachable = [](const Upstream&) {};
 
+    // Called when an upstream names another limit of requests, or none any more.
+    std::function<void(const Upstream&)> m_requestLimitChanged = [](const Upstream&) {};
+
     // Called when there is news on what crashes upstreams that the other nodes should have soon.
     std::function<void()> m_crashEvidenceChanged = [] {};
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "relay/generated/peer_messages_generated.h"
+#include "relay/request_limit_report.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,6 +65,14 @@
         m_peers.scheduleSendToAll();
         m_board.m_adapterWanted();
     };
+    m_board.m_requestLimitChanged = [this](const Upstream& upstream) {
+        const auto& limit = upstream.m_requestLimit.m_limit.m_requestsPerSecond;
+        logChange("request_limit_changed",
+            { { "upstream", upstream.m_record.m_name.value() },
+                { "requests_per_second", limit ? std::to_string(*limit) : "none" } });
+        updateLimitShares(m_board, m_settings.m_vm, Clock::now());
+        m_peers.scheduleSendToAll();
+    };
     m_board.m_crashEvidenceChanged = [this] { m_peers.scheduleSendToAll(); };
     m_board.m_adapterWanted = [this] {
         if (m_board.m_orders.m_holdsLease)
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "marigoldladder/ids.h"
 #include "marigoldladder/settings.h"
+#include "relay/request_limit.h"
 #include "relay/routing_configuration.h"
 
 #include <cstdint>
@@ -74,6 +75,7 @@
     double m_tokensInFlight = 0; // Their tokens.
     std::size_t m_peersInFlight = 0; // Requests of the other nodes, by their latest summaries.
     double m_peersTokensInFlight = 0;
+    LimitState m_requestLimit;
     MonotonicTime m_fullUntil {}; // It refused requests because of its load.
     MonotonicTime m_blockedUntil {}; // It starts no requests while an order runs.
     UpstreamHealth m_health;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -370,6 +370,8 @@
         co_return outcomeWithoutAnswer(state, head.m_timedOut);
     const auto status = head.m_parser->get().result_int();
     const auto idleTime = keepAliveTimeout(head.m_parser->get());
+    if (recordLimit(upstream->m_requestLimit, NamedLimit { head.m_answer.m_requestLimit, Clock::now() }))
+        m_board.m_requestLimitChanged(*upstream);
     if (head.m_answer.m_coldLeft && head.m_answer.m_coldLeft->count() > 0)
         upstream->m_coldUntil = std::max(upstream->m_coldUntil, Clock::now() + *head.m_answer.m_coldLeft);
     if (isSuccess(status) && !head.m_answer.m_notRun && state.m_route->m_kind == CallKind::Stream) {
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -20,6 +20,8 @@
     // peers send theirs only about once a second.
     constexpr auto jitterInSmallFleet = 0.03;
     constexpr auto jitterInLargeFleet = 0.4;
+    constexpr auto limitedCost
+        = 1.0; // Upstreams that name no limit are preferred while they have free slots.
     constexpr auto coldCost = 1.0; // Warm upstreams are preferred while they have free slots.
 
     // Requests may fill this share of an upstream's memory by their stated token counts. These are upper
@@ -132,6 +134,8 @@
             cost += avoidedCost;
         if (upstream.m_coldUntil > context.m_now)
             cost += coldCost;
+        if (limitInForce(upstream.m_requestLimit, context.m_now))
+            cost += limitedCost;
         if (std::find(needs.m_tried.begin(), needs.m_tried.end(), &upstream) != needs.m_tried.end())
             cost += triedCost;
         return cost + jitter(upstream, context);
@@ -154,6 +158,13 @@
         return right == MonotonicTime() ? left : std::min(left, right);
     }
 
+    // An adapter that only other nodes may use at this upstream has to be loaded at another one too.
+    auto outcomeAtLimit(const Upstream& upstream, const UpstreamNeeds& needs) -> ChoiceOutcome
+    {
+        const auto isSender = upstream.m_requestLimit.m_share.m_isSender;
+        return isSender || needs.m_adapter.empty() ? ChoiceOutcome::Full : ChoiceOutcome::NotLoaded;
+    }
+
     // Keeps the outcome that is closest to a choice (the order of the enum), with its earliest retry time.
     auto raiseOutcome(UpstreamChoice& choice, ChoiceOutcome outcome, MonotonicTime retryAt) -> void
     {
@@ -224,6 +235,13 @@
                 adapter.m_readyAt);
             continue;
         }
+        if (limitInForce(upstream->m_requestLimit, context.m_now)) {
+            const auto nextAt = nextRequestAt(upstream->m_requestLimit, context.m_now);
+            if (nextAt > context.m_now) {
+                raiseOutcome(choice, outcomeAtLimit(*upstream, needs), nextAt);
+                continue;
+            }
+        }
         const auto closedUntil = std::max(upstream->m_fullUntil, upstream->m_blockedUntil);
         if (closedUntil > context.m_now || !hasCapacity(*upstream, pool, needs.m_tokens)
             || !hasColdAllowance(*upstream, pool, context)) {
--- a/test/platform/header_dialect_test.cc
+++ b/test/platform/header_dialect_test.cc
@@ -58,6 +58,18 @@
         EXPECT_EQ(makeDialect().m_readRequest(fields).m_sharedParts.size(), maxPromptParts);
     }
 
+    TEST(HeaderDialectTest, ReadsTheLimitThatAnUpstreamNames)
+    {
+        auto fields = HeaderFields();
+        EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_requestLimit);
+        fields.set("Server-Limit", "3.6");
+        EXPECT_EQ(makeDialect().m_readAnswer(200, fields).m_requestLimit, 3.6);
+        for (const auto* invalid : { "", "-1", "many", "inf", "3.6 a second" }) {
+            fields.set("Server-Limit", invalid);
+            EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_requestLimit) << invalid;
+        }
+    }
+
     TEST(HeaderDialectTest, InvalidNumbersCountAsMissing)
     {
         auto fields = callerHeaders();
--- a/test/relay/crash_evidence_test.cc
+++ b/test/relay/crash_evidence_test.cc
@@ -158,7 +158,7 @@
             for (const auto& sender : nodes) {
                 const auto report = makeEvidenceReport(sender, ReportScope::Self, at(600));
                 ASSERT_TRUE(report);
-                applyEvidenceReport(receiver, *report, EvidenceSource::LocalPeer, at(600));
+                applyEvidenceReport(receiver, *report, ReportSource::LocalPeer, at(600));
             }
         }
         for (auto& node : nodes)
@@ -174,7 +174,7 @@
         auto restarted = CrashEvidence();
         const auto report = makeEvidenceReport(m_evidence, ReportScope::Self, at(25'000));
         ASSERT_TRUE(report);
-        applyEvidenceReport(restarted, *report, EvidenceSource::LocalPeer, at(25'000));
+        applyEvidenceReport(restarted, *report, ReportSource::LocalPeer, at(25'000));
         EXPECT_TRUE(findConvicted(restarted, { deadly }));
         EXPECT_EQ(trialDueAt(restarted, deadly, milliseconds(0)), at(40'000));
     }
@@ -184,18 +184,18 @@
         auto other = CrashEvidence();
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { shared });
-        recordCrash(other, CrashNotice { shared, 2, at(400), 0, EvidenceSource::LocalPeer }, at(410));
+        recordCrash(other, CrashNotice { shared, 2, at(400), 0, ReportSource::LocalPeer }, at(410));
         ASSERT_TRUE(recordAnswer(other, { shared }, at(450)));
         const auto report = makeEvidenceReport(other, ReportScope::Self, at(500));
         ASSERT_TRUE(report);
-        applyEvidenceReport(m_evidence, *report, EvidenceSource::LocalPeer, at(500));
+        applyEvidenceReport(m_evidence, *report, ReportSource::LocalPeer, at(500));
         EXPECT_TRUE(convictSuspects(m_evidence, at(1'000)).empty());
     }
 
     TEST_F(CrashEvidenceTest, AGatewayReportsWhatItsDataCentreObservedButNotWhatOthersDid)
     {
-        recordCrash(m_evidence, CrashNotice { deadly, 1, at(0), 0, EvidenceSource::LocalPeer }, at(0));
-        recordCrash(m_evidence, CrashNotice { shared, 2, at(0), 0, EvidenceSource::RemotePeer }, at(0));
+        recordCrash(m_evidence, CrashNotice { deadly, 1, at(0), 0, ReportSource::LocalPeer }, at(0));
+        recordCrash(m_evidence, CrashNotice { shared, 2, at(0), 0, ReportSource::RemotePeer }, at(0));
         EXPECT_FALSE(makeEvidenceReport(m_evidence, ReportScope::Self, at(100)));
         const auto report = makeEvidenceReport(m_evidence, ReportScope::DataCentre, at(100));
         ASSERT_TRUE(report);
