Send no request to an upstream that said in an answer that it leaves

Callers saw: requests sent to an upstream that had said in its answers that it exits (Server-Leaving), until the store's list said so too. Cause: the field was read nowhere, and what a node knew of an upstream's run was lost when its entry expired in an outage of the store and returned. Class of fault: what an upstream says itself is not kept with its run. Now the notices of an answer's head (leaving, cold, limit) are one struct, applied in one place to answers to requests, reports and orders. An entry that returns within ten minutes with the same run is the same upstream, so leaving, limits, requests in flight and health outlast the gap; another run starts anew. Ruled out: a later entry of the store, which never made a leaving run available again (test of before).

--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -17,6 +17,7 @@
     // Usual upper bound of the time until an adapter that is being loaded is ready.
     constexpr auto pendingLoadTime = Milliseconds(250);
 
+    constexpr auto removedRetention = std::chrono::minutes(10); // Longer than outages of the store last.
     constexpr auto maxDrainTime = Milliseconds(12'000); // Longer than nearly all streams.
 
     // A load may take longer than expected while many are in progress.
@@ -65,6 +66,26 @@
         return { adapter.m_version, askedAt + pendingLoadTime, askedAt, 0, true, false, true };
     }
 
+    auto isSameRun(const UpstreamRecord& left, const UpstreamRecord& right) -> bool
+    {
+        return left.m_address == right.m_address && left.m_startedAt == right.m_startedAt
+            && left.m_pool == right.m_pool;
+    }
+
+    // Returns the upstream of a run whose entry returns; null if it wasn't removed lately.
+    auto takeRemoved(UpstreamTable& table, const UpstreamRecord& record) -> UpstreamPointer
+    {
+        const auto found = table.m_removedLately.find(record.m_name);
+        if (found == table.m_removedLately.end())
+            return nullptr;
+        auto upstream = std::move(found->second);
+        table.m_removedLately.erase(found);
+        if (!isSameRun(upstream->m_record, record))
+            return nullptr;
+        upstream->m_removed = false;
+        return upstream;
+    }
+
 } // namespace
 
 auto applyConfiguration(RelayBoard& board, RoutingConfiguration configuration) -> bool
@@ -79,14 +100,15 @@
 auto applyUpstreamRecord(UpstreamTable& table, const UpstreamRecord& record, MonotonicTime now) -> void
 {
     auto& upstream = table.m_upstreams[record.m_name];
-    const auto sameRun = upstream && upstream->m_record.m_address == record.m_address
-        && upstream->m_record.m_startedAt == record.m_startedAt && upstream->m_record.m_pool == record.m_pool;
+    if (!upstream)
+        upstream = takeRemoved(table, record);
+    const auto sameRun = upstream && isSameRun(upstream->m_record, record);
     if (!sameRun) {
         if (upstream)
             upstream->m_removed = true;
         upstream = std::make_shared<Upstream>();
-        table.m_byShortId[shortId(record.m_name.value())] = upstream;
     }
+    table.m_byShortId[shortId(record.m_name.value())] = upstream;
     // A run that has started to leave never becomes available again.
     const auto wasLeaving = sameRun && upstream->m_record.m_leaving;
     upstream->m_record = record;
@@ -118,12 +140,16 @@
         upstream.m_adapters[key] = presence;
 }
 
-auto removeUpstream(UpstreamTable& table, const UpstreamName& name) -> void
+auto removeUpstream(UpstreamTable& table, const UpstreamName& name, MonotonicTime now) -> void
 {
     const auto found = table.m_upstreams.find(name);
     if (found == table.m_upstreams.end())
         return;
     found->second->m_removed = true;
+    found->second->m_removedAt = now;
+    std::erase_if(table.m_removedLately,
+        [&](const auto& entry) { return entry.second->m_removedAt + removedRetention <= now; });
+    table.m_removedLately[name] = found->second;
     table.m_byShortId.erase(shortId(name.value()));
     table.m_upstreams.erase(found);
 }
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -10,11 +10,12 @@
 // stays.
 auto applyConfiguration(RelayBoard&, RoutingConfiguration) -> bool;
 
-// Applies an upstream's entry in the store.
+// Applies an upstream's entry in the store. If the entry of the same run was removed lately, what is known of
+// that run still holds.
 auto applyUpstreamRecord(UpstreamTable&, const UpstreamRecord&, MonotonicTime now) -> void;
 
 // Removes an upstream that left, or whose entry can't be decoded.
-auto removeUpstream(UpstreamTable&, const UpstreamName&) -> void;
+auto removeUpstream(UpstreamTable&, const UpstreamName&, MonotonicTime now) -> void;
 
 // Whether a report contains the effects of all orders known to be accepted.
 enum class ReportedState {
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -46,15 +46,21 @@
     std::string m_lastEventId; // Replaces the caller's unless empty.
 };
 
+// What an upstream says of itself in the head of any of its answers.
+struct UpstreamNotices {
+    bool m_leaving = false; // It is about to exit and wants no new requests.
+    std::optional<Milliseconds> m_coldLeft; // Remaining time of its cold start.
+    // Requests a second that it takes from all nodes together while its answers say so.
+    std::optional<double> m_requestLimit;
+};
+
 // What the header fields of an upstream's answer state.
 struct UpstreamAnswer {
     std::string m_requestId; // The request that it answers; empty: not stated.
     bool m_notRun = false; // The upstream refused the request and will not run it.
     bool m_instanceMismatch = false; // Refused because the upstream or its adapter isn't the requested one.
     std::string m_instance; // The upstream's name; empty: not stated.
-    std::optional<Milliseconds> m_coldLeft; // Remaining time of its cold start.
-    // Requests a second that it takes from all nodes together while its answers say so.
-    std::optional<double> m_requestLimit;
+    UpstreamNotices m_notices;
 };
 
 // Translates between header fields and the structs above.
--- a/src/relay/engine_calls.h
+++ b/src/relay/engine_calls.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/adapter_order.h"
+#include "relay/dialect.h"
 #include "relay/object_store.h"
 
 #include <functional>
@@ -18,10 +19,22 @@
     std::optional<std::uint64_t> m_acceptedOrders; // Since its start; empty if it doesn't count them.
 };
 
+// The answer to a call for a report.
+struct EngineReportAnswer {
+    // Empty if the engine can't be reached or reports nothing, or another engine answers at its address.
+    std::optional<EngineReport> m_report;
+    UpstreamNotices m_notices;
+};
+
+// The answer to a call with an order.
+struct EngineOrderAnswer {
+    OrderAnswer m_answer = OrderAnswer::Unknown;
+    UpstreamNotices m_notices;
+};
+
 struct EngineCalls {
-    // Empty if the engine can't be reached, or another engine answers at its address.
-    std::function<Awaitable<std::optional<EngineReport>>(UpstreamPointer)> m_report;
-    std::function<Awaitable<OrderAnswer>(AdapterOrder, OrderSender)> m_order;
+    std::function<Awaitable<EngineReportAnswer>(UpstreamPointer)> m_report;
+    std::function<Awaitable<EngineOrderAnswer>(AdapterOrder, OrderSender)> m_order;
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -4,6 +4,7 @@
 #include "relay/blackboard_updates.h"
 #include "relay/load_speed.h"
 #include "relay/order_effects.h"
+#include "relay/upstream_notices.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -130,7 +131,9 @@
 auto OrderController::fetchReport(UpstreamPointer upstream) -> Awaitable<void>
 {
     const auto requestedAt = Clock::now();
-    const auto report = co_await m_engines.m_report(upstream);
+    const auto answer = co_await m_engines.m_report(upstream);
+    applyNotices(m_board, *upstream, answer.m_notices, Clock::now());
+    const auto& report = answer.m_report;
     const auto found = m_orderTracker.find(upstream->m_record.m_name);
     if (!report || found == m_orderTracker.end() || found->second.m_run != upstream.get())
         co_return;
@@ -204,8 +207,9 @@
 auto OrderController::send(AdapterOrder order) -> Awaitable<void>
 {
     const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
-    const auto answer = co_await m_engines.m_order(order, sender);
+    const auto [answer, notices] = co_await m_engines.m_order(order, sender);
     const auto now = Clock::now();
+    applyNotices(m_board, *order.m_upstream, notices, now);
     m_board.m_metrics.add(Counter::EngineOrders);
     logOrder(order, sender, answer);
     const auto found = m_orderTracker.find(order.m_upstream->m_record.m_name);
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -278,7 +278,7 @@
             break;
         }
         logWarning("upstream_entry_unreadable", { { "upstream", object.m_name } });
-        removeUpstream(m_board.m_upstreams, UpstreamName(object.m_name));
+        removeUpstream(m_board.m_upstreams, UpstreamName(object.m_name), Clock::now());
         break;
     }
     case ObjectKind::Evacuations:
@@ -308,13 +308,13 @@
 {
     const auto until = m_board.m_storeRecoveredAt + recoveryTime;
     if (Clock::now() >= until) {
-        removeUpstream(m_board.m_upstreams, UpstreamName(name));
+        removeUpstream(m_board.m_upstreams, UpstreamName(name), Clock::now());
         return;
     }
     const auto time = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
     runAfter(m_executor, time, [this, name] {
         if (!m_board.m_objects[ObjectKind::Upstreams].m_objects.contains(name))
-            removeUpstream(m_board.m_upstreams, UpstreamName(name));
+            removeUpstream(m_board.m_upstreams, UpstreamName(name), Clock::now());
     });
 }
 
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -80,7 +80,8 @@
     MonotonicTime m_blockedUntil {}; // It starts no requests while an order runs.
     UpstreamHealth m_health;
     UpstreamReachability m_reachability;
-    bool m_removed = false; // No longer in the table; only running requests still refer to it.
+    bool m_removed = false; // Has no entry; unless that returns, only running requests refer to it.
+    MonotonicTime m_removedAt {};
 };
 
 using UpstreamPointer = std::shared_ptr<Upstream>;
@@ -89,6 +90,9 @@
 struct UpstreamTable {
     std::map<UpstreamName, UpstreamPointer> m_upstreams;
     std::unordered_map<std::uint32_t, UpstreamPointer> m_byShortId; // The same ones, by id in peer messages.
+    // Removed lately. The entry of one that lost touch with the store returns; what it said of itself still
+    // holds then.
+    std::map<UpstreamName, UpstreamPointer> m_removedLately;
     std::map<DataCentreName, bool> m_evacuated; // Data centres that get no new requests.
     std::unordered_map<std::string, std::uint64_t> m_newestVersions; // Announced, by `model/adapter`.
     std::unordered_map<std::string, MonotonicTime> m_announcedAt; // When this node learnt of that version.
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -3,6 +3,7 @@
 #include "relay/blackboard_updates.h"
 #include "relay/event_text.h"
 #include "relay/upstream_choice.h"
+#include "relay/upstream_notices.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -370,10 +371,7 @@
         co_return outcomeWithoutAnswer(state, head.m_timedOut);
     const auto status = head.m_parser->get().result_int();
     const auto idleTime = keepAliveTimeout(head.m_parser->get());
-    if (recordLimit(upstream->m_requestLimit, NamedLimit { head.m_answer.m_requestLimit, Clock::now() }))
-        m_board.m_requestLimitChanged(*upstream);
-    if (head.m_answer.m_coldLeft && head.m_answer.m_coldLeft->count() > 0)
-        upstream->m_coldUntil = std::max(upstream->m_coldUntil, Clock::now() + *head.m_answer.m_coldLeft);
+    applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, Clock::now());
     if (isSuccess(status) && !head.m_answer.m_notRun && state.m_route->m_kind == CallKind::Stream) {
         const auto stream = co_await forwardStream(state, answer, *connection, *head.m_parser, m_board);
         if (stream.m_outcome == UpstreamCallOutcome::Delivered)
--- /dev/null
+++ b/src/relay/upstream_notices.cc
@@ -0,0 +1,41 @@
+#include "relay/upstream_notices.h"
+
+#include "core/log.h"
+
+#include <algorithm>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    auto applyLimit(RelayBoard& board, Upstream& upstream, std::optional<double> limit, MonotonicTime now)
+        -> void
+    {
+        if (recordLimit(upstream.m_requestLimit, NamedLimit { limit, now }))
+            board.m_requestLimitChanged(upstream);
+    }
+
+} // namespace
+
+auto applyNotices(RelayBoard& board, Upstream& upstream, const UpstreamNotices& notices, MonotonicTime now)
+    -> void
+{
+    if (notices.m_leaving && !upstream.m_record.m_leaving) {
+        upstream.m_record.m_leaving = true;
+        logChange("upstream_leaving", { { "upstream", upstream.m_record.m_name.value() } });
+    }
+    if (notices.m_coldLeft && notices.m_coldLeft->count() > 0)
+        upstream.m_coldUntil = std::max(upstream.m_coldUntil, now + *notices.m_coldLeft);
+    if (notices.m_requestLimit)
+        applyLimit(board, upstream, notices.m_requestLimit, now);
+}
+
+auto applyRequestAnswerNotices(
+    RelayBoard& board, Upstream& upstream, const UpstreamNotices& notices, MonotonicTime now) -> void
+{
+    applyNotices(board, upstream, notices, now);
+    if (!notices.m_requestLimit)
+        applyLimit(board, upstream, std::nullopt, now);
+}
+
+} // namespace marigoldladder::relay
--- a/test/platform/header_dialect_test.cc
+++ b/test/platform/header_dialect_test.cc
@@ -61,15 +61,26 @@
     TEST(HeaderDialectTest, ReadsTheLimitThatAnUpstreamNames)
     {
         auto fields = HeaderFields();
-        EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_requestLimit);
+        EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_notices.m_requestLimit);
         fields.set("Server-Limit", "3.6");
-        EXPECT_EQ(makeDialect().m_readAnswer(200, fields).m_requestLimit, 3.6);
+        EXPECT_EQ(makeDialect().m_readAnswer(200, fields).m_notices.m_requestLimit, 3.6);
         for (const auto* invalid : { "", "-1", "many", "inf", "3.6 a second" }) {
             fields.set("Server-Limit", invalid);
-            EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_requestLimit) << invalid;
+            EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_notices.m_requestLimit) << invalid;
         }
     }
 
+    TEST(HeaderDialectTest, ReadsThatAnUpstreamLeaves)
+    {
+        auto fields = HeaderFields();
+        EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_notices.m_leaving);
+        fields.set("server-leaving", "1");
+        EXPECT_TRUE(makeDialect().m_readAnswer(200, fields).m_notices.m_leaving);
+        EXPECT_TRUE(makeDialect().m_readAnswer(503, fields).m_notices.m_leaving);
+        fields.set("Server-Leaving", "0");
+        EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_notices.m_leaving);
+    }
+
     TEST(HeaderDialectTest, InvalidNumbersCountAsMissing)
     {
         auto fields = callerHeaders();
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -141,6 +141,7 @@
     RelayDeployment m_deployment;
     RelayNode m_node;
     std::map<std::string, std::unique_ptr<FakeUpstream>> m_upstreams;
+    std::map<std::string, nlohmann::json> m_entries; // Of the upstreams, as written last.
 };
 
 RelayHarness::RelayHarness()
@@ -174,17 +175,37 @@
 auto RelayHarness::addUpstream(const std::string& name, const std::string& pool,
     std::function<UpstreamReply(const UpstreamRequest&)> reply, nlohmann::json models) -> void
 {
-    auto revision = std::uint64_t { 0 };
     onLoop([&] {
         auto upstream = std::make_unique<FakeUpstream>(m_parts->m_context, std::move(reply));
-        m_parts->m_store.put("servers", name,
-            { { "service", pool }, { "address", formatAddress(upstream->address()) }, { "zone", "here" },
-                { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_left_ms", 0 },
-                { "models", std::move(models) }, { "sequence", 0 } });
+        m_parts->m_entries[name] = { { "service", pool }, { "address", formatAddress(upstream->address()) },
+            { "zone", "here" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" },
+            { "cold_left_ms", 0 }, { "models", std::move(models) }, { "sequence", 0 } };
         m_parts->m_upstreams[name] = std::move(upstream);
-        revision = m_parts->m_store.revision();
     });
-    // The node applies the entry when the answer to its watch arrives, shortly after the store has sent it.
+    rewriteUpstream(name, {});
+}
+
+auto RelayHarness::rewriteUpstream(const std::string& name, const nlohmann::json& changes) -> void
+{
+    onLoop([&] {
+        auto& entry = m_parts->m_entries.at(name);
+        entry.update(changes.is_null() ? nlohmann::json::object() : changes);
+        m_parts->m_store.put("servers", name, entry);
+    });
+    awaitUpstreamEntries();
+}
+
+auto RelayHarness::removeUpstream(const std::string& name) -> void
+{
+    onLoop([&] { m_parts->m_store.remove("servers", name); });
+    awaitUpstreamEntries();
+}
+
+// The node applies an entry when the answer to its watch arrives, shortly after the store has sent it.
+auto RelayHarness::awaitUpstreamEntries() -> void
+{
+    auto revision = std::uint64_t { 0 };
+    onLoop([&] { revision = m_parts->m_store.revision(); });
     (void)eventually([&] {
         auto published = false;
         onLoop([&] { published = m_parts->m_store.publishedRevision("servers") >= revision; });
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -44,6 +44,13 @@
         std::function<UpstreamReply(const UpstreamRequest&)>, nlohmann::json models = nlohmann::json::array())
         -> void;
 
+    // Writes an upstream's entry to the store again, with these fields changed, and waits until the node has
+    // received it.
+    auto rewriteUpstream(const std::string& name, const nlohmann::json& changes) -> void;
+
+    // Removes an upstream's entry, though the upstream goes on answering, and waits until the node knows.
+    auto removeUpstream(const std::string& name) -> void;
+
     // Returns the requests that an upstream received, except for orders and reports.
     auto requestsAt(const std::string& name) -> std::vector<UpstreamRequest>;
 
@@ -67,6 +74,8 @@
     auto eventually(const std::function<bool()>&) -> bool;
 
 private:
+    auto awaitUpstreamEntries() -> void;
+
     struct Parts;
     Parts* m_parts;
     std::thread m_thread;
--- a/test/relay/blackboard_updates_test.cc
+++ b/test/relay/blackboard_updates_test.cc
@@ -36,6 +36,41 @@
         EXPECT_TRUE(after->m_adapters.empty());
     }
 
+    // Guards against requests to a leaving upstream whose entry expired in an outage of the store and
+    // returned.
+    TEST(BlackboardUpdatesTest, AnEntryOfTheSameRunThatReturnsKeepsWhatIsKnownOfIt)
+    {
+        auto table = UpstreamTable();
+        const auto record = engineRecord("engine", { "a1" });
+        applyUpstreamRecord(table, record, at(0));
+        const auto before = table.m_upstreams.at(record.m_name);
+        before->m_record.m_leaving = true;
+        removeUpstream(table, record.m_name, at(1));
+        EXPECT_TRUE(before->m_removed);
+        applyUpstreamRecord(table, record, at(2));
+        const auto& after = table.m_upstreams.at(record.m_name);
+        EXPECT_EQ(after, before);
+        EXPECT_FALSE(after->m_removed);
+        EXPECT_TRUE(after->m_record.m_leaving);
+        EXPECT_EQ(table.m_byShortId.at(shortId("engine")), before);
+    }
+
+    TEST(BlackboardUpdatesTest, AnEntryOfAnotherRunThatReturnsStartsAnew)
+    {
+        auto table = UpstreamTable();
+        auto record = engineRecord("engine", { "a1" });
+        record.m_startedAt = 100;
+        applyUpstreamRecord(table, record, at(0));
+        const auto before = table.m_upstreams.at(record.m_name);
+        before->m_record.m_leaving = true;
+        removeUpstream(table, record.m_name, at(1));
+        record.m_startedAt = 200;
+        applyUpstreamRecord(table, record, at(2));
+        EXPECT_TRUE(before->m_removed);
+        EXPECT_FALSE(table.m_upstreams.at(record.m_name)->m_record.m_leaving);
+        EXPECT_TRUE(table.m_removedLately.empty());
+    }
+
     TEST(BlackboardUpdatesTest, AnOrderOverridesAnOlderListing)
     {
         auto table = UpstreamTable();
