Send an upstream no request for as long as its refusal says

Callers saw: an upstream that answered 503 with Retry-After got further requests from the same node 40 ms later, which it refused again, so callers' requests went round by upstreams that could not take them. Cause: Retry-After of an upstream was read nowhere; every refusal closed it for 40 ms. Class of fault: as for leaving upstreams, what an upstream says itself is not kept with its run. Now an upstream is paused for this node until the time that it named: for requests, reports and orders. The choice of upstreams is one assessment an upstream; when all of them want none (paused, or over the rate that they named) until a request's time is up, the request is refused at once, as not run, and told to come back then, spread over a second. Ruled out: the fleet's other nodes need not pause, since the upstream speaks to one node.

--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -52,6 +52,8 @@
     std::optional<Milliseconds> m_coldLeft; // Remaining time of its cold start.
     // Requests a second that it takes from all nodes together while its answers say so.
     std::optional<double> m_requestLimit;
+    // It refused this request, and wants none from this node for so long.
+    std::optional<Milliseconds> m_retryAfter;
 };
 
 // What the header fields of an upstream's answer state.
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -117,7 +117,7 @@
     for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
         const auto pool = m_board.m_configuration->m_pools.find(upstream->m_record.m_pool);
         if (pool == m_board.m_configuration->m_pools.end() || !pool->second.m_engine
-            || upstream->m_record.m_leaving)
+            || upstream->m_record.m_leaving || upstream->m_pausedUntil > now)
             continue;
         auto& orders = ordersOf(m_orderTracker, *upstream);
         const auto pause = orders.m_reportedAt == MonotonicTime() ? requiredReportPause : reportInterval;
@@ -193,7 +193,7 @@
         const auto found = m_orderTracker.find(upstream->m_record.m_name);
         if (found == m_orderTracker.end() || found->second.m_run != upstream.get())
             co_return;
-        if (!mayOrderNow()) {
+        if (!mayOrderNow() || upstream->m_pausedUntil > Clock::now()) {
             cancelQueuedOrders(found->second);
             co_return;
         }
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -97,7 +97,8 @@
                 engine.m_orders = &tracked->second;
                 readOrders(tracked->second, engine);
                 engine.m_healthy = inService && hasFreshReport(tracked->second, m_input.m_now)
-                    && tracked->second.m_avoidUntil <= m_input.m_now;
+                    && tracked->second.m_avoidUntil <= m_input.m_now
+                    && upstream->m_pausedUntil <= m_input.m_now;
             }
             engine.m_adapterSlots = plannableSlots(*engine.m_pool, engine.m_orders);
             if (inService)
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -66,6 +66,7 @@
     bool m_timedOut = false;
     std::optional<Failure> m_refusal; // Why it isn't sent although an upstream could take it.
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
+    MonotonicTime m_retryAt {}; // When the last outcome may change by time alone; zero: unknown.
     AllowanceDecision m_charge;
 };
 
@@ -242,6 +243,7 @@
     const auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - waitStartedAt);
     const auto wait = SlotWait { waited, found.m_firstOutcome };
     attempts.m_lastOutcome = found.m_outcome;
+    attempts.m_retryAt = found.m_retryAt;
     if (state.m_callerDisconnected || !found.m_slot)
         co_return false;
     attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
@@ -311,7 +313,7 @@
         recordLoadEnd(m_board.m_loadSpeed, LoadEnd::Late);
 }
 
-auto RequestRunner::failureFor(const CallState& state, const Attempts& attempts) const -> Failure
+auto RequestRunner::failureFor(const CallState& state, const Attempts& attempts) -> Failure
 {
     if (attempts.m_runs > 0) {
         if (attempts.m_timedOut || Clock::now() >= state.m_deadline)
@@ -322,7 +324,17 @@
         return *attempts.m_refusal;
     const auto outcome = std::string(nameOf(choiceOutcomeNames, attempts.m_lastOutcome));
     return refusal(
-        FailureType::Unavailable, "no upstream could take the request: " + outcome, defaultRetryAfter);
+        FailureType::Unavailable, "no upstream could take the request: " + outcome, retryAfter(attempts));
+}
+
+// Returns when the caller may come back. Those that wait for the same upstreams return one after the other.
+auto RequestRunner::retryAfter(const Attempts& attempts) -> Milliseconds
+{
+    if (attempts.m_lastOutcome != ChoiceOutcome::Paused)
+        return defaultRetryAfter;
+    const auto wait = std::chrono::ceil<Milliseconds>(attempts.m_retryAt - Clock::now());
+    const auto spread = std::uniform_int_distribution<int>(0, defaultRetryAfter.count())(m_random);
+    return std::max(wait, Milliseconds(0)) + Milliseconds(spread);
 }
 
 auto RequestRunner::finish(CallState& state, CallerAnswer& answer, Attempts& attempts) -> Awaitable<void>
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -37,7 +37,8 @@
     auto logAttempt(const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&) -> void;
     auto logEnd(const CallState&, std::string_view event, std::string reason) -> void;
     auto recordTestedLoad(const Upstream&, const std::string& adapter, UpstreamCallOutcome) -> void;
-    auto failureFor(const CallState&, const Attempts&) const -> Failure;
+    auto failureFor(const CallState&, const Attempts&) -> Failure;
+    auto retryAfter(const Attempts&) -> Milliseconds;
 
     const RelaySettings& m_settings;
     RelayBoard& m_board;
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -77,7 +77,7 @@
     double m_peersTokensInFlight = 0;
     LimitState m_requestLimit;
     MonotonicTime m_fullUntil {}; // It refused requests because of its load.
-    MonotonicTime m_blockedUntil {}; // It starts no requests while an order runs.
+    MonotonicTime m_pausedUntil {}; // It asked this node for no requests until then.
     UpstreamHealth m_health;
     UpstreamReachability m_reachability;
     bool m_removed = false; // Has no entry; unless that returns, only running requests refer to it.
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -158,11 +158,33 @@
         return right == MonotonicTime() ? left : std::min(left, right);
     }
 
-    // An adapter that only other nodes may use at this upstream has to be loaded at another one too.
-    auto outcomeAtLimit(const Upstream& upstream, const UpstreamNeeds& needs) -> ChoiceOutcome
+    // Whether an upstream can take a request now, and what it costs; if not, why, and when that may change.
+    struct Assessment {
+        ChoiceOutcome m_outcome = ChoiceOutcome::Full;
+        MonotonicTime m_retryAt {};
+        double m_cost = 0;
+    };
+
+    auto assess(const Upstream& upstream, const Pool* pool, const UpstreamNeeds& needs,
+        std::optional<std::uint64_t> version, const ChoiceContext& context) -> Assessment
     {
-        const auto isSender = upstream.m_requestLimit.m_share.m_isSender;
-        return isSender || needs.m_adapter.empty() ? ChoiceOutcome::Full : ChoiceOutcome::NotLoaded;
+        const auto now = context.m_now;
+        if (isUnreachable(upstream.m_reachability, now)) {
+            // An adapter that the request needs has to be loaded at another upstream.
+            const auto outcome = needs.m_adapter.empty() ? ChoiceOutcome::Full : ChoiceOutcome::NotLoaded;
+            return { outcome, reachableAgainAt(upstream.m_reachability) };
+        }
+        if (const auto at = wantsRequestsAt(upstream, now); at > now)
+            return { ChoiceOutcome::Paused, at };
+        const auto adapter = adapterState(upstream, needs, version, now);
+        if (!adapter.m_ready)
+            return { adapter.m_loading ? ChoiceOutcome::Loading : ChoiceOutcome::NotLoaded,
+                adapter.m_readyAt };
+        if (upstream.m_fullUntil > now)
+            return { ChoiceOutcome::Full, upstream.m_fullUntil };
+        if (!hasCapacity(upstream, pool, needs.m_tokens) || !hasColdAllowance(upstream, pool, context))
+            return { ChoiceOutcome::Full };
+        return { ChoiceOutcome::Chosen, {}, costOf(upstream, pool, needs, context) };
     }
 
     // Keeps the outcome that is closest to a choice (the order of the enum), with its earliest retry time.
@@ -185,6 +207,13 @@
         && !table.m_evacuated.contains(upstream.m_record.m_dataCentre);
 }
 
+auto wantsRequestsAt(const Upstream& upstream, MonotonicTime now) -> MonotonicTime
+{
+    if (!limitInForce(upstream.m_requestLimit, now))
+        return upstream.m_pausedUntil;
+    return std::max(upstream.m_pausedUntil, nextRequestAt(upstream.m_requestLimit, now));
+}
+
 auto requiredVersion(const UpstreamTable& table, const std::string& adapter, MonotonicTime now)
     -> std::optional<std::uint64_t>
 {
@@ -223,35 +252,11 @@
         if (upstream->m_record.m_pool != needs.m_pool || !acceptsNewRequests(table, *upstream)
             || !isInAllowedRegions(*upstream, needs, context))
             continue;
-        if (isUnreachable(upstream->m_reachability, context.m_now)) {
-            // An adapter that the request needs has to be loaded at another upstream.
-            const auto outcome = needs.m_adapter.empty() ? ChoiceOutcome::Full : ChoiceOutcome::NotLoaded;
-            raiseOutcome(choice, outcome, reachableAgainAt(upstream->m_reachability));
-            continue;
-        }
-        const auto adapter = adapterState(*upstream, needs, version, context.m_now);
-        if (!adapter.m_ready) {
-            raiseOutcome(choice, adapter.m_loading ? ChoiceOutcome::Loading : ChoiceOutcome::NotLoaded,
-                adapter.m_readyAt);
-            continue;
-        }
-        if (limitInForce(upstream->m_requestLimit, context.m_now)) {
-            const auto nextAt = nextRequestAt(upstream->m_requestLimit, context.m_now);
-            if (nextAt > context.m_now) {
-                raiseOutcome(choice, outcomeAtLimit(*upstream, needs), nextAt);
-                continue;
-            }
-        }
-        const auto closedUntil = std::max(upstream->m_fullUntil, upstream->m_blockedUntil);
-        if (closedUntil > context.m_now || !hasCapacity(*upstream, pool, needs.m_tokens)
-            || !hasColdAllowance(*upstream, pool, context)) {
-            raiseOutcome(
-                choice, ChoiceOutcome::Full, closedUntil > context.m_now ? closedUntil : MonotonicTime());
-            continue;
-        }
-        const auto cost = costOf(*upstream, pool, needs, context);
-        if (cost < lowest) {
-            lowest = cost;
+        const auto assessment = assess(*upstream, pool, needs, version, context);
+        if (assessment.m_outcome != ChoiceOutcome::Chosen) {
+            raiseOutcome(choice, assessment.m_outcome, assessment.m_retryAt);
+        } else if (assessment.m_cost < lowest) {
+            lowest = assessment.m_cost;
             choice.m_upstream = upstream;
         }
     }
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -23,6 +23,7 @@
 enum class ChoiceOutcome {
     Chosen,
     NoUpstream, // The pool has none that accepts new requests in the allowed regions.
+    Paused, // All of them have said that they want none for now, or not at this rate.
     NotLoaded, // None of them has the model or the adapter.
     Loading, // One of them is loading the adapter.
     Full, // Those that could serve it are at capacity.
@@ -31,6 +32,7 @@
 inline constexpr auto choiceOutcomeNames = std::array {
     EnumName<ChoiceOutcome> { ChoiceOutcome::Chosen, "chosen" },
     EnumName<ChoiceOutcome> { ChoiceOutcome::NoUpstream, "no_upstream" },
+    EnumName<ChoiceOutcome> { ChoiceOutcome::Paused, "paused" },
     EnumName<ChoiceOutcome> { ChoiceOutcome::NotLoaded, "not_loaded" },
     EnumName<ChoiceOutcome> { ChoiceOutcome::Loading, "loading" },
     EnumName<ChoiceOutcome> { ChoiceOutcome::Full, "full" },
@@ -54,6 +56,10 @@
 
 auto chooseUpstream(const UpstreamTable&, const UpstreamNeeds&, const ChoiceContext&) -> UpstreamChoice;
 
+// Returns when the upstream wants requests of this node again, by what it said itself; a time that isn't
+// later than `now` if it wants them now.
+auto wantsRequestsAt(const Upstream&, MonotonicTime now) -> MonotonicTime;
+
 // Whether the upstream may get new requests at all: it is in the table, is not leaving, and its data centre
 // is not evacuated.
 auto acceptsNewRequests(const UpstreamTable&, const Upstream&) -> bool;
--- a/src/relay/upstream_notices.cc
+++ b/src/relay/upstream_notices.cc
@@ -26,6 +26,8 @@
     }
     if (notices.m_coldLeft && notices.m_coldLeft->count() > 0)
         upstream.m_coldUntil = std::max(upstream.m_coldUntil, now + *notices.m_coldLeft);
+    if (notices.m_retryAfter)
+        upstream.m_pausedUntil = std::max(upstream.m_pausedUntil, now + *notices.m_retryAfter);
     if (notices.m_requestLimit)
         applyLimit(board, upstream, notices.m_requestLimit, now);
 }
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -102,10 +102,11 @@
         auto result = SlotResult { acquireSlot(choice, needs), choice.m_outcome, choice.m_outcome };
         co_return result;
     }
-    auto waiter = Waiter { std::move(needs), rank, &cancelled, net::steady_timer(m_executor, until), {} };
-    waiter.m_result.m_outcome = choice.m_outcome;
+    auto waiter
+        = Waiter { std::move(needs), rank, until, &cancelled, net::steady_timer(m_executor, until), {} };
     waiter.m_result.m_firstOutcome = choice.m_outcome;
-    if (until <= Clock::now())
+    recordOutcome(waiter, choice);
+    if (waiter.m_ended || until <= Clock::now())
         co_return std::move(waiter.m_result);
     enqueue(waiter);
     const auto waiting
@@ -113,7 +114,7 @@
     if (choice.m_outcome == ChoiceOutcome::NotLoaded)
         m_board.m_adapterWanted();
     armTimer(choice.m_retryAt);
-    while (!waiter.m_result.m_slot && !cancelled && Clock::now() < until) {
+    while (!waiter.m_ended && !cancelled && Clock::now() < until) {
         auto error = ErrorCode();
         co_await waiter.m_timer.async_wait(errorTo(error));
     }
@@ -121,6 +122,13 @@
     co_return std::move(waiter.m_result);
 }
 
+auto WaitList::recordOutcome(Waiter& waiter, const UpstreamChoice& choice) -> void
+{
+    waiter.m_result.m_outcome = choice.m_outcome;
+    waiter.m_result.m_retryAt = choice.m_retryAt;
+    waiter.m_ended = choice.m_outcome == ChoiceOutcome::Paused && choice.m_retryAt >= waiter.m_until;
+}
+
 auto WaitList::enqueue(Waiter& waiter) -> void
 {
     const auto successor = std::find_if(m_waiting.begin(), m_waiting.end(),
@@ -163,14 +171,16 @@
             continue;
         }
         const auto choice = choose(waiter.m_needs);
-        waiter.m_result.m_outcome = choice.m_outcome;
-        if (!choice.m_upstream) {
+        recordOutcome(waiter, choice);
+        if (!choice.m_upstream && !waiter.m_ended) {
             if (choice.m_retryAt != MonotonicTime())
                 retryAt = retryAt == MonotonicTime() ? choice.m_retryAt : std::min(retryAt, choice.m_retryAt);
             ++at;
             continue;
         }
-        waiter.m_result.m_slot = acquireSlot(choice, waiter.m_needs);
+        if (choice.m_upstream)
+            waiter.m_result.m_slot = acquireSlot(choice, waiter.m_needs);
+        waiter.m_ended = true;
         at = m_waiting.erase(at);
         waiter.m_timer.cancel();
     }
--- a/src/relay/wait_list.h
+++ b/src/relay/wait_list.h
@@ -43,10 +43,11 @@
 };
 
 struct SlotResult {
-    UpstreamSlot m_slot; // Empty if none became free in time.
+    UpstreamSlot m_slot; // Empty if none became free in time, or none can.
     ChoiceOutcome m_outcome = ChoiceOutcome::NoUpstream; // Of the last choice.
     ChoiceOutcome m_firstOutcome = ChoiceOutcome::NoUpstream; // Of the first choice: why the request had to
                                                               // wait, or `Chosen` if it did not.
+    MonotonicTime m_retryAt {}; // When the outcome may change by time alone; zero: unknown.
 };
 
 // Assigns upstream slots to requests, and queues the requests that have to wait.
@@ -54,7 +55,8 @@
 public:
     WaitList(Executor, RelayBoard&, const RelaySettings&);
 
-    // Waits until `until` for a slot. To end the wait early, set `cancelled` and call `wakeCancelled`.
+    // Waits until `until` for a slot, but not while all upstreams want no requests until then. To end the
+    // wait early, set `cancelled` and call `wakeCancelled`.
     auto acquire(UpstreamNeeds, WaitRank, MonotonicTime until, const bool& cancelled)
         -> Awaitable<SlotResult>;
 
@@ -71,14 +73,17 @@
     struct Waiter {
         UpstreamNeeds m_needs;
         WaitRank m_rank;
+        MonotonicTime m_until {};
         const bool* m_cancelled = nullptr;
         net::steady_timer m_timer;
         SlotResult m_result;
+        bool m_ended = false; // It got a slot, or waits in vain.
     };
 
     auto choose(const UpstreamNeeds&) -> UpstreamChoice;
     auto acquireSlot(const UpstreamChoice&, const UpstreamNeeds&) -> UpstreamSlot;
     auto recheck() -> void;
+    static auto recordOutcome(Waiter&, const UpstreamChoice&) -> void;
     auto enqueue(Waiter&) -> void;
     auto armTimer(MonotonicTime) -> void;
 
--- a/test/platform/header_dialect_test.cc
+++ b/test/platform/header_dialect_test.cc
@@ -81,6 +81,21 @@
         EXPECT_FALSE(makeDialect().m_readAnswer(200, fields).m_notices.m_leaving);
     }
 
+    TEST(HeaderDialectTest, ReadsForHowLongAnUpstreamThatRefusesWantsNoRequests)
+    {
+        auto fields = HeaderFields();
+        EXPECT_FALSE(makeDialect().m_readAnswer(503, fields).m_notices.m_retryAfter);
+        fields.set("Retry-After", "2.5");
+        EXPECT_EQ(makeDialect().m_readAnswer(503, fields).m_notices.m_retryAfter, Milliseconds(2'500));
+        EXPECT_FALSE(makeDialect().m_readAnswer(429, fields).m_notices.m_retryAfter);
+        for (const auto* invalid : { "", "-1", "soon", "nan", "Fri, 04 Dec 2026 10:00:00 GMT" }) {
+            fields.set("Retry-After", invalid);
+            EXPECT_FALSE(makeDialect().m_readAnswer(503, fields).m_notices.m_retryAfter) << invalid;
+        }
+        fields.set("Retry-After", "1e30");
+        EXPECT_EQ(makeDialect().m_readAnswer(503, fields).m_notices.m_retryAfter, std::chrono::hours(24));
+    }
+
     TEST(HeaderDialectTest, InvalidNumbersCountAsMissing)
     {
         auto fields = callerHeaders();
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -52,6 +52,27 @@
         EXPECT_EQ(choice.m_upstream->m_record.m_name, UpstreamName("with"));
     }
 
+    TEST_F(UpstreamChoiceTest, DoesNotChooseAnUpstreamThatWantsNoRequestsForNow)
+    {
+        add(engineRecord("paused", { "a1" })).m_pausedUntil = at(3);
+        add(engineRecord("with", { "a1" }));
+        EXPECT_EQ(choose(at(2)).m_upstream->m_record.m_name, UpstreamName("with"));
+        m_table.m_upstreams.erase(UpstreamName("with"));
+        EXPECT_EQ(choose(at(3)).m_outcome, ChoiceOutcome::Chosen) << "when the time is over";
+    }
+
+    TEST_F(UpstreamChoiceTest, ReportsWhenTheFirstOfAllPausedUpstreamsWantsRequests)
+    {
+        add(engineRecord("first", { "a1" })).m_pausedUntil = at(3);
+        add(engineRecord("second")).m_pausedUntil = at(4);
+        const auto choice = choose(at(2));
+        EXPECT_EQ(choice.m_outcome, ChoiceOutcome::Paused);
+        EXPECT_EQ(choice.m_retryAt, at(3));
+        add(engineRecord("without"));
+        EXPECT_EQ(choose(at(2)).m_outcome, ChoiceOutcome::NotLoaded)
+            << "expected that it can load the adapter";
+    }
+
     TEST_F(UpstreamChoiceTest, ReportsWhenALoadInProgressEnds)
     {
         auto& engine = add(engineRecord("loading"));
