End an upstream's request limit only by an answer that was asked for after it

Causes: (1) a limit without news for 10 s no longer held, so all nodes sent at once to an upstream whose limit is so low that its answers are rarer; (2) an answer without a limit to a request that had been sent before the limit was named, read late, ended it for the whole fleet. Class of fault: the absence of news taken as news. Without news for 10 s one further node each 4 s becomes a sender, and all senders together keep a rate that shows the end of even a limit of nothing. Answers to reports and orders may name a limit; that they name none ends none. The check that a limit is not in force after 10 s is replaced by the property that nodes without news keep to the bound in any window: the old check asserted the fault.

--- a/src/relay/request_limit.cc
+++ b/src/relay/request_limit.cc
@@ -9,9 +9,11 @@
 namespace {
 
     constexpr auto additionalSenders = std::size_t { 3 }; // So that a low limit doesn't depend on one node.
-    constexpr auto notableChange
-        = 0.1; // Of a limit; smaller ones take effect with the next update of shares.
-    constexpr auto minShare = 0.01; // Requests a second; keeps waits representable.
+    constexpr auto senderInterval = std::chrono::milliseconds(4'000); // Of further senders without news.
+    // Share of a limit; smaller changes take effect with the next update of shares.
+    constexpr auto notableChange = 0.1;
+    // Requests a second of all senders, however low the limit is: only answers show that it ended.
+    constexpr auto minRate = 0.25;
 
     auto refilled(const LimitState& state, MonotonicTime now) -> double
     {
@@ -40,23 +42,24 @@
     return std::abs(*before - *limit.m_requestsPerSecond) > notableChange * *before;
 }
 
-auto limitInForce(const LimitState& state, MonotonicTime now) -> std::optional<double>
+auto isLimited(const LimitState& state) -> bool
 {
-    const auto& limit = state.m_limit;
-    if (!limit.m_requestsPerSecond || limit.m_namedAt + limitLifetime <= now)
-        return std::nullopt;
-    return limit.m_requestsPerSecond;
+    return state.m_limit.m_requestsPerSecond.has_value();
 }
 
-auto senderCount(double requestsPerSecond, std::size_t nodes) -> std::size_t
+auto senderCount(double requestsPerSecond, std::size_t nodes, std::chrono::milliseconds age) -> std::size_t
 {
     const auto wanted = std::floor(std::clamp(requestsPerSecond, 0.0, static_cast<double>(nodes)));
-    return std::min(nodes, static_cast<std::size_t>(wanted) + additionalSenders);
+    const auto silence = std::max(age - limitNewsTimeout, std::chrono::milliseconds(0));
+    const auto further = static_cast<std::size_t>(silence / senderInterval);
+    return std::min(nodes, static_cast<std::size_t>(wanted) + additionalSenders + further);
 }
 
 auto shareOf(const FleetView& fleet, const VmName& self, const UpstreamName& upstream,
-    double requestsPerSecond, MonotonicTime now) -> LimitShare
+    const NamedLimit& limit, MonotonicTime now) -> LimitShare
 {
+    if (!limit.m_requestsPerSecond)
+        return {};
     const auto seed = XXH3_64bits(upstream.value().data(), upstream.value().size());
     const auto rankOf
         = [&](const VmName& vm) { return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), seed); };
@@ -69,16 +72,17 @@
         ++nodes;
         earlier += rankOf(vm) < own ? 1 : 0;
     }
-    const auto senders = senderCount(requestsPerSecond, nodes);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.m_namedAt);
+    const auto senders = senderCount(*limit.m_requestsPerSecond, nodes, age);
     if (earlier >= senders)
         return {};
-    return { std::max(requestsPerSecond / static_cast<double>(senders), minShare), true };
+    return { std::max(*limit.m_requestsPerSecond, minRate) / static_cast<double>(senders), true };
 }
 
 auto nextRequestAt(const LimitState& state, MonotonicTime now) -> MonotonicTime
 {
     if (!state.m_share.m_isSender)
-        return state.m_limit.m_namedAt + limitLifetime;
+        return MonotonicTime::max();
     const auto missing = 1.0 - refilled(state, now);
     if (missing <= 0)
         return now;
--- a/src/relay/request_limit.h
+++ b/src/relay/request_limit.h
@@ -4,6 +4,10 @@
 // order that every node computes from the nodes' names, so nothing has to be agreed upon. How many they are
 // follows from the rate: a share has to be large enough to be of use, and the nodes' single requests have to
 // stay within the bound together.
+//
+// A limit ends only when an answer shows that the upstream names none any more. While no answer of it becomes
+// known, for example because the senders get no requests for it, one more node after the other becomes a
+// sender.
 #pragma once
 
 #include "relay/fleet_view.h"
@@ -16,7 +20,8 @@
 // A limit that an upstream named, or that it no longer names one, as of an answer.
 struct NamedLimit {
     std::optional<double> m_requestsPerSecond; // Nothing: no limit.
-    MonotonicTime m_namedAt {}; // When the answer arrived at this or another node; zero: never.
+    // When the upstream named it, at the latest; or named none, at the earliest. Zero: never.
+    MonotonicTime m_namedAt {};
     ReportSource m_source = ReportSource::Self;
 };
 
@@ -34,27 +39,26 @@
     MonotonicTime m_refilledAt {};
 };
 
-// Without news on a limit for this time, it no longer holds: the upstream gets requests again, and their
-// answers tell.
-inline constexpr auto limitLifetime = std::chrono::milliseconds(10'000);
+// A limit without news for this time may have ended unnoticed.
+inline constexpr auto limitNewsTimeout = std::chrono::milliseconds(10'000);
 
 // Records the limit of an answer, unless a newer one is known; an answer without a limit counts only after
-// one with a limit. Returns whether the limit begins, ends or changes
-// notably.
+// one with a limit. Returns whether the limit begins, ends or changes notably.
 auto recordLimit(LimitState&, const NamedLimit&) -> bool;
 
-// Returns the limit in force.
-auto limitInForce(const LimitState&, MonotonicTime now) -> std::optional<double>;
+// Whether the upstream names a limit, as far as this node knows.
+auto isLimited(const LimitState&) -> bool;
 
-// Returns how many of the fleet's nodes may send requests to an upstream with this limit.
-auto senderCount(double requestsPerSecond, std::size_t nodes) -> std::size_t;
+// Returns how many of the fleet's nodes may send requests to an upstream with this limit, of which the latest
+// news is so old.
+auto senderCount(double requestsPerSecond, std::size_t nodes, std::chrono::milliseconds age) -> std::size_t;
 
 // Returns this node's share of an upstream's limit.
-auto shareOf(const FleetView&, const VmName& self, const UpstreamName&, double requestsPerSecond,
-    MonotonicTime now) -> LimitShare;
+auto shareOf(const FleetView&, const VmName& self, const UpstreamName&, const NamedLimit&, MonotonicTime now)
+    -> LimitShare;
 
 // Returns when this node may send the upstream its next request: a time that isn't later than `now` if it may
-// do so now, and the end of the limit's lifetime if it isn't among the senders.
+// do so now, and the largest time if it isn't among the senders.
 auto nextRequestAt(const LimitState&, MonotonicTime now) -> MonotonicTime;
 
 // Charges a request that is sent while a limit is in force.
--- a/src/relay/request_limit_report.cc
+++ b/src/relay/request_limit_report.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr auto reportedAge = std::chrono::milliseconds(3'000); // Older limits are not reported.
     constexpr auto maxLimitReports = std::size_t { 96 };
     constexpr auto noLimit = -1.0F;
 
@@ -20,7 +19,7 @@
     auto reports = std::vector<messages::LimitReport>();
     for (const auto& [id, upstream] : table.m_byShortId) {
         const auto& limit = upstream->m_requestLimit.m_limit;
-        const auto isRecent = limit.m_namedAt != MonotonicTime() && limit.m_namedAt + reportedAge > now;
+        const auto isRecent = limit.m_namedAt != MonotonicTime() && limit.m_namedAt + limitNewsTimeout > now;
         if (!isRecent || !isInScope(limit.m_source, scope) || reports.size() >= maxLimitReports)
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.m_namedAt);
@@ -49,8 +48,8 @@
 {
     for (const auto& [name, upstream] : board.m_upstreams.m_upstreams) {
         auto& state = upstream->m_requestLimit;
-        if (const auto limit = limitInForce(state, now))
-            state.m_share = shareOf(board.m_fleet, self, name, *limit, now);
+        if (isLimited(state))
+            state.m_share = shareOf(board.m_fleet, self, name, state.m_limit, now);
     }
 }
 
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -332,9 +332,13 @@
 {
     if (attempts.m_lastOutcome != ChoiceOutcome::Paused)
         return defaultRetryAfter;
+    const auto spread
+        = Milliseconds(std::uniform_int_distribution<int>(1, defaultRetryAfter.count())(m_random));
+    // Upstreams that want none from this node may want some from another one.
+    if (attempts.m_retryAt == MonotonicTime::max())
+        return spread;
     const auto wait = std::chrono::ceil<Milliseconds>(attempts.m_retryAt - Clock::now());
-    const auto spread = std::uniform_int_distribution<int>(0, defaultRetryAfter.count())(m_random);
-    return std::max(wait, Milliseconds(0)) + Milliseconds(spread);
+    return std::max(wait, Milliseconds(0)) + spread;
 }
 
 auto RequestRunner::finish(CallState& state, CallerAnswer& answer, Attempts& attempts) -> Awaitable<void>
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -363,6 +363,7 @@
     const auto request = requestFor(state, m_dialect, dispatch);
     const auto disconnectHook = DisconnectHook(state, connection->m_stream);
     auto error = ErrorCode();
+    const auto sentAt = Clock::now();
     connection->m_stream.expires_at(std::min(answerDeadline, state.m_deadline));
     co_await http::async_write(connection->m_stream, request, errorTo(error));
     // An upstream may answer before it reads the whole body, so the answer is read after a failed write too.
@@ -371,7 +372,7 @@
         co_return outcomeWithoutAnswer(state, head.m_timedOut);
     const auto status = head.m_parser->get().result_int();
     const auto idleTime = keepAliveTimeout(head.m_parser->get());
-    applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, Clock::now());
+    applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, sentAt, Clock::now());
     if (isSuccess(status) && !head.m_answer.m_notRun && state.m_route->m_kind == CallKind::Stream) {
         const auto stream = co_await forwardStream(state, answer, *connection, *head.m_parser, m_board);
         if (stream.m_outcome == UpstreamCallOutcome::Delivered)
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -20,8 +20,7 @@
     // peers send theirs only about once a second.
     constexpr auto jitterInSmallFleet = 0.03;
     constexpr auto jitterInLargeFleet = 0.4;
-    constexpr auto limitedCost
-        = 1.0; // Upstreams that name no limit are preferred while they have free slots.
+    constexpr auto limitedCost = 1.0; // Upstreams without a limit are preferred while they have free slots.
     constexpr auto coldCost = 1.0; // Warm upstreams are preferred while they have free slots.
 
     // Requests may fill this share of an upstream's memory by their stated token counts. These are upper
@@ -134,7 +133,7 @@
             cost += avoidedCost;
         if (upstream.m_coldUntil > context.m_now)
             cost += coldCost;
-        if (limitInForce(upstream.m_requestLimit, context.m_now))
+        if (isLimited(upstream.m_requestLimit))
             cost += limitedCost;
         if (std::find(needs.m_tried.begin(), needs.m_tried.end(), &upstream) != needs.m_tried.end())
             cost += triedCost;
@@ -209,7 +208,7 @@
 
 auto wantsRequestsAt(const Upstream& upstream, MonotonicTime now) -> MonotonicTime
 {
-    if (!limitInForce(upstream.m_requestLimit, now))
+    if (!isLimited(upstream.m_requestLimit))
         return upstream.m_pausedUntil;
     return std::max(upstream.m_pausedUntil, nextRequestAt(upstream.m_requestLimit, now));
 }
--- a/src/relay/upstream_notices.cc
+++ b/src/relay/upstream_notices.cc
@@ -8,10 +8,9 @@
 
 namespace {
 
-    auto applyLimit(RelayBoard& board, Upstream& upstream, std::optional<double> limit, MonotonicTime now)
-        -> void
+    auto applyLimit(RelayBoard& board, Upstream& upstream, const NamedLimit& limit) -> void
     {
-        if (recordLimit(upstream.m_requestLimit, NamedLimit { limit, now }))
+        if (recordLimit(upstream.m_requestLimit, limit))
             board.m_requestLimitChanged(upstream);
     }
 
@@ -29,15 +28,15 @@
     if (notices.m_retryAfter)
         upstream.m_pausedUntil = std::max(upstream.m_pausedUntil, now + *notices.m_retryAfter);
     if (notices.m_requestLimit)
-        applyLimit(board, upstream, notices.m_requestLimit, now);
+        applyLimit(board, upstream, NamedLimit { notices.m_requestLimit, now });
 }
 
-auto applyRequestAnswerNotices(
-    RelayBoard& board, Upstream& upstream, const UpstreamNotices& notices, MonotonicTime now) -> void
+auto applyRequestAnswerNotices(RelayBoard& board, Upstream& upstream, const UpstreamNotices& notices,
+    MonotonicTime sentAt, MonotonicTime now) -> void
 {
     applyNotices(board, upstream, notices, now);
     if (!notices.m_requestLimit)
-        applyLimit(board, upstream, std::nullopt, now);
+        applyLimit(board, upstream, NamedLimit { std::nullopt, sentAt });
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/upstream_notices.h
+++ b/src/relay/upstream_notices.h
@@ -9,8 +9,10 @@
 // Applies the notices of any answer.
 auto applyNotices(RelayBoard&, Upstream&, const UpstreamNotices&, MonotonicTime now) -> void;
 
-// Applies the notices of an answer to a caller's request. Unlike those of other answers, one without a limit
-// shows that the upstream no longer names one.
-auto applyRequestAnswerNotices(RelayBoard&, Upstream&, const UpstreamNotices&, MonotonicTime now) -> void;
+// Applies the notices of an answer to a caller's request that was sent at `sentAt`. Unlike those of other
+// answers, one without a limit shows that the upstream no longer names one, or did so when the request was
+// sent.
+auto applyRequestAnswerNotices(
+    RelayBoard&, Upstream&, const UpstreamNotices&, MonotonicTime sentAt, MonotonicTime now) -> void;
 
 } // namespace marigoldladder::relay
--- a/test/relay/request_limit_test.cc
+++ b/test/relay/request_limit_test.cc
@@ -39,7 +39,7 @@
         for (const auto nodes : { 1U, 2U, 8U, 61U, 195U }) {
             auto sum = 0.0;
             for (auto self = 0U; self < nodes; ++self)
-                sum += shareOf(fleetSeenBy(self, nodes, start), vmAt(self), upstream, 3.5, start)
+                sum += shareOf(fleetSeenBy(self, nodes, start), vmAt(self), upstream, { 3.5, start }, start)
                            .m_requestsPerSecond;
             EXPECT_NEAR(sum, 3.5, 1e-6) << "with " << nodes << " nodes";
         }
@@ -50,8 +50,45 @@
         auto state = LimitState();
         ASSERT_TRUE(recordLimit(state, { 2.0, start }));
         EXPECT_GT(nextRequestAt(state, start + milliseconds(9'000)), start + milliseconds(9'000));
-        EXPECT_TRUE(limitInForce(state, start + milliseconds(9'999)));
-        EXPECT_FALSE(limitInForce(state, start + limitLifetime));
+        EXPECT_TRUE(isLimited(state));
+    }
+
+    // Guards against all nodes sending at once to an upstream whose limit is so low that its answers are
+    // rarer than the time for which a limit held without news.
+    RC_GTEST_PROP(RequestLimitTest, NodesWithoutNewsStayWithinTheBoundInAnyWindow, ())
+    {
+        const auto nodes = *rc::gen::inRange<std::size_t>(1, 70);
+        const auto limit = *rc::gen::inRange(0, 30) / 10.0;
+        constexpr auto step = 50; // Milliseconds.
+        constexpr auto length = 30'000;
+        auto states = std::vector<LimitState>(nodes);
+        auto sent = std::vector<int>();
+        for (auto time = 0; time < length; time += step) {
+            const auto now = start + milliseconds(time);
+            for (auto self = std::size_t { 0 }; self < nodes; ++self) {
+                auto& state = states[self];
+                recordLimit(state, { limit, start });
+                state.m_share
+                    = shareOf(fleetSeenBy(self, nodes, now), vmAt(self), upstream, state.m_limit, now);
+                if (nextRequestAt(state, now) > now)
+                    continue;
+                chargeRequest(state, now);
+                sent.push_back(time);
+            }
+        }
+        for (auto first = std::size_t { 0 }; first < sent.size(); ++first) {
+            const auto end = std::upper_bound(sent.begin(), sent.end(), sent[first] + 4'000);
+            const auto count = static_cast<double>(end - sent.begin()) - static_cast<double>(first);
+            RC_ASSERT(count <= 1.5 * limit * 4 + 5);
+        }
+    }
+
+    TEST(RequestLimitTest, WithoutNewsOneMoreNodeAfterTheOtherMaySend)
+    {
+        constexpr auto nodes = std::size_t { 61 };
+        EXPECT_EQ(senderCount(2.0, nodes, limitNewsTimeout), 5U);
+        EXPECT_EQ(senderCount(2.0, nodes, limitNewsTimeout + milliseconds(4'000)), 6U);
+        EXPECT_EQ(senderCount(2.0, nodes, std::chrono::minutes(10)), nodes);
     }
 
     TEST(RequestLimitTest, AnAnswerWithoutALimitEndsIt)
@@ -59,7 +96,7 @@
         auto state = LimitState();
         ASSERT_TRUE(recordLimit(state, { 2.0, start }));
         EXPECT_TRUE(recordLimit(state, { std::nullopt, start + milliseconds(1) }));
-        EXPECT_FALSE(limitInForce(state, start + milliseconds(2)));
+        EXPECT_FALSE(isLimited(state));
     }
 
     TEST(RequestLimitTest, AnOlderReportChangesNothing)
@@ -68,7 +105,7 @@
         ASSERT_TRUE(recordLimit(state, { 2.0, start }));
         ASSERT_TRUE(recordLimit(state, { std::nullopt, start + milliseconds(100) }));
         EXPECT_FALSE(recordLimit(state, { 2.0, start + milliseconds(50) }));
-        EXPECT_FALSE(limitInForce(state, start + milliseconds(200)));
+        EXPECT_FALSE(isLimited(state));
     }
 
     TEST(RequestLimitTest, AnswersOfUpstreamsThatNeverNamedALimitAreNotRecorded)
@@ -100,8 +137,8 @@
                 recordLimit(state, { limit, now });
                 const auto unseen = self % 2 == 1 && missing > 0 ? std::vector<std::size_t> { 0 }
                                                                  : std::vector<std::size_t>();
-                state.m_share
-                    = shareOf(fleetSeenBy(self, nodes, now, unseen), vmAt(self), upstream, limit, now);
+                state.m_share = shareOf(
+                    fleetSeenBy(self, nodes, now, unseen), vmAt(self), upstream, state.m_limit, now);
                 if (nextRequestAt(state, now) > now)
                     continue;
                 chargeRequest(state, now);
