--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -39,14 +39,6 @@
             - (hasAdapterCached(engine, adapter) ? cachedBonus : 0);
     }
 
-    // Whether the engine takes the requests for one more adapter, by the limit that it names.
-    auto hasRateLeft(const PlannedEngine& engine, const PlannedAdapter& adapter) -> bool
-    {
-        const auto& limit = engine.m_upstream->m_requestLimit.m_limit.m_requestsPerSecond;
-        return !limit
-            || engine.m_load + rateOf(adapter) / static_cast<double>(adapter.m_copies + 1) <= *limit;
-    }
-
     // Returns the urgency of one more copy of the adapter, roughly the number of requests that would not have
     // to wait. 0 means that another copy is not urgent.
     auto copyUrgency(const PlannedAdapter& adapter) -> double
@@ -108,8 +100,7 @@
                 if (usedAdapterSlots(engine) + reserved >= engine.m_adapterSlots || !takesOrders(engine))
                     continue;
                 const auto cost = loadingCost(engine, adapter);
-                if (cost >= lowest || findHeld(engine, index) || !servesModel(engine, adapter)
-                    || !hasRateLeft(engine, adapter))
+                if (cost >= lowest || findHeld(engine, index) || !servesModel(engine, adapter))
                     continue;
                 best = &engine;
                 lowest = cost;
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -39,59 +39,16 @@
             for (const auto& [name, upstream] : m_input.m_table->m_upstreams)
                 addEngine(upstream);
             for (auto& engine : m_view.m_engines) {
-                engine.m_load = loadOf(engine);
-                discountCopiesBeyondLimit(engine);
+                for (const auto& held : engine.m_held) {
+                    const auto& adapter = m_view.m_adapters[held.m_adapter];
+                    if (adapter.m_copies > 0)
+                        engine.m_load += rateOf(adapter) / static_cast<double>(adapter.m_copies);
+                }
             }
             return std::move(m_view);
         }
 
     private:
-        // Returns the rate of the requests for an adapter that an engine which holds it may expect.
-        auto rateAtEngine(const HeldAdapter& held) const -> double
-        {
-            const auto& adapter = m_view.m_adapters[held.m_adapter];
-            return adapter.m_copies > 0 ? rateOf(adapter) / static_cast<double>(adapter.m_copies) : 0;
-        }
-
-        auto loadOf(const PlannedEngine& engine) const -> double
-        {
-            auto load = 0.0;
-            for (const auto& held : engine.m_held)
-                load += rateAtEngine(held);
-            return load;
-        }
-
-        // An engine that takes fewer requests than its adapters get is a copy of as many of them as it can
-        // serve; the others need another engine.
-        auto discountCopiesBeyondLimit(const PlannedEngine& engine) -> void
-        {
-            const auto& limit = engine.m_upstream->m_requestLimit.m_limit.m_requestsPerSecond;
-            if (!limit || engine.m_load <= *limit)
-                return;
-            auto rates = std::vector<std::pair<double, AdapterIndex>>();
-            for (const auto& held : engine.m_held) {
-                if (isCopy(held))
-                    rates.emplace_back(rateAtEngine(held), held.m_adapter);
-            }
-            std::sort(rates.begin(), rates.end());
-            auto served = 0.0;
-            for (const auto& [rate, index] : rates) {
-                served += rate;
-                if (served > *limit)
-                    --m_view.m_adapters[index].m_copies;
-            }
-        }
-
-        // Whether the engine that holds the adapter can serve its requests: not if its version is outdated,
-        // or it is unloaded or missing.
-        auto isCopy(const HeldAdapter& held) const -> bool
-        {
-            const auto* presence = held.m_presence;
-            return !presence
-                || (!presence->m_evicted && !presence->m_missing
-                    && presence->m_version >= m_view.m_adapters[held.m_adapter].m_newestVersion);
-        }
-
         // Returns the index of the adapter, which is added to the view if it is new. The view keeps a pointer
         // to `name`, which has to be part of the input.
         auto indexOf(const std::string& name) -> AdapterIndex
@@ -199,15 +156,19 @@
             }
         }
 
-        // Counts the engine's adapters as copies, except for those that can't serve requests.
+        // Counts the engine's adapters as copies, except for outdated, unloaded and missing ones, which can't
+        // serve requests.
         auto countCopies(const PlannedEngine& engine) -> void
         {
             for (const auto& held : engine.m_held) {
-                if (!isCopy(held))
-                    continue;
                 auto& adapter = m_view.m_adapters[held.m_adapter];
-                ++adapter.m_copies;
                 const auto* presence = held.m_presence;
+                const auto outdated = presence
+                    && (presence->m_evicted || presence->m_missing
+                        || presence->m_version < adapter.m_newestVersion);
+                if (outdated)
+                    continue;
+                ++adapter.m_copies;
                 if (presence && presence->m_readyAt <= m_input.m_now)
                     adapter.m_serving = true;
             }
