Let any node send to a limited upstream, with permits of the owners of its limit's shards

Cause: only the first few nodes in an order by names sent to it, each its share, and requests that need the adapters of that upstream arrive at all nodes. Class of fault: a bound of the fleet divided among nodes that don't have the demand. Now a limit is divided into up to three shards, token buckets of one request that one node owns each, by names; a node asks an owner for a permit by datagram before it sends. Different shards have different owners, an owner starts without permits, and what a node reaches of the fleet bounds its rate, so the bound holds while nodes disagree on one node. The code of shares and senders, and of further senders without news, is gone: any node can see that a limit ended.

--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -70,7 +70,6 @@
             [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingRetention <= now; });
         m_board.m_nodes = fleetSize(m_board.m_fleet);
         recomputePeerLoads(m_board, now);
-        updateLimitShares(m_board, m_settings.m_vm, now);
         if (isSmallFleet(m_board.m_fleet)) {
             sendToSmallFleet();
             continue;
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -38,8 +38,9 @@
     , m_connections(context.get_executor(), m_board)
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
     , m_crashWatch(context.get_executor(), settings, m_board)
-    , m_runner(
-          settings, m_board, m_allowances, m_waitList, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
+    , m_requestLimits(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
+    , m_runner(settings, m_board, m_allowances, m_waitList, m_requestLimits, m_upstreamCaller, m_crashWatch,
+          deployment.m_dialect)
     , m_callerServer(context.get_executor(), m_board, m_runner, m_waitList)
     , m_readiness(context.get_executor(),
           [this](const std::string& target) { return m_deployment.m_answerReadiness(target, isReady()); })
@@ -70,7 +71,6 @@
         logChange("request_limit_changed",
             { { "upstream", upstream.m_record.m_name.value() },
                 { "requests_per_second", limit ? std::to_string(*limit) : "none" } });
-        updateLimitShares(m_board, m_settings.m_vm, Clock::now());
         m_peers.scheduleSendToAll();
     };
     m_board.m_crashEvidenceChanged = [this] { m_peers.scheduleSendToAll(); };
@@ -109,6 +109,7 @@
     m_peers.start(ready);
     m_digests.start(ready);
     m_allowances.start(ready);
+    m_requestLimits.start(ready);
     m_orders.start(ready);
     awaitSignals();
     net::co_spawn(m_context, closeExpiredConnections(), net::detached);
@@ -130,6 +131,10 @@
         m_allowances.handle(*answer);
     else if (const auto* refund = datagram.message_as_Refund())
         m_allowances.handle(*refund);
+    else if (const auto* permitRequest = datagram.message_as_PermitRequest())
+        m_requestLimits.handle(*permitRequest, from);
+    else if (const auto* permitAnswer = datagram.message_as_PermitAnswer())
+        m_requestLimits.handle(*permitAnswer);
 }
 
 // A summary with orders that arrives directly from another data centre is forwarded to the nodes of this one.
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -57,6 +57,7 @@
     UpstreamConnectionPool m_connections;
     UpstreamCaller m_upstreamCaller;
     CrashWatch m_crashWatch;
+    RequestLimitExchange m_requestLimits;
     RequestRunner m_runner;
     CallerServer m_callerServer;
     SimpleHttpServer m_readiness;
--- a/src/relay/request_limit.cc
+++ b/src/relay/request_limit.cc
@@ -8,19 +8,24 @@
 
 namespace {
 
-    constexpr auto additionalSenders = std::size_t { 3 }; // So that a low limit doesn't depend on one node.
-    constexpr auto senderInterval = std::chrono::milliseconds(4'000); // Of further senders without news.
-    // Share of a limit; smaller changes take effect with the next update of shares.
+    // Share of a limit; smaller changes need not be reported at once.
     constexpr auto notableChange = 0.1;
-    // Requests a second of all senders, however low the limit is: only answers show that it ended.
+    // Requests a second, however low the limit is: only answers show that it ended.
     constexpr auto minRate = 0.25;
+    constexpr auto minShardRate = 0.75; // Requests a second; each shard may permit one request at once.
+    constexpr auto notOwnedRetryAfter = std::chrono::milliseconds(200); // Until nodes agree on the owner.
+    constexpr auto maxReservedTime = std::chrono::milliseconds(2'000);
 
-    auto refilled(const LimitState& state, MonotonicTime now) -> double
+    auto refill(LimitShard& shard, double requestsPerSecond, MonotonicTime now) -> void
     {
-        if (state.m_refilledAt == MonotonicTime())
-            return 0;
-        const auto seconds = std::chrono::duration<double>(now - state.m_refilledAt).count();
-        return std::min(1.0, state.m_requests + state.m_share.m_requestsPerSecond * seconds);
+        const auto seconds = std::chrono::duration<double>(now - shard.m_refilledAt).count();
+        shard.m_permits = std::min(1.0, shard.m_permits + requestsPerSecond * std::max(seconds, 0.0));
+        shard.m_refilledAt = now;
+    }
+
+    auto toDuration(double seconds) -> MonotonicTime::duration
+    {
+        return std::chrono::duration_cast<MonotonicTime::duration>(std::chrono::duration<double>(seconds));
     }
 
 } // namespace
@@ -32,11 +37,6 @@
     if (!isNews || limit.m_namedAt <= state.m_limit.m_namedAt)
         return false;
     state.m_limit = limit;
-    // Requests sent before count in the same window, so a new limit begins with none to send.
-    if (!before && limit.m_requestsPerSecond) {
-        state.m_requests = 0;
-        state.m_refilledAt = limit.m_namedAt;
-    }
     if (before.has_value() != limit.m_requestsPerSecond.has_value())
         return true;
     return std::abs(*before - *limit.m_requestsPerSecond) > notableChange * *before;
@@ -47,53 +47,56 @@
     return state.m_limit.m_requestsPerSecond.has_value();
 }
 
-auto senderCount(double requestsPerSecond, std::size_t nodes, std::chrono::milliseconds age) -> std::size_t
+auto limitShardCount(double requestsPerSecond) -> std::size_t
 {
-    const auto wanted = std::floor(std::clamp(requestsPerSecond, 0.0, static_cast<double>(nodes)));
-    const auto silence = std::max(age - limitNewsTimeout, std::chrono::milliseconds(0));
-    const auto further = static_cast<std::size_t>(silence / senderInterval);
-    return std::min(nodes, static_cast<std::size_t>(wanted) + additionalSenders + further);
+    const auto shards = std::floor(std::max(requestsPerSecond, 0.0) / minShardRate);
+    return static_cast<std::size_t>(std::clamp(shards, 1.0, static_cast<double>(maxLimitShards)));
 }
 
-auto shareOf(const FleetView& fleet, const VmName& self, const UpstreamName& upstream,
-    const NamedLimit& limit, MonotonicTime now) -> LimitShare
+auto limitShardOwner(const std::vector<VmName>& candidates, const UpstreamName& upstream, std::size_t shard)
+    -> std::optional<VmName>
 {
-    if (!limit.m_requestsPerSecond)
-        return {};
+    if (candidates.empty())
+        return std::nullopt;
     const auto seed = XXH3_64bits(upstream.value().data(), upstream.value().size());
     const auto rankOf
         = [&](const VmName& vm) { return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), seed); };
-    const auto own = rankOf(self);
-    auto nodes = std::size_t { 1 };
-    auto earlier = std::size_t { 0 };
-    for (const auto& [vm, peer] : fleet.m_peers) {
-        if (!isAlive(peer, now))
-            continue;
-        ++nodes;
-        earlier += rankOf(vm) < own ? 1 : 0;
-    }
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.m_namedAt);
-    const auto senders = senderCount(*limit.m_requestsPerSecond, nodes, age);
-    if (earlier >= senders)
-        return {};
-    return { std::max(*limit.m_requestsPerSecond, minRate) / static_cast<double>(senders), true };
+    auto order = candidates;
+    const auto owner = order.begin() + static_cast<std::ptrdiff_t>(std::min(shard, order.size() - 1));
+    std::nth_element(order.begin(), owner, order.end(),
+        [&](const VmName& left, const VmName& right) { return rankOf(left) < rankOf(right); });
+    return *owner;
 }
 
-auto nextRequestAt(const LimitState& state, MonotonicTime now) -> MonotonicTime
+auto setShardOwned(LimitShard& shard, bool isOwned, MonotonicTime now) -> void
 {
-    if (!state.m_share.m_isSender)
-        return MonotonicTime::max();
-    const auto missing = 1.0 - refilled(state, now);
-    if (missing <= 0)
-        return now;
-    const auto wait = std::chrono::duration<double>(missing / state.m_share.m_requestsPerSecond);
-    return now + std::chrono::duration_cast<MonotonicTime::duration>(wait);
+    if (shard.m_isOwned == isOwned)
+        return;
+    shard = LimitShard();
+    shard.m_isOwned = isOwned;
+    shard.m_refilledAt = now;
 }
 
-auto chargeRequest(LimitState& state, MonotonicTime now) -> void
+auto grantPermit(LimitState& state, std::size_t shard, double fleetShare, MonotonicTime now) -> LimitPermit
 {
-    state.m_requests = refilled(state, now) - 1.0;
-    state.m_refilledAt = now;
+    // Another node may still believe in a limit that has ended.
+    if (!isLimited(state))
+        return { true, {} };
+    const auto limit = std::max(*state.m_limit.m_requestsPerSecond, minRate);
+    const auto shards = limitShardCount(limit);
+    if (shard >= shards || !state.m_shards.at(shard).m_isOwned)
+        return { false, notOwnedRetryAfter };
+    auto& owned = state.m_shards.at(shard);
+    const auto rate = limit * fleetShare / static_cast<double>(shards);
+    refill(owned, rate, now);
+    if (owned.m_permits >= 1) {
+        owned.m_permits -= 1;
+        return { true, {} };
+    }
+    const auto dueAt = now + toDuration((1 - owned.m_permits) / rate);
+    const auto retryAt = std::max(dueAt, owned.m_reservedUntil);
+    owned.m_reservedUntil = std::min<MonotonicTime>(retryAt + toDuration(1 / rate), now + maxReservedTime);
+    return { false, std::chrono::ceil<std::chrono::milliseconds>(retryAt - now) };
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/request_limit.h
+++ b/src/relay/request_limit.h
@@ -1,19 +1,20 @@
 // Keeps to the rate of requests that an upstream in need takes from all nodes together.
 //
-// Only a few nodes send requests to such an upstream, each its share of the rate. They are the first in an
-// order that every node computes from the nodes' names, so nothing has to be agreed upon. How many they are
-// follows from the rate: a share has to be large enough to be of use, and the nodes' single requests have to
-// stay within the bound together.
+// The rate is divided into a few shards, each a token bucket that one node owns. Every node computes the
+// owners from the nodes' names; there is no election. A node sends a request to a limited upstream only with
+// a permit of a shard's owner, so the total stays within the limit for any number of nodes, wherever requests
+// arrive. The shards of an upstream have different owners: a node that some of the others don't see adds one
+// shard at most.
 //
-// A limit ends only when an answer shows that the upstream names none any more. While no answer of it becomes
-// known, for example because the senders get no requests for it, one more node after the other becomes a
-// sender.
+// A limit ends only when an answer shows that the upstream names none any more.
 #pragma once
 
 #include "relay/fleet_view.h"
 #include "relay/report_source.h"
 
+#include <array>
 #include <optional>
+#include <vector>
 
 namespace marigoldladder::relay {
 
@@ -25,22 +26,32 @@
     ReportSource m_source = ReportSource::Self;
 };
 
-// This node's share of a limit.
-struct LimitShare {
-    double m_requestsPerSecond = 0;
-    bool m_isSender = false; // It may send requests to the upstream.
+// A shard of a limit, at the node that owns it.
+struct LimitShard {
+    bool m_isOwned = false; // By this node.
+    double m_permits = 0; // That it had left when it was refilled; at most one.
+    MonotonicTime m_refilledAt {};
+    MonotonicTime m_reservedUntil {}; // When the permits of requests that were refused have been refilled.
 };
 
-// This node's part in keeping an upstream's limit.
+inline constexpr auto maxLimitShards = std::size_t { 3 };
+
+// What a node knows of an upstream's limit, and its part in keeping it.
 struct LimitState {
     NamedLimit m_limit;
-    LimitShare m_share; // As of the last update.
-    double m_requests = 0; // That this node could send when they were refilled; at most one.
-    MonotonicTime m_refilledAt {};
+    std::array<LimitShard, maxLimitShards> m_shards;
+    MonotonicTime m_closedUntil {}; // This node gets no permit before.
+    bool m_isAsking = false; // This node has asked for a permit.
+};
+
+// The answer to a request for a permit.
+struct LimitPermit {
+    bool m_isGranted = false;
+    std::chrono::milliseconds m_retryAfter { 0 }; // If not granted.
 };
 
-// A limit without news for this time may have ended unnoticed.
-inline constexpr auto limitNewsTimeout = std::chrono::milliseconds(10'000);
+// News on a limit is reported to other nodes for this time.
+inline constexpr auto limitReportTime = std::chrono::milliseconds(10'000);
 
 // Records the limit of an answer, unless a newer one is known; an answer without a limit counts only after
 // one with a limit. Returns whether the limit begins, ends or changes notably.
@@ -49,19 +60,20 @@
 // Whether the upstream names a limit, as far as this node knows.
 auto isLimited(const LimitState&) -> bool;
 
-// Returns how many of the fleet's nodes may send requests to an upstream with this limit, of which the latest
-// news is so old.
-auto senderCount(double requestsPerSecond, std::size_t nodes, std::chrono::milliseconds age) -> std::size_t;
+// Returns into how many shards a limit is divided; each is large enough to be of use.
+auto limitShardCount(double requestsPerSecond) -> std::size_t;
 
-// Returns this node's share of an upstream's limit.
-auto shareOf(const FleetView&, const VmName& self, const UpstreamName&, const NamedLimit&, MonotonicTime now)
-    -> LimitShare;
+// Returns the candidate that owns a shard of the upstream's limit; nothing if there are too few candidates.
+auto limitShardOwner(const std::vector<VmName>& candidates, const UpstreamName&, std::size_t shard)
+    -> std::optional<VmName>;
 
-// Returns when this node may send the upstream its next request: a time that isn't later than `now` if it may
-// do so now, and the largest time if it isn't among the senders.
-auto nextRequestAt(const LimitState&, MonotonicTime now) -> MonotonicTime;
+// Records whether this node owns the shard. A node that becomes its owner starts without permits, since those
+// of the former owner are unknown.
+auto setShardOwned(LimitShard&, bool isOwned, MonotonicTime now) -> void;
 
-// Charges a request that is sent while a limit is in force.
-auto chargeRequest(LimitState&, MonotonicTime now) -> void;
+// Grants a permit of one of the limit's shards, if this node owns it and it has one. `fleetShare` is the
+// share of the fleet that this node reaches: the two sides of a network partition stay within the limit
+// together. The retry times of refused requests are staggered.
+auto grantPermit(LimitState&, std::size_t shard, double fleetShare, MonotonicTime now) -> LimitPermit;
 
 } // namespace marigoldladder::relay
--- a/src/relay/request_limit_report.cc
+++ b/src/relay/request_limit_report.cc
@@ -19,7 +19,7 @@
     auto reports = std::vector<messages::LimitReport>();
     for (const auto& [id, upstream] : table.m_byShortId) {
         const auto& limit = upstream->m_requestLimit.m_limit;
-        const auto isRecent = limit.m_namedAt != MonotonicTime() && limit.m_namedAt + limitNewsTimeout > now;
+        const auto isRecent = limit.m_namedAt != MonotonicTime() && limit.m_namedAt + limitReportTime > now;
         if (!isRecent || !isInScope(limit.m_source, scope) || reports.size() >= maxLimitReports)
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - limit.m_namedAt);
@@ -44,13 +44,4 @@
     }
 }
 
-auto updateLimitShares(RelayBoard& board, const VmName& self, MonotonicTime now) -> void
-{
-    for (const auto& [name, upstream] : board.m_upstreams.m_upstreams) {
-        auto& state = upstream->m_requestLimit;
-        if (isLimited(state))
-            state.m_share = shareOf(board.m_fleet, self, name, state.m_limit, now);
-    }
-}
-
 } // namespace marigoldladder::relay
--- a/src/relay/request_limit_report.h
+++ b/src/relay/request_limit_report.h
@@ -1,5 +1,4 @@
-// Converts the limits that upstreams name to and from the messages between nodes, and keeps the shares
-// current.
+// Converts the limits that upstreams name to and from the messages between nodes.
 #pragma once
 
 #include "relay/relay_board.h"
@@ -19,7 +18,4 @@
 auto applyLimitReports(
     RelayBoard&, const std::vector<messages::LimitReport>&, ReportSource, MonotonicTime now) -> void;
 
-// Recomputes this node's share of all limits, which depends on the nodes that are alive.
-auto updateLimitShares(RelayBoard&, const VmName& self, MonotonicTime now) -> void;
-
 } // namespace marigoldladder::relay
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -71,11 +71,13 @@
 };
 
 RequestRunner::RequestRunner(const RelaySettings& settings, RelayBoard& board, AllowanceExchange& allowances,
-    WaitList& waitList, UpstreamCaller& upstreamCaller, CrashWatch& crashWatch, const Dialect& dialect)
+    WaitList& waitList, RequestLimitExchange& requestLimits, UpstreamCaller& upstreamCaller,
+    CrashWatch& crashWatch, const Dialect& dialect)
     : m_settings(settings)
     , m_board(board)
     , m_allowances(allowances)
     , m_waitList(waitList)
+    , m_requestLimits(requestLimits)
     , m_upstreamCaller(upstreamCaller)
     , m_crashWatch(crashWatch)
     , m_dialect(dialect)
@@ -246,6 +248,10 @@
     attempts.m_retryAt = found.m_retryAt;
     if (state.m_callerDisconnected || !found.m_slot)
         co_return false;
+    if (!co_await m_requestLimits.acquire(found.m_slot.upstream()))
+        co_return !state.m_callerDisconnected;
+    if (state.m_callerDisconnected)
+        co_return false;
     attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
     if (attempts.m_refusal)
         co_return false;
@@ -334,9 +340,6 @@
         return defaultRetryAfter;
     const auto spread
         = Milliseconds(std::uniform_int_distribution<int>(1, defaultRetryAfter.count())(m_random));
-    // Upstreams that want none from this node may want some from another one.
-    if (attempts.m_retryAt == MonotonicTime::max())
-        return spread;
     const auto wait = std::chrono::ceil<Milliseconds>(attempts.m_retryAt - Clock::now());
     return std::max(wait, Milliseconds(0)) + spread;
 }
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -4,6 +4,7 @@
 #include "relay/allowance_exchange.h"
 #include "relay/crash_watch.h"
 #include "relay/relay_settings.h"
+#include "relay/request_limit_exchange.h"
 #include "relay/request_log.h"
 #include "relay/upstream_call.h"
 #include "relay/wait_list.h"
@@ -12,8 +13,8 @@
 
 class RequestRunner {
 public:
-    RequestRunner(const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&, UpstreamCaller&,
-        CrashWatch&, const Dialect&);
+    RequestRunner(const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&, RequestLimitExchange&,
+        UpstreamCaller&, CrashWatch&, const Dialect&);
 
     // Answers the request in the call state. If the answer is incomplete then, the connection must be closed.
     auto run(CallState&, CallerAnswer&) -> Awaitable<void>;
@@ -44,6 +45,7 @@
     RelayBoard& m_board;
     AllowanceExchange& m_allowances;
     WaitList& m_waitList;
+    RequestLimitExchange& m_requestLimits;
     UpstreamCaller& m_upstreamCaller;
     CrashWatch& m_crashWatch;
     const Dialect& m_dialect;
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -21,6 +21,8 @@
     constexpr auto jitterInSmallFleet = 0.03;
     constexpr auto jitterInLargeFleet = 0.4;
     constexpr auto limitedCost = 1.0; // Upstreams without a limit are preferred while they have free slots.
+    // Until this node, which has asked for a permit, may ask for the next one.
+    constexpr auto permitWait = std::chrono::milliseconds(5);
     constexpr auto coldCost = 1.0; // Warm upstreams are preferred while they have free slots.
 
     // Requests may fill this share of an upstream's memory by their stated token counts. These are upper
@@ -208,9 +210,11 @@
 
 auto wantsRequestsAt(const Upstream& upstream, MonotonicTime now) -> MonotonicTime
 {
-    if (!isLimited(upstream.m_requestLimit))
+    const auto& limit = upstream.m_requestLimit;
+    if (!isLimited(limit))
         return upstream.m_pausedUntil;
-    return std::max(upstream.m_pausedUntil, nextRequestAt(upstream.m_requestLimit, now));
+    const auto closedUntil = limit.m_isAsking ? now + permitWait : limit.m_closedUntil;
+    return std::max(upstream.m_pausedUntil, closedUntil);
 }
 
 auto requiredVersion(const UpstreamTable& table, const std::string& adapter, MonotonicTime now)
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -88,8 +88,6 @@
     if (choice.m_upstream->m_coldUntil > now && pool != pools.end()
         && pool->second.m_coldRequestsPerSecond > 0)
         (void)acquireColdAllowance(*choice.m_upstream, pool->second, m_board.m_nodes, now);
-    if (isLimited(choice.m_upstream->m_requestLimit))
-        chargeRequest(choice.m_upstream->m_requestLimit, now);
     return UpstreamSlot(m_board, choice.m_upstream, needs.m_tokens);
 }
 
