--- a/src/relay/request_limit_exchange.cc
+++ b/src/relay/request_limit_exchange.cc
@@ -104,17 +104,13 @@
     co_return isGranted;
 }
 
-auto RequestLimitExchange::ask(const Upstream& upstream, std::size_t shard) -> Awaitable<LimitPermit>
+auto RequestLimitExchange::ask(Upstream& upstream, std::size_t shard) -> Awaitable<LimitPermit>
 {
     const auto owner = limitShardOwner(m_candidates, upstream.m_record.m_name, shard);
     if (!owner)
         co_return LimitPermit { false, unansweredRetryAfter };
-    if (*owner == m_settings.m_vm) {
-        const auto found = m_board.m_upstreams.m_upstreams.find(upstream.m_record.m_name);
-        if (found == m_board.m_upstreams.m_upstreams.end())
-            co_return LimitPermit { false, unansweredRetryAfter };
-        co_return grantPermit(found->second->m_requestLimit, shard, m_fleetShare, Clock::now());
-    }
+    if (*owner == m_settings.m_vm)
+        co_return grantPermit(upstream.m_requestLimit, shard, m_fleetShare, Clock::now());
     const auto peer = m_board.m_fleet.m_peers.find(*owner);
     if (peer == m_board.m_fleet.m_peers.end())
         co_return LimitPermit { false, unansweredRetryAfter };
--- a/src/relay/request_limit_exchange.h
+++ b/src/relay/request_limit_exchange.h
@@ -43,7 +43,7 @@
     auto updatePeriodically() -> Awaitable<void>;
     auto update() -> void;
     auto updateShards(Upstream&, MonotonicTime now) const -> void;
-    auto ask(const Upstream&, std::size_t shard) -> Awaitable<LimitPermit>;
+    auto ask(Upstream&, std::size_t shard) -> Awaitable<LimitPermit>;
     auto askPeer(const Address&, const Upstream&, std::size_t shard) -> Awaitable<LimitPermit>;
     auto answerTo(const messages::PermitRequest&) -> LimitPermit;
 
