Take a refusal without request id on a connection in use again as no answer

An answer that said "not run" and bore no request id was taken as the answer to the request now on its connection. It may be a late answer to an earlier one. The request then went to another upstream, or its caller was told that it had not run, while the first upstream ran it.

Such an answer now counts only as the first one of a connection on which nothing else was sent. On a connection in use again it is passed over as every other answer without the request's id is: the true answer is read after it, and if the connection ends, the request may have run. Upstreams echo the id in all of their answers, 421 included; a 400 without id answers a request without id, which still matches.

Before, with the condition taken away: the three tests of FalseRefusalTest named ...WithoutId...OnAKeptConnection fail, one with the upstream's 200 lost behind the refusal, one with a 503, one with requests that ran more than once. After: passed. ARefusalWithoutIdOnANewConnectionIsTheAnswer passes before and after.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -119,6 +119,15 @@
         co_return !error;
     }
 
+    // A refusal without id belongs to the request if nothing else was sent on its connection. On a connection
+    // that served other requests it may be a late answer to one of them, and this request may still run.
+    auto belongsTo(const CallState& state, const UpstreamAnswer& answer, bool isFirstAnswer) -> bool
+    {
+        if (answer.m_requestId.empty() && answer.m_notRun && isFirstAnswer)
+            return true;
+        return answer.m_requestId == state.m_request.m_id;
+    }
+
     auto readHead(UpstreamConnection& connection, const CallState& state, const Dialect& dialect,
         RelayBoard& board) -> Awaitable<Head>
     {
@@ -137,9 +146,8 @@
             if (status < successStatus)
                 continue;
             head.m_answer = dialect.m_readAnswer(status, parser->get());
-            const auto belongs = head.m_answer.m_requestId == state.m_request.m_id
-                || (head.m_answer.m_requestId.empty() && head.m_answer.m_notRun);
-            if (belongs) {
+            const auto isFirstAnswer = !connection.m_reused && strayAnswers == 0;
+            if (belongsTo(state, head.m_answer, isFirstAnswer)) {
                 head.m_parser = std::move(parser);
                 co_return head;
             }
--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -46,6 +46,7 @@
 {
     const auto connection = std::make_shared<tcp_stream>(std::move(socket));
     m_connections.push_back(connection);
+    const auto connectionNumber = std::to_string(m_connections.size());
     auto& stream = *connection;
     auto buffer = beast::flat_buffer();
     for (;;) {
@@ -54,6 +55,7 @@
         co_await http::async_read(stream, buffer, request, errorTo(error));
         if (error)
             co_return;
+        request.set(connectionNumberField, connectionNumber);
         m_requests.push_back(request);
         const auto reply = m_reply(request);
         if (reply.m_crashes) {
--- a/test/platform/fake_upstream.h
+++ b/test/platform/fake_upstream.h
@@ -16,6 +16,9 @@
 
 using UpstreamRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
+// A field that the fake adds to each request: the number of the connection on which it arrived.
+inline constexpr auto connectionNumberField = "Fake-Connection";
+
 // The response to one request: the bytes to send, and whether the connection is closed then.
 struct UpstreamReply {
     std::string m_bytes;
--- a/test/platform/false_refusal_test.cc
+++ b/test/platform/false_refusal_test.cc
@@ -1,11 +1,22 @@
 // Answers that promise that a request that may run once has not run: they are given only if that is known.
 #include "platform/relay_path_fixture.h"
 
+#include <map>
+#include <set>
+
 namespace marigoldladder::platform {
 namespace {
 
+    constexpr auto refusalHeader = "X-Marigoldladder-Not-Executed: 1\r\n";
     constexpr auto keepAliveHeader = "Keep-Alive: timeout=30\r\n";
 
+    // A refusal that names no request.
+    auto unidentifiedRefusal(int status) -> std::string
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " Said\r\n" + refusalHeader
+            + "Content-Length: 0\r\n\r\n";
+    }
+
     class FalseRefusalTest : public RelayPathTest {
     protected:
         auto addAnsweringUpstream(const std::string& name, int status) -> void
@@ -15,6 +26,20 @@
             });
         }
 
+        // An upstream that answers the first request of its connection and has this reply to each later one.
+        auto addKeptUpstream(
+            const std::string& name, std::function<UpstreamReply(const UpstreamRequest&)> later) -> void
+        {
+            addUpstream(name,
+                [connections = std::set<std::string>(), later = std::move(later)](
+                    const UpstreamRequest& request) mutable {
+                    const auto isFirst
+                        = connections.insert(std::string(request[connectionNumberField])).second;
+                    return isFirst ? UpstreamReply { answerTo(request, 200, "first", keepAliveHeader) }
+                                   : later(request);
+                });
+        }
+
         auto runsOf(const std::string& name) -> std::size_t { return m_relay.requestsAt(name).size(); }
     };
 
@@ -45,5 +70,64 @@
         EXPECT_NE(reply.m_head.find("stamp-1"), std::string::npos);
     }
 
+    TEST_F(FalseRefusalTest, ALateRefusalWithoutIdOnAKeptConnectionIsNotTheAnswer)
+    {
+        for (const auto status : { 421, 429, 503 }) {
+            const auto name = "i-" + std::to_string(status);
+            addKeptUpstream(name, [status](const UpstreamRequest& request) {
+                return UpstreamReply { unidentifiedRefusal(status) + answerTo(request, 200, "second") };
+            });
+            configure(static_cast<std::uint64_t>(status));
+            EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_body, "first");
+            const auto reply = m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs"));
+            EXPECT_EQ(reply.m_status, 200) << "after a late answer " << status;
+            EXPECT_EQ(reply.m_body, "second");
+            m_relay.removeUpstream(name);
+        }
+    }
+
+    TEST_F(FalseRefusalTest, ARefusalWithoutIdOnAKeptConnectionPromisesNothing)
+    {
+        addKeptUpstream("i-1", [](const UpstreamRequest&) {
+            return UpstreamReply { unidentifiedRefusal(503), true };
+        });
+        configure();
+        EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_body, "first");
+        EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_status, 502);
+        EXPECT_EQ(runsOf("i-1"), 2U);
+    }
+
+    TEST_F(FalseRefusalTest, ARequestIsNotSentAgainAfterARefusalWithoutIdOnAKeptConnection)
+    {
+        constexpr auto requests = 12;
+        for (const auto* name : { "i-1", "i-2" }) {
+            addKeptUpstream(name, [](const UpstreamRequest&) {
+                return UpstreamReply { unidentifiedRefusal(503), true };
+            });
+        }
+        configure();
+        for (auto request = 0; request < requests; ++request)
+            (void)m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs"));
+        auto runs = std::map<std::string, int>();
+        for (const auto* name : { "i-1", "i-2" }) {
+            for (const auto& request : m_relay.requestsAt(name))
+                ++runs[std::string(request["X-Marigoldladder-Request-Id"])];
+        }
+        for (const auto& [id, count] : runs)
+            EXPECT_EQ(count, 1) << id;
+    }
+
+    // Nothing else was sent on such a connection, so no other request can be meant.
+    TEST_F(FalseRefusalTest, ARefusalWithoutIdOnANewConnectionIsTheAnswer)
+    {
+        addUpstream("i-1", [](const UpstreamRequest&) {
+            return UpstreamReply { unidentifiedRefusal(421), true };
+        });
+        addUpstream("i-2", answerWith("charged"));
+        configure();
+        for (auto call = 0; call < 8; ++call)
+            EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_status, 200);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
