Send a request no second time on a connection on which it was refused

An upstream that refuses a request may be tried again with the same request, up to four times in all, mostly on the same connection, as the pool hands out the last one returned. Upstreams may send an answer a second time, late, where the next one is expected. Such a second copy of a refusal bears the right id. It was taken as the answer to the second try, which ran at the upstream; the request then went out a third time and ran again, or its caller was told that it had not run.

A request now notes the numbers of the connections on which it was sent, and the pool gives it others, or opens one. The connection itself stays in the pool: for other requests the copy's id tells. The cost is one connection for a second try at the same upstream while none other is idle.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -267,12 +267,14 @@
 {
     state.m_answerBegan = false;
     auto refused = false;
-    auto connection = co_await m_connections.acquire(upstream, refused);
+    auto connection = co_await m_connections.acquire(upstream, state.m_usedConnections, refused);
     auto outcome = UpstreamCallOutcome::NotReached;
     if (state.m_callerDisconnected)
         co_return UpstreamCallOutcome::CallerDisconnected;
-    if (connection)
+    if (connection) {
+        state.m_usedConnections.push_back(connection->m_number);
         outcome = co_await exchange(state, answer, upstream, std::move(connection), answerDeadline);
+    }
     recordReachability(*upstream, outcome, refused);
     if (const auto callEnd = healthOutcomeOf(outcome))
         recordCallEnd(upstream->m_health, *callEnd, Clock::now());
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -52,6 +52,9 @@
     MonotonicTime m_arrivedAt {};
     MonotonicTime m_deadline {}; // The caller's deadline or the route's timeout, whichever is earlier.
     bool m_callerDisconnected = false;
+    // Numbers of the connections on which it was sent. A late second copy of an upstream's refusal bears its
+    // id too, so it isn't sent twice on one.
+    std::vector<std::uint64_t> m_usedConnections;
     std::function<void()> m_cancelUpstream; // Set while a call to an upstream runs.
     std::optional<Milliseconds> m_timeToFirstPart; // From arrival to the first part of a stream.
     bool m_answerBegan = false; // The upstream called last sent an event, or a whole answer.
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -24,20 +24,32 @@
 {
 }
 
-auto UpstreamConnectionPool::acquire(const UpstreamPointer& upstream, bool& refused)
-    -> Awaitable<UpstreamConnectionPointer>
+auto UpstreamConnectionPool::takeIdle(const Upstream& upstream, const std::vector<std::uint64_t>& excluded)
+    -> UpstreamConnectionPointer
 {
+    const auto found = m_idle.find(&upstream);
+    if (found == m_idle.end())
+        return nullptr;
     const auto now = std::chrono::steady_clock::now();
-    if (const auto found = m_idle.find(upstream.get()); found != m_idle.end()) {
-        auto& connections = found->second.m_connections;
-        while (!connections.empty()) {
-            auto connection = std::move(connections.back());
-            connections.pop_back();
-            if (connection->m_usableUntil > now && isIdle(connection->m_stream.socket()))
-                co_return connection;
-        }
+    auto& connections = found->second.m_connections;
+    for (auto at = connections.size(); at-- > 0;) {
+        if (std::find(excluded.begin(), excluded.end(), connections[at]->m_number) != excluded.end())
+            continue;
+        auto connection = std::move(connections[at]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
+        if (connection->m_usableUntil > now && isIdle(connection->m_stream.socket()))
+            return connection;
     }
+    return nullptr;
+}
+
+auto UpstreamConnectionPool::acquire(const UpstreamPointer& upstream,
+    const std::vector<std::uint64_t>& excluded, bool& refused) -> Awaitable<UpstreamConnectionPointer>
+{
+    if (auto idle = takeIdle(*upstream, excluded))
+        co_return idle;
     auto connection = std::make_unique<UpstreamConnection>(m_executor);
+    connection->m_number = ++m_opened;
     auto error = ErrorCode();
     m_board.m_metrics.add(Counter::UpstreamConnects);
     co_await connectTo(connection->m_stream, upstream->m_record.m_address, connectTimeout, error);
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -16,6 +16,7 @@
     beast::flat_buffer m_buffer;
     MonotonicTime m_usableUntil {}; // While idle: before the upstream is expected to close it.
     bool m_reused = false; // Has served a request before.
+    std::uint64_t m_number = 0; // Of the connections that the pool opened.
 };
 
 using UpstreamConnectionPointer = std::unique_ptr<UpstreamConnection>;
@@ -24,9 +25,11 @@
 public:
     UpstreamConnectionPool(Executor, RelayBoard&);
 
-    // Returns an idle connection that is still open, or opens one; null on failure. `refused` is set to
-    // whether a new connection was refused or reset, as when no process listens at the address.
-    auto acquire(const UpstreamPointer&, bool& refused) -> Awaitable<UpstreamConnectionPointer>;
+    // Returns an idle connection that is still open, or opens one; null on failure. It is none of `excluded`,
+    // which are numbers of connections. `refused` is set to whether a new connection was refused or reset, as
+    // when no process listens at the address.
+    auto acquire(const UpstreamPointer&, const std::vector<std::uint64_t>& excluded, bool& refused)
+        -> Awaitable<UpstreamConnectionPointer>;
 
     // Returns a connection to the pool. `idleTime`: how long the upstream keeps it open while idle.
     auto release(const UpstreamPointer&, UpstreamConnectionPointer, Milliseconds idleTime) -> void;
@@ -40,9 +43,12 @@
         std::vector<UpstreamConnectionPointer> m_connections;
     };
 
+    auto takeIdle(const Upstream&, const std::vector<std::uint64_t>& excluded) -> UpstreamConnectionPointer;
+
     Executor m_executor;
     RelayBoard& m_board;
     std::unordered_map<const Upstream*, Idle> m_idle;
+    std::uint64_t m_opened = 0;
 };
 
 } // namespace marigoldladder::relay
--- a/test/platform/false_refusal_test.cc
+++ b/test/platform/false_refusal_test.cc
@@ -129,5 +129,23 @@
             EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_status, 200);
     }
 
+    // An upstream may send an answer a second time, late, where the next one is expected.
+    TEST_F(FalseRefusalTest, ASecondCopyOfARefusalDoesNotEndTheNextAttemptAtTheSameUpstream)
+    {
+        addUpstream("i-1", [refused = std::string()](const UpstreamRequest& request) mutable {
+            const auto refusal = answerTo(request, 503, "", std::string(refusalHeader) + keepAliveHeader);
+            const auto connection = std::string(request[connectionNumberField]);
+            if (refused.empty()) {
+                refused = connection;
+                return UpstreamReply { refusal };
+            }
+            const auto lateCopy = connection == refused ? refusal : std::string();
+            return UpstreamReply { lateCopy + answerTo(request, 200, "charged") };
+        });
+        configure();
+        EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_body, "charged");
+        EXPECT_EQ(runsOf("i-1"), 2U) << "expected one refusal and one run";
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
