Send no request to an upstream once its deadline has passed

Nothing looked at the time between the choice of an upstream and the first byte written. A request that waited through a stop of its process, for the processor, or for a connection was written to the upstream with 1 ms left and given up at once: it ran for nobody, and its caller was told "may have run". It is now refused as not run, which is true, and says so in the log. This gives no false promise by itself; it takes away runs after the caller's time.

--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -328,6 +328,9 @@
     }
     if (attempts.m_refusal)
         return *attempts.m_refusal;
+    if (attempts.m_lastOutcome == ChoiceOutcome::Chosen && Clock::now() >= state.m_deadline)
+        return refusal(FailureType::Unavailable, "the deadline passed before the request could be sent",
+            defaultRetryAfter);
     const auto outcome = std::string(nameOf(choiceOutcomeNames, attempts.m_lastOutcome));
     return refusal(
         FailureType::Unavailable, "no upstream could take the request: " + outcome, retryAfter(attempts));
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -266,11 +266,15 @@
     MonotonicTime answerDeadline) -> Awaitable<UpstreamCallOutcome>
 {
     state.m_answerBegan = false;
+    if (Clock::now() >= state.m_deadline)
+        co_return UpstreamCallOutcome::NotReached;
     auto refused = false;
     auto connection = co_await m_connections.acquire(upstream, state.m_usedConnections, refused);
     auto outcome = UpstreamCallOutcome::NotReached;
     if (state.m_callerDisconnected)
         co_return UpstreamCallOutcome::CallerDisconnected;
+    if (connection && Clock::now() >= state.m_deadline)
+        co_return UpstreamCallOutcome::NotReached;
     if (connection) {
         state.m_usedConnections.push_back(connection->m_number);
         outcome = co_await exchange(state, answer, upstream, std::move(connection), answerDeadline);
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -14,7 +14,7 @@
 enum class UpstreamCallOutcome {
     Delivered, // The caller received the whole answer.
     Refused, // The upstream did not run the request and will not.
-    NotReached, // No connection was established; nothing was sent.
+    NotReached, // No connection was established before the deadline; nothing was sent.
     Failed, // The upstream ran the request and answered with a failure, kept in the call state if it may be
             // sent.
     Broken, // The connection broke before an answer; the request may have run.
--- a/test/platform/false_refusal_test.cc
+++ b/test/platform/false_refusal_test.cc
@@ -147,5 +147,16 @@
         EXPECT_EQ(runsOf("i-1"), 2U) << "expected one refusal and one run";
     }
 
+    TEST_F(FalseRefusalTest, ARequestThatCannotBeAnsweredInTimeIsNotSent)
+    {
+        addUpstream("i-1", answerWith("late"));
+        configure();
+        const auto reply = m_relay.send("POST /charge/x HTTP/1.1\r\nHost: h.example\r\nApi-Key: key-1\r\n"
+                                        "X-Marigoldladder-Request-Id: short\r\n"
+                                        "X-Marigoldladder-Deadline-Ms: 1\r\nContent-Length: 1\r\n\r\n5");
+        EXPECT_EQ(reply.m_status, 503);
+        EXPECT_EQ(runsOf("i-1"), 0U);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
