Match answers from other nodes to their requests in one place

The exchanges of allowances and of request limits each kept a map of numbered requests, a timer for each and the code that wakes a request when its answer arrives; a reader had to compare the two to see that they do the same.

PendingAnswers (pending_answers.h) numbers the requests, waits for an answer within a timeout and drops answers that nothing waits for.

Wire format, numbers, timeouts and retries are unchanged. Two details differ without an effect: a request's timer starts right after its datagram is sent rather than right before, and a charge that is sent twice is registered once for each attempt, without a return to the event loop in between.

--- a/src/relay/allowance_exchange.cc
+++ b/src/relay/allowance_exchange.cc
@@ -134,7 +134,7 @@
 auto AllowanceExchange::requestCharge(const VmName& owner, const ShardId& shard, double tokens)
     -> Awaitable<ShardCharge>
 {
-    const auto number = ++m_lastRequestNumber;
+    const auto number = m_pendingCharges.nextNumber();
     auto message = messages::PeerMessageUnion();
     auto request = messages::ChargeRequestT();
     request.asker = m_incarnation;
@@ -144,21 +144,17 @@
     request.tokens = tokens;
     message.Set(request);
     const auto datagram = encodeDatagram(message);
-    auto pending = PendingCharge { net::steady_timer(m_executor), {} };
-    m_pendingCharges[number] = &pending;
-    for (const auto time : answerTimeouts) {
+    auto answer = std::optional<ShardCharge>();
+    for (const auto timeout : answerTimeouts) {
         const auto peer = m_board.m_fleet.m_peers.find(owner);
-        if (peer == m_board.m_fleet.m_peers.end() || pending.m_answer)
+        if (peer == m_board.m_fleet.m_peers.end() || answer)
             break;
         m_socket.send(peer->second.m_peerAddress, datagram);
-        pending.m_timer.expires_after(time);
-        auto error = ErrorCode();
-        co_await pending.m_timer.async_wait(errorTo(error));
+        answer = co_await m_pendingCharges.waitFor(number, timeout);
     }
-    m_pendingCharges.erase(number);
-    if (pending.m_answer) {
+    if (answer) {
         m_unresponsiveUntil.erase(owner);
-        co_return *pending.m_answer;
+        co_return *answer;
     }
     m_unresponsiveUntil[owner] = Clock::now() + unresponsiveBackoff;
     logChange("allowance_keeper_silent", { { "keeper", owner.value() } });
@@ -224,12 +220,11 @@
 
 auto AllowanceExchange::handle(const messages::ChargeAnswer& answer) -> void
 {
-    const auto found = m_pendingCharges.find(answer.number());
-    if (found == m_pendingCharges.end() || answer.outcome() > messages::ChargeOutcome::MAX)
+    if (answer.outcome() > messages::ChargeOutcome::MAX)
         return;
-    found->second->m_answer = ShardCharge { static_cast<ChargeOutcome>(answer.outcome()), answer.bucket(),
-        answer.charge(), Milliseconds(answer.retry_after_ms()) };
-    found->second->m_timer.cancel();
+    m_pendingCharges.receive(answer.number(),
+        { static_cast<ChargeOutcome>(answer.outcome()), answer.bucket(), answer.charge(),
+            Milliseconds(answer.retry_after_ms()) });
 }
 
 auto AllowanceExchange::handle(const messages::Refund& refund) -> void
--- a/src/relay/allowance_exchange.h
+++ b/src/relay/allowance_exchange.h
@@ -3,10 +3,10 @@
 
 #include "relay/allowance_shards.h"
 #include "relay/peer_socket.h"
+#include "relay/pending_answers.h"
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <random>
 
@@ -64,12 +64,6 @@
     auto handle(const messages::Refund&) -> void;
 
 private:
-    // A charge request sent to another node.
-    struct PendingCharge {
-        net::steady_timer m_timer; // Cancelled when the answer arrives.
-        std::optional<ShardCharge> m_answer;
-    };
-
     // A recent answer, sent again if a request is repeated because the answer's datagram was lost.
     struct RecentAnswer {
         std::string m_host; // The sender's; the incarnation identifies its process.
@@ -96,8 +90,7 @@
     OwnedShards m_owned;
     std::vector<VmName> m_candidates;
     std::map<VmName, MonotonicTime> m_unresponsiveUntil; // Owners that did not answer; not contacted before.
-    std::uint64_t m_lastRequestNumber = 0; // Of the charge requests sent.
-    std::map<std::uint64_t, PendingCharge*> m_pendingCharges;
+    PendingAnswers<ShardCharge> m_pendingCharges { 0 };
     std::deque<RecentAnswer> m_recentAnswers; // Oldest first.
     std::mt19937 m_random;
 };
--- a/src/relay/request_limit_exchange.cc
+++ b/src/relay/request_limit_exchange.cc
@@ -36,7 +36,7 @@
     , m_settings(settings)
     , m_board(board)
     , m_socket(socket)
-    , m_lastRequestNumber(incarnation)
+    , m_pendingPermits(incarnation)
     , m_random(std::random_device()())
 {
 }
@@ -123,20 +123,16 @@
 {
     const auto& limit = upstream.m_requestLimit.m_limit;
     auto request = messages::PermitRequestT();
-    request.number = ++m_lastRequestNumber;
+    request.number = m_pendingPermits.nextNumber();
     request.upstream = shortId(upstream.m_record.m_name.value());
     request.shard = static_cast<std::uint8_t>(shard);
     request.requests_per_second = limit.m_requestsPerSecond.value_or(0);
     request.age_ms = static_cast<std::uint32_t>(ageOf(limit, Clock::now()).count());
     auto message = messages::PeerMessageUnion();
     message.Set(request);
-    auto pending = PendingRequest { net::steady_timer(m_executor, answerTimeout), {} };
-    m_pendingRequests[request.number] = &pending;
     m_socket.send(address, encodeDatagram(message));
-    auto error = ErrorCode();
-    co_await pending.m_timer.async_wait(errorTo(error));
-    m_pendingRequests.erase(request.number);
-    co_return pending.m_answer.value_or(LimitPermit { false, unansweredRetryAfter });
+    const auto permit = co_await m_pendingPermits.waitFor(request.number, answerTimeout);
+    co_return permit.value_or(LimitPermit { false, unansweredRetryAfter });
 }
 
 // The sender may know a newer limit than this node, or one that this node doesn't know at all.
@@ -170,12 +166,8 @@
 
 auto RequestLimitExchange::handle(const messages::PermitAnswer& answer) -> void
 {
-    const auto found = m_pendingRequests.find(answer.number());
-    if (found == m_pendingRequests.end())
-        return;
     const auto retryAfter = std::min(Milliseconds(answer.retry_after_ms()), maxRetryAfter);
-    found->second->m_answer = LimitPermit { answer.granted(), retryAfter };
-    found->second->m_timer.cancel();
+    m_pendingPermits.receive(answer.number(), LimitPermit { answer.granted(), retryAfter });
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/request_limit_exchange.h
+++ b/src/relay/request_limit_exchange.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "relay/peer_socket.h"
+#include "relay/pending_answers.h"
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <random>
 
 namespace marigoldladder::relay::messages {
@@ -34,12 +34,6 @@
     auto handle(const messages::PermitAnswer&) -> void;
 
 private:
-    // A request for a permit sent to another node.
-    struct PendingRequest {
-        net::steady_timer m_timer; // Cancelled when the answer arrives.
-        std::optional<LimitPermit> m_answer;
-    };
-
     auto updatePeriodically() -> Awaitable<void>;
     auto update() -> void;
     auto updateShards(Upstream&, MonotonicTime now) const -> void;
@@ -55,9 +49,7 @@
     std::vector<VmName> m_candidates; // For shards.
     double m_fleetShare = 0; // That this node reaches.
     BootClockTime m_updatedAt {};
-    std::uint64_t
-        m_lastRequestNumber; // Of the requests sent; starts at one that no earlier process has used.
-    std::map<std::uint64_t, PendingRequest*> m_pendingRequests;
+    PendingAnswers<LimitPermit> m_pendingPermits; // Numbered from one that no earlier process has used.
     std::mt19937 m_random;
 };
 
