Remove members that nothing reads

A reader of these structs looked for the code that uses the members and found none; grep over src, platform, daemons, test, fakes and bench shows only the definitions and the assignments removed here:

- Head::m_cleanBreak was neither set nor read.
- CallerAnswer::closeAfter was never called.

The settings' adapter_version_ms is still accepted and checked as before, since deployments write it; a new test covers both. Behaviour is unchanged.

--- a/src/relay/caller_answer.h
+++ b/src/relay/caller_answer.h
@@ -44,8 +44,6 @@
     // Whether the answer is complete and the connection may serve another request.
     auto reusable() const -> bool { return m_complete && m_keepAlive; }
     auto complete() const -> bool { return m_complete; }
-    // Closes the connection after this answer.
-    auto closeAfter() -> void { m_keepAlive = false; }
 
 private:
     auto write(std::string) -> Awaitable<SendOutcome>;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -104,7 +104,6 @@
         UpstreamAnswer m_answer;
         std::unique_ptr<HeadParser> m_parser; // Null if the connection broke or timed out.
         bool m_timedOut = false;
-        bool m_cleanBreak = false; // Closed before any byte of an answer.
     };
 
     // Discards an answer to another request; returns whether the connection can still be used.
--- a/test/relay/relay_settings_test.cc
+++ b/test/relay/relay_settings_test.cc
@@ -35,6 +35,18 @@
                 << "expected a fault at " << path << " among " << paths;
     }
 
+    TEST(RelaySettingsTest, ChecksTheBoundOnAdapterVersions)
+    {
+        const auto faultsWith = [](const std::string& milliseconds) {
+            auto text = std::string(complete);
+            text.insert(text.find("\"retry_ratio\""), "\"adapter_version_ms\":" + milliseconds + ",");
+            const auto settings = parseRelaySettings(text);
+            return settings ? std::size_t { 0 } : settings.error().m_faults.size();
+        };
+        EXPECT_EQ(faultsWith("5000"), 0U);
+        EXPECT_EQ(faultsWith("-1"), 1U);
+    }
+
     TEST(RelaySettingsTest, RejectsTextThatIsNotJson)
     {
         EXPECT_FALSE(parseRelaySettings("vm = 1"));
