Share the rendezvous hash and the lookup of a pool of engines

Three places ranked nodes for a task with the same hash of their names: the owners of allowance shards, the owners of limit shards and the turns of nodes at a suspect's trials. Three others looked up a pool and checked that it is one of engines. A reader had to compare them to see that they agree.

rendezvousRank (rendezvous_hash.h) and findEnginePool (routing_configuration.h) now stand for these. Hash, seeds and conditions are the same, so nodes that run the earlier code choose the same owners. Behaviour is unchanged.

--- a/src/relay/allowance_shards.cc
+++ b/src/relay/allowance_shards.cc
@@ -1,9 +1,10 @@
 #include "relay/allowance_shards.h"
 
+#include "relay/rendezvous_hash.h"
+
 #include <algorithm>
 #include <functional>
 #include <limits>
-#include <xxhash.h>
 
 namespace marigoldladder::relay {
 
@@ -102,10 +103,10 @@
 {
     constexpr auto halfBits = 32U;
     const auto seed = (static_cast<std::uint64_t>(shard.m_organisation) << halfBits) + shard.m_shard;
-    const auto rank
-        = [&](const VmName& vm) { return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), seed); };
-    const auto owner = std::max_element(candidates.begin(), candidates.end(),
-        [&](const VmName& left, const VmName& right) { return rank(left) < rank(right); });
+    const auto owner = std::max_element(
+        candidates.begin(), candidates.end(), [&](const VmName& left, const VmName& right) {
+            return rendezvousRank(left, seed) < rendezvousRank(right, seed);
+        });
     return owner == candidates.end() ? std::nullopt : std::optional(*owner);
 }
 
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -1,6 +1,7 @@
 #include "relay/crash_watch.h"
 
 #include "core/log.h"
+#include "relay/rendezvous_hash.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -159,14 +160,12 @@
 // The nodes' order for a suspect's trials differs from suspect to suspect.
 auto CrashWatch::trialWait(const Suspect& suspect) const -> Milliseconds
 {
-    const auto rankOf = [&](const VmName& vm) {
-        return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), suspect.m_id);
-    };
-    const auto own = rankOf(m_settings.m_vm);
+    const auto own = rendezvousRank(m_settings.m_vm, suspect.m_id);
     const auto now = Clock::now();
     const auto& peers = m_board.m_fleet.m_peers;
-    const auto earlier = std::count_if(peers.begin(), peers.end(),
-        [&](const auto& entry) { return rankOf(entry.first) < own && isAlive(entry.second, now); });
+    const auto earlier = std::count_if(peers.begin(), peers.end(), [&](const auto& entry) {
+        return rendezvousRank(entry.first, suspect.m_id) < own && isAlive(entry.second, now);
+    });
     const auto stagger = isSmallFleet(m_board.m_fleet) ? trialStaggerInSmallFleet : trialStaggerInLargeFleet;
     return stagger * earlier;
 }
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -115,9 +115,8 @@
 auto OrderController::requestReports(MonotonicTime now) -> void
 {
     for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
-        const auto pool = m_board.m_configuration->m_pools.find(upstream->m_record.m_pool);
-        if (pool == m_board.m_configuration->m_pools.end() || !pool->second.m_engine
-            || upstream->m_record.m_leaving || upstream->m_pausedUntil > now)
+        const auto* pool = findEnginePool(*m_board.m_configuration, upstream->m_record.m_pool);
+        if (!pool || upstream->m_record.m_leaving || upstream->m_pausedUntil > now)
             continue;
         auto& orders = ordersOf(m_orderTracker, *upstream);
         const auto pause = orders.m_reportedAt == MonotonicTime() ? requiredReportPause : reportInterval;
@@ -162,13 +161,13 @@
 
 auto OrderController::modelLoadTimeout(const AdapterOrder& order) const -> Milliseconds
 {
-    const auto pool = m_board.m_configuration->m_pools.find(order.m_upstream->m_record.m_pool);
+    const auto* pool = findEnginePool(*m_board.m_configuration, order.m_upstream->m_record.m_pool);
     auto timeout = minModelLoadTimeout;
-    if (pool != m_board.m_configuration->m_pools.end() && pool->second.m_engine) {
-        for (const auto& model : pool->second.m_engine->m_models) {
-            if (model.m_name == order.m_model)
-                timeout = std::max(timeout, model.m_loadTime * modelLoadTimeoutFactor);
-        }
+    if (!pool)
+        return timeout;
+    for (const auto& model : pool->m_models) {
+        if (model.m_name == order.m_model)
+            timeout = std::max(timeout, model.m_loadTime * modelLoadTimeoutFactor);
     }
     return timeout;
 }
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -80,14 +80,12 @@
 
         auto addEngine(const UpstreamPointer& upstream) -> void
         {
-            const auto pool = m_input.m_configuration->m_pools.find(upstream->m_record.m_pool);
-            if (pool == m_input.m_configuration->m_pools.end() || !pool->second.m_engine)
-                return;
-            if (upstream->m_removed || upstream->m_record.m_leaving)
+            const auto* pool = findEnginePool(*m_input.m_configuration, upstream->m_record.m_pool);
+            if (!pool || upstream->m_removed || upstream->m_record.m_leaving)
                 return;
             auto engine = PlannedEngine();
             engine.m_upstream = upstream;
-            engine.m_pool = &*pool->second.m_engine;
+            engine.m_pool = pool;
             readPresences(engine);
             const auto inService = upstream->m_health.m_avoidUntil <= m_input.m_now
                 && !isUnreachable(upstream->m_reachability, m_input.m_now)
--- a/src/relay/request_limit.cc
+++ b/src/relay/request_limit.cc
@@ -1,5 +1,7 @@
 #include "relay/request_limit.h"
 
+#include "relay/rendezvous_hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -59,12 +61,11 @@
     if (candidates.empty())
         return std::nullopt;
     const auto seed = XXH3_64bits(upstream.value().data(), upstream.value().size());
-    const auto rankOf
-        = [&](const VmName& vm) { return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), seed); };
     auto order = candidates;
     const auto owner = order.begin() + static_cast<std::ptrdiff_t>(std::min(shard, order.size() - 1));
-    std::nth_element(order.begin(), owner, order.end(),
-        [&](const VmName& left, const VmName& right) { return rankOf(left) < rankOf(right); });
+    std::nth_element(order.begin(), owner, order.end(), [&](const VmName& left, const VmName& right) {
+        return rendezvousRank(left, seed) < rendezvousRank(right, seed);
+    });
     return *owner;
 }
 
--- a/src/relay/routing_configuration.cc
+++ b/src/relay/routing_configuration.cc
@@ -46,6 +46,14 @@
     return nullptr;
 }
 
+auto findEnginePool(const RoutingConfiguration& configuration, const PoolName& name) -> const EnginePool*
+{
+    const auto found = configuration.m_pools.find(name);
+    if (found == configuration.m_pools.end() || !found->second.m_engine)
+        return nullptr;
+    return &*found->second.m_engine;
+}
+
 auto findOrganisation(const RoutingConfiguration& configuration, std::string_view key) -> const Organisation*
 {
     const auto found = configuration.m_keys.find(digestOf(key));
--- a/src/relay/routing_configuration.h
+++ b/src/relay/routing_configuration.h
@@ -127,6 +127,9 @@
 // Returns the route with the longest prefix that begins the path, or a null pointer.
 auto findRoute(const RoutingConfiguration&, std::string_view host, std::string_view path) -> const Route*;
 
+// Returns what the engines of the pool can be ordered to load; null if there is no such pool of engines.
+auto findEnginePool(const RoutingConfiguration&, const PoolName&) -> const EnginePool*;
+
 // Returns the organisation that the key belongs to, or a null pointer.
 auto findOrganisation(const RoutingConfiguration&, std::string_view key) -> const Organisation*;
 
