Rename what a newcomer would ask about in the relay

- fingerprintOf in crash_watch.cc chains three hashes; the middle one was called withCaller.
They are named by what they cover now.
- applyEngineReport's askedAt is the requestedAt of the code that calls it, and its comment says of which call.
- A UpstreamReachability was called reach, a summary from another data centre isFar; they are reachability and isRemote, as elsewhere.
- wholeEventsLength looked for two ends of an event in two sets of variables; it is a loop over the ends.
- The ten intervals of the window of retries have a name, a comment on limits says overloaded upstream for upstream in need, and one on the numbers of charges says why they may start at zero.
- Two headers included a timer that they don't use.

No name that leaves the process changes. Behaviour is unchanged.

--- a/src/relay/allowance_exchange.h
+++ b/src/relay/allowance_exchange.h
@@ -90,7 +90,7 @@
     OwnedShards m_owned;
     std::vector<VmName> m_candidates;
     std::map<VmName, MonotonicTime> m_unresponsiveUntil; // Owners that did not answer; not contacted before.
-    PendingAnswers<ShardCharge> m_pendingCharges { 0 };
+    PendingAnswers<ShardCharge> m_pendingCharges { 0 }; // Requests contain the incarnation as well.
     std::deque<RecentAnswer> m_recentAnswers; // Oldest first.
     std::mt19937 m_random;
 };
--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -55,15 +55,15 @@
 
     // Returns the state of an adapter that the engine reports as loading; an order recorded lately tells when
     // it will be ready.
-    auto loadingPresence(const Upstream& upstream, const ListedAdapter& adapter, MonotonicTime askedAt)
+    auto loadingPresence(const Upstream& upstream, const ListedAdapter& adapter, MonotonicTime requestedAt)
         -> AdapterPresence
     {
         const auto known = upstream.m_adapters.find(adapter.m_key);
         const auto wasOrdered = known != upstream.m_adapters.end() && !known->second.m_evicted
-            && known->second.m_learntAt > askedAt - maxReportAge;
+            && known->second.m_learntAt > requestedAt - maxReportAge;
         if (wasOrdered)
             return known->second;
-        return { adapter.m_version, askedAt + pendingLoadTime, askedAt, 0, true, false, true };
+        return { adapter.m_version, requestedAt + pendingLoadTime, requestedAt, 0, true, false, true };
     }
 
     auto isSameRun(const UpstreamRecord& left, const UpstreamRecord& right) -> bool
@@ -121,18 +121,18 @@
 }
 
 auto applyEngineReport(
-    Upstream& upstream, const EngineReport& report, MonotonicTime askedAt, ReportedState state) -> void
+    Upstream& upstream, const EngineReport& report, MonotonicTime requestedAt, ReportedState state) -> void
 {
-    const auto listedAfter = state == ReportedState::Exact ? askedAt : askedAt - maxReportAge;
+    const auto listedAfter = state == ReportedState::Exact ? requestedAt : requestedAt - maxReportAge;
     auto keptStates = std::vector<std::pair<std::string, AdapterPresence>>();
     for (const auto& adapter : report.m_pending)
-        keptStates.emplace_back(adapter.m_key, loadingPresence(upstream, adapter, askedAt));
+        keptStates.emplace_back(adapter.m_key, loadingPresence(upstream, adapter, requestedAt));
     for (const auto& adapter : report.m_adapters) {
         const auto known = upstream.m_adapters.find(adapter.m_key);
-        if (known != upstream.m_adapters.end() && isDraining(known->second, askedAt))
+        if (known != upstream.m_adapters.end() && isDraining(known->second, requestedAt))
             keptStates.emplace_back(known->first, known->second);
     }
-    upstream.m_reportedAt = askedAt;
+    upstream.m_reportedAt = requestedAt;
     upstream.m_record.m_models = report.m_models;
     upstream.m_cachedModels = report.m_cachedModels;
     applyListedAdapters(upstream, report.m_adapters, listedAfter);
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -23,9 +23,10 @@
     Approximate, // Unknown: orders and refusals recorded shortly before override the report.
 };
 
-// Applies an engine's answer to a report call, which is newer than its entry in the store. An adapter that
-// the engine unloads once its requests have ended stays evicted while the engine lists it.
-auto applyEngineReport(Upstream&, const EngineReport&, MonotonicTime askedAt, ReportedState) -> void;
+// Applies the report that an engine sent in answer to a call at `requestedAt`; it is newer than the engine's
+// entry in the store. An adapter that the engine unloads once its requests have ended stays evicted while the
+// engine lists it.
+auto applyEngineReport(Upstream&, const EngineReport&, MonotonicTime requestedAt, ReportedState) -> void;
 
 // Applies the announcement of an adapter's version.
 auto applyAdapterVersion(UpstreamTable&, const ListedAdapter&, MonotonicTime now) -> void;
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -35,9 +35,11 @@
         const auto path = target.substr(0, target.find('?'));
         const auto& body = state.m_message.body();
         const auto& organisation = state.m_organisation.value();
-        const auto seed = XXH3_64bits(path.data(), path.size());
-        const auto withCaller = XXH3_64bits_withSeed(organisation.data(), organisation.size(), seed);
-        return XXH3_64bits_withSeed(body.data(), body.size(), withCaller);
+        // Each hash is the seed of the next.
+        const auto pathHash = XXH3_64bits(path.data(), path.size());
+        const auto organisationHash
+            = XXH3_64bits_withSeed(organisation.data(), organisation.size(), pathHash);
+        return XXH3_64bits_withSeed(body.data(), body.size(), organisationHash);
     }
 
     auto runIdOf(const Upstream& upstream) -> UpstreamRunId
--- a/src/relay/event_text.cc
+++ b/src/relay/event_text.cc
@@ -6,13 +6,14 @@
 
 auto wholeEventsLength(std::string_view text) -> std::size_t
 {
-    constexpr auto plainEnd = std::string_view("\n\n");
-    constexpr auto carriageEnd = std::string_view("\n\r\n");
-    const auto plain = text.rfind(plainEnd);
-    const auto carriage = text.rfind(carriageEnd);
-    const auto plainLength = plain == std::string_view::npos ? 0 : plain + plainEnd.size();
-    const auto carriageLength = carriage == std::string_view::npos ? 0 : carriage + carriageEnd.size();
-    return std::max(plainLength, carriageLength);
+    // An event ends with an empty line, with or without a carriage return.
+    auto length = std::size_t { 0 };
+    for (const auto end : { std::string_view("\n\n"), std::string_view("\n\r\n") }) {
+        const auto found = text.rfind(end);
+        if (found != std::string_view::npos)
+            length = std::max(length, found + end.size());
+    }
+    return length;
 }
 
 auto lastEventId(std::string_view events) -> std::string
--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -6,8 +6,6 @@
 #include "relay/order_lease.h"
 #include "relay/peer_exchange.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace marigoldladder::relay {
 
 class OrderController {
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -8,7 +8,6 @@
 #include "relay/relay_settings.h"
 #include "relay/tcp.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 
--- a/src/relay/peer_loads.cc
+++ b/src/relay/peer_loads.cc
@@ -46,10 +46,10 @@
     const auto found = board.m_upstreams.m_byShortId.find(upstreamId);
     if (found == board.m_upstreams.m_byShortId.end())
         return;
-    auto& reach = found->second->m_reachability;
-    const auto wasKnown = isUnreachable(reach, now);
-    reach.m_refusedPeers[peer] = now;
-    if (!wasKnown && isUnreachable(reach, now) && board.m_orders.m_holdsLease)
+    auto& reachability = found->second->m_reachability;
+    const auto wasKnown = isUnreachable(reachability, now);
+    reachability.m_refusedPeers[peer] = now;
+    if (!wasKnown && isUnreachable(reachability, now) && board.m_orders.m_holdsLease)
         board.m_adapterWanted();
 }
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -145,11 +145,11 @@
     const auto hasOrders = summary.orders() && summary.orders()->size() > 0;
     if (!isNew || !hasOrders || isSmallFleet(m_board.m_fleet))
         return;
-    const auto isFar
+    const auto isRemote
         = summary.data_centre() && summary.data_centre()->str() != m_settings.m_dataCentre.value();
     const auto isDirect = summary.peer_host() && summary.peer_host()->str() == from.m_host
         && summary.peer_port() == from.m_port;
-    if (isFar && isDirect)
+    if (isRemote && isDirect)
         m_digests.forwardToLocalPeers(bytes);
 }
 
--- a/src/relay/request_limit.h
+++ b/src/relay/request_limit.h
@@ -1,4 +1,4 @@
-// Keeps to the rate of requests that an upstream in need takes from all nodes together.
+// Keeps to the rate of requests that an overloaded upstream accepts from all nodes together.
 //
 // The rate is divided into a few shards, each a token bucket that one node owns. Every node computes the
 // owners from the nodes' names; there is no election. A node sends a request to a limited upstream only with
--- a/src/relay/retry_budget.h
+++ b/src/relay/retry_budget.h
@@ -16,9 +16,11 @@
     double m_retries = 0;
 };
 
+inline constexpr auto retryWindowIntervals = std::size_t { 10 };
+
 // A sliding window over one pool's requests. It moves on by one interval at a time.
 struct RetryWindow {
-    std::array<RetryCounts, 10> m_intervals {};
+    std::array<RetryCounts, retryWindowIntervals> m_intervals {};
 };
 
 // The retry budgets of all pools.
--- a/src/relay/upstream_health.cc
+++ b/src/relay/upstream_health.cc
@@ -66,20 +66,20 @@
         avoid(health, now);
 }
 
-auto isUnreachable(const UpstreamReachability& reach, MonotonicTime now) -> bool
+auto isUnreachable(const UpstreamReachability& reachability, MonotonicTime now) -> bool
 {
-    if (reach.m_refusedAt != MonotonicTime() && reach.m_refusedAt + unreachableTime > now)
+    if (reachability.m_refusedAt != MonotonicTime() && reachability.m_refusedAt + unreachableTime > now)
         return true;
-    const auto& peers = reach.m_refusedPeers;
+    const auto& peers = reachability.m_refusedPeers;
     const auto refused = std::count_if(
         peers.begin(), peers.end(), [&](const auto& entry) { return entry.second + unreachableTime > now; });
     return refused >= minRefusedPeers;
 }
 
-auto reachableAgainAt(const UpstreamReachability& reach) -> MonotonicTime
+auto reachableAgainAt(const UpstreamReachability& reachability) -> MonotonicTime
 {
-    auto last = reach.m_refusedAt;
-    for (const auto& [vm, reportedAt] : reach.m_refusedPeers)
+    auto last = reachability.m_refusedAt;
+    for (const auto& [vm, reportedAt] : reachability.m_refusedPeers)
         last = std::max(last, reportedAt);
     return last + unreachableTime;
 }
