Log the era of the store's listings

A restored store could not be told from one that discarded its history: both only end watches. Each answer names the store's era; a listing of another era than the one before is logged with both eras, the kind and both revisions. Nothing decides by the era yet.

--- a/src/relay/object_store.h
+++ b/src/relay/object_store.h
@@ -44,6 +44,7 @@
 struct ObjectListing {
     std::vector<StoredObject> m_objects;
     std::uint64_t m_revision = 0; // A watch that follows the listing starts here.
+    std::uint64_t m_era = 0; // Of the store: how often it returned from an older copy; 0: not stated.
 };
 
 struct ObjectChange {
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -117,6 +117,17 @@
     logChange(reachable ? "store_reached" : "store_lost");
 }
 
+auto StoreSync::recordEra(ObjectKind kind, const ObjectListing& listing) -> void
+{
+    if (listing.m_era == m_era)
+        return;
+    logChange("store_era",
+        { { "era", std::to_string(listing.m_era) }, { "before", std::to_string(m_era) },
+            { "kind", kindName(kind) }, { "revision", std::to_string(listing.m_revision) },
+            { "known_revision", std::to_string(m_board.m_objects[kind].m_revision) } });
+    m_era = listing.m_era;
+}
+
 // While no node is known to reach the store, nodes that should not watch it probe it periodically: those that
 // should may be partitioned from it.
 auto StoreSync::beginProbeIfDue(ObjectKind kind) -> bool
@@ -182,6 +193,7 @@
                 break;
             }
             recordReachability(true);
+            recordEra(kind, listing.value());
             applyChanges(kind, mergeListing(m_board.m_objects[kind], listing.value()));
             watchFailed = co_await watchWhileAssigned(kind);
         }
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -51,6 +51,7 @@
     auto applyRemoval(ObjectKind, const std::string& name) -> void;
     auto removeUpstreamAfterRecovery(const std::string& name) -> void;
     auto recordReachability(bool) -> void;
+    auto recordEra(ObjectKind, const ObjectListing&) -> void;
     auto markStoreUnreachable() -> void;
     auto beginProbeIfDue(ObjectKind) -> bool;
     auto backoff() -> Milliseconds;
@@ -64,6 +65,7 @@
     MonotonicTime m_startedAt {};
     MonotonicTime m_nextProbeAt {}; // Earliest probe while other nodes should watch.
     bool m_wasUnreachable = false;
+    std::uint64_t m_era = 0; // Of the store, as of the latest listing.
     std::mt19937 m_random;
 };
 
