--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -120,6 +120,24 @@
         applyListedAdapters(*upstream, record.m_adapters, now - maxListingAge);
 }
 
+auto applyCopiedRecord(Upstream& upstream, const UpstreamRecord& record, MonotonicTime now) -> void
+{
+    upstream.m_record.m_leaving = upstream.m_record.m_leaving || record.m_leaving;
+    if (record.m_coldLeft.count() > 0)
+        upstream.m_coldUntil = std::max(upstream.m_coldUntil, now + record.m_coldLeft);
+}
+
+auto knowledgeOf(const UpstreamTable& table, const UpstreamRecord& record) -> RunKnowledge
+{
+    const auto isOf = [&](const auto& upstreams) {
+        const auto found = upstreams.find(record.m_name);
+        return found != upstreams.end() && found->second && isSameRun(found->second->m_record, record);
+    };
+    if (isOf(table.m_upstreams))
+        return RunKnowledge::Listed;
+    return isOf(table.m_removedLately) ? RunKnowledge::Removed : RunKnowledge::Unknown;
+}
+
 auto applyEngineReport(
     Upstream& upstream, const EngineReport& report, MonotonicTime requestedAt, ReportedState state) -> void
 {
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -14,6 +14,19 @@
 // that run still holds.
 auto applyUpstreamRecord(UpstreamTable&, const UpstreamRecord&, MonotonicTime now) -> void;
 
+// What is known of the run of an upstream that an entry names.
+enum class RunKnowledge {
+    Unknown,
+    Listed, // It has an entry.
+    Removed, // Its entry was removed lately.
+};
+
+auto knowledgeOf(const UpstreamTable&, const UpstreamRecord&) -> RunKnowledge;
+
+// Applies an entry of a known run from a listing that may be older than what is known: only that the run
+// leaves or is cold, which are safe to believe.
+auto applyCopiedRecord(Upstream&, const UpstreamRecord&, MonotonicTime now) -> void;
+
 // Removes an upstream that left, or whose entry can't be decoded.
 auto removeUpstream(UpstreamTable&, const UpstreamName&, MonotonicTime now) -> void;
 
--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -61,12 +61,14 @@
     auto encode(const CacheChanges& changes) -> std::string
     {
         auto answer = messages::ChangesAnswerT();
-        answer.revision = changes.m_revision;
+        answer.revision = changes.m_revision.m_revision;
+        answer.era = static_cast<std::uint32_t>(changes.m_revision.m_era);
         answer.complete = changes.m_complete;
         for (const auto& change : changes.m_changes) {
             auto object = std::make_unique<messages::ChangedObjectT>();
             object->name = change.m_object.m_name;
-            object->revision = change.m_object.m_revision;
+            object->revision = change.m_object.m_revision.m_revision;
+            object->era = static_cast<std::uint32_t>(change.m_object.m_revision.m_era);
             object->removed = change.m_removed;
             if (!change.m_removed)
                 object->content = change.m_object.m_content.dump();
@@ -85,12 +87,12 @@
         auto answer = messages::ChangesAnswerT();
         table->UnPackTo(&answer);
         auto changes = CacheChanges();
-        changes.m_revision = answer.revision;
+        changes.m_revision = { answer.era, answer.revision };
         changes.m_complete = answer.complete;
         for (const auto& changed : answer.objects) {
             auto object = StoredObject();
             object.m_name = changed->name;
-            object.m_revision = changed->revision;
+            object.m_revision = { changed->era, changed->revision };
             if (!changed->removed)
                 object.m_content = nlohmann::json::parse(changed->content, nullptr, false);
             changes.m_changes.push_back({ std::move(object), changed->removed });
@@ -126,12 +128,13 @@
     const auto* request = parse<messages::ChangesRequest>(message);
     if (message.empty() || !request || request->kind() >= objectKinds.size())
         co_return;
-    const auto answer = encode(changesSince(m_cache[objectKinds[request->kind()]], request->after()));
+    const auto after = StoreRevision { request->after_era(), request->after() };
+    const auto answer = encode(changesSince(m_cache[objectKinds[request->kind()]], after));
     auto error = ErrorCode();
     co_await net::async_write(stream, net::buffer(answer), errorTo(error));
 }
 
-auto CacheExchange::fetch(Address peer, ObjectKind kind, std::uint64_t revision)
+auto CacheExchange::fetch(Address peer, ObjectKind kind, StoreRevision after)
     -> Awaitable<std::optional<CacheChanges>>
 {
     auto stream = tcp_stream(m_executor);
@@ -140,7 +143,8 @@
     if (error)
         co_return std::nullopt;
     auto builder = flatbuffers::FlatBufferBuilder();
-    builder.Finish(messages::CreateChangesRequest(builder, static_cast<std::uint8_t>(kind), revision));
+    builder.Finish(messages::CreateChangesRequest(
+        builder, static_cast<std::uint8_t>(kind), after.m_revision, static_cast<std::uint32_t>(after.m_era)));
     const auto request = prefixLength(builder);
     co_await net::async_write(stream, net::buffer(request), errorTo(error));
     if (error)
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -18,8 +18,8 @@
     // Serves peers at the address. Returns false if the port can't be opened, which is logged.
     auto listen(const Address&) -> bool;
 
-    // Returns the changes after `revision` that a peer has; nothing if it doesn't answer in time.
-    auto fetch(Address peer, ObjectKind, std::uint64_t revision) -> Awaitable<std::optional<CacheChanges>>;
+    // Returns the changes after a revision that a peer has; nothing if it doesn't answer in time.
+    auto fetch(Address peer, ObjectKind, StoreRevision after) -> Awaitable<std::optional<CacheChanges>>;
 
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -5,6 +5,7 @@
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_loads.h"
 #include "relay/request_limit_report.h"
+#include "relay/store_revisions.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -91,8 +92,7 @@
     digest.data_centre = m_settings.m_dataCentre.value();
     digest.peer_host = m_settings.m_peerAddress.m_host;
     digest.peer_port = static_cast<std::uint16_t>(m_settings.m_peerAddress.m_port);
-    for (const auto kind : objectKinds)
-        digest.revisions.push_back(m_board.m_objects[kind].m_revision);
+    fillRevisions(m_board.m_objects, digest);
     fillMembers(digest, now);
     fillLoads(digest);
     fillFaults(digest, now);
@@ -185,7 +185,7 @@
         applyMember(*member, dataCentre, now);
     const auto known = m_board.m_fleet.m_peers.find(gateway);
     if (known != m_board.m_fleet.m_peers.end())
-        known->second.m_revisions = digest.revisions;
+        known->second.m_revisions = revisionsOf(digest, m_board.m_storeEra.value_or(0));
     applyLoads(digest, now);
     applyFaults(digest, now);
     m_board.m_capacityChanged();
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -199,7 +199,19 @@
         [&](const auto& entry) { return entry.second.m_storeReachable && isAlive(entry.second, now); });
 }
 
-auto peerWithNewerObjects(const FleetView& fleet, std::size_t kind, std::uint64_t revision,
+auto peerWithNewerConfiguration(const FleetView& fleet, std::uint64_t version, MonotonicTime now)
+    -> const Peer*
+{
+    const auto* best = static_cast<const Peer*>(nullptr);
+    for (const auto& [vm, peer] : fleet.m_peers) {
+        const auto newest = best ? best->m_configurationVersion : version;
+        if (isAlive(peer, now) && peer.m_configurationVersion > newest)
+            best = &peer;
+    }
+    return best;
+}
+
+auto peerWithNewerObjects(const FleetView& fleet, std::size_t kind, StoreRevision revision,
     const DataCentreName& here, MonotonicTime now) -> const Peer*
 {
     const auto* best = static_cast<const Peer*>(nullptr);
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include "core/blackboard.h"
 #include "marigoldladder/settings.h"
+#include "relay/object_store.h"
 #include "relay/routing_configuration.h"
 
 #include <cstdint>
@@ -47,7 +48,7 @@
     bool m_ready = false;
     double m_processorShare = 0; // In cores.
     bool m_storeReachable = false;
-    std::vector<std::uint64_t> m_revisions; // Of the store's objects that it has, indexed by kind.
+    std::vector<StoreRevision> m_revisions; // Of the store's objects that it has, indexed by kind.
     bool m_leaving = false;
     std::uint64_t m_configurationVersion = 0;
     MonotonicTime m_lastReceivedAt {}; // Of its summaries. Zero: none, it is only listed in the store.
@@ -125,10 +126,14 @@
 // Whether any live peer reports that it reaches the store.
 auto anyPeerReachesStore(const FleetView&, MonotonicTime now) -> bool;
 
-// Returns a live peer that has a higher revision of a kind of objects than `revision`, or a null pointer.
-// Peers in the data centre `here` are preferred, to save traffic between data centres.
-auto peerWithNewerObjects(const FleetView&, std::size_t kind, std::uint64_t revision,
-    const DataCentreName& here, MonotonicTime now) -> const Peer*;
+// Returns a live peer that has a later revision of a kind of objects than this one, or a null pointer. Peers
+// in the data centre `here` are preferred, to save traffic between data centres.
+auto peerWithNewerObjects(const FleetView&, std::size_t kind, StoreRevision, const DataCentreName& here,
+    MonotonicTime now) -> const Peer*;
+
+// Returns a live peer that has a configuration of a higher version in force, or a null pointer. It may have
+// received it before the store returned from an older copy.
+auto peerWithNewerConfiguration(const FleetView&, std::uint64_t version, MonotonicTime now) -> const Peer*;
 
 // Returns the addresses for callers of the nodes that are ready, with `self`, if given, as the first.
 auto readyAddresses(const FleetView&, const std::optional<Address>& self, MonotonicTime now)
--- a/src/relay/object_cache.cc
+++ b/src/relay/object_cache.cc
@@ -9,7 +9,12 @@
 
     constexpr auto maxKeptRemovals = std::size_t { 512 }; // A peer that lacks more fetches all objects.
 
-    auto recordRemoval(KindCache& cache, const std::string& name, std::uint64_t revision) -> void
+    auto isEmpty(const KindCache& cache) -> bool
+    {
+        return cache.m_revision == StoreRevision();
+    }
+
+    auto recordRemoval(KindCache& cache, const std::string& name, StoreRevision revision) -> void
     {
         cache.m_removals.push_back({ name, revision });
         while (cache.m_removals.size() > maxKeptRemovals) {
@@ -18,16 +23,35 @@
         }
     }
 
-    auto mergeObject(KindCache& cache, const StoredObject& object, std::vector<ObjectChange>& changes) -> void
+    auto isEarlier(const KindRules& rules, const nlohmann::json& known, const nlohmann::json& update) -> bool
+    {
+        return rules.m_isEarlier && rules.m_isEarlier(known, update);
+    }
+
+    // An object's own version goes before the revision: a restored store has earlier states at later
+    // revisions.
+    auto mergeObject(KindCache& cache, const StoredObject& object, const KindRules& rules,
+        std::vector<ObjectChange>& changes) -> void
     {
-        auto& known = cache.m_objects[object.m_name];
-        if (known.m_revision != 0 && known.m_revision >= object.m_revision)
+        const auto [found, isNew] = cache.m_objects.try_emplace(object.m_name, object);
+        auto& known = found->second;
+        if (isNew) {
+            changes.push_back({ object, false });
             return;
-        known = object;
-        changes.push_back({ object, false });
+        }
+        const auto newest = std::max(known.m_revision, object.m_revision);
+        const auto keepsKnown = known.m_content == object.m_content
+            || isEarlier(rules, known.m_content, object.m_content)
+            || (known.m_revision >= object.m_revision
+                && !isEarlier(rules, object.m_content, known.m_content));
+        if (!keepsKnown) {
+            known = object;
+            changes.push_back({ object, false });
+        }
+        known.m_revision = newest;
     }
 
-    auto removeOthers(KindCache& cache, const std::set<std::string>& present, std::uint64_t revision,
+    auto removeOthers(KindCache& cache, const std::set<std::string>& present, StoreRevision revision,
         std::vector<ObjectChange>& changes) -> void
     {
         for (auto at = cache.m_objects.begin(); at != cache.m_objects.end();) {
@@ -41,54 +65,75 @@
         }
     }
 
+    // Merges a list of all objects.
+    auto mergeAll(KindCache& cache, const std::vector<const StoredObject*>& objects, StoreRevision revision,
+        const KindRules& rules) -> std::vector<ObjectChange>
+    {
+        auto changes = std::vector<ObjectChange>();
+        auto present = std::set<std::string>();
+        for (const auto* object : objects) {
+            present.insert(object->m_name);
+            mergeObject(cache, *object, rules, changes);
+        }
+        const auto wasEmpty = isEmpty(cache);
+        const auto isNewEra = !wasEmpty && revision.m_era != cache.m_revision.m_era;
+        if (isNewEra)
+            cache.m_removals.clear();
+        if (!isNewEra || !rules.m_outlivesRestore)
+            removeOthers(cache, present, revision, changes);
+        if (wasEmpty || isNewEra)
+            cache.m_removalsKeptSince = revision;
+        cache.m_revision = revision;
+        return changes;
+    }
+
 } // namespace
 
-auto mergeListing(KindCache& cache, const ObjectListing& listing) -> std::vector<ObjectChange>
+auto mergeListing(KindCache& cache, const ObjectListing& listing, const KindRules& rules)
+    -> std::vector<ObjectChange>
 {
-    auto changes = std::vector<ObjectChange>();
     if (listing.m_revision < cache.m_revision)
-        return changes;
-    auto present = std::set<std::string>();
-    for (const auto& object : listing.m_objects) {
-        present.insert(object.m_name);
-        mergeObject(cache, object, changes);
-    }
-    removeOthers(cache, present, listing.m_revision, changes);
-    if (cache.m_revision == 0)
-        cache.m_removalsKeptSince = listing.m_revision;
-    cache.m_revision = listing.m_revision;
-    return changes;
+        return {};
+    auto objects = std::vector<const StoredObject*>();
+    for (const auto& object : listing.m_objects)
+        objects.push_back(&object);
+    return mergeAll(cache, objects, listing.m_revision, rules);
 }
 
-auto mergeChanges(KindCache& cache, const CacheChanges& update) -> std::vector<ObjectChange>
+auto mergeChanges(KindCache& cache, const CacheChanges& update, const KindRules& rules)
+    -> std::vector<ObjectChange>
 {
+    if (update.m_revision < cache.m_revision)
+        return {};
+    if (update.m_complete) {
+        auto objects = std::vector<const StoredObject*>();
+        for (const auto& change : update.m_changes)
+            objects.push_back(&change.m_object);
+        return mergeAll(cache, objects, update.m_revision, rules);
+    }
+    // Changes since a state of another era say nothing about what this cache lacks.
+    if (!isEmpty(cache) && update.m_revision.m_era != cache.m_revision.m_era)
+        return {};
     auto changes = std::vector<ObjectChange>();
-    if (update.m_revision <= cache.m_revision)
-        return changes;
-    auto present = std::set<std::string>();
     for (const auto& change : update.m_changes) {
-        const auto& name = change.m_object.m_name;
         if (!change.m_removed) {
-            present.insert(name);
-            mergeObject(cache, change.m_object, changes);
-        } else if (cache.m_objects.erase(name) > 0) {
+            mergeObject(cache, change.m_object, rules, changes);
+        } else if (cache.m_objects.erase(change.m_object.m_name) > 0) {
             changes.push_back(change);
-            recordRemoval(cache, name, update.m_revision);
+            recordRemoval(cache, change.m_object.m_name, update.m_revision);
         }
     }
-    if (update.m_complete)
-        removeOthers(cache, present, update.m_revision, changes);
-    if (cache.m_revision == 0)
+    if (isEmpty(cache))
         cache.m_removalsKeptSince = update.m_revision;
     cache.m_revision = update.m_revision;
     return changes;
 }
 
-auto changesSince(const KindCache& cache, std::uint64_t revision) -> CacheChanges
+auto changesSince(const KindCache& cache, StoreRevision revision) -> CacheChanges
 {
     auto changes = CacheChanges();
     changes.m_revision = cache.m_revision;
-    changes.m_complete = revision < cache.m_removalsKeptSince;
+    changes.m_complete = revision.m_era != cache.m_revision.m_era || revision < cache.m_removalsKeptSince;
     for (const auto& removal : cache.m_removals) {
         if (removal.m_revision > revision && !changes.m_complete
             && !cache.m_objects.contains(removal.m_name)) {
--- a/src/relay/object_cache.h
+++ b/src/relay/object_cache.h
@@ -2,6 +2,9 @@
 //
 // Few nodes watch the store; the others fetch the changes since their own revision from a peer that has a
 // later one. So does a node whose calls the store refuses.
+//
+// States are ordered by era and revision. The first state of a new era is that of an older copy, so what is
+// known of an object stays if the object's own version says that it is newer, until the store has it again.
 #pragma once
 
 #include "relay/object_store.h"
@@ -9,6 +12,7 @@
 #include <array>
 #include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -27,21 +31,29 @@
 // A removed object and the store's revision of its removal.
 struct Removal {
     std::string m_name;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
+};
+
+// How objects of one kind change, which decides what of them outlives the return to an older copy.
+struct KindRules {
+    // Whether the second content is an earlier state of the object than the first, by what the contents say
+    // themselves. Null: they don't say.
+    std::function<bool(const nlohmann::json& known, const nlohmann::json& update)> m_isEarlier;
+    bool m_outlivesRestore = false; // Objects that a restored store lacks are kept.
 };
 
 // All objects of one kind.
 struct KindCache {
     std::map<std::string, StoredObject> m_objects;
     std::deque<Removal> m_removals; // Oldest first.
-    std::uint64_t m_revision = 0; // The store's revision of this state; 0: none was received yet.
-    std::uint64_t m_removalsKeptSince = 0; // m_removals holds all removals after this revision.
+    StoreRevision m_revision; // Of this state; zero: none was received yet.
+    StoreRevision m_removalsKeptSince; // m_removals holds all removals after this revision.
 };
 
 // The changes between two revisions.
 struct CacheChanges {
     std::vector<ObjectChange> m_changes;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
     bool m_complete = false; // Lists all objects; any other is removed.
 };
 
@@ -49,12 +61,12 @@
 
 // Merges a listing into the cache. Returns the resulting changes; none if the listing is older than the
 // cache.
-auto mergeListing(KindCache&, const ObjectListing&) -> std::vector<ObjectChange>;
+auto mergeListing(KindCache&, const ObjectListing&, const KindRules&) -> std::vector<ObjectChange>;
 
 // Merges changes into the cache. Returns those that were new to it.
-auto mergeChanges(KindCache&, const CacheChanges&) -> std::vector<ObjectChange>;
+auto mergeChanges(KindCache&, const CacheChanges&, const KindRules&) -> std::vector<ObjectChange>;
 
-// Returns the changes that a node at `revision` lacks.
-auto changesSince(const KindCache&, std::uint64_t revision) -> CacheChanges;
+// Returns the changes that a node at `revision` lacks: all objects if that is of another era.
+auto changesSince(const KindCache&, StoreRevision) -> CacheChanges;
 
 } // namespace marigoldladder::relay
--- a/src/relay/object_store.h
+++ b/src/relay/object_store.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -22,7 +23,8 @@
     Unavailable, // No answer; the call may or may not have been carried out.
     Refused, // The call was not carried out.
     Conflict, // The object changed meanwhile, exists already or doesn't exist.
-    HistoryLost, // The requested changes are no longer kept; a new listing is needed.
+    HistoryLost, // The requested changes are no longer kept, or are of an earlier era; a new listing is
+                 // needed.
 };
 
 struct StoreFailure {
@@ -33,18 +35,28 @@
 template <typename T>
 using StoreResult = boost::outcome_v2::basic_result<T, StoreFailure, boost::outcome_v2::policy::all_narrow>;
 
+// Identifies a state of the store, or of one object at its last change.
+//
+// The era rises each time that the store returns from an older copy. Revisions of different eras can't be
+// compared: the restored store assigns the revisions after the copy's a second time.
+struct StoreRevision {
+    std::uint64_t m_era = 0;
+    std::uint64_t m_revision = 0; // 0: unknown.
+
+    auto operator<=>(const StoreRevision&) const = default;
+};
+
 // One object. Content that can't be read is null.
 struct StoredObject {
     std::string m_name;
-    std::uint64_t m_revision = 0; // The store's revision at the object's last change.
+    StoreRevision m_revision; // Of the object's last change.
     bool m_deleting = false;
     nlohmann::json m_content;
 };
 
 struct ObjectListing {
     std::vector<StoredObject> m_objects;
-    std::uint64_t m_revision = 0; // A watch that follows the listing starts here.
-    std::uint64_t m_era = 0; // Of the store: how often it returned from an older copy; 0: not stated.
+    StoreRevision m_revision; // A watch that follows the listing starts here.
 };
 
 struct ObjectChange {
@@ -54,7 +66,7 @@
 
 struct ObjectChanges {
     std::vector<ObjectChange> m_changes;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
 };
 
 // How recent a listing must be.
@@ -66,13 +78,15 @@
 // Calls of the store. `kind` names a set of objects.
 struct ObjectStore {
     std::function<Awaitable<StoreResult<ObjectListing>>(std::string kind, ListingAge)> m_list;
-    // Returns the changes after a revision; waits up to `wait` for the first.
+    // Returns the changes after a revision; waits up to `wait` for the first. Fails with `HistoryLost` if the
+    // store is of another era than the revision.
     std::function<Awaitable<StoreResult<ObjectChanges>>(
-        std::string kind, std::uint64_t revision, std::chrono::milliseconds wait)>
+        std::string kind, StoreRevision after, std::chrono::milliseconds wait)>
         m_watch;
     std::function<Awaitable<StoreResult<StoredObject>>(std::string kind, std::string name)> m_get;
     std::function<Awaitable<StoreResult<StoredObject>>(std::string kind, StoredObject object)> m_create;
-    // Replaces the object if its revision in the store is still the given one.
+    // Replaces the object if its revision in the store is still the given one. The store doesn't compare
+    // eras: a success whose revision is of another era may have replaced another state.
     std::function<Awaitable<StoreResult<StoredObject>>(std::string kind, StoredObject object)> m_replace;
     std::function<Awaitable<StoreResult<bool>>(std::string kind, std::string name, std::uint64_t revision)>
         m_remove;
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -22,7 +22,7 @@
     auto toRecord(const StoredObject& object) -> LeaseRecord
     {
         auto record = LeaseRecord();
-        record.m_revision = object.m_revision;
+        record.m_revision = object.m_revision.m_revision;
         if (!object.m_content.is_object())
             return record;
         record.m_vm = VmName(object.m_content.value("vm", ""));
@@ -96,14 +96,14 @@
         = LeaseRecord { m_settings.m_vm, fence, renewals, create ? 0 : m_lease.m_lastRecord->m_revision };
     auto object = StoredObject();
     object.m_name = leaseName;
-    object.m_revision = record.m_revision;
+    object.m_revision.m_revision = record.m_revision;
     object.m_content = toJson(record);
     // Awaited in its own statement, as gcc 12 destroys temporaries twice where an awaited conditional
     // expression contains both calls.
     auto call = create ? m_store.m_create(leaseKind, object) : m_store.m_replace(leaseKind, object);
     auto written = co_await std::move(call);
     if (written) {
-        record.m_revision = written.value().m_revision;
+        record.m_revision = written.value().m_revision.m_revision;
         markLeaseHeld(record, sentAt);
         co_return;
     }
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -3,6 +3,7 @@
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
 #include "relay/request_limit_report.h"
+#include "relay/store_revisions.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -51,8 +52,7 @@
     summary.ready = m_isReady();
     summary.processor_share = static_cast<float>(m_settings.m_processorShare);
     summary.store_reachable = m_board.m_storeReachable;
-    for (const auto kind : objectKinds)
-        summary.revisions.push_back(m_board.m_objects[kind].m_revision);
+    fillRevisions(m_board.m_objects, summary);
     summary.leaving = m_board.m_leaving;
     summary.configuration_version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
     const auto& holder = m_board.m_fleet.m_holder;
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace marigoldladder::relay {
@@ -60,6 +61,7 @@
     MonotonicTime m_storeRecoveredAt {}; // When any node last reached it again. By the store's sync and the
                                          // peer exchange.
     ObjectCache m_objects; // By the store's sync.
+    std::optional<std::uint64_t> m_storeEra; // The highest known. By the store's sync.
     bool m_leaving = false; // By the node's stop.
     bool m_acceptsStreams = true; // False if the node exits too soon for a new stream. By the node's stop.
     MonotonicTime m_exitsAt {}; // This node exits by then; zero: it isn't stopping. By the node's stop.
@@ -71,6 +73,9 @@
     // Called when the store reports a change that has to be propagated to other nodes soon.
     std::function<void()> m_storeChangeReceived = [] {};
 
+    // Called when the store turns out to have returned from an older copy.
+    std::function<void()> m_storeRestored = [] {};
+
     // Called when an upstream begins to refuse connections.
     std::function<void(const Upstream&)> m_upstreamUnreachable = [](const Upstream&) {};
 
--- /dev/null
+++ b/src/relay/store_revisions.h
@@ -0,0 +1,34 @@
+// The revisions of the store's objects in messages between nodes.
+#pragma once
+
+#include "relay/object_cache.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace marigoldladder::relay {
+
+// Fills the revisions and eras of a summary or digest, by kind of objects.
+template <typename Message> auto fillRevisions(ObjectCache& objects, Message& message) -> void
+{
+    for (const auto kind : objectKinds) {
+        const auto& revision = objects[kind].m_revision;
+        message.revisions.push_back(revision.m_revision);
+        message.eras.push_back(static_cast<std::uint32_t>(revision.m_era));
+    }
+}
+
+// Returns the revisions of a summary or digest, by kind of objects. `ownEra`: this node's, which holds for a
+// peer that doesn't state one.
+template <typename Message>
+auto revisionsOf(const Message& message, std::uint64_t ownEra) -> std::vector<StoreRevision>
+{
+    auto revisions = std::vector<StoreRevision>();
+    for (auto kind = std::size_t { 0 }; kind < message.revisions.size(); ++kind) {
+        const auto era = kind < message.eras.size() ? message.eras[kind] : ownEra;
+        revisions.push_back({ era, message.revisions[kind] });
+    }
+    return revisions;
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -31,6 +31,12 @@
     // then.
     constexpr auto maxRemoteFetchDelayMs = 80;
 
+    // Between two fetches of a configuration whose revision isn't later than this node's.
+    constexpr auto versionFetchInterval = Milliseconds(1'000);
+
+    // Within this time the store removes the entry of an upstream that doesn't renew it.
+    constexpr auto entryExpiryTime = Milliseconds(5'000);
+
     // Upstreams whose entries expired while the store was unreachable write them again within this time of
     // its recovery.
     constexpr auto recoveryTime = Milliseconds(2'300);
@@ -61,6 +67,8 @@
     , m_exchange(m_executor, board.m_objects)
     , m_random(std::random_device()())
 {
+    for (const auto kind : objectKinds)
+        m_rules[kind] = rulesOf(schema, kind);
 }
 
 auto StoreSync::start() -> bool
@@ -79,25 +87,10 @@
 {
     return std::all_of(objectKinds.begin(), objectKinds.end(), [this](ObjectKind kind) {
         const auto found = m_board.m_objects.find(kind);
-        return found != m_board.m_objects.end() && found->second.m_revision > 0;
+        return found != m_board.m_objects.end() && found->second.m_revision.m_revision > 0;
     });
 }
 
-auto StoreSync::kindName(ObjectKind kind) const -> const std::string&
-{
-    switch (kind) {
-    case ObjectKind::Configuration:
-        return m_schema.m_configurationKind;
-    case ObjectKind::Upstreams:
-        return m_schema.m_upstreamKind;
-    case ObjectKind::Evacuations:
-        return m_schema.m_evacuationKind;
-    case ObjectKind::AdapterVersions:
-        break;
-    }
-    return m_schema.m_versionKind;
-}
-
 auto StoreSync::backoff() -> Milliseconds
 {
     return Milliseconds(std::uniform_int_distribution<int>(minBackoffMs, maxBackoffMs)(m_random));
@@ -117,17 +110,6 @@
     logChange(reachable ? "store_reached" : "store_lost");
 }
 
-auto StoreSync::recordEra(ObjectKind kind, const ObjectListing& listing) -> void
-{
-    if (listing.m_era == m_era)
-        return;
-    logChange("store_era",
-        { { "era", std::to_string(listing.m_era) }, { "before", std::to_string(m_era) },
-            { "kind", kindName(kind) }, { "revision", std::to_string(listing.m_revision) },
-            { "known_revision", std::to_string(m_board.m_objects[kind].m_revision) } });
-    m_era = listing.m_era;
-}
-
 // While no node is known to reach the store, nodes that should not watch it probe it periodically: those that
 // should may be partitioned from it.
 auto StoreSync::beginProbeIfDue(ObjectKind kind) -> bool
@@ -153,7 +135,7 @@
 auto StoreSync::mustWatchStore(ObjectKind kind) const -> bool
 {
     const auto found = m_board.m_objects.find(kind);
-    const auto unknown = found == m_board.m_objects.end() || found->second.m_revision == 0;
+    const auto unknown = found == m_board.m_objects.end() || found->second.m_revision == StoreRevision();
     const auto self = StoreWatcher { m_settings.m_vm, m_settings.m_dataCentre, m_board.m_storeReachable };
     return unknown || shouldWatchStore(m_board.m_fleet, self, Clock::now());
 }
@@ -174,7 +156,7 @@
 auto StoreSync::requiredListingAge(ObjectKind kind) const -> ListingAge
 {
     const auto found = m_board.m_objects.find(kind);
-    const auto unknown = found == m_board.m_objects.end() || found->second.m_revision == 0;
+    const auto unknown = found == m_board.m_objects.end() || found->second.m_revision == StoreRevision();
     return m_settings.m_firstStart && unknown ? ListingAge::AnyAge : ListingAge::Current;
 }
 
@@ -186,15 +168,14 @@
         // A failed watch is followed by a listing, even if only other nodes should watch by then.
         auto watchFailed = true;
         while (watchFailed) {
-            auto listing = co_await m_store.m_list(kindName(kind), requiredListingAge(kind));
+            auto listing = co_await m_store.m_list(kindName(m_schema, kind), requiredListingAge(kind));
             if (!listing) {
                 recordReachability(false);
                 co_await sleepFor(backoff());
                 break;
             }
             recordReachability(true);
-            recordEra(kind, listing.value());
-            applyChanges(kind, mergeListing(m_board.m_objects[kind], listing.value()));
+            mergeStoreListing(kind, listing.value());
             watchFailed = co_await watchWhileAssigned(kind);
         }
     }
@@ -208,7 +189,7 @@
     while (mustWatchStore(kind)) {
         const auto timeout = kind == ObjectKind::Upstreams ? upstreamWatchTimeout : watchTimeout;
         const auto begun = Clock::now();
-        auto changes = co_await m_store.m_watch(kindName(kind), cache.m_revision, timeout);
+        auto changes = co_await m_store.m_watch(kindName(m_schema, kind), cache.m_revision, timeout);
         if (!changes) {
             // A watch from a revision whose history is gone may hang instead of failing, so the kind is
             // listed again after any failure.
@@ -216,16 +197,16 @@
             const auto timedOut = Clock::now() - begun >= timeout;
             if (timedOut && changes.error().m_type == StoreFailureType::Unavailable)
                 markStoreUnreachable();
-            logChange(
-                "store_watch_ended", { { "kind", kindName(kind) }, { "reason", changes.error().m_message } });
+            logChange("store_watch_ended",
+                { { "kind", kindName(m_schema, kind) }, { "reason", changes.error().m_message } });
             if (mustBackOff)
                 co_await sleepFor(backoff());
             co_return true;
         }
         recordReachability(true);
-        auto update
+        const auto update
             = CacheChanges { std::move(changes.value().m_changes), changes.value().m_revision, false };
-        applyChanges(kind, mergeChanges(cache, update));
+        mergeUpdate(kind, update);
         if (kind != ObjectKind::Upstreams && !update.m_changes.empty())
             m_board.m_storeChangeReceived();
         const auto pause = watchPause(kind, m_settings.m_bounds);
@@ -235,44 +216,104 @@
     co_return false;
 }
 
-auto StoreSync::followPeers(ObjectKind kind) -> Awaitable<void>
+auto StoreSync::peerWithNews(ObjectKind kind) -> const Peer*
 {
     const auto index = static_cast<std::size_t>(kind);
+    const auto revision = m_board.m_objects[kind].m_revision;
+    return peerWithNewerObjects(m_board.m_fleet, index, revision, m_settings.m_dataCentre, Clock::now());
+}
+
+auto StoreSync::fetchFrom(const Peer& peer, ObjectKind kind, StoreRevision after) -> Awaitable<void>
+{
+    const auto address = peer.m_peerAddress;
+    const auto changes = co_await m_exchange.fetch(address, kind, after);
+    if (changes)
+        mergeUpdate(kind, *changes);
+}
+
+auto StoreSync::followPeers(ObjectKind kind) -> Awaitable<void>
+{
     for (;;) {
         co_await sleepFor(peerPollInterval);
-        const auto revision = m_board.m_objects[kind].m_revision;
-        const auto* peer
-            = peerWithNewerObjects(m_board.m_fleet, index, revision, m_settings.m_dataCentre, Clock::now());
-        if (!peer)
+        const auto* peer = peerWithNews(kind);
+        if (!peer) {
+            if (kind == ObjectKind::Configuration)
+                co_await fetchNewerConfiguration();
             continue;
+        }
         if (peer->m_dataCentre != m_settings.m_dataCentre) {
             const auto delay = std::uniform_int_distribution<int>(0, maxRemoteFetchDelayMs)(m_random);
             co_await sleepFor(Milliseconds(delay));
-            peer = peerWithNewerObjects(m_board.m_fleet, index, m_board.m_objects[kind].m_revision,
-                m_settings.m_dataCentre, Clock::now());
+            peer = peerWithNews(kind);
             if (!peer)
                 continue;
         }
-        const auto address = peer->m_peerAddress;
-        auto changes = co_await m_exchange.fetch(address, kind, m_board.m_objects[kind].m_revision);
-        if (changes)
-            applyChanges(kind, mergeChanges(m_board.m_objects[kind], *changes));
+        co_await fetchFrom(*peer, kind, m_board.m_objects[kind].m_revision);
     }
 }
 
-auto StoreSync::applyChanges(ObjectKind kind, const std::vector<ObjectChange>& changes) -> void
+// Fetches a configuration that a peer has in force though it has no later revision of the store: a restored
+// store has an older one, which this node read when it started.
+auto StoreSync::fetchNewerConfiguration() -> Awaitable<void>
+{
+    const auto now = Clock::now();
+    const auto version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
+    const auto* peer = peerWithNewerConfiguration(m_board.m_fleet, version, now);
+    if (!peer || now < m_nextVersionFetchAt)
+        co_return;
+    m_nextVersionFetchAt = now + versionFetchInterval;
+    co_await fetchFrom(*peer, ObjectKind::Configuration, StoreRevision());
+}
+
+auto StoreSync::mergeStoreListing(ObjectKind kind, const ObjectListing& listing) -> void
+{
+    auto& cache = m_board.m_objects[kind];
+    const auto before = cache.m_revision;
+    applyChanges(kind, before, mergeListing(cache, listing, m_rules[kind]));
+}
+
+auto StoreSync::mergeUpdate(ObjectKind kind, const CacheChanges& update) -> void
 {
+    auto& cache = m_board.m_objects[kind];
+    const auto before = cache.m_revision;
+    applyChanges(kind, before, mergeChanges(cache, update, m_rules[kind]));
+}
+
+// `before` is the cache's revision before these changes were merged into it.
+auto StoreSync::applyChanges(ObjectKind kind, StoreRevision before, const std::vector<ObjectChange>& changes)
+    -> void
+{
+    const auto era = m_board.m_objects[kind].m_revision.m_era;
+    const auto isNewEra = before != StoreRevision() && era > before.m_era;
+    const auto origin = isNewEra ? ChangeOrigin::OlderCopy : ChangeOrigin::Store;
+    if (!m_board.m_storeEra || era > *m_board.m_storeEra)
+        recordEra(kind, before);
     for (const auto& change : changes) {
         if (change.m_removed)
-            applyRemoval(kind, change.m_object.m_name);
+            applyRemoval(kind, change.m_object.m_name, origin);
         else
-            applyObject(kind, change.m_object);
+            applyObject(kind, change.m_object, origin);
     }
     if (!changes.empty())
         m_board.m_capacityChanged();
 }
 
-auto StoreSync::applyObject(ObjectKind kind, const StoredObject& object) -> void
+auto StoreSync::recordEra(ObjectKind kind, StoreRevision before) -> void
+{
+    const auto& revision = m_board.m_objects[kind].m_revision;
+    const auto wasKnown = m_board.m_storeEra.has_value();
+    m_board.m_storeEra = revision.m_era;
+    logChange(wasKnown ? "store_restored" : "store_era",
+        { { "era", std::to_string(revision.m_era) }, { "kind", kindName(m_schema, kind) },
+            { "revision", std::to_string(revision.m_revision) },
+            { "known_revision", std::to_string(before.m_revision) } });
+    if (!wasKnown)
+        return;
+    m_board.m_storeRecoveredAt = Clock::now();
+    m_board.m_storeRestored();
+}
+
+auto StoreSync::applyObject(ObjectKind kind, const StoredObject& object, ChangeOrigin origin) -> void
 {
     switch (kind) {
     case ObjectKind::Configuration: {
@@ -283,16 +324,9 @@
             logWarning("configuration_unreadable", { { "object", object.m_name } });
         break;
     }
-    case ObjectKind::Upstreams: {
-        const auto record = m_schema.m_readUpstream(object.m_name, object.m_content);
-        if (record) {
-            applyUpstreamRecord(m_board.m_upstreams, *record, Clock::now());
-            break;
-        }
-        logWarning("upstream_entry_unreadable", { { "upstream", object.m_name } });
-        removeUpstream(m_board.m_upstreams, UpstreamName(object.m_name), Clock::now());
+    case ObjectKind::Upstreams:
+        applyUpstream(object, origin);
         break;
-    }
     case ObjectKind::Evacuations:
         m_board.m_upstreams.m_evacuated[DataCentreName(object.m_name)] = true;
         logChange("data_centre_out", { { "data_centre", object.m_name } });
@@ -306,16 +340,67 @@
     }
 }
 
-auto StoreSync::applyRemoval(ObjectKind kind, const std::string& name) -> void
+auto StoreSync::applyUpstream(const StoredObject& object, ChangeOrigin origin) -> void
+{
+    const auto record = m_schema.m_readUpstream(object.m_name, object.m_content);
+    if (!record) {
+        logWarning("upstream_entry_unreadable", { { "upstream", object.m_name } });
+        removeUpstream(m_board.m_upstreams, UpstreamName(object.m_name), Clock::now());
+    } else if (origin == ChangeOrigin::OlderCopy) {
+        applyCopiedUpstream(*record);
+    } else {
+        applyUpstreamRecord(m_board.m_upstreams, *record, Clock::now());
+    }
+}
+
+// An older copy says little of a run that is known. If the run's entry had been removed since, the run has
+// left, unless the entry stays: the store removes that of a run that is gone.
+auto StoreSync::applyCopiedUpstream(const UpstreamRecord& record) -> void
+{
+    switch (knowledgeOf(m_board.m_upstreams, record)) {
+    case RunKnowledge::Listed:
+        applyCopiedRecord(*m_board.m_upstreams.m_upstreams.at(record.m_name), record, Clock::now());
+        return;
+    case RunKnowledge::Unknown:
+        applyUpstreamRecord(m_board.m_upstreams, record, Clock::now());
+        return;
+    case RunKnowledge::Removed:
+        break;
+    }
+    runAfter(m_executor, entryExpiryTime, [this, record] {
+        const auto& objects = m_board.m_objects[ObjectKind::Upstreams].m_objects;
+        const auto found = objects.find(record.m_name.value());
+        if (found != objects.end())
+            applyUpstream(found->second, ChangeOrigin::Store);
+    });
+}
+
+auto StoreSync::applyRemoval(ObjectKind kind, const std::string& name, ChangeOrigin origin) -> void
 {
     if (kind == ObjectKind::Upstreams) {
         removeUpstreamAfterRecovery(name);
+    } else if (kind == ObjectKind::Evacuations && origin == ChangeOrigin::OlderCopy) {
+        // The operator may have written it after the copy was made, and writes it again.
+        runAfter(m_executor, recoveryTime, [this, name] {
+            if (!contains(ObjectKind::Evacuations, name))
+                endEvacuation(name);
+        });
     } else if (kind == ObjectKind::Evacuations) {
-        m_board.m_upstreams.m_evacuated.erase(DataCentreName(name));
-        logChange("data_centre_back", { { "data_centre", name } });
+        endEvacuation(name);
     }
 }
 
+auto StoreSync::endEvacuation(const std::string& name) -> void
+{
+    m_board.m_upstreams.m_evacuated.erase(DataCentreName(name));
+    logChange("data_centre_back", { { "data_centre", name } });
+}
+
+auto StoreSync::contains(ObjectKind kind, const std::string& name) -> bool
+{
+    return m_board.m_objects[kind].m_objects.contains(name);
+}
+
 auto StoreSync::removeUpstreamAfterRecovery(const std::string& name) -> void
 {
     const auto until = m_board.m_storeRecoveredAt + recoveryTime;
@@ -325,7 +410,7 @@
     }
     const auto time = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
     runAfter(m_executor, time, [this, name] {
-        if (!m_board.m_objects[ObjectKind::Upstreams].m_objects.contains(name))
+        if (!contains(ObjectKind::Upstreams, name))
             removeUpstream(m_board.m_upstreams, UpstreamName(name), Clock::now());
     });
 }
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -3,28 +3,15 @@
 
 #include "relay/blackboard_updates.h"
 #include "relay/cache_exchange.h"
+#include "relay/object_schema.h"
 #include "relay/relay_settings.h"
 
-#include <functional>
+#include <map>
 #include <random>
 #include <string>
 
 namespace marigoldladder::relay {
 
-// The names of the store's kinds of objects, and the functions that decode an object's content.
-//
-// A function returns nothing if the content can't be decoded.
-struct ObjectSchema {
-    std::string m_configurationKind;
-    std::string m_upstreamKind;
-    std::string m_evacuationKind; // One object for each data centre that gets no new work.
-    std::string m_versionKind; // Announced versions of adapters.
-    std::function<std::optional<RoutingConfiguration>(const nlohmann::json&)> m_readConfiguration;
-    std::function<std::optional<UpstreamRecord>(const std::string& name, const nlohmann::json&)>
-        m_readUpstream;
-    std::function<std::optional<ListedAdapter>(const nlohmann::json&)> m_readVersion;
-};
-
 class StoreSync {
 public:
     StoreSync(Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, const ObjectSchema&);
@@ -37,7 +24,6 @@
     auto hasAllKinds() const -> bool;
 
 private:
-    auto kindName(ObjectKind) const -> const std::string&;
     auto follow(ObjectKind) -> Awaitable<void>;
     // Watches until a watch fails (returns true) or only other nodes should watch (returns false).
     auto watchWhileAssigned(ObjectKind) -> Awaitable<bool>;
@@ -46,12 +32,27 @@
     auto isKnownSmallFleet() const -> bool;
     auto isRetryPaused(ObjectKind) const -> bool;
     auto requiredListingAge(ObjectKind) const -> ListingAge;
-    auto applyChanges(ObjectKind, const std::vector<ObjectChange>&) -> void;
-    auto applyObject(ObjectKind, const StoredObject&) -> void;
-    auto applyRemoval(ObjectKind, const std::string& name) -> void;
+    auto fetchFrom(const Peer&, ObjectKind, StoreRevision after) -> Awaitable<void>;
+    auto fetchNewerConfiguration() -> Awaitable<void>;
+    auto peerWithNews(ObjectKind) -> const Peer*;
+    // Where changes come from.
+    enum class ChangeOrigin {
+        Store, // Written to the store since the state known before.
+        OlderCopy, // The first state of a new era, which may be older than what is known.
+    };
+
+    auto mergeStoreListing(ObjectKind, const ObjectListing&) -> void;
+    auto mergeUpdate(ObjectKind, const CacheChanges&) -> void;
+    auto applyChanges(ObjectKind, StoreRevision before, const std::vector<ObjectChange>&) -> void;
+    auto recordEra(ObjectKind, StoreRevision before) -> void;
+    auto applyObject(ObjectKind, const StoredObject&, ChangeOrigin) -> void;
+    auto applyUpstream(const StoredObject&, ChangeOrigin) -> void;
+    auto applyCopiedUpstream(const UpstreamRecord&) -> void;
+    auto applyRemoval(ObjectKind, const std::string& name, ChangeOrigin) -> void;
     auto removeUpstreamAfterRecovery(const std::string& name) -> void;
+    auto endEvacuation(const std::string& name) -> void;
+    auto contains(ObjectKind, const std::string& name) -> bool;
     auto recordReachability(bool) -> void;
-    auto recordEra(ObjectKind, const ObjectListing&) -> void;
     auto markStoreUnreachable() -> void;
     auto beginProbeIfDue(ObjectKind) -> bool;
     auto backoff() -> Milliseconds;
@@ -61,11 +62,12 @@
     RelayBoard& m_board;
     const ObjectStore& m_store;
     const ObjectSchema& m_schema;
+    std::map<ObjectKind, KindRules> m_rules;
     CacheExchange m_exchange;
     MonotonicTime m_startedAt {};
     MonotonicTime m_nextProbeAt {}; // Earliest probe while other nodes should watch.
+    MonotonicTime m_nextVersionFetchAt {}; // Earliest fetch of a newer configuration at no later revision.
     bool m_wasUnreachable = false;
-    std::uint64_t m_era = 0; // Of the store, as of the latest listing.
     std::mt19937 m_random;
 };
 
--- a/test/platform/fake_store.cc
+++ b/test/platform/fake_store.cc
@@ -51,14 +51,27 @@
 
 auto FakeStore::put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void
 {
-    m_objects[kind][name] = Object { ++m_revision, std::move(spec) };
-    m_changes.push_back({ m_revision, kind, name, false });
+    m_state.m_objects[kind][name] = Object { ++m_state.m_revision, std::move(spec) };
+    m_state.m_changes.push_back({ m_state.m_revision, kind, name, false });
 }
 
 auto FakeStore::remove(const std::string& kind, const std::string& name) -> void
 {
-    m_objects[kind].erase(name);
-    m_changes.push_back({ ++m_revision, kind, name, true });
+    m_state.m_objects[kind].erase(name);
+    m_state.m_changes.push_back({ ++m_state.m_revision, kind, name, true });
+}
+
+auto FakeStore::keepCopy() -> void
+{
+    m_copy = m_state;
+}
+
+auto FakeStore::restoreCopy() -> void
+{
+    m_state = m_copy;
+    ++m_era;
+    m_publishedRevisions.clear();
+    m_oldestRevision = std::min(m_oldestRevision, m_state.m_revision);
 }
 
 auto FakeStore::serve(boost::asio::ip::tcp::socket socket) -> Awaitable<void>
@@ -91,20 +104,20 @@
 auto FakeStore::list(const std::string& kind) const -> nlohmann::json
 {
     auto items = nlohmann::json::array();
-    if (const auto found = m_objects.find(kind); found != m_objects.end()) {
+    if (const auto found = m_state.m_objects.find(kind); found != m_state.m_objects.end()) {
         for (const auto& [name, object] : found->second)
             items.push_back(describe(name, object));
     }
-    return { { "items", items }, { "more_pages", false }, { "as_of", m_revision } };
+    return { { "items", items }, { "more_pages", false }, { "as_of", m_state.m_revision } };
 }
 
 auto FakeStore::changesAfter(const std::string& kind, std::uint64_t revision) const -> nlohmann::json
 {
     auto events = nlohmann::json::array();
-    for (const auto& change : m_changes) {
+    for (const auto& change : m_state.m_changes) {
         if (change.m_kind != kind || change.m_revision <= revision)
             continue;
-        const auto& objects = m_objects.at(kind);
+        const auto& objects = m_state.m_objects.at(kind);
         const auto found = objects.find(change.m_name);
         const auto object = found == objects.end() ? Object { change.m_revision, nullptr } : found->second;
         events.push_back({ { "deleted", change.m_removed }, { "object", describe(change.m_name, object) } });
@@ -118,7 +131,7 @@
     const auto body = nlohmann::json::parse(request.body(), nullptr, false);
     const auto ownName = body["metadata"].value("name", name);
     const auto expected = body["metadata"].value("revision", std::uint64_t { 0 });
-    auto& objects = m_objects[kind];
+    auto& objects = m_state.m_objects[kind];
     const auto found = objects.find(ownName);
     const auto creates = request.method() == http::verb::post;
     const auto conflict = creates
@@ -133,6 +146,13 @@
 }
 
 auto FakeStore::answer(const Request& request) -> Awaitable<Response>
+{
+    auto response = co_await answerWithinEra(request);
+    response.set("Store-Era", std::to_string(m_era));
+    co_return response;
+}
+
+auto FakeStore::answerWithinEra(const Request& request) -> Awaitable<Response>
 {
     auto response = Response();
     response.version(11);
@@ -149,33 +169,36 @@
     }
     const auto watch = queryParameter(target, "watch");
     if (!name.empty()) {
-        if (m_objects[kind].contains(name))
-            response.body() = describe(name, m_objects[kind][name]).dump();
+        if (m_state.m_objects[kind].contains(name))
+            response.body() = describe(name, m_state.m_objects[kind][name]).dump();
         else
             response.result(http::status::not_found);
         co_return response;
     }
     if (watch.empty()) {
-        m_publishedRevisions[kind] = m_revision;
+        m_publishedRevisions[kind] = m_state.m_revision;
         response.body() = list(kind).dump();
         co_return response;
     }
     const auto revision = std::stoull(watch);
     const auto until = std::chrono::steady_clock::now()
         + std::chrono::milliseconds(std::stoll("0" + queryParameter(target, "wait_ms")));
+    const auto era = m_era;
+    const auto isGone
+        = [&] { return revision < m_oldestRevision || revision > m_state.m_revision || m_era != era; };
     auto events = changesAfter(kind, revision);
     while (events.empty() && !m_refuses && std::chrono::steady_clock::now() < until) {
-        if (revision < m_oldestRevision)
+        if (isGone())
             break;
         co_await sleepFor(pollInterval);
         events = changesAfter(kind, revision);
     }
-    if (revision < m_oldestRevision || m_refuses) {
+    if (isGone() || m_refuses) {
         response.result(m_refuses ? http::status::service_unavailable : http::status::gone);
         co_return response;
     }
-    m_publishedRevisions[kind] = m_revision;
-    response.body() = nlohmann::json { { "events", events }, { "as_of", m_revision } }.dump();
+    m_publishedRevisions[kind] = m_state.m_revision;
+    response.body() = nlohmann::json { { "events", events }, { "as_of", m_state.m_revision } }.dump();
     co_return response;
 }
 
--- a/test/platform/fake_store.h
+++ b/test/platform/fake_store.h
@@ -1,4 +1,4 @@
-// A fake of the platform's metadata store: objects by kind, revisions, conditional writes and watches.
+// A fake of the platform's metadata store: objects by kind, revisions, eras, conditional writes and watches.
 //
 // It serves HTTP on loopback from the given event loop, and can simulate failures.
 #pragma once
@@ -26,7 +26,12 @@
     auto remove(const std::string& kind, const std::string& name) -> void;
 
     // Discards the changes so far, so that watches from earlier revisions fail.
-    auto discardHistory() -> void { m_oldestRevision = m_revision; }
+    auto discardHistory() -> void { m_oldestRevision = m_state.m_revision; }
+
+    // Keeps a copy of the objects as they are now.
+    auto keepCopy() -> void;
+    // Returns to the copy kept last: objects, revisions and history are those of the copy, and the era rises.
+    auto restoreCopy() -> void;
 
     // While set, every call is answered 503.
     auto refuseCalls(bool refuses) -> void { m_refuses = refuses; }
@@ -35,7 +40,7 @@
     auto stopAnswering() -> void { m_unresponsive = true; }
 
     auto calls() const -> int { return m_calls; }
-    auto revision() const -> std::uint64_t { return m_revision; }
+    auto revision() const -> std::uint64_t { return m_state.m_revision; }
 
     // Returns the latest revision that a listing or a watch of this kind has returned.
     auto publishedRevision(const std::string& kind) -> std::uint64_t { return m_publishedRevisions[kind]; }
@@ -51,11 +56,18 @@
         std::string m_name;
         bool m_removed = false;
     };
+    // What a copy of the store contains.
+    struct State {
+        std::map<std::string, std::map<std::string, Object>> m_objects;
+        std::vector<Change> m_changes;
+        std::uint64_t m_revision = 1;
+    };
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
     auto answer(const Request&) -> relay::Awaitable<Response>;
+    auto answerWithinEra(const Request&) -> relay::Awaitable<Response>;
     auto list(const std::string& kind) const -> nlohmann::json;
     auto changesAfter(const std::string& kind, std::uint64_t revision) const -> nlohmann::json;
     auto describe(const std::string& name, const Object&) const -> nlohmann::json;
@@ -63,10 +75,10 @@
 
     boost::asio::io_context& m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::map<std::string, std::map<std::string, Object>> m_objects;
-    std::vector<Change> m_changes;
+    State m_state;
+    State m_copy;
+    std::uint64_t m_era = 1;
     std::map<std::string, std::uint64_t> m_publishedRevisions;
-    std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRevision = 0;
     int m_calls = 0;
     bool m_refuses = false;
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -231,6 +231,16 @@
     onLoop([&] { m_parts->m_store.refuseCalls(refuses); });
 }
 
+auto RelayHarness::keepStoreCopy() -> void
+{
+    onLoop([&] { m_parts->m_store.keepCopy(); });
+}
+
+auto RelayHarness::restoreStoreCopy() -> void
+{
+    onLoop([&] { m_parts->m_store.restoreCopy(); });
+}
+
 auto RelayHarness::discardStoreHistory() -> void
 {
     onLoop([&] { m_parts->m_store.discardHistory(); });
@@ -241,6 +251,13 @@
     onLoop([&] { m_parts->m_store.stopAnswering(); });
 }
 
+auto RelayHarness::storeCalls() -> int
+{
+    auto calls = 0;
+    onLoop([&] { calls = m_parts->m_store.calls(); });
+    return calls;
+}
+
 auto RelayHarness::isStoreReachable() -> bool
 {
     auto reaches = false;
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -57,9 +57,16 @@
     auto refuseStoreCalls(bool refuses) -> void;
     auto discardStoreHistory() -> void;
 
+    // Keeps a copy of the store, and returns to it.
+    auto keepStoreCopy() -> void;
+    auto restoreStoreCopy() -> void;
+
     // From now on the store accepts calls but answers none.
     auto stopStoreAnswers() -> void;
 
+    // Returns the calls that the store has received so far.
+    auto storeCalls() -> int;
+
     // Returns whether the node considers the store reachable.
     auto isStoreReachable() -> bool;
 
--- a/test/relay/object_cache_test.cc
+++ b/test/relay/object_cache_test.cc
@@ -5,60 +5,73 @@
 namespace marigoldladder::relay {
 namespace {
 
+    const auto noRules = KindRules();
+
+    auto at(std::uint64_t revision, std::uint64_t era = 1) -> StoreRevision
+    {
+        return StoreRevision { era, revision };
+    }
+
     auto object(const std::string& name, std::uint64_t revision) -> StoredObject
     {
         auto result = StoredObject();
         result.m_name = name;
-        result.m_revision = revision;
+        result.m_revision = at(revision);
         result.m_content = revision;
         return result;
     }
 
     auto listing(std::uint64_t revision, std::vector<StoredObject> objects) -> ObjectListing
     {
-        return ObjectListing { std::move(objects), revision };
+        return ObjectListing { std::move(objects), at(revision) };
+    }
+
+    auto changes(std::uint64_t revision, std::vector<ObjectChange> list) -> CacheChanges
+    {
+        return CacheChanges { std::move(list), at(revision), false };
     }
 
     TEST(ObjectCacheTest, APeerReceivesChangesAndRemovals)
     {
         auto watcher = KindCache();
         auto follower = KindCache();
-        (void)mergeListing(watcher, listing(10, { object("a", 3), object("b", 7) }));
-        (void)mergeChanges(follower, changesSince(watcher, 0));
+        (void)mergeListing(watcher, listing(10, { object("a", 3), object("b", 7) }), noRules);
+        (void)mergeChanges(follower, changesSince(watcher, {}), noRules);
         EXPECT_EQ(follower.m_objects.size(), 2U);
-        (void)mergeChanges(watcher, { { { object("b", 7), true }, { object("c", 12), false } }, 12, false });
-        const auto changes = mergeChanges(follower, changesSince(watcher, follower.m_revision));
-        EXPECT_EQ(changes.size(), 2U);
+        (void)mergeChanges(
+            watcher, changes(12, { { object("b", 7), true }, { object("c", 12), false } }), noRules);
+        const auto news = mergeChanges(follower, changesSince(watcher, follower.m_revision), noRules);
+        EXPECT_EQ(news.size(), 2U);
         EXPECT_EQ(follower.m_objects.count("b"), 0U);
         EXPECT_EQ(follower.m_objects.count("c"), 1U);
-        EXPECT_EQ(follower.m_revision, 12U);
+        EXPECT_EQ(follower.m_revision, at(12));
     }
 
     TEST(ObjectCacheTest, IgnoresOlderListingsChangesAndObjects)
     {
         auto cache = KindCache();
-        (void)mergeListing(cache, listing(10, { object("a", 9) }));
-        EXPECT_TRUE(mergeListing(cache, listing(8, { object("a", 5) })).empty());
-        EXPECT_TRUE(mergeChanges(cache, { { { object("a", 5), false } }, 9, false }).empty());
-        EXPECT_TRUE(mergeChanges(cache, { { { object("a", 5), false } }, 11, false }).empty())
+        (void)mergeListing(cache, listing(10, { object("a", 9) }), noRules);
+        EXPECT_TRUE(mergeListing(cache, listing(8, { object("a", 5) }), noRules).empty());
+        EXPECT_TRUE(mergeChanges(cache, changes(9, { { object("a", 5), false } }), noRules).empty());
+        EXPECT_TRUE(mergeChanges(cache, changes(11, { { object("a", 5), false } }), noRules).empty())
             << "expected no change, as the cached object is newer";
-        EXPECT_EQ(cache.m_objects.at("a").m_revision, 9U);
+        EXPECT_EQ(cache.m_objects.at("a").m_revision, at(9));
     }
 
     TEST(ObjectCacheTest, ANodeThatLacksMoreThanTheKeptRemovalsReceivesAllObjects)
     {
         auto watcher = KindCache();
         auto follower = KindCache();
-        (void)mergeListing(watcher, listing(1, { object("old", 1) }));
-        (void)mergeChanges(follower, changesSince(watcher, 0));
+        (void)mergeListing(watcher, listing(1, { object("old", 1) }), noRules);
+        (void)mergeChanges(follower, changesSince(watcher, {}), noRules);
         for (auto revision = std::uint64_t { 2 }; revision < 2'000; revision += 2) {
             const auto name = "n" + std::to_string(revision);
-            (void)mergeChanges(watcher, { { { object(name, revision), false } }, revision, false });
-            (void)mergeChanges(watcher, { { { object(name, revision), true } }, revision + 1, false });
+            (void)mergeChanges(watcher, changes(revision, { { object(name, revision), false } }), noRules);
+            (void)mergeChanges(watcher, changes(revision + 1, { { object(name, revision), true } }), noRules);
         }
-        const auto changes = changesSince(watcher, follower.m_revision);
-        EXPECT_TRUE(changes.m_complete);
-        (void)mergeChanges(follower, changes);
+        const auto news = changesSince(watcher, follower.m_revision);
+        EXPECT_TRUE(news.m_complete);
+        (void)mergeChanges(follower, news, noRules);
         EXPECT_EQ(follower.m_objects.size(), 1U);
     }
 
@@ -66,12 +79,12 @@
     {
         auto watcher = KindCache();
         auto follower = KindCache();
-        (void)mergeListing(watcher, listing(1, { object("a", 1) }));
-        (void)mergeChanges(follower, changesSince(watcher, 0));
-        (void)mergeChanges(watcher, { { { object("a", 1), true } }, 5, false });
-        (void)mergeChanges(watcher, { { { object("a", 6), false } }, 6, false });
-        (void)mergeChanges(follower, changesSince(watcher, 1));
-        EXPECT_EQ(follower.m_objects.at("a").m_revision, 6U);
+        (void)mergeListing(watcher, listing(1, { object("a", 1) }), noRules);
+        (void)mergeChanges(follower, changesSince(watcher, {}), noRules);
+        (void)mergeChanges(watcher, changes(5, { { object("a", 1), true } }), noRules);
+        (void)mergeChanges(watcher, changes(6, { { object("a", 6), false } }), noRules);
+        (void)mergeChanges(follower, changesSince(watcher, at(1)), noRules);
+        EXPECT_EQ(follower.m_objects.at("a").m_revision, at(6));
     }
 
 } // namespace
