Read the order lease in the store's new era before renewing it, and let no fence fall

After a restore the lease object may be an earlier one, or missing. A holder's renewal by the old revision fails and ended its term, or replaces another state, as revisions are given out again; a successor took the copy's fence plus one, or 1, which may be below the one in use; a restarted node whose older lease is in the copy took over at once beside the holder.

The holder reads the lease in the new era before it renews and writes its own over an outdated one. A fence is above every one that is known. A missing lease whose holder is known is created only when that holder's time is over, and a restarted node hears its peers for half a second before it takes over by its own old lease. What remains: a node that knows no peer and no holder still begins at the copy's fence.

--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -21,8 +21,10 @@
 
 private:
     auto runLeaseLoop() -> Awaitable<void>;
-    auto performLeaseStep(LeaseStep) -> Awaitable<void>;
+    auto leaseContext(BootClockTime startedAt) const -> LeaseContext;
+    auto performLeaseStep(LeaseStep, std::uint64_t nextFence) -> Awaitable<void>;
     auto readLease() -> Awaitable<void>;
+    auto applyFoundLease(const LeaseRecord&) -> void;
     auto writeLease(bool create, std::uint64_t fence, std::uint64_t renewals) -> Awaitable<void>;
     auto markLeaseHeld(const LeaseRecord&, BootClockTime sentAt) -> void;
     auto loseLease(const char* reason) -> void;
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -23,6 +23,7 @@
     {
         auto record = LeaseRecord();
         record.m_revision = object.m_revision.m_revision;
+        record.m_era = object.m_revision.m_era;
         if (!object.m_content.is_object())
             return record;
         record.m_vm = VmName(object.m_content.value("vm", ""));
@@ -31,6 +32,14 @@
         return record;
     }
 
+    // The state of a store of this era without a lease.
+    auto missingLease(std::uint64_t era) -> LeaseRecord
+    {
+        auto record = LeaseRecord();
+        record.m_era = era;
+        return record;
+    }
+
 } // namespace
 
 auto OrderController::runLeaseLoop() -> Awaitable<void>
@@ -41,27 +50,37 @@
         const auto& holder = m_board.m_fleet.m_holder;
         if (m_lease.m_holding && holder.m_fence > m_board.m_orders.m_fence)
             loseLease("another node holds a lease with a higher fence");
-        auto context = LeaseContext();
-        context.m_self = m_settings.m_vm;
-        context.m_leaseTime = m_settings.m_bounds.m_leaseTime;
-        context.m_now = bootClockNow();
-        if (holder.m_lastReportedAt != MonotonicTime() && holder.m_vm != m_settings.m_vm)
-            context.m_holderLastSeenAt = context.m_now - (Clock::now() - holder.m_lastReportedAt);
-        context.m_eligible = m_isReady();
-        context.m_rank = m_peers.rankAmongReady();
-        context.m_startedAt = startedAt;
-        context.m_largeFleet = !isSmallFleet(m_board.m_fleet);
+        const auto context = leaseContext(startedAt);
         const auto step = nextLeaseStep(m_lease, context);
         if (step == LeaseStep::Nothing)
             continue;
-        co_await performLeaseStep(step);
+        co_await performLeaseStep(step, nextFence(m_lease, context));
         if (step == LeaseStep::Read)
-            co_await sleepFor(leaseReadInterval);
+            co_await sleepFor(m_lease.m_holding ? leaseStepInterval : leaseReadInterval);
     }
 }
 
-auto OrderController::performLeaseStep(LeaseStep step) -> Awaitable<void>
+auto OrderController::leaseContext(BootClockTime startedAt) const -> LeaseContext
+{
+    const auto& holder = m_board.m_fleet.m_holder;
+    auto context = LeaseContext();
+    context.m_self = m_settings.m_vm;
+    context.m_leaseTime = m_settings.m_bounds.m_leaseTime;
+    context.m_now = bootClockNow();
+    if (holder.m_lastReportedAt != MonotonicTime() && holder.m_vm != m_settings.m_vm)
+        context.m_holderLastSeenAt = context.m_now - (Clock::now() - holder.m_lastReportedAt);
+    context.m_eligible = m_isReady();
+    context.m_rank = m_peers.rankAmongReady();
+    context.m_startedAt = startedAt;
+    context.m_largeFleet = !isSmallFleet(m_board.m_fleet);
+    context.m_storeEra = m_board.m_storeEra.value_or(0);
+    context.m_highestFence = std::max(holder.m_fence, m_board.m_orders.m_fence);
+    return context;
+}
+
+auto OrderController::performLeaseStep(LeaseStep step, std::uint64_t nextFence) -> Awaitable<void>
 {
+    const auto own = m_board.m_orders.m_fence;
     switch (step) {
     case LeaseStep::Nothing:
         break;
@@ -69,13 +88,13 @@
         co_await readLease();
         break;
     case LeaseStep::Create:
-        co_await writeLease(true, 1, 0);
+        co_await writeLease(true, m_lease.m_holding ? own : nextFence, 0);
         break;
     case LeaseStep::Renew:
-        co_await writeLease(false, m_lease.m_lastRecord->m_fence, m_lease.m_lastRecord->m_renewals + 1);
+        co_await writeLease(false, own, m_lease.m_lastRecord->m_renewals + 1);
         break;
     case LeaseStep::TakeOver:
-        co_await writeLease(false, m_lease.m_lastRecord->m_fence + 1, 0);
+        co_await writeLease(false, nextFence, 0);
         break;
     }
 }
@@ -84,43 +103,62 @@
 {
     auto object = co_await m_store.m_get(leaseKind, leaseName);
     if (object)
-        applyLeaseRecord(m_lease, toRecord(object.value()), bootClockNow());
+        applyFoundLease(toRecord(object.value()));
     else if (object.error().m_type == StoreFailureType::Conflict)
-        applyLeaseRecord(m_lease, LeaseRecord(), bootClockNow());
+        applyFoundLease(missingLease(m_board.m_storeEra.value_or(0)));
+}
+
+auto OrderController::applyFoundLease(const LeaseRecord& found) -> void
+{
+    if (m_lease.m_holding) {
+        const auto held = LeaseRecord { m_settings.m_vm, m_board.m_orders.m_fence, 0, 0,
+            m_lease.m_lastRecord ? m_lease.m_lastRecord->m_era : 0 };
+        const auto judged = judgeHeldLease(held, found);
+        if (judged == HeldLease::Lost)
+            loseLease("another node has taken over the lease");
+        else if (judged == HeldLease::Outdated)
+            logChange("order_lease_outdated",
+                { { "holder", found.m_vm.value() }, { "fence", std::to_string(found.m_fence) },
+                    { "era", std::to_string(found.m_era) } });
+    }
+    applyLeaseRecord(m_lease, found, bootClockNow());
 }
 
 auto OrderController::writeLease(bool create, std::uint64_t fence, std::uint64_t renewals) -> Awaitable<void>
 {
     const auto sentAt = bootClockNow();
+    const auto before = *m_lease.m_lastRecord;
     auto record
-        = LeaseRecord { m_settings.m_vm, fence, renewals, create ? 0 : m_lease.m_lastRecord->m_revision };
+        = LeaseRecord { m_settings.m_vm, fence, renewals, create ? 0 : before.m_revision, before.m_era };
     auto object = StoredObject();
     object.m_name = leaseName;
-    object.m_revision.m_revision = record.m_revision;
+    object.m_revision = { record.m_era, record.m_revision };
     object.m_content = toJson(record);
     // Awaited in its own statement, as gcc 12 destroys temporaries twice where an awaited conditional
     // expression contains both calls.
     auto call = create ? m_store.m_create(leaseKind, object) : m_store.m_replace(leaseKind, object);
     auto written = co_await std::move(call);
-    if (written) {
+    const auto sameEra = written && written.value().m_revision.m_era == before.m_era;
+    if (sameEra || (written && create)) {
         record.m_revision = written.value().m_revision.m_revision;
+        record.m_era = written.value().m_revision.m_era;
         markLeaseHeld(record, sentAt);
         co_return;
     }
-    if (written.error().m_type == StoreFailureType::Refused)
+    if (!written && written.error().m_type == StoreFailureType::Refused)
         co_return;
-    // Either another node has written the object, or the answer to this node's own write was lost.
+    // Another node has written the object, the answer to this node's own write was lost, or the store
+    // returned from an older copy and the write replaced an object that this node hasn't read.
     auto current = co_await m_store.m_get(leaseKind, leaseName);
     if (!current)
         co_return;
     const auto found = toRecord(current.value());
-    if (found.m_vm == m_settings.m_vm && found.m_fence == fence && found.m_renewals == renewals) {
+    const auto isOwnWrite
+        = found.m_vm == m_settings.m_vm && found.m_fence == fence && found.m_renewals == renewals;
+    if (isOwnWrite && found.m_era == before.m_era)
         markLeaseHeld(found, sentAt);
-        co_return;
-    }
-    applyLeaseRecord(m_lease, found, bootClockNow());
-    if (m_lease.m_holding && (found.m_vm != m_settings.m_vm || found.m_fence != fence))
-        loseLease("another node has taken over the lease");
+    else
+        applyFoundLease(found);
 }
 
 auto OrderController::markLeaseHeld(const LeaseRecord& record, BootClockTime sentAt) -> void
--- a/src/relay/order_lease.cc
+++ b/src/relay/order_lease.cc
@@ -9,9 +9,9 @@
     constexpr auto takeoverMargin = Milliseconds(300); // For orders that are still being transmitted.
     constexpr auto creationDelay = Milliseconds(1'500); // Nodes that start together discover each other.
     constexpr auto rankDelay = Milliseconds(300); // Keeps candidates from trying at the same time.
-    // In a large fleet: the time in which nodes that start together learn their ranks, how many nodes read
-    // the object right after it, and how much later each node reads it for each step of its rank.
-    constexpr auto rankDiscoveryTime = Milliseconds(500);
+    constexpr auto discoveryTime = Milliseconds(500); // Until a node that starts has heard from its peers.
+    // In a large fleet: how many nodes read the object once they know their ranks, and how much later each
+    // node reads it for each step of its rank.
     constexpr auto immediateReaders = std::size_t { 4 };
     constexpr auto readDelayPerRank = Milliseconds(1'000);
 
@@ -25,7 +25,7 @@
             ? Milliseconds(0)
             : readDelayPerRank * static_cast<int>(context.m_rank);
         const auto inactiveSince = std::max(context.m_startedAt, context.m_holderLastSeenAt);
-        return context.m_now < inactiveSince + rankDiscoveryTime + rankTime;
+        return context.m_now < inactiveSince + discoveryTime + rankTime;
     }
 
 } // namespace
@@ -43,10 +43,48 @@
     return state.m_holding && (now < state.m_renewedAt + renewalValidity || confirmedByAll);
 }
 
+auto nextFence(const LeaseState& state, const LeaseContext& context) -> std::uint64_t
+{
+    const auto recorded = state.m_lastRecord ? state.m_lastRecord->m_fence : 0;
+    return std::max(recorded, context.m_highestFence) + 1;
+}
+
+auto judgeHeldLease(const LeaseRecord& held, const LeaseRecord& found) -> HeldLease
+{
+    if (found.m_vm == held.m_vm && found.m_fence == held.m_fence)
+        return HeldLease::Kept;
+    const auto isOutdated = found.m_era > held.m_era && found.m_fence < held.m_fence;
+    return isOutdated ? HeldLease::Outdated : HeldLease::Lost;
+}
+
+namespace {
+
+    auto nextHolderStep(const LeaseState& state, const LeaseContext& context) -> LeaseStep
+    {
+        if (context.m_now < state.m_renewedAt + renewalInterval)
+            return LeaseStep::Nothing;
+        const auto isOfEarlierEra = state.m_lastRecord && state.m_lastRecord->m_era < context.m_storeEra;
+        if (isOfEarlierEra)
+            return LeaseStep::Read;
+        const auto isMissing = state.m_lastRecord && state.m_lastRecord->m_revision == 0;
+        return isMissing ? LeaseStep::Create : LeaseStep::Renew;
+    }
+
+    // Whether the record is the last lease of an earlier process of this node, which then has no successor.
+    // In an older copy of the store it may not be the last one; peers tell of a later one within the
+    // discovery time.
+    auto isOwnLastLease(const LeaseRecord& record, const LeaseContext& context) -> bool
+    {
+        return record.m_vm == context.m_self && record.m_fence >= context.m_highestFence
+            && context.m_now >= context.m_startedAt + discoveryTime;
+    }
+
+} // namespace
+
 auto nextLeaseStep(const LeaseState& state, const LeaseContext& context) -> LeaseStep
 {
     if (state.m_holding)
-        return context.m_now >= state.m_renewedAt + renewalInterval ? LeaseStep::Renew : LeaseStep::Nothing;
+        return nextHolderStep(state, context);
     if (!context.m_eligible)
         return LeaseStep::Nothing;
     const auto holderSeenRecently = context.m_now < context.m_holderLastSeenAt + renewalValidity;
@@ -55,17 +93,20 @@
     if (!state.m_lastRecord)
         return LeaseStep::Read;
     const auto rankTime = rankDelay * static_cast<int>(context.m_rank);
-    if (state.m_lastRecord->m_fence == 0) {
+    const auto isFirstLease = state.m_lastRecord->m_fence == 0 && context.m_highestFence == 0;
+    if (isFirstLease) {
         const auto createAt = state.m_unchangedSince + creationDelay + rankTime;
         return context.m_now >= createAt ? LeaseStep::Create : LeaseStep::Nothing;
     }
     // The previous process on this machine held the lease, so no other node has sent orders since, and there
     // is nothing to wait for.
-    if (state.m_lastRecord->m_vm == context.m_self)
+    if (isOwnLastLease(*state.m_lastRecord, context))
         return LeaseStep::TakeOver;
     const auto takeoverDelay = renewalValidity + context.m_leaseTime + takeoverMargin + rankTime;
     const auto inactiveSince = std::max(state.m_unchangedSince, context.m_holderLastSeenAt);
-    return context.m_now >= inactiveSince + takeoverDelay ? LeaseStep::TakeOver : LeaseStep::Read;
+    if (context.m_now < inactiveSince + takeoverDelay)
+        return LeaseStep::Read;
+    return state.m_lastRecord->m_revision == 0 ? LeaseStep::Create : LeaseStep::TakeOver;
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/order_lease.h
+++ b/src/relay/order_lease.h
@@ -1,5 +1,9 @@
 // Decides which node sends orders to engines: one at a time, with a fencing number that only grows.
 //
+// After the store has returned from an older copy, the lease object may be an earlier one or missing. The
+// holder reads it in the new era before it renews, and writes its own again; no node takes a fence below one
+// that it knows of.
+//
 // The holder renews a lease object in the store. It may send orders while its last renewal is recent or,
 // while the store is unreachable, as long as every other node confirms that it has just received from the
 // holder. Another node takes over once the object has not changed and no node has received from the holder
@@ -20,6 +24,7 @@
     std::uint64_t m_fence = 0;
     std::uint64_t m_renewals = 0;
     std::uint64_t m_revision = 0; // Of the object in the store.
+    std::uint64_t m_era = 0; // Of the store at that revision.
 
     auto operator==(const LeaseRecord&) const -> bool = default;
 };
@@ -34,7 +39,7 @@
 enum class LeaseStep {
     Nothing,
     Read, // Read the object in the store.
-    Create, // The object does not exist yet.
+    Create, // The object does not exist, or no longer does.
     Renew,
     TakeOver,
 };
@@ -50,11 +55,26 @@
     std::size_t m_rank = 0; // Number of ready nodes that precede this one as candidates.
     BootClockTime m_startedAt {}; // When this node started its lease loop.
     bool m_largeFleet = false; // Limits how many nodes read the object at a time.
+    std::uint64_t m_storeEra = 0; // The highest known.
+    std::uint64_t m_highestFence = 0; // Of any holder that this node knows of.
 };
 
 // Returns the step that this node has to take now.
 auto nextLeaseStep(const LeaseState&, const LeaseContext&) -> LeaseStep;
 
+// Returns the fence of a node that creates the lease or takes it over.
+auto nextFence(const LeaseState&, const LeaseContext&) -> std::uint64_t;
+
+// What a lease object, as read, means for the node that holds the lease.
+enum class HeldLease {
+    Kept, // It is this node's.
+    Outdated, // It is of before this node's term, from an older copy of the store; the node writes its own
+              // again.
+    Lost, // Another node has taken over, or an earlier process of this one.
+};
+
+auto judgeHeldLease(const LeaseRecord& held, const LeaseRecord& found) -> HeldLease;
+
 // Records the object as read from the store or written to it.
 auto applyLeaseRecord(LeaseState&, const LeaseRecord&, BootClockTime now) -> void;
 
--- a/test/relay/order_lease_test.cc
+++ b/test/relay/order_lease_test.cc
@@ -112,5 +112,83 @@
         EXPECT_EQ(stepAt(23), LeaseStep::Read);
     }
 
+    class RestoredLeaseTest : public OrderLeaseTest {
+    protected:
+        RestoredLeaseTest()
+        {
+            m_state.m_holding = true;
+            m_state.m_renewedAt = seconds(10);
+            m_state.m_lastRecord = LeaseRecord { VmName("self"), 7, 4, 77, 1 };
+            m_context.m_storeEra = 2;
+            m_context.m_highestFence = 7;
+        }
+
+        auto found(const char* vm, std::uint64_t fence, std::uint64_t era) -> LeaseRecord
+        {
+            return LeaseRecord { VmName(vm), fence, 1, 30, era };
+        }
+    };
+
+    TEST_F(RestoredLeaseTest, TheHolderReadsTheLeaseOfTheNewEraBeforeItRenews)
+    {
+        EXPECT_EQ(stepAt(10.6), LeaseStep::Read);
+        applyLeaseRecord(m_state, found("self", 7, 2), seconds(10.6));
+        EXPECT_EQ(stepAt(10.7), LeaseStep::Renew);
+    }
+
+    TEST_F(RestoredLeaseTest, TheHolderCreatesItsLeaseAgainIfTheCopyLacksIt)
+    {
+        auto missing = LeaseRecord();
+        missing.m_era = 2;
+        applyLeaseRecord(m_state, missing, seconds(10.6));
+        EXPECT_EQ(stepAt(10.7), LeaseStep::Create);
+    }
+
+    TEST_F(RestoredLeaseTest, AnEarlierLeaseOfAnOlderCopyDoesNotEndTheTerm)
+    {
+        const auto held = *m_state.m_lastRecord;
+        EXPECT_EQ(judgeHeldLease(held, found("other", 6, 2)), HeldLease::Outdated);
+        EXPECT_EQ(judgeHeldLease(held, found("self", 5, 2)), HeldLease::Outdated);
+        EXPECT_EQ(judgeHeldLease(held, found("self", 7, 2)), HeldLease::Kept);
+    }
+
+    TEST_F(RestoredLeaseTest, ALaterLeaseOrAnyOtherOfTheSameEraEndsTheTerm)
+    {
+        const auto held = *m_state.m_lastRecord;
+        EXPECT_EQ(judgeHeldLease(held, found("other", 8, 2)), HeldLease::Lost);
+        EXPECT_EQ(judgeHeldLease(held, found("other", 7, 2)), HeldLease::Lost);
+        EXPECT_EQ(judgeHeldLease(held, found("other", 6, 1)), HeldLease::Lost);
+    }
+
+    TEST_F(RestoredLeaseTest, NoFenceIsBelowOneThatIsKnown)
+    {
+        m_state.m_holding = false;
+        m_state.m_lastRecord = found("other", 3, 2);
+        EXPECT_EQ(nextFence(m_state, m_context), 8U);
+        m_state.m_lastRecord = LeaseRecord();
+        EXPECT_EQ(nextFence(m_state, m_context), 8U);
+    }
+
+    TEST_F(RestoredLeaseTest, AMissingLeaseWithAKnownHolderIsCreatedOnlyOnceThatHoldersTimeIsOver)
+    {
+        m_state = LeaseState();
+        auto missing = LeaseRecord();
+        missing.m_era = 2;
+        applyLeaseRecord(m_state, missing, seconds(10));
+        EXPECT_EQ(stepAt(11.6), LeaseStep::Read);
+        EXPECT_EQ(stepAt(14.7), LeaseStep::Create);
+    }
+
+    TEST_F(RestoredLeaseTest, ARestartedNodeDoesNotTakeOverByAnOldLeaseOfItsOwn)
+    {
+        m_state = LeaseState();
+        applyLeaseRecord(m_state, found("self", 5, 2), seconds(10));
+        EXPECT_EQ(stepAt(10.1), LeaseStep::Read) << "a holder with a higher fence is known";
+        m_context.m_highestFence = 0;
+        m_context.m_startedAt = seconds(10);
+        EXPECT_EQ(stepAt(10.1), LeaseStep::Read) << "the peers have not told yet of a later holder";
+        EXPECT_EQ(stepAt(10.6), LeaseStep::TakeOver);
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
