Register a node again when the store has returned from an older copy

Found by looking for the cause elsewhere. A node writes its entry in the list of nodes once, at its start; an older copy may lack it or have its earlier address, so a node that starts later would not know it.

--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -25,6 +25,7 @@
     // Updates that are not urgent are collected for this time: adapters take far longer to load.
     constexpr auto batchDelay = Milliseconds(25);
     constexpr auto memberCheckInterval = Milliseconds(1'000); // Between checks whether the next read is due.
+    constexpr auto maxRegisterDelayMs = 2'000; // After the store has returned from an older copy.
     constexpr auto storeRetryInterval = Milliseconds(500);
     constexpr auto missingRetention = Milliseconds(250); // So that a few summaries contain the adapter.
     constexpr auto acknowledgementTimeout = Milliseconds(1'000);
@@ -39,6 +40,7 @@
     , m_store(store)
     , m_socket(socket)
     , m_incarnation(incarnation)
+    , m_random(std::random_device()())
 {
     m_board.m_fleet.m_localDataCentre = settings.m_dataCentre;
 }
@@ -214,6 +216,22 @@
     }
 }
 
+auto PeerExchange::registerAgain() -> void
+{
+    net::co_spawn(m_executor, registerAfterRestore(), net::detached);
+}
+
+// All nodes notice a restore at about the same time, so each waits for a random time.
+auto PeerExchange::registerAfterRestore() -> Awaitable<void>
+{
+    const auto delay = std::uniform_int_distribution<int>(0, maxRegisterDelayMs)(m_random);
+    co_await sleepFor(Milliseconds(delay));
+    co_await registerSelf();
+    auto found = co_await m_store.m_get(memberKind, m_settings.m_vm.value());
+    if (found)
+        co_await updateOwnEntry(found.value());
+}
+
 auto PeerExchange::updateOwnEntry(const StoredObject& found) -> Awaitable<void>
 {
     auto object = ownEntry();
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <functional>
+#include <random>
 
 namespace marigoldladder::relay::messages {
 struct Summary;
@@ -25,6 +26,9 @@
     // Starts sending summaries periodically, and registers this node in the store's list of nodes.
     auto start(std::function<bool()> isReady) -> void;
 
+    // Registers this node again, soon: the store has returned from an older copy, which may lack its entry.
+    auto registerAgain() -> void;
+
     // Applies a peer's summary. Returns false when the peer's latest summary is as new or newer.
     auto apply(const messages::Summary&) -> bool;
 
@@ -53,6 +57,7 @@
     auto joinFleet() -> Awaitable<void>;
     auto ownEntry() const -> StoredObject;
     auto registerSelf() -> Awaitable<void>;
+    auto registerAfterRestore() -> Awaitable<void>;
     auto updateOwnEntry(const StoredObject& found) -> Awaitable<void>;
     auto applyMemberList(const ObjectListing&) -> Awaitable<void>;
     auto addMember(const StoredObject&) -> void;
@@ -97,6 +102,7 @@
     std::size_t m_round = 0; // Of the periodic summaries.
     bool m_sendPending = false;
     bool m_holderSendPending = false;
+    std::mt19937 m_random;
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -73,6 +73,7 @@
                 { "requests_per_second", limit ? std::to_string(*limit) : "none" } });
         m_peers.scheduleSendToAll();
     };
+    m_board.m_storeRestored = [this] { m_peers.registerAgain(); };
     m_board.m_crashEvidenceChanged = [this] { m_peers.scheduleSendToAll(); };
     m_board.m_adapterWanted = [this] {
         if (m_board.m_orders.m_holdsLease)
