Take answers and peers that state no era as of the first era

During a rolling upgrade a peer of the earlier program states no era: its summaries counted as of this node's era, but the changes fetched from it as of era 0, so they were dropped and asked for again every 60 ms.

--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -185,7 +185,7 @@
         applyMember(*member, dataCentre, now);
     const auto known = m_board.m_fleet.m_peers.find(gateway);
     if (known != m_board.m_fleet.m_peers.end())
-        known->second.m_revisions = revisionsOf(digest, m_board.m_storeEra.value_or(0));
+        known->second.m_revisions = revisionsOf(digest);
     applyLoads(digest, now);
     applyFaults(digest, now);
     m_board.m_capacityChanged();
--- a/src/relay/object_store.h
+++ b/src/relay/object_store.h
@@ -35,12 +35,15 @@
 template <typename T>
 using StoreResult = boost::outcome_v2::basic_result<T, StoreFailure, boost::outcome_v2::policy::all_narrow>;
 
+// The era of a store that never returned from an older copy, and of answers and peers that state none.
+inline constexpr auto firstEra = std::uint64_t { 1 };
+
 // Identifies a state of the store, or of one object at its last change.
 //
 // The era rises each time that the store returns from an older copy. Revisions of different eras can't be
 // compared: the restored store assigns the revisions after the copy's a second time.
 struct StoreRevision {
-    std::uint64_t m_era = 0;
+    std::uint64_t m_era = 0; // From `firstEra` on; 0: unknown.
     std::uint64_t m_revision = 0; // 0: unknown.
 
     auto operator<=>(const StoreRevision&) const = default;
--- a/src/relay/peer_summary_receiver.cc
+++ b/src/relay/peer_summary_receiver.cc
@@ -55,7 +55,7 @@
     if (summary.store_reachable && !peer.m_storeReachable && sameRun)
         m_board.m_storeRecoveredAt = now;
     peer.m_storeReachable = summary.store_reachable;
-    peer.m_revisions = revisionsOf(summary, m_board.m_storeEra.value_or(0));
+    peer.m_revisions = revisionsOf(summary);
     peer.m_leaving = summary.leaving;
     peer.m_livenessTimeout = livenessTimeoutOf(m_board.m_fleet, peer);
     peer.m_configurationVersion = summary.configuration_version;
--- a/src/relay/store_revisions.h
+++ b/src/relay/store_revisions.h
@@ -18,14 +18,12 @@
     }
 }
 
-// Returns the revisions of a summary or digest, by kind of objects. `ownEra`: this node's, which holds for a
-// peer that doesn't state one.
-template <typename Message>
-auto revisionsOf(const Message& message, std::uint64_t ownEra) -> std::vector<StoreRevision>
+// Returns the revisions of a summary or digest, by kind of objects.
+template <typename Message> auto revisionsOf(const Message& message) -> std::vector<StoreRevision>
 {
     auto revisions = std::vector<StoreRevision>();
     for (auto kind = std::size_t { 0 }; kind < message.revisions.size(); ++kind) {
-        const auto era = kind < message.eras.size() ? message.eras[kind] : ownEra;
+        const auto era = kind < message.eras.size() ? message.eras[kind] : firstEra;
         revisions.push_back({ era, message.revisions[kind] });
     }
     return revisions;
