Keep the order lease through lost answers and a missing object after a restore

Three sequences: a candidate whose record is of an earlier era tried to take over an object that the copy lacks, again every 0.1 s; a holder that had read an outdated lease gave up when it read it a second time, after a lost answer; a fence read in an earlier era was forgotten when the copy's was read. Each has a test now: candidates read in the new era first, the holder compares with the era of its own last write, and the highest fence read is kept.

--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -22,7 +22,7 @@
 private:
     auto runLeaseLoop() -> Awaitable<void>;
     auto leaseContext(BootClockTime startedAt) const -> LeaseContext;
-    auto performLeaseStep(LeaseStep, std::uint64_t nextFence) -> Awaitable<void>;
+    auto performLeaseStep(LeaseStep, std::uint64_t newFence) -> Awaitable<void>;
     auto readLease() -> Awaitable<void>;
     auto applyFoundLease(const LeaseRecord&) -> void;
     auto writeLease(bool create, std::uint64_t fence, std::uint64_t renewals) -> Awaitable<void>;
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -78,7 +78,7 @@
     return context;
 }
 
-auto OrderController::performLeaseStep(LeaseStep step, std::uint64_t nextFence) -> Awaitable<void>
+auto OrderController::performLeaseStep(LeaseStep step, std::uint64_t newFence) -> Awaitable<void>
 {
     const auto own = m_board.m_orders.m_fence;
     switch (step) {
@@ -88,13 +88,13 @@
         co_await readLease();
         break;
     case LeaseStep::Create:
-        co_await writeLease(true, m_lease.m_holding ? own : nextFence, 0);
+        co_await writeLease(true, m_lease.m_holding ? own : newFence, 0);
         break;
     case LeaseStep::Renew:
         co_await writeLease(false, own, m_lease.m_lastRecord->m_renewals + 1);
         break;
     case LeaseStep::TakeOver:
-        co_await writeLease(false, nextFence, 0);
+        co_await writeLease(false, newFence, 0);
         break;
     }
 }
@@ -105,14 +105,13 @@
     if (object)
         applyFoundLease(toRecord(object.value()));
     else if (object.error().m_type == StoreFailureType::Conflict)
-        applyFoundLease(missingLease(m_board.m_storeEra.value_or(0)));
+        applyFoundLease(missingLease(m_board.m_storeEra.value_or(firstEra)));
 }
 
 auto OrderController::applyFoundLease(const LeaseRecord& found) -> void
 {
     if (m_lease.m_holding) {
-        const auto held = LeaseRecord { m_settings.m_vm, m_board.m_orders.m_fence, 0, 0,
-            m_lease.m_lastRecord ? m_lease.m_lastRecord->m_era : 0 };
+        const auto held = LeaseRecord { m_settings.m_vm, m_board.m_orders.m_fence, 0, 0, m_lease.m_heldEra };
         const auto judged = judgeHeldLease(held, found);
         if (judged == HeldLease::Lost)
             loseLease("another node has taken over the lease");
@@ -150,9 +149,11 @@
     // Another node has written the object, the answer to this node's own write was lost, or the store
     // returned from an older copy and the write replaced an object that this node hasn't read.
     auto current = co_await m_store.m_get(leaseKind, leaseName);
-    if (!current)
+    const auto isMissing = !current && current.error().m_type == StoreFailureType::Conflict;
+    if (!current && !isMissing)
         co_return;
-    const auto found = toRecord(current.value());
+    const auto found
+        = isMissing ? missingLease(m_board.m_storeEra.value_or(firstEra)) : toRecord(current.value());
     const auto isOwnWrite
         = found.m_vm == m_settings.m_vm && found.m_fence == fence && found.m_renewals == renewals;
     if (isOwnWrite && found.m_era == before.m_era)
@@ -165,6 +166,7 @@
 {
     applyLeaseRecord(m_lease, record, bootClockNow());
     m_lease.m_renewedAt = sentAt;
+    m_lease.m_heldEra = record.m_era;
     const auto isNew = !m_lease.m_holding;
     m_lease.m_holding = true;
     m_board.m_orders.m_holdsLease = true;
--- a/src/relay/order_lease.cc
+++ b/src/relay/order_lease.cc
@@ -32,6 +32,7 @@
 
 auto applyLeaseRecord(LeaseState& state, const LeaseRecord& record, BootClockTime now) -> void
 {
+    state.m_highestFence = std::max(state.m_highestFence, record.m_fence);
     if (!state.m_lastRecord || *state.m_lastRecord != record) {
         state.m_unchangedSince = now;
         state.m_lastRecord = record;
@@ -45,15 +46,15 @@
 
 auto nextFence(const LeaseState& state, const LeaseContext& context) -> std::uint64_t
 {
-    const auto recorded = state.m_lastRecord ? state.m_lastRecord->m_fence : 0;
-    return std::max(recorded, context.m_highestFence) + 1;
+    return std::max(state.m_highestFence, context.m_highestFence) + 1;
 }
 
 auto judgeHeldLease(const LeaseRecord& held, const LeaseRecord& found) -> HeldLease
 {
     if (found.m_vm == held.m_vm && found.m_fence == held.m_fence)
         return HeldLease::Kept;
-    const auto isOutdated = found.m_era > held.m_era && found.m_fence < held.m_fence;
+    const auto isMissing = found.m_fence == 0;
+    const auto isOutdated = isMissing || (found.m_era > held.m_era && found.m_fence < held.m_fence);
     return isOutdated ? HeldLease::Outdated : HeldLease::Lost;
 }
 
@@ -73,9 +74,11 @@
     // Whether the record is the last lease of an earlier process of this node, which then has no successor.
     // In an older copy of the store it may not be the last one; peers tell of a later one within the
     // discovery time.
-    auto isOwnLastLease(const LeaseRecord& record, const LeaseContext& context) -> bool
+    auto isOwnLastLease(const LeaseState& state, const LeaseContext& context) -> bool
     {
-        return record.m_vm == context.m_self && record.m_fence >= context.m_highestFence
+        const auto& record = *state.m_lastRecord;
+        const auto highestFence = std::max(state.m_highestFence, context.m_highestFence);
+        return record.m_vm == context.m_self && record.m_fence >= highestFence
             && context.m_now >= context.m_startedAt + discoveryTime;
     }
 
@@ -93,14 +96,16 @@
     if (!state.m_lastRecord)
         return LeaseStep::Read;
     const auto rankTime = rankDelay * static_cast<int>(context.m_rank);
-    const auto isFirstLease = state.m_lastRecord->m_fence == 0 && context.m_highestFence == 0;
+    if (state.m_lastRecord->m_era < context.m_storeEra)
+        return LeaseStep::Read;
+    const auto isFirstLease = std::max(state.m_highestFence, context.m_highestFence) == 0;
     if (isFirstLease) {
         const auto createAt = state.m_unchangedSince + creationDelay + rankTime;
         return context.m_now >= createAt ? LeaseStep::Create : LeaseStep::Nothing;
     }
     // The previous process on this machine held the lease, so no other node has sent orders since, and there
     // is nothing to wait for.
-    if (isOwnLastLease(*state.m_lastRecord, context))
+    if (isOwnLastLease(state, context))
         return LeaseStep::TakeOver;
     const auto takeoverDelay = renewalValidity + context.m_leaseTime + takeoverMargin + rankTime;
     const auto inactiveSince = std::max(state.m_unchangedSince, context.m_holderLastSeenAt);
--- a/src/relay/order_lease.h
+++ b/src/relay/order_lease.h
@@ -34,6 +34,8 @@
     BootClockTime m_unchangedSince {}; // When `m_lastRecord` was first read or written.
     bool m_holding = false; // This node holds the lease, as far as it knows.
     BootClockTime m_renewedAt {}; // When the last successful renewal was sent.
+    std::uint64_t m_heldEra = 0; // Of the store when the lease was last written by this node.
+    std::uint64_t m_highestFence = 0; // Of all records, those of earlier eras included.
 };
 
 enum class LeaseStep {
@@ -68,8 +70,8 @@
 // What a lease object, as read, means for the node that holds the lease.
 enum class HeldLease {
     Kept, // It is this node's.
-    Outdated, // It is of before this node's term, from an older copy of the store; the node writes its own
-              // again.
+    Outdated, // It is of before this node's term, from an older copy of the store, or missing; the node
+              // writes its own again.
     Lost, // Another node has taken over, or an earlier process of this one.
 };
 
--- a/test/relay/order_lease_test.cc
+++ b/test/relay/order_lease_test.cc
@@ -119,6 +119,7 @@
             m_state.m_holding = true;
             m_state.m_renewedAt = seconds(10);
             m_state.m_lastRecord = LeaseRecord { VmName("self"), 7, 4, 77, 1 };
+            m_state.m_heldEra = 1;
             m_context.m_storeEra = 2;
             m_context.m_highestFence = 7;
         }
@@ -162,11 +163,39 @@
 
     TEST_F(RestoredLeaseTest, NoFenceIsBelowOneThatIsKnown)
     {
-        m_state.m_holding = false;
-        m_state.m_lastRecord = found("other", 3, 2);
-        EXPECT_EQ(nextFence(m_state, m_context), 8U);
-        m_state.m_lastRecord = LeaseRecord();
-        EXPECT_EQ(nextFence(m_state, m_context), 8U);
+        m_state = LeaseState();
+        applyLeaseRecord(m_state, found("other", 3, 2), seconds(10));
+        EXPECT_EQ(nextFence(m_state, m_context), 8U) << "peers know of a holder with fence 7";
+        m_context.m_highestFence = 0;
+        EXPECT_EQ(nextFence(m_state, m_context), 4U);
+    }
+
+    TEST_F(RestoredLeaseTest, AFenceReadBeforeTheRestoreStillCounts)
+    {
+        m_state = LeaseState();
+        m_context.m_highestFence = 0;
+        applyLeaseRecord(m_state, found("other", 4, 1), seconds(10));
+        applyLeaseRecord(m_state, found("other", 3, 2), seconds(11));
+        EXPECT_EQ(nextFence(m_state, m_context), 5U);
+    }
+
+    TEST_F(RestoredLeaseTest, ANodeWithoutTheLeaseReadsItInTheNewEraBeforeItTakesOver)
+    {
+        m_state = LeaseState();
+        applyLeaseRecord(m_state, found("other", 7, 1), seconds(10));
+        EXPECT_EQ(stepAt(20), LeaseStep::Read);
+        applyLeaseRecord(m_state, found("other", 6, 2), seconds(20));
+        EXPECT_EQ(stepAt(20.1), LeaseStep::Read);
+        EXPECT_EQ(stepAt(24.7), LeaseStep::TakeOver);
+    }
+
+    TEST_F(RestoredLeaseTest, AHolderReadsAnOutdatedLeaseTwiceWithoutLosingItsTerm)
+    {
+        auto held = *m_state.m_lastRecord;
+        applyLeaseRecord(m_state, found("other", 6, 2), seconds(10.6));
+        held.m_era = m_state.m_heldEra;
+        EXPECT_EQ(judgeHeldLease(held, found("other", 6, 2)), HeldLease::Outdated);
+        EXPECT_EQ(judgeHeldLease(held, LeaseRecord()), HeldLease::Outdated);
     }
 
     TEST_F(RestoredLeaseTest, AMissingLeaseWithAKnownHolderIsCreatedOnlyOnceThatHoldersTimeIsOver)
