Apply what a restored store lists once its writers could have written it again

What the first state of an era says of a listed run beyond leaving and warming up was never applied; a delayed removal did not know of a second restore in between; an upstream's run start, which is a clock's time, ordered states within one era; a listing in the new era removed the objects that had outlived the restore from what peers can fetch; watches whose history is lost again and again were repeated without a pause. Entries are applied after the recovery time, removals look again at when the store recovered last, run starts order states only between eras.

--- a/src/relay/object_cache.cc
+++ b/src/relay/object_cache.cc
@@ -23,9 +23,11 @@
         }
     }
 
-    auto isEarlier(const KindRules& rules, const nlohmann::json& known, const nlohmann::json& update) -> bool
+    // Whether the update is an earlier state than the known one by their contents.
+    auto isEarlier(const KindRules& rules, const StoredObject& known, const StoredObject& update) -> bool
     {
-        return rules.m_isEarlier && rules.m_isEarlier(known, update);
+        const auto applies = rules.m_holdsWithinEra || known.m_revision.m_era != update.m_revision.m_era;
+        return rules.m_isEarlier && applies && rules.m_isEarlier(known.m_content, update.m_content);
     }
 
     // An object's own version goes before the revision: a restored store has earlier states at later
@@ -40,10 +42,8 @@
             return;
         }
         const auto newest = std::max(known.m_revision, object.m_revision);
-        const auto keepsKnown = known.m_content == object.m_content
-            || isEarlier(rules, known.m_content, object.m_content)
-            || (known.m_revision >= object.m_revision
-                && !isEarlier(rules, object.m_content, known.m_content));
+        const auto keepsKnown = known.m_content == object.m_content || isEarlier(rules, known, object)
+            || (known.m_revision >= object.m_revision && !isEarlier(rules, object, known));
         if (!keepsKnown) {
             known = object;
             changes.push_back({ object, false });
@@ -52,10 +52,11 @@
     }
 
     auto removeOthers(KindCache& cache, const std::set<std::string>& present, StoreRevision revision,
-        std::vector<ObjectChange>& changes) -> void
+        const KindRules& rules, std::vector<ObjectChange>& changes) -> void
     {
         for (auto at = cache.m_objects.begin(); at != cache.m_objects.end();) {
-            if (present.contains(at->first)) {
+            const auto isKept = rules.m_outlivesRestore && at->second.m_revision.m_era < revision.m_era;
+            if (isKept || present.contains(at->first)) {
                 ++at;
                 continue;
             }
@@ -79,8 +80,7 @@
         const auto isNewEra = !wasEmpty && revision.m_era != cache.m_revision.m_era;
         if (isNewEra)
             cache.m_removals.clear();
-        if (!isNewEra || !rules.m_outlivesRestore)
-            removeOthers(cache, present, revision, changes);
+        removeOthers(cache, present, revision, rules, changes);
         if (wasEmpty || isNewEra)
             cache.m_removalsKeptSince = revision;
         cache.m_revision = revision;
--- a/src/relay/object_cache.h
+++ b/src/relay/object_cache.h
@@ -39,6 +39,8 @@
     // Whether the second content is an earlier state of the object than the first, by what the contents say
     // themselves. Null: they don't say.
     std::function<bool(const nlohmann::json& known, const nlohmann::json& update)> m_isEarlier;
+    // Whether that also holds for states of one era, whose revisions tell which is later.
+    bool m_holdsWithinEra = false;
     bool m_outlivesRestore = false; // Objects that a restored store lacks are kept.
 };
 
--- a/src/relay/object_schema.cc
+++ b/src/relay/object_schema.cc
@@ -61,11 +61,11 @@
     };
     switch (kind) {
     case ObjectKind::Configuration:
-        return KindRules { with(isEarlierConfiguration), true };
+        return KindRules { with(isEarlierConfiguration), true, true };
     case ObjectKind::Upstreams:
-        return KindRules { with(isEarlierUpstream), false };
+        return KindRules { with(isEarlierUpstream), false, false };
     case ObjectKind::AdapterVersions:
-        return KindRules { with(isEarlierVersion), true };
+        return KindRules { with(isEarlierVersion), true, true };
     case ObjectKind::Evacuations:
         break;
     }
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -22,6 +22,7 @@
     constexpr auto versionWatchPause = Milliseconds(100);
     constexpr auto minBackoffMs = 60;
     constexpr auto maxBackoffMs = 120; // Short, as changes must be in force soon after the store recovers.
+    constexpr auto historyLossInterval = Milliseconds(1'000); // A second loss in this time is retried later.
     constexpr auto probeInterval = Milliseconds(1'000);
     constexpr auto peerPollInterval = Milliseconds(60);
     // Time after the start by which a node of a large fleet has received its peers' summaries, and so knows
@@ -34,7 +35,7 @@
     // Between two fetches of a configuration whose revision isn't later than this node's.
     constexpr auto versionFetchInterval = Milliseconds(1'000);
 
-    // Within this time the store removes the entry of an upstream that doesn't renew it.
+    // Within this time the store removes the entry of an upstream that doesn't renew it: three heartbeats.
     constexpr auto entryExpiryTime = Milliseconds(5'000);
 
     // Upstreams whose entries expired while the store was unreachable write them again within this time of
@@ -193,7 +194,10 @@
         if (!changes) {
             // A watch from a revision whose history is gone may hang instead of failing, so the kind is
             // listed again after any failure.
-            const auto mustBackOff = changes.error().m_type != StoreFailureType::HistoryLost;
+            const auto isHistoryLost = changes.error().m_type == StoreFailureType::HistoryLost;
+            const auto mustBackOff = !isHistoryLost || m_historyLostAt[kind] + historyLossInterval > begun;
+            if (isHistoryLost)
+                m_historyLostAt[kind] = begun;
             const auto timedOut = Clock::now() - begun >= timeout;
             if (timedOut && changes.error().m_type == StoreFailureType::Unavailable)
                 markStoreUnreachable();
@@ -360,6 +364,7 @@
     switch (knowledgeOf(m_board.m_upstreams, record)) {
     case RunKnowledge::Listed:
         applyCopiedRecord(*m_board.m_upstreams.m_upstreams.at(record.m_name), record, Clock::now());
+        applyEntryAfter(recoveryTime, record.m_name);
         return;
     case RunKnowledge::Unknown:
         applyUpstreamRecord(m_board.m_upstreams, record, Clock::now());
@@ -367,9 +372,16 @@
     case RunKnowledge::Removed:
         break;
     }
-    runAfter(m_executor, entryExpiryTime, [this, record] {
+    applyEntryAfter(entryExpiryTime, record.m_name);
+}
+
+// Applies the entry that the upstream has then: the upstream has written it again, or it outlasted its
+// expiry.
+auto StoreSync::applyEntryAfter(Milliseconds time, const UpstreamName& name) -> void
+{
+    runAfter(m_executor, time, [this, name] {
         const auto& objects = m_board.m_objects[ObjectKind::Upstreams].m_objects;
-        const auto found = objects.find(record.m_name.value());
+        const auto found = objects.find(name.value());
         if (found != objects.end())
             applyUpstream(found->second, ChangeOrigin::Store);
     });
@@ -377,17 +389,34 @@
 
 auto StoreSync::applyRemoval(ObjectKind kind, const std::string& name, ChangeOrigin origin) -> void
 {
-    if (kind == ObjectKind::Upstreams) {
+    if (kind == ObjectKind::Upstreams)
         removeUpstreamAfterRecovery(name);
-    } else if (kind == ObjectKind::Evacuations && origin == ChangeOrigin::OlderCopy) {
-        // The operator may have written it after the copy was made, and writes it again.
-        runAfter(m_executor, recoveryTime, [this, name] {
-            if (!contains(ObjectKind::Evacuations, name))
-                endEvacuation(name);
-        });
-    } else if (kind == ObjectKind::Evacuations) {
+    else if (kind == ObjectKind::Evacuations && origin == ChangeOrigin::OlderCopy)
+        endEvacuationAfterRecovery(name);
+    else if (kind == ObjectKind::Evacuations)
+        endEvacuation(name);
+}
+
+// Returns the time until what the store lacks since its recovery could have been written again; zero if that
+// is over.
+auto StoreSync::recoveryTimeLeft() const -> Milliseconds
+{
+    const auto left = m_board.m_storeRecoveredAt + recoveryTime - Clock::now();
+    return std::max(std::chrono::ceil<Milliseconds>(left), Milliseconds(0));
+}
+
+// The operator may have written the evacuation after the copy was made, and writes it again.
+auto StoreSync::endEvacuationAfterRecovery(const std::string& name) -> void
+{
+    const auto time = recoveryTimeLeft();
+    if (time.count() == 0) {
         endEvacuation(name);
+        return;
     }
+    runAfter(m_executor, time, [this, name] {
+        if (!contains(ObjectKind::Evacuations, name))
+            endEvacuationAfterRecovery(name);
+    });
 }
 
 auto StoreSync::endEvacuation(const std::string& name) -> void
@@ -403,15 +432,14 @@
 
 auto StoreSync::removeUpstreamAfterRecovery(const std::string& name) -> void
 {
-    const auto until = m_board.m_storeRecoveredAt + recoveryTime;
-    if (Clock::now() >= until) {
+    const auto time = recoveryTimeLeft();
+    if (time.count() == 0) {
         removeUpstream(m_board.m_upstreams, UpstreamName(name), Clock::now());
         return;
     }
-    const auto time = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
     runAfter(m_executor, time, [this, name] {
         if (!contains(ObjectKind::Upstreams, name))
-            removeUpstream(m_board.m_upstreams, UpstreamName(name), Clock::now());
+            removeUpstreamAfterRecovery(name);
     });
 }
 
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -48,6 +48,9 @@
     auto applyObject(ObjectKind, const StoredObject&, ChangeOrigin) -> void;
     auto applyUpstream(const StoredObject&, ChangeOrigin) -> void;
     auto applyCopiedUpstream(const UpstreamRecord&) -> void;
+    auto applyEntryAfter(Milliseconds, const UpstreamName&) -> void;
+    auto recoveryTimeLeft() const -> Milliseconds;
+    auto endEvacuationAfterRecovery(const std::string& name) -> void;
     auto applyRemoval(ObjectKind, const std::string& name, ChangeOrigin) -> void;
     auto removeUpstreamAfterRecovery(const std::string& name) -> void;
     auto endEvacuation(const std::string& name) -> void;
@@ -67,6 +70,8 @@
     MonotonicTime m_startedAt {};
     MonotonicTime m_nextProbeAt {}; // Earliest probe while other nodes should watch.
     MonotonicTime m_nextVersionFetchAt {}; // Earliest fetch of a newer configuration at no later revision.
+    std::map<ObjectKind, MonotonicTime>
+        m_historyLostAt; // When the latest watch began whose history was lost.
     bool m_wasUnreachable = false;
     std::mt19937 m_random;
 };
--- a/test/relay/restored_cache_test.cc
+++ b/test/relay/restored_cache_test.cc
@@ -13,7 +13,7 @@
         const auto isEarlier = [](const nlohmann::json& known, const nlohmann::json& update) {
             return update.get<int>() < known.get<int>();
         };
-        return KindRules { isEarlier, true };
+        return KindRules { isEarlier, true, true };
     }
 
     auto object(const std::string& name, StoreRevision revision, int content) -> StoredObject
