Spread the nodes' second registration by the size of the fleet

Found by the review. 195 nodes created and read their entry within 2 s of a restore, nearly all in vain. Each node now reads its entry within 40 ms a node of the fleet, and writes only what is missing or differs.

--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -25,7 +25,8 @@
     // Updates that are not urgent are collected for this time: adapters take far longer to load.
     constexpr auto batchDelay = Milliseconds(25);
     constexpr auto memberCheckInterval = Milliseconds(1'000); // Between checks whether the next read is due.
-    constexpr auto maxRegisterDelayMs = 2'000; // After the store has returned from an older copy.
+    // Bounds the calls a second of all nodes when the store has returned from an older copy.
+    constexpr auto registerDelayPerNodeMs = 40;
     constexpr auto storeRetryInterval = Milliseconds(500);
     constexpr auto missingRetention = Milliseconds(250); // So that a few summaries contain the adapter.
     constexpr auto acknowledgementTimeout = Milliseconds(1'000);
@@ -224,12 +225,14 @@
 // All nodes notice a restore at about the same time, so each waits for a random time.
 auto PeerExchange::registerAfterRestore() -> Awaitable<void>
 {
-    const auto delay = std::uniform_int_distribution<int>(0, maxRegisterDelayMs)(m_random);
+    const auto maxDelay = registerDelayPerNodeMs * static_cast<int>(fleetSize(m_board.m_fleet));
+    const auto delay = std::uniform_int_distribution<int>(0, maxDelay)(m_random);
     co_await sleepFor(Milliseconds(delay));
-    co_await registerSelf();
     auto found = co_await m_store.m_get(memberKind, m_settings.m_vm.value());
     if (found)
         co_await updateOwnEntry(found.value());
+    else
+        co_await registerSelf();
 }
 
 auto PeerExchange::updateOwnEntry(const StoredObject& found) -> Awaitable<void>
