--- a/src/relay/pending_answers.h
+++ b/src/relay/pending_answers.h
@@ -26,7 +26,8 @@
     // Returns nothing if no answer arrives within the timeout.
     auto waitFor(std::uint64_t number, std::chrono::milliseconds timeout) -> Awaitable<std::optional<Answer>>
     {
-        auto pending = Pending { net::steady_timer(co_await net::this_coro::executor, timeout), {} };
+        const auto executor = co_await net::this_coro::executor;
+        auto pending = Pending { net::steady_timer(executor, timeout), {} };
         m_pending[number] = &pending;
         auto error = ErrorCode();
         co_await pending.m_timer.async_wait(errorTo(error));
