Say why a request is not sent to a further upstream, and count cut answers by reason

The line `request_cut` was the same for an end at the deadline, an end for silence and a retry that the budget forbids.

Each line of an attempt and of an incomplete answer now names the reason why no further upstream gets the request (`last_attempt_because`), how long the upstream has been silent and how much time is left. Answers that stay incomplete are counted by reason in /metrics. No decision changes.

--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -60,6 +60,13 @@
         EnumName<Counter> { Counter::EngineOrders, "engine_orders_total" },
         EnumName<Counter> { Counter::UpstreamCrashes, "upstream_crashes_total" },
         EnumName<Counter> { Counter::SuspectsConvicted, "suspects_convicted_total" },
+        EnumName<Counter> { Counter::StreamsCutAtDeadline, "streams_cut_at_deadline_total" },
+        EnumName<Counter> { Counter::StreamsCutNotRepeatable, "streams_cut_not_repeatable_total" },
+        EnumName<Counter> { Counter::StreamsCutAttemptsSpent, "streams_cut_attempts_spent_total" },
+        EnumName<Counter> { Counter::StreamsCutWithoutUpstream, "streams_cut_without_upstream_total" },
+        EnumName<Counter> { Counter::StreamsCutWithoutRetryBudget, "streams_cut_without_retry_budget_total" },
+        EnumName<Counter> { Counter::StreamsCutAsSuspect, "streams_cut_as_suspect_total" },
+        EnumName<Counter> { Counter::StreamsCutOtherwise, "streams_cut_otherwise_total" },
     };
     static_assert(counterNames.size() == static_cast<std::size_t>(Counter::Last));
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -47,6 +47,13 @@
     EngineOrders,
     UpstreamCrashes,
     SuspectsConvicted,
+    StreamsCutAtDeadline,
+    StreamsCutNotRepeatable,
+    StreamsCutAttemptsSpent,
+    StreamsCutWithoutUpstream,
+    StreamsCutWithoutRetryBudget,
+    StreamsCutAsSuspect,
+    StreamsCutOtherwise,
     Last, // Counts the values above.
 };
 
--- /dev/null
+++ b/src/relay/attempts_end.h
@@ -0,0 +1,39 @@
+// Why a request is not sent to a further upstream.
+#pragma once
+
+#include "core/metrics.h"
+#include "marigoldladder/enum_names.h"
+
+#include <array>
+#include <optional>
+
+namespace marigoldladder::relay {
+
+enum class AttemptsEnd {
+    Answered, // The caller received the whole answer.
+    CallerDisconnected,
+    NoUpstream, // None had room in time.
+    CrashSuspect, // It may crash upstreams.
+    RetryBudgetSpent,
+    NotRepeatable, // The route allows no second run.
+    AttemptsSpent, // As many upstreams as the route allows may have run it.
+    RefusalsSpent, // As many upstreams as are tried at most refused it or were not reached.
+    DeadlineReached,
+};
+
+inline constexpr auto attemptsEndNames = std::array {
+    EnumName<AttemptsEnd> { AttemptsEnd::Answered, "answered" },
+    EnumName<AttemptsEnd> { AttemptsEnd::CallerDisconnected, "caller_gone" },
+    EnumName<AttemptsEnd> { AttemptsEnd::NoUpstream, "no_upstream" },
+    EnumName<AttemptsEnd> { AttemptsEnd::CrashSuspect, "crash_suspect" },
+    EnumName<AttemptsEnd> { AttemptsEnd::RetryBudgetSpent, "retry_budget_spent" },
+    EnumName<AttemptsEnd> { AttemptsEnd::NotRepeatable, "not_repeatable" },
+    EnumName<AttemptsEnd> { AttemptsEnd::AttemptsSpent, "attempts_spent" },
+    EnumName<AttemptsEnd> { AttemptsEnd::RefusalsSpent, "refusals_spent" },
+    EnumName<AttemptsEnd> { AttemptsEnd::DeadlineReached, "deadline_reached" },
+};
+
+// Returns the counter of answers that stay incomplete for this reason.
+auto cutCounterOf(AttemptsEnd) -> Counter;
+
+} // namespace marigoldladder::relay
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -42,6 +42,16 @@
         return failure;
     }
 
+    auto millisecondsBetween(MonotonicTime from, MonotonicTime until) -> std::string
+    {
+        return std::to_string(std::chrono::duration_cast<Milliseconds>(until - from).count());
+    }
+
+    auto formatEnd(std::optional<AttemptsEnd> end) -> std::string
+    {
+        return end ? std::string(nameOf(attemptsEndNames, *end)) : "";
+    }
+
     auto drawPool(const std::vector<WeightedPool>& pools, std::mt19937& random) -> const PoolName&
     {
         auto total = 0.0;
@@ -67,6 +77,7 @@
     std::optional<Failure> m_refusal; // Why it isn't sent although an upstream could take it.
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
     MonotonicTime m_retryAt {}; // When the last outcome may change by time alone; zero: unknown.
+    std::optional<AttemptsEnd> m_end; // Why no further upstream gets it; empty: one may get it.
     AllowanceDecision m_charge;
 };
 
@@ -147,18 +158,19 @@
         FailureType::AllowanceExceeded, "the organisation's allowance is spent", decision.m_retryAfter);
 }
 
-auto RequestRunner::refuse(CallState& state, CallerAnswer& answer, const Failure& failure) -> Awaitable<void>
+auto RequestRunner::refuse(CallState& state, CallerAnswer& answer, const Failure& failure,
+    std::optional<AttemptsEnd> end) -> Awaitable<void>
 {
     m_board.m_metrics.add(failure.m_verdict == Verdict::NotRun ? Counter::RequestsRefusedNotRun
                                                                : Counter::RequestsRefusedMayHaveRun);
     logEnd(state, failure.m_verdict == Verdict::NotRun ? "request_refused" : "request_failed",
-        failure.m_message);
+        failure.m_message, end);
     const auto own = LocalAnswer { static_cast<unsigned>(httpStatus(failure.m_type)), failure };
     co_await answer.sendLocalAnswer(own);
 }
 
 auto RequestRunner::logAttempt(const CallState& state, const Upstream& upstream, UpstreamCallOutcome outcome,
-    const SlotWait& wait) -> void
+    const SlotWait& wait, std::optional<AttemptsEnd> end) -> void
 {
     const auto late = state.m_timeToFirstPart && *state.m_timeToFirstPart > state.m_route->m_targetLatency;
     if (outcome == UpstreamCallOutcome::Delivered && !late && !isSampled(state.m_request.m_id))
@@ -173,19 +185,23 @@
             { "waited_ms", std::to_string(wait.m_time.count()) },
             { "waited_for", std::string(nameOf(choiceOutcomeNames, wait.m_reason)) },
             { "first_part_ms", firstPartTime }, { "age_ms", std::to_string(age.count()) },
+            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, Clock::now()) },
+            { "left_ms", millisecondsBetween(Clock::now(), state.m_deadline) },
+            { "last_attempt_because", formatEnd(end) },
             { "upstream_in_flight", std::to_string(upstream.m_inFlight) },
             { "peers_in_flight", std::to_string(upstream.m_peersInFlight) } });
 }
 
-auto RequestRunner::logEnd(const CallState& state, std::string_view event, std::string reason) -> void
+auto RequestRunner::logEnd(const CallState& state, std::string_view event, std::string reason,
+    std::optional<AttemptsEnd> end) -> void
 {
     const auto age = std::chrono::duration_cast<Milliseconds>(Clock::now() - state.m_arrivedAt);
     const auto version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
     m_log.write(event, state.m_request.m_id,
         { { "route", state.m_route ? state.m_route->m_name : "" },
             { "organisation", state.m_organisation.value() }, { "adapter", state.m_request.m_adapter },
-            { "reason", std::move(reason) }, { "age_ms", std::to_string(age.count()) },
-            { "configuration", std::to_string(version) } });
+            { "reason", std::move(reason) }, { "last_attempt_because", formatEnd(end) },
+            { "age_ms", std::to_string(age.count()) }, { "configuration", std::to_string(version) } });
 }
 
 auto RequestRunner::run(CallState& state, CallerAnswer& answer) -> Awaitable<void>
@@ -225,17 +241,16 @@
     if (!needs.m_adapter.empty())
         recordAdapterRequest(m_board.m_adapterRates, needs.m_adapter, state.m_arrivedAt);
     ++m_board.m_requestsInFlight;
-    auto mayRetry = true;
-    while (mayRetry)
-        mayRetry = co_await attempt(state, answer, attempts);
+    while (!attempts.m_end)
+        attempts.m_end = co_await attempt(state, answer, attempts);
     --m_board.m_requestsInFlight;
     if (attempts.m_runs == 0)
         m_allowances.refund(attempts.m_charge);
     co_await finish(state, answer, attempts);
 }
 
-// Sends the request to one upstream; returns whether it may be sent to another.
-auto RequestRunner::attempt(CallState& state, CallerAnswer& answer, Attempts& attempts) -> Awaitable<bool>
+auto RequestRunner::attempt(CallState& state, CallerAnswer& answer, Attempts& attempts)
+    -> Awaitable<std::optional<AttemptsEnd>>
 {
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
     const auto slotDeadline = std::min(state.m_arrivedAt + maxSlotWait, state.m_deadline);
@@ -246,19 +261,22 @@
     const auto wait = SlotWait { waited, found.m_firstOutcome };
     attempts.m_lastOutcome = found.m_outcome;
     attempts.m_retryAt = found.m_retryAt;
-    if (state.m_callerDisconnected || !found.m_slot)
-        co_return false;
-    if (!co_await m_requestLimits.acquire(found.m_slot.upstream()))
-        co_return !state.m_callerDisconnected;
     if (state.m_callerDisconnected)
-        co_return false;
+        co_return AttemptsEnd::CallerDisconnected;
+    if (!found.m_slot)
+        co_return AttemptsEnd::NoUpstream;
+    const auto isPermitted = co_await m_requestLimits.acquire(found.m_slot.upstream());
+    if (state.m_callerDisconnected)
+        co_return AttemptsEnd::CallerDisconnected;
+    if (!isPermitted)
+        co_return std::nullopt;
     attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
     if (attempts.m_refusal)
-        co_return false;
+        co_return AttemptsEnd::CrashSuspect;
     if (attempts.m_sends > 0) {
         if (!tryAcquireRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds,
                 m_board.m_nodes, Clock::now()))
-            co_return false;
+            co_return AttemptsEnd::RetryBudgetSpent;
         m_board.m_metrics.add(Counter::RequestsRetried);
     }
     ++attempts.m_sends;
@@ -276,22 +294,34 @@
     if (testsLoad)
         recordTestedLoad(*upstream, attempts.m_needs.m_adapter, outcome);
     attempts.m_needs.m_tried.push_back(upstream.get());
-    logAttempt(state, *upstream, outcome, wait);
-    const auto broke = outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted;
-    if (broke)
+    if (outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted)
         m_crashWatch.noteBroken(upstream, state);
+    const auto end = endAfter(outcome, state, attempts);
+    logAttempt(state, *upstream, outcome, wait, end);
+    co_return end;
+}
+
+// Records how a call ended. Returns why the request isn't sent to another upstream, or nothing if it may be.
+auto RequestRunner::endAfter(UpstreamCallOutcome outcome, const CallState& state, Attempts& attempts)
+    -> std::optional<AttemptsEnd>
+{
+    const auto isLate = Clock::now() >= state.m_deadline;
     switch (outcome) {
     case UpstreamCallOutcome::Delivered:
+        ++attempts.m_runs;
+        return AttemptsEnd::Answered;
     case UpstreamCallOutcome::CallerDisconnected:
         ++attempts.m_runs;
-        co_return false;
+        return AttemptsEnd::CallerDisconnected;
     case UpstreamCallOutcome::Refused:
     case UpstreamCallOutcome::NotReached:
         if (outcome == UpstreamCallOutcome::NotReached)
             --attempts.m_sends;
-        co_return attempts.m_needs.m_tried.size() < maxUpstreamsTried&& Clock::now() < state.m_deadline;
+        if (attempts.m_needs.m_tried.size() >= maxUpstreamsTried)
+            return AttemptsEnd::RefusalsSpent;
+        return isLate ? std::optional(AttemptsEnd::DeadlineReached) : std::nullopt;
     case UpstreamCallOutcome::TimedOut:
-        attempts.m_timedOut = Clock::now() >= state.m_deadline;
+        attempts.m_timedOut = isLate;
         break;
     case UpstreamCallOutcome::Interrupted:
         m_board.m_metrics.add(Counter::StreamsResumed);
@@ -301,10 +331,16 @@
         break;
     }
     ++attempts.m_runs;
+    if (isLate)
+        return AttemptsEnd::DeadlineReached;
+    if (!mayRetry(*state.m_route))
+        return AttemptsEnd::NotRepeatable;
+    if (attempts.m_runs >= state.m_route->m_maxUpstreams)
+        return AttemptsEnd::AttemptsSpent;
+    const auto broke = outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted;
     if (broke && !m_crashWatch.mayRepeat(state))
-        co_return false;
-    co_return mayRetry(*state.m_route)
-        && attempts.m_runs < state.m_route->m_maxUpstreams&& Clock::now() < state.m_deadline;
+        return AttemptsEnd::CrashSuspect;
+    return std::nullopt;
 }
 
 // Learns from a request that was sent at the expected end of its adapter's load.
@@ -360,7 +396,8 @@
     }
     if (answer.begun()) {
         metrics.add(Counter::StreamsCut);
-        logEnd(state, "request_cut", "the upstream's stream broke and could not be resumed");
+        metrics.add(attempts.m_end ? cutCounterOf(*attempts.m_end) : Counter::StreamsCutOtherwise);
+        logEnd(state, "request_cut", "the upstream's stream broke and could not be resumed", attempts.m_end);
         co_return;
     }
     if (state.m_upstreamFailure) {
@@ -370,7 +407,7 @@
         co_return;
     }
     const auto failure = failureFor(state, attempts);
-    co_await refuse(state, answer, failure);
+    co_await refuse(state, answer, failure, attempts.m_end);
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "relay/allowance_exchange.h"
+#include "relay/attempts_end.h"
 #include "relay/crash_watch.h"
 #include "relay/relay_settings.h"
 #include "relay/request_limit_exchange.h"
@@ -26,8 +27,11 @@
     auto acceptsStream(const CallState&) const -> bool;
     // Charges the organisation's allowance; returns the refusal if it doesn't cover the request.
     auto charge(CallState&, const Organisation&, Attempts&) -> Awaitable<std::optional<Failure>>;
-    auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<bool>;
-    auto refuse(CallState&, CallerAnswer&, const Failure&) -> Awaitable<void>;
+    // Sends the request to one upstream. Returns why it isn't sent to another, or nothing if it may be.
+    auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<std::optional<AttemptsEnd>>;
+    auto endAfter(UpstreamCallOutcome, const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
+    auto refuse(CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
+        -> Awaitable<void>;
     auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
     // How long a request waited for a slot on an upstream, and why.
     struct SlotWait {
@@ -35,8 +39,10 @@
         ChoiceOutcome m_reason = ChoiceOutcome::Chosen; // `Chosen`: it got a slot at once.
     };
 
-    auto logAttempt(const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&) -> void;
-    auto logEnd(const CallState&, std::string_view event, std::string reason) -> void;
+    auto logAttempt(const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&,
+        std::optional<AttemptsEnd>) -> void;
+    auto logEnd(const CallState&, std::string_view event, std::string reason,
+        std::optional<AttemptsEnd> = std::nullopt) -> void;
     auto recordTestedLoad(const Upstream&, const std::string& adapter, UpstreamCallOutcome) -> void;
     auto failureFor(const CallState&, const Attempts&) -> Failure;
     auto retryAfter(const Attempts&) -> Milliseconds;
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -75,6 +75,8 @@
             co_await http::async_read_some(connection.m_stream, connection.m_buffer, parser, errorTo(error));
         if (error == http::error::need_buffer)
             error = {};
+        if (!error)
+            state.m_lastHeardAt = Clock::now();
         pending.append(part.data(), part.size() - body.size);
         const auto atEnd = !error && parser.is_done();
         const auto length = atEnd && isFramed ? pending.size() : wholeEventsLength(pending);
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -294,12 +294,14 @@
     const auto disconnectHook = DisconnectHook(state, connection->m_stream);
     auto error = ErrorCode();
     const auto sentAt = Clock::now();
+    state.m_lastHeardAt = sentAt;
     connection->m_stream.expires_at(std::min(answerDeadline, state.m_deadline));
     co_await http::async_write(connection->m_stream, request, errorTo(error));
     // An upstream may answer before it reads the whole body, so the answer is read after a failed write too.
     auto head = co_await readHead(*connection, state, m_dialect, m_board);
     if (!head.m_parser)
         co_return outcomeWithoutAnswer(state, head.m_timedOut);
+    state.m_lastHeardAt = Clock::now();
     const auto status = head.m_parser->get().result_int();
     const auto idleTime = keepAliveTimeout(head.m_parser->get());
     applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, sentAt, Clock::now());
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -51,6 +51,8 @@
     std::vector<Suspect> m_suspects; // What it has that may crash upstreams.
     MonotonicTime m_arrivedAt {};
     MonotonicTime m_deadline {}; // The caller's deadline or the route's timeout, whichever is earlier.
+    MonotonicTime
+        m_lastHeardAt {}; // When the upstream called last sent bytes; before that, when it was called.
     bool m_callerDisconnected = false;
     // Numbers of the connections on which it was sent. A late second copy of an upstream's refusal bears its
     // id too, so it isn't sent twice on one.
--- a/test/platform/relay_log_test.cc
+++ b/test/platform/relay_log_test.cc
@@ -1,6 +1,6 @@
 // The node's log lines: a blocked reader doesn't stop the node, and no line contains a secret.
 #include "core/log.h"
-#include "platform/relay_harness.h"
+#include "platform/relay_path_fixture.h"
 
 #include <array>
 #include <fcntl.h>
@@ -102,6 +102,20 @@
             EXPECT_EQ(text.find(secret), std::string::npos) << "expected no '" << secret << "' in\n" << text;
     }
 
+    TEST_F(RelayLogTest, SaysWhyABrokenStreamWasNotSentToAFurtherUpstream)
+    {
+        m_relay->addUpstream("i-1", "pool", [](const UpstreamRequest& request) {
+            return UpstreamReply { streamHead(request, "first") + "e\r\nid: 1\ndata: a\n\n\r\n", false,
+                true };
+        });
+        (void)m_relay->send(callerRequest("POST", "/once/x", "", "go"));
+        const auto text = m_output.read();
+        const auto line = text.substr(std::min(text.find("\"request_cut\""), text.size()));
+        EXPECT_NE(line.find("\"last_attempt_because\":\"not_repeatable\""), std::string::npos) << text;
+        EXPECT_NE(text.find("\"silent_ms\":"), std::string::npos) << text;
+        EXPECT_NE(text.find("\"left_ms\":"), std::string::npos) << text;
+    }
+
     TEST_F(RelayLogTest, OmitsLinesUnderLoad)
     {
         // More than the burst of 100 lines and the rate of 20 lines per second.
