Count an answer as begun only once a byte of it was sent

What callers saw: an upstream sends the head of a stream and then breaks or stays silent; the caller's connection is closed without a byte, though it read the request whole and nothing stood in the way of a refusal.

Cause: CallerAnswer kept the head until the first event, but counted the answer as begun from there on, and a request whose answer has begun gets no refusal. Now writing bytes begins an answer; until then the head of a later upstream or a whole answer replaces the one that is kept, so the answer has the headers of the upstream whose events it has.

Ruled out: the caller's connection (it stays open and takes the refusal).

RelayLogTest.SaysWhyABrokenStreamWasNotSentToAFurtherUpstream had a chunk of the wrong length, so that its stream had no event and became a refusal with this change; it sends a right one now and checks the same.

--- a/src/relay/caller_answer.cc
+++ b/src/relay/caller_answer.cc
@@ -63,6 +63,7 @@
 
 auto CallerAnswer::write(std::string bytes) -> Awaitable<SendOutcome>
 {
+    m_begun = true;
     auto error = ErrorCode();
     co_await net::async_write(m_stream, net::buffer(bytes), errorTo(error));
     co_return error ? SendOutcome::CallerDisconnected : SendOutcome::Sent;
@@ -96,7 +97,6 @@
 
 auto CallerAnswer::beginStream(unsigned status, const HeaderFields& fields) -> void
 {
-    m_begun = true;
     m_pendingHead = head(status, fields);
     appendField(m_pendingHead, "Transfer-Encoding", "chunked");
     m_pendingHead.append("\r\n");
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -42,6 +42,16 @@
         board.m_metrics.observe(Latency::FirstToken, std::chrono::duration<double>(age).count());
     }
 
+    auto outcomeOfBreak(const CallState& state, const CallerAnswer& answer, ErrorCode error)
+        -> UpstreamCallOutcome
+    {
+        if (state.m_callerDisconnected)
+            return UpstreamCallOutcome::CallerDisconnected;
+        if (answer.begun())
+            return UpstreamCallOutcome::Interrupted;
+        return error == beast::error::timeout ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
+    }
+
 } // namespace
 
 auto recordAnswerBegan(CallState& state, RelayBoard& board) -> void
@@ -96,11 +106,8 @@
                                                             : UpstreamCallOutcome::CallerDisconnected;
             co_return StreamResult { outcome, parser.get().keep_alive() && !parser.need_eof() };
         }
-        if (broke) {
-            const auto outcome = state.m_callerDisconnected ? UpstreamCallOutcome::CallerDisconnected
-                                                            : UpstreamCallOutcome::Interrupted;
-            co_return StreamResult { outcome, false };
-        }
+        if (broke)
+            co_return StreamResult { outcomeOfBreak(state, answer, error), false };
     }
 }
 
--- a/test/platform/relay_log_test.cc
+++ b/test/platform/relay_log_test.cc
@@ -105,8 +105,7 @@
     TEST_F(RelayLogTest, SaysWhyABrokenStreamWasNotSentToAFurtherUpstream)
     {
         m_relay->addUpstream("i-1", "pool", [](const UpstreamRequest& request) {
-            return UpstreamReply { streamHead(request, "first") + "e\r\nid: 1\ndata: a\n\n\r\n", false,
-                true };
+            return UpstreamReply { streamHead(request, "first") + chunk("id: 1\ndata: a\n\n"), false, true };
         });
         (void)m_relay->send(callerRequest("POST", "/once/x", "", "go"));
         const auto text = m_output.read();
--- a/test/platform/relay_path_fixture.h
+++ b/test/platform/relay_path_fixture.h
@@ -3,6 +3,8 @@
 
 #include "platform/relay_harness.h"
 
+#include <array>
+#include <cstdio>
 #include <gtest/gtest.h>
 
 namespace marigoldladder::platform {
@@ -22,6 +24,14 @@
         + "\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n";
 }
 
+// Returns one chunk of a chunked body.
+inline auto chunk(const std::string& data) -> std::string
+{
+    auto length = std::array<char, 16>();
+    std::snprintf(length.data(), length.size(), "%zx", data.size());
+    return std::string(length.data()) + "\r\n" + data + "\r\n";
+}
+
 class RelayPathTest : public testing::Test {
 protected:
     auto configure(std::uint64_t version = 1) -> void
--- a/test/platform/relay_path_test.cc
+++ b/test/platform/relay_path_test.cc
@@ -140,13 +140,6 @@
         EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_status, 502);
     }
 
-    auto chunk(const std::string& data) -> std::string
-    {
-        auto length = std::array<char, 16>();
-        std::snprintf(length.data(), length.size(), "%zx", data.size());
-        return std::string(length.data()) + "\r\n" + data + "\r\n";
-    }
-
     // Sends two events and half of a third, then resets the connection; sends the rest to a resumed request.
     auto breakingStream(const UpstreamRequest& request) -> UpstreamReply
     {
