Raise the revisions of every kind in the tests of restored stores

The tests wrote objects of a kind that the node does not follow, so most of them passed also without the mend: the revisions of the caches stayed below the copy's. They now change objects of each kind before the restore.

On the code before the mend, with these tests, three of the eight fail: a change made after the restore isn't in force, a second restore isn't taken, and the node calls the store without a pause. The other five pass there too: they guard against taking the copy for news, which an order by era alone would do.

--- a/test/platform/restored_store_test.cc
+++ b/test/platform/restored_store_test.cc
@@ -29,16 +29,21 @@
             return configuration;
         }
 
-        // Makes the store's revision after the copy higher than anything written after the restore.
-        auto writeMuch() -> void
+        // Changes objects of each kind until their revisions are higher than any written after the restore.
+        auto writeMuch(std::uint64_t version) -> void
         {
-            for (auto number = 0; number < 50; ++number)
-                m_relay.put("notes", "note", number);
+            for (auto number = 0; number < 30; ++number) {
+                m_relay.put("servers", "other", number);
+                m_relay.put("evacuations", "elsewhere", number);
+            }
+            m_relay.put("config", "main", withAddedRoute(version));
+            ASSERT_TRUE(m_relay.eventually([&] { return statusOf("/added/x") != 404; }));
         }
 
-        auto restore() -> void
+        // Puts a configuration with the added route in force at this version, and returns to the copy.
+        auto restore(std::uint64_t version = 2) -> void
         {
-            writeMuch();
+            writeMuch(version);
             m_relay.restoreStoreCopy();
             std::this_thread::sleep_for(settleTime);
         }
@@ -50,9 +55,8 @@
         configure();
         m_relay.keepStoreCopy();
         restore();
-        EXPECT_EQ(statusOf("/added/x"), 404);
-        m_relay.put("config", "main", withAddedRoute(2));
-        EXPECT_TRUE(m_relay.eventually([&] { return statusOf("/added/x") == 200; }));
+        m_relay.put("config", "main", testConfiguration(3));
+        EXPECT_TRUE(m_relay.eventually([&] { return statusOf("/added/x") == 404; }));
     }
 
     TEST_F(RestoredStoreTest, AConfigurationInForceStaysThoughTheCopyHasAnOlderOne)
@@ -60,8 +64,6 @@
         addUpstream("i-1", answerWith("ok"));
         configure();
         m_relay.keepStoreCopy();
-        m_relay.put("config", "main", withAddedRoute(2));
-        ASSERT_TRUE(m_relay.eventually([&] { return statusOf("/added/x") == 200; }));
         restore();
         EXPECT_EQ(statusOf("/added/x"), 200);
     }
@@ -134,11 +136,9 @@
         configure();
         m_relay.keepStoreCopy();
         restore();
-        m_relay.put("config", "main", withAddedRoute(2));
-        ASSERT_TRUE(m_relay.eventually([&] { return statusOf("/added/x") == 200; }));
-        restore();
+        restore(3);
         EXPECT_EQ(statusOf("/added/x"), 200);
-        m_relay.put("config", "main", testConfiguration(3));
+        m_relay.put("config", "main", testConfiguration(4));
         EXPECT_TRUE(m_relay.eventually([&] { return statusOf("/added/x") == 404; }));
     }
 
