Answer every request of a connected caller, also when a part of the node throws

Cause: an exception in the coroutine of a caller's session went to a handler that discards it, and the session's end closed the connection; the number of requests in flight stayed too high then, which delays a stop. The session gives each request an answer now: what the runner throws, or its return without an answer, is logged (`request_failed_inside`), counted (`internal_failures_total`) and answered with 502, may have run, while no byte was sent. An exception outside a request is logged and counted as well. The request counts as in flight by the lifetime of an object. What a further attempt needs besides a slot is acquired in one place, for both ways to get there.

Ruled out: an end of the request by a change of the configuration, which is kept for as long as the request runs.

--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -54,6 +54,7 @@
     StreamsCutWithoutRetryBudget,
     StreamsCutAsSuspect,
     StreamsCutOtherwise,
+    InternalFailures,
     Last, // Counts the values above.
 };
 
--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -65,6 +65,28 @@
         return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    auto describe(const std::exception_ptr& exception) -> std::string
+    {
+        try {
+            std::rethrow_exception(exception);
+        } catch (const std::exception& error) {
+            return error.what();
+        } catch (...) {
+            return "unknown exception";
+        }
+    }
+
+    // Returns a handler that logs and counts a session that ended by an exception.
+    auto recordSessionEnd(RelayBoard& board)
+    {
+        return [&board](const std::exception_ptr& exception) {
+            if (!exception)
+                return;
+            board.m_metrics.add(Counter::InternalFailures);
+            logWarning("session_failed", { { "fault", describe(exception) } });
+        };
+    }
+
 } // namespace
 
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
@@ -176,7 +198,7 @@
         m_stream.expires_never();
         watchForDisconnect(state);
         auto answer = CallerAnswer(m_stream, state->m_message.keep_alive() && !m_board.m_leaving);
-        co_await m_runner.run(*state, answer);
+        co_await answerRequest(*state, answer);
         state->m_cancelUpstream = nullptr;
         stopWatching();
         if (state->m_callerDisconnected || !answer.complete()) {
@@ -187,6 +209,28 @@
         co_return answer.reusable();
     }
 
+    // Runs the request. A caller that is still connected gets an answer, whatever fails.
+    auto answerRequest(CallState& state, CallerAnswer& answer) -> Awaitable<void>
+    {
+        auto fault = std::string("it ended without an answer");
+        try {
+            co_await m_runner.run(state, answer);
+            if (answer.begun() || state.m_callerDisconnected)
+                co_return;
+        } catch (...) {
+            fault = describe(std::current_exception());
+        }
+        m_board.m_metrics.add(Counter::InternalFailures);
+        logWarning("request_failed_inside",
+            { { "request", state.m_request.m_id }, { "route", state.m_route ? state.m_route->m_name : "" },
+                { "fault", fault }, { "answer_begun", answer.begun() ? "yes" : "no" } });
+        if (answer.begun() || state.m_callerDisconnected)
+            co_return;
+        const auto failure = mayHaveRun(FailureType::UpstreamFailed, "this node failed during the request");
+        const auto own = LocalAnswer { static_cast<unsigned>(httpStatus(failure.m_type)), failure };
+        co_await answer.sendLocalAnswer(own);
+    }
+
     // Cancels the running request when the caller closes its connection.
     auto watchForDisconnect(const std::shared_ptr<CallState>& state) -> void
     {
@@ -253,7 +297,7 @@
         auto session
             = std::make_shared<CallerSession>(std::move(socket), *this, m_board, m_runner, m_waitList);
         net::co_spawn(
-            m_executor, [session]() -> Awaitable<void> { return session->run(); }, net::detached);
+            m_executor, [session]() -> Awaitable<void> { return session->run(); }, recordSessionEnd(m_board));
     };
     net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(startSession)), net::detached);
     return true;
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -55,6 +55,22 @@
         return end ? std::string(nameOf(attemptsEndNames, *end)) : "";
     }
 
+    // A request that counts as in flight during the object's lifetime.
+    class RequestInFlight {
+    public:
+        explicit RequestInFlight(RelayBoard& board)
+            : m_board(board)
+        {
+            ++m_board.m_requestsInFlight;
+        }
+        ~RequestInFlight() { --m_board.m_requestsInFlight; }
+        RequestInFlight(const RequestInFlight&) = delete;
+        auto operator=(const RequestInFlight&) -> RequestInFlight& = delete;
+
+    private:
+        RelayBoard& m_board;
+    };
+
     auto drawPool(const std::vector<WeightedPool>& pools, std::mt19937& random) -> const PoolName&
     {
         auto total = 0.0;
@@ -253,10 +269,11 @@
     recordRequest(m_board.m_retryBudget, needs.m_pool, m_settings.m_bounds, state.m_arrivedAt);
     if (!needs.m_adapter.empty())
         recordAdapterRequest(m_board.m_adapterRates, needs.m_adapter, state.m_arrivedAt);
-    ++m_board.m_requestsInFlight;
-    while (!attempts.m_end)
-        attempts.m_end = co_await attempt(state, answer, attempts);
-    --m_board.m_requestsInFlight;
+    {
+        const auto inFlight = RequestInFlight(m_board);
+        while (!attempts.m_end)
+            attempts.m_end = co_await attempt(state, answer, attempts);
+    }
     if (attempts.m_runs == 0)
         m_allowances.refund(attempts.m_charge);
     co_await finish(state, answer, attempts);
@@ -294,28 +311,41 @@
 {
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
     const auto slotDeadline = std::min(state.m_arrivedAt + maxSlotWait, state.m_deadline);
+    attempts.m_refusal.reset();
     const auto waitStartedAt = Clock::now();
     auto found
         = co_await m_waitList.acquire(attempts.m_needs, rank, slotDeadline, state.m_callerDisconnected);
     const auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - waitStartedAt);
-    const auto wait = SlotWait { waited, found.m_firstOutcome };
+    auto place = Place();
+    place.m_wait = SlotWait { waited, found.m_firstOutcome };
     attempts.m_lastOutcome = found.m_outcome;
     attempts.m_retryAt = found.m_retryAt;
+    if (!state.m_callerDisconnected && !found.m_slot) {
+        place.m_end = AttemptsEnd::NoUpstream;
+        co_return place;
+    }
+    auto isPermitted = false;
+    if (!state.m_callerDisconnected)
+        isPermitted = co_await m_requestLimits.acquire(found.m_slot.upstream());
+    if (isPermitted && !state.m_callerDisconnected)
+        place.m_end = obstacleToSend(state, attempts);
     if (state.m_callerDisconnected)
-        co_return Place { {}, wait, AttemptsEnd::CallerDisconnected };
-    if (!found.m_slot)
-        co_return Place { {}, wait, AttemptsEnd::NoUpstream };
-    const auto isPermitted = co_await m_requestLimits.acquire(found.m_slot.upstream());
-    if (state.m_callerDisconnected)
-        co_return Place { {}, wait, AttemptsEnd::CallerDisconnected };
-    if (!isPermitted)
-        co_return Place { {}, wait, std::nullopt };
+        place.m_end = AttemptsEnd::CallerDisconnected;
+    if (isPermitted && !place.m_end)
+        place.m_slot = std::move(found.m_slot);
+    co_return place;
+}
+
+// Acquires what sending the request to a further upstream needs besides a slot. Returns why it must not be
+// sent.
+auto RequestRunner::obstacleToSend(const CallState& state, Attempts& attempts) -> std::optional<AttemptsEnd>
+{
     attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
     if (attempts.m_refusal)
-        co_return Place { {}, wait, AttemptsEnd::CrashSuspect };
+        return AttemptsEnd::CrashSuspect;
     if (attempts.m_sends > 0 && !acquireRetry(attempts))
-        co_return Place { {}, wait, AttemptsEnd::RetryBudgetSpent };
-    co_return Place { std::move(found.m_slot), wait, std::nullopt };
+        return AttemptsEnd::RetryBudgetSpent;
+    return std::nullopt;
 }
 
 auto RequestRunner::acquireRetry(const Attempts& attempts) -> bool
@@ -372,13 +402,9 @@
         attempts.m_move = beginMove(attempts, silent);
     if (!attempts.m_move || attempts.m_move->m_asksForPermit)
         return AttemptsEnd::NoUpstream;
-    auto obstacle = std::optional<AttemptsEnd>();
-    if (!attempts.m_move->m_isPermitted)
-        obstacle = AttemptsEnd::NoUpstream;
-    else if (m_crashWatch.refusalAtDispatch(state))
-        obstacle = AttemptsEnd::CrashSuspect;
-    else if (!acquireRetry(attempts))
-        obstacle = AttemptsEnd::RetryBudgetSpent;
+    auto obstacle = std::optional(AttemptsEnd::NoUpstream);
+    if (attempts.m_move->m_isPermitted)
+        obstacle = obstacleToSend(state, attempts);
     if (obstacle)
         attempts.m_move = nullptr;
     return obstacle;
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -51,6 +51,7 @@
     auto tryMove(const CallState&, Attempts&, const Upstream&) -> std::optional<AttemptsEnd>;
     auto beginMove(const Attempts&, const Upstream&) -> std::shared_ptr<Move>;
     auto acquirePermit(std::shared_ptr<Move>) -> Awaitable<void>;
+    auto obstacleToSend(const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
     auto acquireRetry(const Attempts&) -> bool;
     auto endAfter(UpstreamCallOutcome, const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
     auto refuse(CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
