Answer a request that was read from a kept connection while a stopping node closes idle ones

Cause: a read completes before its handler runs. The check for waiting bytes saw none in between, and the connection was closed. Closing idle connections only cancels the pending read now; the session closes if that read and the socket have no bytes.

--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -108,12 +108,10 @@
 
     auto closeIfIdle() -> void
     {
-        // A request that has already arrived is still served; its read may have completed without being
-        // handled.
-        if (!m_idle || !isIdle(m_stream.socket()))
-            return;
-        m_closed = true;
-        m_stream.close();
+        // Only the pending read is ended: it may have completed without being handled, and a request that has
+        // arrived is still served.
+        if (m_idle)
+            m_stream.cancel();
     }
 
     auto run() -> Awaitable<void>
@@ -138,7 +136,8 @@
         return m_board.m_configuration ? m_board.m_configuration->m_callerBounds : CallerBounds();
     }
 
-    // Waits for the first byte of a request; false if the connection was closed or idle for too long.
+    // Waits for the first byte of a request; false if the connection ended, was idle for too long or is to be
+    // closed.
     auto awaitRequest() -> Awaitable<bool>
     {
         if (m_buffer.size() > 0)
@@ -147,11 +146,13 @@
         m_idle = true;
         m_stream.expires_after(m_idleTimeout + idleTimeoutMargin);
         auto error = ErrorCode();
-        const auto space = m_buffer.prepare(readBufferBytes);
-        const auto length = co_await m_stream.async_read_some(space, errorTo(error));
+        do {
+            const auto space = m_buffer.prepare(readBufferBytes);
+            const auto length = co_await m_stream.async_read_some(space, errorTo(error));
+            m_buffer.commit(length);
+        } while (error == net::error::operation_aborted && !isIdle(m_stream.socket()));
         m_idle = false;
-        m_buffer.commit(length);
-        co_return !error && !m_closed;
+        co_return !error;
     }
 
     auto readRequest(RequestParser& parser, MonotonicTime& arrivedAt) -> Awaitable<ErrorCode>
@@ -275,7 +276,6 @@
     WaitList& m_waitList;
     Milliseconds m_idleTimeout { 0 };
     bool m_idle = false;
-    bool m_closed = false; // By this node, while idle.
 };
 
 CallerServer::CallerServer(Executor executor, RelayBoard& board, RequestRunner& runner, WaitList& waitList)
