Let the soak's callers come back after refusals, and its upstreams answer as if they refused

Callers of the soak never came back after an answer that promises "not run", runs were counted for each attempt alone, and its upstreams never refused. So neither a false refusal nor its effect could be seen.

Callers now send an operation again, with a new request id and to any relay, up to three times after such an answer, and runs are counted over all attempts of an operation as well. Four kinds of faults are new: an upstream that reads its requests late (its proxy stands still), one that runs requests and answers 408, 429 or 503 without saying that it didn't, one that sends a refusal without id before an answer on a connection in use again, and one that sends a refusal twice. The environment sets the size of the site and plays the first kinds of faults only.

--- a/test/soak/relay_site.cc
+++ b/test/soak/relay_site.cc
@@ -2,6 +2,7 @@
 
 #include "platform/relay_harness.h"
 
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <fstream>
@@ -18,6 +19,12 @@
     constexpr auto orderTimeout = std::chrono::seconds(2);
     constexpr auto readyPoll = std::chrono::milliseconds(50);
     constexpr auto slots = 16;
+    constexpr auto soundAnswerInterval = 4; // One of so many answers of an unsound upstream is sound.
+    constexpr auto refusalStatuses = std::array { 408, 429, 503 };
+    constexpr auto refusalHeader = "X-Marigoldladder-Not-Executed: 1\r\n";
+    constexpr auto keepAliveHeader = "Keep-Alive: timeout=10\r\n";
+    constexpr auto unidentifiedRefusal
+        = "HTTP/1.1 503 Said\r\nX-Marigoldladder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
     auto startProxy(const Address& target) -> harness::ChildProcess
     {
@@ -71,15 +78,34 @@
     done.get_future().wait();
 }
 
-auto RelaySite::answer(const platform::UpstreamRequest& request) -> platform::UpstreamReply
+auto RelaySite::answer(const platform::UpstreamRequest& request, UpstreamMode mode,
+    const std::string& connection) -> platform::UpstreamReply
 {
-    const auto id = std::string(request["X-Marigoldladder-Request-Id"]);
     const auto target = std::string(request.target());
     if (target == "/report" || target == "/order")
         return { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n" };
-    m_record.noteRun(id);
+    const auto isFirst = m_connections.insert(connection).second;
+    if (mode == UpstreamMode::Sound || ++m_answers % soundAnswerInterval == 0)
+        return { run(request) };
+    if (mode == UpstreamMode::FailsLikeRefusing) {
+        (void)run(request);
+        const auto status = refusalStatuses[m_answers % refusalStatuses.size()];
+        return { platform::answerTo(request, status, "ran", keepAliveHeader) };
+    }
+    if (mode == UpstreamMode::RefusesUnidentified) {
+        return { std::string(isFirst ? "" : unidentifiedRefusal) + run(request) }; // Like a late one.
+    }
+    return { refuseOrRepeat(request, connection) };
+}
+
+// Runs the request and returns the answer.
+auto RelaySite::run(const platform::UpstreamRequest& request) -> std::string
+{
+    const auto id = std::string(request["X-Marigoldladder-Request-Id"]);
+    const auto target = std::string(request.target());
+    m_record.noteRun(id, request.body());
     if (!target.starts_with("/stream/") && !target.starts_with("/once/"))
-        return { platform::answerTo(request, 200, wholeBody(id)) };
+        return platform::answerTo(request, 200, wholeBody(id), keepAliveHeader);
     const auto lastEvent = std::string(request["Last-Event-Id"]);
     const auto after = lastEvent.empty() ? 0U : std::stoul(lastEvent);
     auto bytes = "HTTP/1.1 200 OK\r\nX-Marigoldladder-Request-Id: " + id
@@ -88,15 +114,32 @@
     const auto events = streamEvents(id);
     for (auto number = after; number < events.size(); ++number)
         bytes += chunk(events[number]);
-    return { bytes + "0\r\n\r\n" };
+    return bytes + "0\r\n\r\n";
+}
+
+auto RelaySite::refuseOrRepeat(const platform::UpstreamRequest& request, const std::string& connection)
+    -> std::string
+{
+    const auto id = std::string(request["X-Marigoldladder-Request-Id"]);
+    auto refusal = platform::answerTo(request, 503, "", std::string(refusalHeader) + keepAliveHeader);
+    const auto [entry, isNew] = m_refusedOn.emplace(id, connection);
+    if (isNew)
+        return refusal;
+    return (entry->second == connection ? refusal : "") + run(request);
 }
 
 auto RelaySite::addUpstream(std::size_t number) -> void
 {
     auto upstream = ProxiedUpstream();
+    const auto mode = std::make_shared<std::atomic<UpstreamMode>>(UpstreamMode::Sound);
+    upstream.m_mode = mode;
     onLoop([&] {
         upstream.m_upstream = std::make_unique<platform::FakeUpstream>(
-            m_context, [this](const platform::UpstreamRequest& request) { return answer(request); });
+            m_context, [this, mode, number](const platform::UpstreamRequest& request) {
+                const auto connection
+                    = std::to_string(number) + "/" + std::string(request[platform::connectionNumberField]);
+                return answer(request, *mode, connection);
+            });
     });
     upstream.m_proxy = startProxy(upstream.m_upstream->address());
     onLoop([&] {
--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -7,8 +7,11 @@
 #include "platform/fake_upstream.h"
 #include "soak/soak_record.h"
 
+#include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,8 +27,17 @@
     harness::ChildProcess m_relay;
 };
 
+// How an upstream answers; a part of the requests each time, the others soundly.
+enum class UpstreamMode {
+    Sound,
+    FailsLikeRefusing, // Runs the request and answers 408, 429 or 503 without saying that it didn't.
+    RefusesUnidentified, // Runs it, and sends a refusal that names no request before the answer.
+    RepeatsRefusals, // Refuses it, and sends a second copy before its next answer to the same request.
+};
+
 // One upstream and the proxy before it; relays know the proxy's address only.
 struct ProxiedUpstream {
+    std::shared_ptr<std::atomic<UpstreamMode>> m_mode;
     std::unique_ptr<platform::FakeUpstream> m_upstream;
     harness::ChildProcess m_proxy;
 };
@@ -58,13 +70,19 @@
     auto onLoop(std::function<void()>) -> void;
     auto addUpstream(std::size_t number) -> void;
     auto addRelay(std::size_t number) -> void;
-    auto answer(const platform::UpstreamRequest&) -> platform::UpstreamReply;
+    auto answer(const platform::UpstreamRequest&, UpstreamMode, const std::string& connection)
+        -> platform::UpstreamReply;
+    auto run(const platform::UpstreamRequest&) -> std::string;
+    auto refuseOrRepeat(const platform::UpstreamRequest&, const std::string& connection) -> std::string;
 
     SoakRecord& m_record;
     boost::asio::io_context m_context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     platform::FakeStore m_store;
     std::uint64_t m_version = 0;
+    std::uint64_t m_answers = 0;
+    std::set<std::string> m_connections; // On which an upstream has answered.
+    std::map<std::string, std::string> m_refusedOn; // The connection of each request that was refused.
     std::vector<ProxiedUpstream> m_upstreams;
     std::vector<RelayProcess> m_relays;
     std::thread m_thread;
--- a/test/soak/relay_soak_test.cc
+++ b/test/soak/relay_soak_test.cc
@@ -1,7 +1,8 @@
 // Randomized faults on real relay processes, from outside them; what callers and upstreams see is checked.
 //
 // SOAK_SEEDS lists seeds, separated by spaces; without it a short fixed list is played. SOAK_ROUNDS is how
-// many faults each seed has.
+// many faults each seed has, SOAK_FAULTS plays the first kinds of them only; SOAK_RELAYS, SOAK_UPSTREAMS and
+// SOAK_CALLERS set the size of the site.
 #include "soak/relay_site.h"
 #include "soak/soak_callers.h"
 
@@ -13,9 +14,9 @@
 namespace marigoldladder::soak {
 namespace {
 
-    constexpr auto relays = std::size_t { 3 };
-    constexpr auto upstreams = std::size_t { 3 };
-    constexpr auto callers = std::size_t { 12 };
+    constexpr auto defaultRelays = 3;
+    constexpr auto defaultUpstreams = 3;
+    constexpr auto defaultCallers = 12;
     constexpr auto defaultRounds = 10;
     constexpr auto startTime = std::chrono::milliseconds(10'000);
     constexpr auto stopMilliseconds = 9'000; // A stopping relay may take 8 s.
@@ -25,7 +26,8 @@
     constexpr auto settleTime = std::chrono::milliseconds(3'500); // Until nothing of the load runs any more.
 
     // Seeds of the short run. Each seed that ever failed is added with a line on the cause.
-    constexpr auto shortSeeds = "1 2";
+    // 4: answers of upstreams taken for refusals that they were not.
+    constexpr auto shortSeeds = "1 2 4";
 
     enum class Fault {
         KillRelay,
@@ -43,14 +45,19 @@
         UpstreamConnectionsCut,
         UpstreamConnectionsSilent,
         ConfigurationChanges,
+        UpstreamReadsLate, // Its requests stay in their sockets until it goes on.
+        UpstreamFailsLikeRefusing,
+        UpstreamRefusesUnidentified,
+        UpstreamRepeatsRefusals,
     };
-    constexpr auto faults = 15U;
+    constexpr auto allFaults = 19;
 
     // Plays one seed's faults, some of them at the same time, and mends what still lasts at its end.
     class FaultPlayer {
     public:
-        FaultPlayer(RelaySite& site, std::uint32_t seed)
+        FaultPlayer(RelaySite& site, std::size_t kinds, std::uint32_t seed)
             : m_site(site)
+            , m_kinds(kinds)
             , m_random(seed)
         {
         }
@@ -58,7 +65,7 @@
         auto play(int rounds) -> void
         {
             for (auto round = 0; round < rounds; ++round) {
-                begin(static_cast<Fault>(m_random() % faults));
+                begin(static_cast<Fault>(m_random() % m_kinds));
                 std::this_thread::sleep_for(std::chrono::milliseconds(100 + m_random() % 900));
                 if (m_random() % 3 == 0)
                     mend();
@@ -67,8 +74,11 @@
         }
 
     private:
-        auto anyRelay() -> RelayProcess& { return m_site.relays()[m_random() % relays]; }
-        auto anyUpstream() -> ProxiedUpstream& { return m_site.upstreams()[m_random() % upstreams]; }
+        auto anyRelay() -> RelayProcess& { return m_site.relays()[m_random() % m_site.relays().size()]; }
+        auto anyUpstream() -> ProxiedUpstream&
+        {
+            return m_site.upstreams()[m_random() % m_site.upstreams().size()];
+        }
 
         auto setProxy(const harness::ChildProcess& proxy, const nlohmann::json& fault) -> void
         {
@@ -121,6 +131,18 @@
             case Fault::UpstreamConnectionsSilent:
                 m_site.orderProxy(anyUpstream().m_proxy, "/silence", nothing);
                 break;
+            case Fault::UpstreamReadsLate:
+                anyUpstream().m_proxy.signal(SIGSTOP);
+                break;
+            case Fault::UpstreamFailsLikeRefusing:
+                *anyUpstream().m_mode = UpstreamMode::FailsLikeRefusing;
+                break;
+            case Fault::UpstreamRefusesUnidentified:
+                *anyUpstream().m_mode = UpstreamMode::RefusesUnidentified;
+                break;
+            case Fault::UpstreamRepeatsRefusals:
+                *anyUpstream().m_mode = UpstreamMode::RepeatsRefusals;
+                break;
             case Fault::ConfigurationChanges:
                 m_site.writeConfiguration();
                 break;
@@ -134,8 +156,11 @@
                 relay.m_relay.signal(SIGCONT);
                 setProxy(relay.m_storeProxy, sound);
             }
-            for (auto& upstream : m_site.upstreams())
+            for (auto& upstream : m_site.upstreams()) {
+                upstream.m_proxy.signal(SIGCONT);
+                *upstream.m_mode = UpstreamMode::Sound;
                 setProxy(upstream.m_proxy, sound);
+            }
             for (auto& relay : m_site.relays()) {
                 if (relay.m_relay.hasEnded())
                     m_site.restart(relay);
@@ -143,6 +168,7 @@
         }
 
         RelaySite& m_site;
+        std::size_t m_kinds; // Of faults.
         std::mt19937 m_random;
     };
 
@@ -168,8 +194,8 @@
         static auto number = 0;
         auto served = true;
         for (const auto& address : addressesOf(site)) {
-            const auto attempt
-                = callOnce(address, RouteKind::Repeatable, "after-" + std::to_string(++number));
+            const auto id = "after-" + std::to_string(++number);
+            const auto attempt = callOnce(address, RouteKind::Repeatable, id, id);
             served = served && attempt.m_status == 200 && attempt.m_complete;
         }
         return served;
@@ -194,15 +220,22 @@
         return value ? value : fallback;
     }
 
+    auto sizeOf(const char* name, int fallback) -> std::size_t
+    {
+        return static_cast<std::size_t>(std::stoi(environment(name, std::to_string(fallback))));
+    }
+
     auto playSeed(std::uint32_t seed, int rounds) -> void
     {
         SCOPED_TRACE("seed " + std::to_string(seed));
         auto record = SoakRecord();
-        auto site = RelaySite(relays, upstreams, record);
+        auto site = RelaySite(
+            sizeOf("SOAK_RELAYS", defaultRelays), sizeOf("SOAK_UPSTREAMS", defaultUpstreams), record);
         ASSERT_TRUE(site.allReady(startTime)) << "the site did not start";
         {
-            const auto load = SoakCallers(addressesOf(site), callers, seed, record);
-            FaultPlayer(site, seed).play(rounds);
+            const auto load
+                = SoakCallers(addressesOf(site), sizeOf("SOAK_CALLERS", defaultCallers), seed, record);
+            FaultPlayer(site, sizeOf("SOAK_FAULTS", allFaults), seed).play(rounds);
             EXPECT_TRUE(recovers(site)) << "not every relay serves after the faults";
         }
         std::this_thread::sleep_for(settleTime);
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <httplib.h>
-#include <random>
 
 namespace marigoldladder::soak {
 
@@ -11,7 +10,9 @@
     constexpr auto answerTimeout = std::chrono::seconds(4); // Above the deadline that requests state.
     constexpr auto connectTimeout = std::chrono::seconds(1);
     constexpr auto pause = std::chrono::milliseconds(5);
+    constexpr auto returnDelay = std::chrono::milliseconds(30);
     constexpr auto requestsOfAConnection = 40;
+    constexpr auto returns = 3; // At most, after answers that promise that the request hasn't run.
 
     constexpr auto paths = std::array {
         std::pair { RouteKind::Repeatable, "/plain/x" },
@@ -36,15 +37,17 @@
         return client;
     }
 
-    auto callOver(httplib::Client& client, RouteKind kind, const std::string& requestId) -> Attempt
+    auto callOver(httplib::Client& client, RouteKind kind, const std::string& requestId,
+        const std::string& operation) -> Attempt
     {
         auto attempt = Attempt();
         attempt.m_id = requestId;
+        attempt.m_operation = operation;
         attempt.m_kind = kind;
         auto request = httplib::Request();
         request.method = "POST";
         request.path = pathOf(kind);
-        request.body = "question";
+        request.body = operation;
         request.headers = { { "Host", "h.example" }, { "X-Marigoldladder-Request-Id", requestId },
             { "X-Marigoldladder-Deadline-Ms", "3000" }, { "Api-Key", "key-1" } };
         request.response_handler = [&](const httplib::Response& response) {
@@ -86,10 +89,12 @@
         auto client = clientFor(m_relays[random() % m_relays.size()]);
         for (auto sent = 0; sent < requestsOfAConnection && !m_ending; ++sent) {
             const auto kind = paths[random() % paths.size()].first;
-            auto attempt
-                = callOver(client, kind, "c" + std::to_string(seed) + "-" + std::to_string(++number));
+            const auto operation = "c" + std::to_string(seed) + "-" + std::to_string(++number);
+            auto attempt = callOver(client, kind, operation + "-0", operation);
             const auto lost = !attempt.m_complete;
-            m_record.noteAttempt(std::move(attempt));
+            m_record.noteAttempt(attempt);
+            if (saysNotRun(attempt.m_status))
+                comeBack(std::move(attempt), random);
             std::this_thread::sleep_for(pause);
             if (lost)
                 break;
@@ -97,10 +102,22 @@
     }
 }
 
-auto callOnce(const Address& relay, RouteKind kind, const std::string& requestId) -> Attempt
+auto SoakCallers::comeBack(Attempt refused, std::mt19937& random) -> void
+{
+    for (auto attempts = 1; attempts <= returns && saysNotRun(refused.m_status); ++attempts) {
+        std::this_thread::sleep_for(returnDelay);
+        const auto& relay = m_relays[random() % m_relays.size()];
+        const auto id = refused.m_operation + "-" + std::to_string(attempts);
+        refused = callOnce(relay, refused.m_kind, id, refused.m_operation);
+        m_record.noteAttempt(refused);
+    }
+}
+
+auto callOnce(const Address& relay, RouteKind kind, const std::string& requestId,
+    const std::string& operation) -> Attempt
 {
     auto client = clientFor(relay);
-    return callOver(client, kind, requestId);
+    return callOver(client, kind, requestId, operation);
 }
 
 } // namespace marigoldladder::soak
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -5,6 +5,7 @@
 #include "soak/relay_site.h"
 
 #include <atomic>
+#include <random>
 
 namespace marigoldladder::soak {
 
@@ -19,6 +20,8 @@
 
 private:
     auto callAgainAndAgain(std::uint32_t seed) -> void;
+    // Sends an operation again, each time to any relay, while it is answered as not run.
+    auto comeBack(Attempt refused, std::mt19937&) -> void;
 
     std::vector<Address> m_relays;
     SoakRecord& m_record;
@@ -27,6 +30,7 @@
 };
 
 // Sends one request over a connection of its own and returns what came back.
-auto callOnce(const Address& relay, RouteKind, const std::string& requestId) -> Attempt;
+auto callOnce(const Address& relay, RouteKind, const std::string& requestId, const std::string& operation)
+    -> Attempt;
 
 } // namespace marigoldladder::soak
--- a/test/soak/soak_record.cc
+++ b/test/soak/soak_record.cc
@@ -12,17 +12,6 @@
         return kind == RouteKind::Resumable || kind == RouteKind::StreamOnce;
     }
 
-    auto mayRunTwice(RouteKind kind) -> bool
-    {
-        return kind == RouteKind::Repeatable || kind == RouteKind::Resumable;
-    }
-
-    // Statuses that promise that the request hasn't run and never will.
-    auto saysNotRun(int status) -> bool
-    {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
     auto expectedBody(const Attempt& attempt) -> std::string
     {
         if (!isStream(attempt.m_kind))
@@ -35,6 +24,16 @@
 
 } // namespace
 
+auto mayRunTwice(RouteKind kind) -> bool
+{
+    return kind == RouteKind::Repeatable || kind == RouteKind::Resumable;
+}
+
+auto saysNotRun(int status) -> bool
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 auto wholeBody(const std::string& requestId) -> std::string
 {
     return "the answer to " + requestId;
@@ -48,10 +47,11 @@
     return events;
 }
 
-auto SoakRecord::noteRun(const std::string& requestId) -> void
+auto SoakRecord::noteRun(const std::string& requestId, const std::string& operation) -> void
 {
     const auto lock = std::lock_guard(m_mutex);
     ++m_runs[requestId];
+    ++m_operationRuns[operation];
 }
 
 auto SoakRecord::noteAttempt(Attempt attempt) -> void
@@ -75,10 +75,25 @@
     return count;
 }
 
+auto SoakRecord::brokenByOperation() const -> std::vector<std::string>
+{
+    auto kinds = std::map<std::string, RouteKind>();
+    for (const auto& attempt : m_attempts)
+        kinds[attempt.m_operation] = attempt.m_kind;
+    auto broken = std::vector<std::string>();
+    for (const auto& [operation, kind] : kinds) {
+        const auto found = m_operationRuns.find(operation);
+        if (!mayRunTwice(kind) && found != m_operationRuns.end() && found->second > 1)
+            broken.push_back(operation + " may run once and ran " + std::to_string(found->second)
+                + " times over all attempts");
+    }
+    return broken;
+}
+
 auto SoakRecord::brokenPromises() const -> std::vector<std::string>
 {
     const auto lock = std::lock_guard(m_mutex);
-    auto broken = std::vector<std::string>();
+    auto broken = brokenByOperation();
     for (const auto& attempt : m_attempts) {
         const auto found = m_runs.find(attempt.m_id);
         const auto runs = found == m_runs.end() ? 0 : found->second;
--- a/test/soak/soak_record.h
+++ b/test/soak/soak_record.h
@@ -15,9 +15,16 @@
     StreamOnce,
 };
 
+// Whether callers may come back after this status: it promises that the request hasn't run and never will.
+auto saysNotRun(int status) -> bool;
+
+// Whether requests of this kind may run more than once.
+auto mayRunTwice(RouteKind) -> bool;
+
 // One attempt of a caller, each with an id of its own.
 struct Attempt {
     std::string m_id;
+    std::string m_operation; // What the caller wants done; the same in all of its attempts.
     RouteKind m_kind = RouteKind::Repeatable;
     int m_status = 0; // 0: the connection ended without an answer.
     bool m_complete = false; // The answer's framing says that it is whole.
@@ -28,7 +35,7 @@
 // Gathers what happens, from any thread.
 class SoakRecord {
 public:
-    auto noteRun(const std::string& requestId) -> void;
+    auto noteRun(const std::string& requestId, const std::string& operation) -> void;
     auto noteAttempt(Attempt) -> void;
 
     // Returns a line for each promise that was broken; empty when all were kept. Call it when nothing runs
@@ -39,8 +46,12 @@
     auto served() const -> std::size_t;
 
 private:
+    // Attempts of one operation together: callers come back only after an answer that promises "not run".
+    auto brokenByOperation() const -> std::vector<std::string>;
+
     mutable std::mutex m_mutex;
     std::map<std::string, int> m_runs; // By request id.
+    std::map<std::string, int> m_operationRuns;
     std::vector<Attempt> m_attempts;
 };
 
