--- a/src/relay/attempts_end.cc
+++ b/src/relay/attempts_end.cc
@@ -2,6 +2,11 @@
 
 namespace marigoldladder::relay {
 
+auto formatEnd(std::optional<AttemptsEnd> end) -> std::string
+{
+    return end ? std::string(nameOf(attemptsEndNames, *end)) : "";
+}
+
 auto cutCounterOf(AttemptsEnd end) -> Counter
 {
     switch (end) {
--- a/src/relay/attempts_end.h
+++ b/src/relay/attempts_end.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <optional>
+#include <string>
 
 namespace marigoldladder::relay {
 
@@ -33,6 +34,9 @@
     EnumName<AttemptsEnd> { AttemptsEnd::DeadlineReached, "deadline_reached" },
 };
 
+// Returns the reason's name for a log line; empty if there is none.
+auto formatEnd(std::optional<AttemptsEnd>) -> std::string;
+
 // Returns the counter of answers that stay incomplete for this reason.
 auto cutCounterOf(AttemptsEnd) -> Counter;
 
--- a/src/relay/request_log.cc
+++ b/src/relay/request_log.cc
@@ -15,6 +15,11 @@
 
 } // namespace
 
+auto millisecondsBetween(MonotonicTime from, MonotonicTime until) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(until - from).count());
+}
+
 auto tryAcquireLine(LogLineBudget& budget, MonotonicTime now) -> bool
 {
     if (budget.m_refilledAt == MonotonicTime()) {
--- a/src/relay/request_log.h
+++ b/src/relay/request_log.h
@@ -28,6 +28,9 @@
 // Whether a successful request with this id belongs to the logged sample.
 auto isSampled(std::string_view requestId) -> bool;
 
+// Returns the time in milliseconds, as a log field has it.
+auto millisecondsBetween(MonotonicTime from, MonotonicTime until) -> std::string;
+
 class RequestLog {
 public:
     // Writes a line about a request, unless the budget is used up.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -1,12 +1,10 @@
 #include "relay/request_runner.h"
 
 #include "relay/blackboard_updates.h"
+#include "relay/request_attempts.h"
 #include "relay/stream_time.h"
-#include "relay/upstream_health.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace marigoldladder::relay {
 
@@ -45,16 +43,6 @@
         return failure;
     }
 
-    auto millisecondsBetween(MonotonicTime from, MonotonicTime until) -> std::string
-    {
-        return std::to_string(std::chrono::duration_cast<Milliseconds>(until - from).count());
-    }
-
-    auto formatEnd(std::optional<AttemptsEnd> end) -> std::string
-    {
-        return end ? std::string(nameOf(attemptsEndNames, *end)) : "";
-    }
-
     // A request that counts as in flight during the object's lifetime.
     class RequestInFlight {
     public:
@@ -87,28 +75,6 @@
 
 } // namespace
 
-// A slot at another upstream, acquired while the current one is silent.
-struct RequestRunner::Move {
-    UpstreamSlot m_slot;
-    bool m_asksForPermit = false; // Of the upstream's request limit; the permit is pending.
-    bool m_isPermitted = true;
-};
-
-// The attempts made so far for one request.
-struct RequestRunner::Attempts {
-    UpstreamNeeds m_needs;
-    std::size_t m_runs = 0; // Upstreams that ran the request or may have run it.
-    std::size_t m_sends = 0; // Upstreams to which the request was sent.
-    bool m_timedOut = false;
-    std::optional<Failure> m_refusal; // Why it isn't sent although an upstream could take it.
-    ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
-    MonotonicTime m_retryAt {}; // When the last outcome may change by time alone; zero: unknown.
-    std::optional<AttemptsEnd> m_end; // Why no further upstream gets it; empty: one may get it.
-    std::shared_ptr<Move> m_move; // To the next upstream; null: none is prepared.
-    bool m_isSilenceNoted = false; // Of the current upstream.
-    AllowanceDecision m_charge;
-};
-
 RequestRunner::RequestRunner(Executor executor, const RelaySettings& settings, RelayBoard& board,
     AllowanceExchange& allowances, WaitList& waitList, RequestLimitExchange& requestLimits,
     UpstreamCaller& upstreamCaller, CrashWatch& crashWatch, const Dialect& dialect)
@@ -357,82 +323,6 @@
     return true;
 }
 
-// An upstream's silence alone doesn't end a call, since a sound one may be silent for a while.
-auto RequestRunner::handleSilence(const CallState& state, Attempts& attempts, const UpstreamPointer& upstream)
-    -> SilenceHandling
-{
-    attempts.m_isSilenceNoted = false;
-    if (!mayRetry(*state.m_route))
-        return {};
-    auto handling = SilenceHandling();
-    handling.m_tryMove = [this, &state, &attempts, upstream] {
-        const auto stayReason = tryMove(state, attempts, *upstream);
-        if (!std::exchange(attempts.m_isSilenceNoted, true))
-            noteSilence(state, *upstream, stayReason);
-        return !stayReason;
-    };
-    handling.m_stay = [&attempts] { attempts.m_move = nullptr; };
-    return handling;
-}
-
-auto RequestRunner::noteSilence(
-    const CallState& state, Upstream& upstream, std::optional<AttemptsEnd> stayReason) -> void
-{
-    const auto now = Clock::now();
-    recordCallEnd(upstream.m_health, state.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
-    m_log.write("upstream_silent", state.m_request.m_id,
-        { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
-            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
-            { "left_ms", millisecondsBetween(now, state.m_deadline) },
-            { "stays_because", formatEnd(stayReason) } });
-}
-
-auto RequestRunner::tryMove(const CallState& state, Attempts& attempts, const Upstream& silent)
-    -> std::optional<AttemptsEnd>
-{
-    const auto now = Clock::now();
-    if (attempts.m_runs + 1 >= state.m_route->m_maxUpstreams)
-        return AttemptsEnd::AttemptsSpent;
-    if (now + state.m_route->m_targetLatency >= state.m_deadline)
-        return AttemptsEnd::DeadlineReached;
-    if (!allowsRetry(
-            m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
-        return AttemptsEnd::RetryBudgetSpent;
-    if (!attempts.m_move)
-        attempts.m_move = beginMove(attempts, silent);
-    if (!attempts.m_move || attempts.m_move->m_asksForPermit)
-        return AttemptsEnd::NoUpstream;
-    auto obstacle = std::optional(AttemptsEnd::NoUpstream);
-    if (attempts.m_move->m_isPermitted)
-        obstacle = obstacleToSend(state, attempts);
-    if (obstacle)
-        attempts.m_move = nullptr;
-    return obstacle;
-}
-
-// Returns null if no other upstream has room.
-auto RequestRunner::beginMove(const Attempts& attempts, const Upstream& silent) -> std::shared_ptr<Move>
-{
-    auto needs = attempts.m_needs;
-    needs.m_tried.push_back(&silent);
-    auto slot = m_waitList.tryAcquireOther(std::move(needs));
-    if (!slot)
-        return nullptr;
-    auto move = std::make_shared<Move>(Move { std::move(slot) });
-    if (isLimited(move->m_slot.upstream()->m_requestLimit)) {
-        move->m_asksForPermit = true;
-        net::co_spawn(m_executor, acquirePermit(move), net::detached);
-    }
-    return move;
-}
-
-// The move may have been given up when the permit arrives.
-auto RequestRunner::acquirePermit(std::shared_ptr<Move> move) -> Awaitable<void>
-{
-    move->m_isPermitted = co_await m_requestLimits.acquire(move->m_slot.upstream());
-    move->m_asksForPermit = false;
-}
-
 // Records how a call ended. Returns why the request isn't sent to another upstream, or nothing if it may be.
 auto RequestRunner::endAfter(UpstreamCallOutcome outcome, const CallState& state, Attempts& attempts)
     -> std::optional<AttemptsEnd>
--- /dev/null
+++ b/src/relay/request_runner_silence.cc
@@ -0,0 +1,93 @@
+// The part of the request runner that decides what a request does while its upstream is silent.
+#include "relay/request_attempts.h"
+#include "relay/upstream_health.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+} // namespace
+
+// An upstream's silence alone doesn't end a call, since a sound one may be silent for a while.
+auto RequestRunner::handleSilence(const CallState& state, Attempts& attempts, const UpstreamPointer& upstream)
+    -> SilenceHandling
+{
+    attempts.m_isSilenceNoted = false;
+    if (!mayRetry(*state.m_route))
+        return {};
+    auto handling = SilenceHandling();
+    handling.m_tryMove = [this, &state, &attempts, upstream] {
+        const auto stayReason = tryMove(state, attempts, *upstream);
+        if (!std::exchange(attempts.m_isSilenceNoted, true))
+            noteSilence(state, *upstream, stayReason);
+        return !stayReason;
+    };
+    handling.m_stay = [&attempts] { attempts.m_move = nullptr; };
+    return handling;
+}
+
+auto RequestRunner::noteSilence(
+    const CallState& state, Upstream& upstream, std::optional<AttemptsEnd> stayReason) -> void
+{
+    const auto now = Clock::now();
+    recordCallEnd(upstream.m_health, state.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
+    m_log.write("upstream_silent", state.m_request.m_id,
+        { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
+            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
+            { "left_ms", millisecondsBetween(now, state.m_deadline) },
+            { "stays_because", formatEnd(stayReason) } });
+}
+
+auto RequestRunner::tryMove(const CallState& state, Attempts& attempts, const Upstream& silent)
+    -> std::optional<AttemptsEnd>
+{
+    const auto now = Clock::now();
+    if (attempts.m_runs + 1 >= state.m_route->m_maxUpstreams)
+        return AttemptsEnd::AttemptsSpent;
+    if (now + state.m_route->m_targetLatency >= state.m_deadline)
+        return AttemptsEnd::DeadlineReached;
+    if (!allowsRetry(
+            m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
+        return AttemptsEnd::RetryBudgetSpent;
+    if (!attempts.m_move)
+        attempts.m_move = beginMove(attempts, silent);
+    if (!attempts.m_move || attempts.m_move->m_asksForPermit)
+        return AttemptsEnd::NoUpstream;
+    auto obstacle = std::optional(AttemptsEnd::NoUpstream);
+    if (attempts.m_move->m_isPermitted)
+        obstacle = obstacleToSend(state, attempts);
+    if (obstacle)
+        attempts.m_move = nullptr;
+    return obstacle;
+}
+
+// Returns null if no other upstream has room.
+auto RequestRunner::beginMove(const Attempts& attempts, const Upstream& silent) -> std::shared_ptr<Move>
+{
+    auto needs = attempts.m_needs;
+    needs.m_tried.push_back(&silent);
+    auto slot = m_waitList.tryAcquireOther(std::move(needs));
+    if (!slot)
+        return nullptr;
+    auto move = std::make_shared<Move>(Move { std::move(slot) });
+    if (isLimited(move->m_slot.upstream()->m_requestLimit)) {
+        move->m_asksForPermit = true;
+        net::co_spawn(m_executor, acquirePermit(move), net::detached);
+    }
+    return move;
+}
+
+// The move may have been given up when the permit arrives.
+auto RequestRunner::acquirePermit(std::shared_ptr<Move> move) -> Awaitable<void>
+{
+    move->m_isPermitted = co_await m_requestLimits.acquire(move->m_slot.upstream());
+    move->m_asksForPermit = false;
+}
+
+} // namespace marigoldladder::relay
