Mark the linter's false positive on a defaulted comparison

clang-tidy 14 takes the comparison with 0 that a defaulted operator<=> implies for a null pointer, as at the three other such operators. Found by the linter over all files changed; it had no other finding in them.

--- a/src/relay/object_store.h
+++ b/src/relay/object_store.h
@@ -46,7 +46,7 @@
     std::uint64_t m_era = 0; // From `firstEra` on; 0: unknown.
     std::uint64_t m_revision = 0; // 0: unknown.
 
-    auto operator<=>(const StoreRevision&) const = default;
+    auto operator<=>(const StoreRevision&) const = default; // NOLINT(modernize-use-nullptr): false positive.
 };
 
 // One object. Content that can't be read is null.
