Log when a version becomes known, and the versions of each attempt

Nothing in the logs told apart the hypotheses on outdated adapter versions: when a node learnt of a version (3), which version the engine was believed to hold and which one the request stated (1, 2), and when the request was sent, as against when its answer began (1). A line adapter_version_announced and three fields of request_attempt say so now; first_part_ms less sent_ms is the time at the engine.

No decision changes. The new test fails on the code before, which has neither the line nor the fields.

--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -43,6 +43,11 @@
         return failure;
     }
 
+    auto formatVersion(std::optional<std::uint64_t> version) -> std::string
+    {
+        return version ? std::to_string(*version) : "";
+    }
+
     // A request that counts as in flight during the object's lifetime.
     class RequestInFlight {
     public:
@@ -176,6 +181,9 @@
     m_log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
             { "adapter", state.m_request.m_adapter },
+            { "held_version", formatVersion(state.m_versions.m_held) },
+            { "stated_version", formatVersion(state.m_versions.m_stated) },
+            { "sent_ms", millisecondsBetween(state.m_arrivedAt, state.m_versions.m_sentAt) },
             { "end", std::string(nameOf(upstreamCallOutcomeNames, outcome)) },
             { "waited_ms", std::to_string(wait.m_time.count()) },
             { "waited_for", std::string(nameOf(choiceOutcomeNames, wait.m_reason)) },
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -46,6 +46,7 @@
     auto applyChanges(ObjectKind, StoreRevision before, const std::vector<ObjectChange>&) -> void;
     auto recordEra(ObjectKind, StoreRevision before) -> void;
     auto applyObject(ObjectKind, const StoredObject&, ChangeOrigin) -> void;
+    auto announceVersion(const ListedAdapter&) -> void;
     auto applyUpstream(const StoredObject&, ChangeOrigin) -> void;
     auto applyCopiedUpstream(const UpstreamRecord&) -> void;
     auto applyEntryAfter(Milliseconds, const UpstreamName&) -> void;
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -88,13 +88,21 @@
         break;
     case ObjectKind::AdapterVersions:
         if (const auto adapter = m_schema.m_readVersion(object.m_content))
-            applyAdapterVersion(m_board.m_upstreams, *adapter, Clock::now());
+            announceVersion(*adapter);
         else
             logWarning("adapter_version_unreadable", { { "object", object.m_name } });
         break;
     }
 }
 
+auto StoreSync::announceVersion(const ListedAdapter& adapter) -> void
+{
+    if (!applyAdapterVersion(m_board.m_upstreams, adapter, Clock::now()))
+        return;
+    logChange("adapter_version_announced",
+        { { "adapter", adapter.m_key }, { "version", std::to_string(adapter.m_version) } });
+}
+
 auto StoreSync::applyUpstream(const StoredObject& object, ChangeOrigin origin) -> void
 {
     const auto record = m_schema.m_readUpstream(object.m_name, object.m_content);
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -87,6 +87,12 @@
         return request;
     }
 
+    auto heldVersion(const Upstream& upstream, const std::string& adapter) -> std::optional<std::uint64_t>
+    {
+        const auto found = upstream.m_adapters.find(adapter);
+        return found == upstream.m_adapters.end() ? std::nullopt : std::optional(found->second.m_version);
+    }
+
     auto timeLeft(const CallState& state) -> Milliseconds
     {
         return std::chrono::duration_cast<Milliseconds>(state.m_deadline - Clock::now());
@@ -277,6 +283,7 @@
     const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
 {
     state.m_answerBegan = false;
+    state.m_versions = { std::nullopt, std::nullopt, Clock::now() };
     if (Clock::now() >= state.m_deadline)
         co_return UpstreamCallOutcome::NotReached;
     auto refused = false;
@@ -306,6 +313,8 @@
     const auto disconnectHook = DisconnectHook(state, connection->m_stream);
     auto error = ErrorCode();
     const auto sentAt = Clock::now();
+    state.m_versions
+        = { heldVersion(*upstream, state.m_request.m_adapter), dispatch.m_adapterVersion, sentAt };
     state.m_lastHeardAt = sentAt;
     auto silence = SilenceWatch(connection->m_stream, handling);
     connection->m_stream.expires_at(state.m_deadline);
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -44,6 +44,13 @@
     std::string m_body;
 };
 
+// What was known of the adapter's versions when a request was sent.
+struct SentVersions {
+    std::optional<std::uint64_t> m_held; // The engine's, in this node's view; empty: no adapter is needed.
+    std::optional<std::uint64_t> m_stated; // The engine must refuse any other; empty: it may be any.
+    MonotonicTime m_sentAt {}; // When the request was sent, or the call began if it wasn't sent.
+};
+
 // A caller's request and the progress of its answer.
 struct CallState {
     boost::beast::http::request<boost::beast::http::string_body> m_message;
@@ -63,6 +70,7 @@
     std::function<void()> m_cancelUpstream; // Set while a call to an upstream runs.
     std::optional<Milliseconds> m_timeToFirstPart; // From arrival to the first part of a stream.
     bool m_answerBegan = false; // The upstream called last sent an event, or a whole answer.
+    SentVersions m_versions; // Of the call made last.
     std::string m_lastEventId; // Of the last event sent to the caller by this node.
     std::optional<WholeAnswer> m_upstreamFailure; // Sent to the caller if no retry succeeds.
 };
--- a/test/platform/relay_log_test.cc
+++ b/test/platform/relay_log_test.cc
@@ -115,6 +115,25 @@
         EXPECT_NE(text.find("\"left_ms\":"), std::string::npos) << text;
     }
 
+    TEST_F(RelayLogTest, SaysWhichVersionOfTheAdapterAnEngineHeldAndTheRequestStated)
+    {
+        const auto models = nlohmann::json::array(
+            { { { "name", "m" }, { "version", 1 }, { "adapters", nlohmann::json::array({ "a1@1" }) } } });
+        m_relay->addUpstream(
+            "i-1", "pool",
+            [](const UpstreamRequest& request) { return UpstreamReply { answerTo(request, 500, "failed") }; },
+            models);
+        m_relay->put("versions", "m.a1", { { "model", "m" }, { "adapter", "a1" }, { "version", 2 } });
+        auto text = std::string();
+        ASSERT_TRUE(m_relay->eventually([&] {
+            text += m_output.read();
+            return text.find("\"adapter_version_announced\"") != std::string::npos;
+        }));
+        (void)m_relay->send(callerRequest("GET", "/plain/x", "X-Marigoldladder-Model: m/a1\r\n"));
+        text += m_output.read();
+        EXPECT_NE(text.find("\"held_version\":\"1\",\"stated_version\":\"\""), std::string::npos) << text;
+    }
+
     TEST_F(RelayLogTest, OmitsLinesUnderLoad)
     {
         // More than the burst of 100 lines and the rate of 20 lines per second.
