Add failing tests of requests that begin on an outdated adapter version

A later version lifts the bound of the one before: an engine with version 1 is chosen 4 s after version 2 was announced, because version 3 was announced half a second ago. A request that waits at its engine is judged when it is sent and never again: it stays there until its deadline, and begins on whatever the engine holds then.

--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -159,6 +159,20 @@
         EXPECT_TRUE(loadsOf(plan()).empty()) << "the slot is taken until the engine reports otherwise";
     }
 
+    // The engine refuses the requests for it that have not begun, so that they can run elsewhere.
+    TEST_F(AdapterPlanTest, UnloadsAVersionThatNoRequestMayBeginOnThoughRequestsUseIt)
+    {
+        addEngine("old", { "a1" });
+        auto& fresh = addEngine("fresh");
+        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(-4));
+        recordLoadOrder(fresh, { "model/a1", 2 }, at(0.5), at(0.2));
+        addDemand("a1", 1, 0, 3);
+        const auto planned = plan();
+        ASSERT_EQ(planned.m_orders.size(), 1U);
+        EXPECT_EQ(planned.m_orders[0].m_kind, AdapterOrderKind::Unload);
+        EXPECT_EQ(planned.m_orders[0].m_upstream->m_record.m_name, UpstreamName("old"));
+    }
+
     TEST_F(AdapterPlanTest, AnEnginesNextRunKeepsUnconfirmedOrders)
     {
         auto& before = addEngine("engine", { "a1", "a2" });
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -144,6 +144,15 @@
             << "version 1 may be used for at most 5 s after the announcement";
     }
 
+    TEST_F(UpstreamChoiceTest, ALaterVersionDoesNotLiftTheBoundOfTheOneBefore)
+    {
+        add(engineRecord("old", { "a1" }));
+        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(0));
+        (void)applyAdapterVersion(m_table, { "model/a1", 3 }, at(3.5));
+        EXPECT_EQ(choose(at(4)).m_outcome, ChoiceOutcome::NotLoaded)
+            << "version 1 may be used for at most 5 s after version 2 was announced";
+    }
+
     TEST_F(UpstreamChoiceTest, PrefersTheNewestVersionAsSoonAsAnEngineServesIt)
     {
         add(engineRecord("old", { "a1" }));
