Require each adapter version by its own announcement

Cause: one time was kept for each adapter, that of its newest version, and each announcement wrote over it. For 2.2 s after every version no version at all was required, so versions that follow each other sooner than that let requests run on any old one. The lowest version that may run was a state that went back, where it is a function of time that only rises.

Now adapter_versions keeps, for each announced version that still matters, the time from which no request may begin on an older one, and answers for any moment which version is the lowest. The choice of an upstream, the version that a request states and the plan ask it. The settings' bound, so far only checked, decides it. A version that was there when a node started is required at once, as its announcement may be long past.

RelaySettingsTest.ChecksTheBoundOnAdapterVersions is replaced by a test of the value, which checks the same two cases and that the value is read.

--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -172,16 +172,6 @@
     table.m_upstreams.erase(found);
 }
 
-auto applyAdapterVersion(UpstreamTable& table, const ListedAdapter& adapter, MonotonicTime now) -> bool
-{
-    auto& newest = table.m_newestVersions[adapter.m_key];
-    if (adapter.m_version <= newest)
-        return false;
-    newest = adapter.m_version;
-    table.m_announcedAt[adapter.m_key] = now;
-    return true;
-}
-
 auto recordLoadOrder(
     Upstream& upstream, const ListedAdapter& adapter, MonotonicTime readyAt, MonotonicTime now) -> void
 {
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -41,9 +41,6 @@
 // engine lists it.
 auto applyEngineReport(Upstream&, const EngineReport&, MonotonicTime requestedAt, ReportedState) -> void;
 
-// Applies the announcement of an adapter's version. Returns false if it isn't newer than the known ones.
-auto applyAdapterVersion(UpstreamTable&, const ListedAdapter&, MonotonicTime now) -> bool;
-
 // Records that an engine accepted the order to load an adapter. Overrides the engine's listings for a while.
 auto recordLoadOrder(Upstream&, const ListedAdapter&, MonotonicTime readyAt, MonotonicTime now) -> void;
 
--- a/src/relay/plan_view.cc
+++ b/src/relay/plan_view.cc
@@ -58,9 +58,7 @@
                 auto adapter = PlannedAdapter();
                 adapter.m_name = &name;
                 adapter.m_model = std::string_view(name).substr(0, name.find('/'));
-                const auto& versions = m_input.m_table->m_newestVersions;
-                const auto newest = versions.find(name);
-                adapter.m_newestVersion = newest == versions.end() ? 0 : newest->second;
+                adapter.m_newestVersion = newestVersion(m_input.m_table->m_versions, name).value_or(0);
                 m_view.m_adapters.push_back(adapter);
             }
             return found->second;
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -30,8 +30,8 @@
         bounds.m_stopTime
             = milliseconds(reader.optionalNumber("stop_s", 8, { 0, maxTimeSeconds }) * millisecondsPerSecond);
         bounds.m_leaseTime = milliseconds(reader.optionalNumber("lease_ms", 3'000, { 0, maxTimeMs }));
-        // Checked only: the choice of upstreams keeps to a bound of its own.
-        (void)reader.optionalNumber("adapter_version_ms", 5'000, { 0, maxTimeMs });
+        bounds.m_versionTime
+            = milliseconds(reader.optionalNumber("adapter_version_ms", 5'000, { 0, maxTimeMs }));
         const auto allowance = AllowanceBounds();
         const auto seconds = static_cast<double>(allowance.m_window.count());
         bounds.m_allowance.m_window = std::chrono::seconds(
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -20,6 +20,8 @@
     Milliseconds m_drainTime { 2'000 }; // A leaving upstream gets no request after it.
     Milliseconds m_stopTime { 8'000 }; // From the stop signal until the process is killed.
     Milliseconds m_leaseTime { 3'000 }; // Least time between the orders of two successive lease holders.
+    // From the announcement of an adapter's version until no request may begin on an older one.
+    Milliseconds m_versionTime { 5'000 };
     AllowanceBounds m_allowance; // On the cost of each organisation's requests.
 };
 
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -37,6 +37,7 @@
     auto peerWithNews(ObjectKind) -> const Peer*;
     // Where changes come from.
     enum class ChangeOrigin {
+        Start, // The first state that this node received.
         Store, // Written to the store since the state known before.
         OlderCopy, // The first state of a new era, which may be older than what is known.
     };
@@ -46,7 +47,7 @@
     auto applyChanges(ObjectKind, StoreRevision before, const std::vector<ObjectChange>&) -> void;
     auto recordEra(ObjectKind, StoreRevision before) -> void;
     auto applyObject(ObjectKind, const StoredObject&, ChangeOrigin) -> void;
-    auto announceVersion(const ListedAdapter&) -> void;
+    auto announceAdapterVersion(const ListedAdapter&, ChangeOrigin) -> void;
     auto applyUpstream(const StoredObject&, ChangeOrigin) -> void;
     auto applyCopiedUpstream(const UpstreamRecord&) -> void;
     auto applyEntryAfter(Milliseconds, const UpstreamName&) -> void;
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -39,8 +39,11 @@
     -> void
 {
     const auto era = m_board.m_objects[kind].m_revision.m_era;
-    const auto isNewEra = before != StoreRevision() && era > before.m_era;
-    const auto origin = isNewEra ? ChangeOrigin::OlderCopy : ChangeOrigin::Store;
+    auto origin = ChangeOrigin::Store;
+    if (before == StoreRevision())
+        origin = ChangeOrigin::Start;
+    else if (era > before.m_era)
+        origin = ChangeOrigin::OlderCopy;
     if (!m_board.m_storeEra || era > *m_board.m_storeEra)
         recordEra(kind, before);
     for (const auto& change : changes) {
@@ -88,16 +91,20 @@
         break;
     case ObjectKind::AdapterVersions:
         if (const auto adapter = m_schema.m_readVersion(object.m_content))
-            announceVersion(*adapter);
+            announceAdapterVersion(*adapter, origin);
         else
             logWarning("adapter_version_unreadable", { { "object", object.m_name } });
         break;
     }
 }
 
-auto StoreSync::announceVersion(const ListedAdapter& adapter) -> void
+// A version that was there when this node started may have been announced long before.
+auto StoreSync::announceAdapterVersion(const ListedAdapter& adapter, ChangeOrigin origin) -> void
 {
-    if (!applyAdapterVersion(m_board.m_upstreams, adapter, Clock::now()))
+    const auto now = Clock::now();
+    const auto required
+        = origin == ChangeOrigin::Start ? now : requiredFrom(now, m_settings.m_bounds.m_versionTime);
+    if (!announceVersion(m_board.m_upstreams.m_versions, adapter, required, now))
         return;
     logChange("adapter_version_announced",
         { { "adapter", adapter.m_key }, { "version", std::to_string(adapter.m_version) } });
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -4,6 +4,7 @@
 #include "core/blackboard.h"
 #include "marigoldladder/ids.h"
 #include "marigoldladder/settings.h"
+#include "relay/adapter_versions.h"
 #include "relay/request_limit.h"
 #include "relay/routing_configuration.h"
 
@@ -16,12 +17,6 @@
 
 namespace marigoldladder::relay {
 
-// An adapter that an engine lists as loaded, at a version.
-struct ListedAdapter {
-    std::string m_key; // `model/adapter`.
-    std::uint64_t m_version = 0;
-};
-
 // What an upstream reports of itself.
 struct UpstreamRecord {
     UpstreamName m_name; // Usually of one run of the upstream; see `m_startedAt`.
@@ -94,8 +89,7 @@
     // holds then.
     std::map<UpstreamName, UpstreamPointer> m_removedLately;
     std::map<DataCentreName, bool> m_evacuated; // Data centres that get no new requests.
-    std::unordered_map<std::string, std::uint64_t> m_newestVersions; // Announced, by `model/adapter`.
-    std::unordered_map<std::string, MonotonicTime> m_announcedAt; // When this node learnt of that version.
+    AdapterVersions m_versions;
     bool m_known = false;
 };
 
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -308,7 +308,8 @@
 {
     auto dispatch = Dispatch { upstream->m_record.m_name, state.m_organisation, timeLeft(state),
         std::clamp(state.m_priority, 0, lowestPriority), std::nullopt, state.m_lastEventId };
-    dispatch.m_adapterVersion = requiredVersion(m_board.m_upstreams, state.m_request.m_adapter, Clock::now());
+    dispatch.m_adapterVersion
+        = lowestVersionToSend(m_board.m_upstreams.m_versions, state.m_request.m_adapter, Clock::now());
     const auto request = requestFor(state, m_dialect, dispatch);
     const auto disconnectHook = DisconnectHook(state, connection->m_stream);
     auto error = ErrorCode();
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -32,10 +32,6 @@
     // Plain services queue a few requests, so they get this many times their slots.
     constexpr auto plainServiceOvercommit = 1.5;
 
-    // How long requests may still run on an adapter's older version after this node learnt of a newer one:
-    // the bound on version changes less the time in which an announcement reaches this node.
-    constexpr auto oldVersionGracePeriod = std::chrono::milliseconds(2'200);
-
     // Whether a route's or an organisation's list of regions allows a region; an empty list allows any.
     auto allowsRegion(const std::vector<std::string>& regions, const std::string& region) -> bool
     {
@@ -84,15 +80,15 @@
     auto wantedVersion(const UpstreamTable& table, const UpstreamNeeds& needs, MonotonicTime now)
         -> std::optional<std::uint64_t>
     {
-        const auto newest = table.m_newestVersions.find(needs.m_adapter);
-        if (newest == table.m_newestVersions.end())
+        const auto newest = newestVersion(table.m_versions, needs.m_adapter);
+        if (!newest)
             return std::nullopt;
         for (const auto& [name, upstream] : table.m_upstreams) {
             if (upstream->m_record.m_pool == needs.m_pool && acceptsNewRequests(table, *upstream)
-                && adapterState(*upstream, needs, newest->second, now).m_ready)
-                return newest->second;
+                && adapterState(*upstream, needs, newest, now).m_ready)
+                return newest;
         }
-        return requiredVersion(table, needs.m_adapter, now);
+        return lowestVersionToSend(table.m_versions, needs.m_adapter, now);
     }
 
     auto slotLimit(const Upstream& upstream, const Pool* pool) -> double
@@ -217,15 +213,6 @@
     return std::max(upstream.m_pausedUntil, closedUntil);
 }
 
-auto requiredVersion(const UpstreamTable& table, const std::string& adapter, MonotonicTime now)
-    -> std::optional<std::uint64_t>
-{
-    const auto announced = table.m_announcedAt.find(adapter);
-    if (announced == table.m_announcedAt.end() || announced->second + oldVersionGracePeriod > now)
-        return std::nullopt;
-    return table.m_newestVersions.at(adapter);
-}
-
 auto acquireColdAllowance(Upstream& upstream, const Pool& pool, std::size_t nodes, MonotonicTime now) -> bool
 {
     const auto rate = pool.m_coldRequestsPerSecond / static_cast<double>(std::max<std::size_t>(nodes, 1));
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -64,11 +64,6 @@
 // is not evacuated.
 auto acceptsNewRequests(const UpstreamTable&, const Upstream&) -> bool;
 
-// Returns the newest announced version of an adapter once the time for its older versions has passed;
-// otherwise nothing.
-auto requiredVersion(const UpstreamTable&, const std::string& adapter, MonotonicTime now)
-    -> std::optional<std::uint64_t>;
-
 // Refills this node's allowance of requests to a cold upstream (a token bucket of one request) and charges
 // one request to it. Returns false if it has none.
 auto acquireColdAllowance(Upstream&, const Pool&, std::size_t nodes, MonotonicTime now) -> bool;
--- a/test/platform/outdated_version_test.cc
+++ b/test/platform/outdated_version_test.cc
@@ -112,5 +112,20 @@
         EXPECT_EQ(reply.get().m_body, allEvents);
     }
 
+    // How long ago it was announced isn't known.
+    TEST(VersionAtStartTest, AVersionAnnouncedBeforeTheNodeStartedIsRequiredAtOnce)
+    {
+        auto relay = RelayHarness([](FakeStore& store) {
+            store.put("versions", "m.a1", { { "model", "m" }, { "adapter", "a1" }, { "version", 2 } });
+            store.put("config", "main", testConfiguration(1));
+        });
+        relay.addUpstream("i-1", "pool", answerWith("old"), modelsWith("a1@1"));
+        const auto request = callerRequest("GET", "/plain/x", "X-Marigoldladder-Model: m/a1\r\n");
+        EXPECT_EQ(relay.send(request).m_status, 503);
+        EXPECT_TRUE(relay.requestsAt("i-1").empty());
+        relay.addUpstream("i-2", "pool", answerWith("new"), modelsWith("a1@2"));
+        EXPECT_EQ(relay.send(request).m_body, "new");
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -144,10 +144,12 @@
     std::map<std::string, nlohmann::json> m_entries; // Of the upstreams, as written last.
 };
 
-RelayHarness::RelayHarness()
+RelayHarness::RelayHarness(const std::function<void(FakeStore&)>& prepare)
     : m_parts(new Parts()) // NOLINT(cppcoreguidelines-owning-memory): see the class.
-    , m_thread([this] { m_parts->m_node.run(); })
 {
+    if (prepare)
+        prepare(m_parts->m_store);
+    m_thread = std::thread([this] { m_parts->m_node.run(); });
 }
 
 RelayHarness::~RelayHarness()
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -26,7 +26,8 @@
 // The node's members are never destroyed, as suspended coroutines may refer to them.
 class RelayHarness {
 public:
-    RelayHarness();
+    // `prepare` writes what the store has before the node starts.
+    explicit RelayHarness(const std::function<void(FakeStore&)>& prepare = {});
     ~RelayHarness();
     RelayHarness(const RelayHarness&) = delete;
     auto operator=(const RelayHarness&) -> RelayHarness& = delete;
--- a/test/relay/adapter_plan_test.cc
+++ b/test/relay/adapter_plan_test.cc
@@ -129,7 +129,7 @@
     {
         addEngine("old", { "a1" });
         auto& fresh = addEngine("fresh");
-        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(0));
+        announce(m_table, { "model/a1", 2 }, at(0));
         addDemand("a1", 1, 1);
         auto planned = plan();
         ASSERT_EQ(planned.m_orders.size(), 1U);
@@ -149,7 +149,7 @@
         addEngine("full", { "a1", "a2", "a3" });
         auto& fresh = addEngine("fresh");
         for (const auto* adapter : { "model/a1", "model/a2", "model/a3" }) {
-            (void)applyAdapterVersion(m_table, { adapter, 2 }, at(0));
+            announce(m_table, { adapter, 2 }, at(0));
             recordLoadOrder(fresh, { adapter, 2 }, at(0.5), at(0.2));
         }
         const auto loads = loadsOf(plan());
@@ -164,7 +164,7 @@
     {
         addEngine("old", { "a1" });
         auto& fresh = addEngine("fresh");
-        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(-4));
+        announce(m_table, { "model/a1", 2 }, at(-4));
         recordLoadOrder(fresh, { "model/a1", 2 }, at(0.5), at(0.2));
         addDemand("a1", 1, 0, 3);
         const auto planned = plan();
--- a/test/relay/relay_fixtures.h
+++ b/test/relay/relay_fixtures.h
@@ -26,6 +26,13 @@
         + std::to_string(process % byteValues);
 }
 
+// Announces a version of an adapter: no request may begin on an older one after 5 s.
+inline auto announce(UpstreamTable& table, const ListedAdapter& adapter, MonotonicTime now) -> void
+{
+    constexpr auto changeTime = Milliseconds(5'000);
+    (void)announceVersion(table.m_versions, adapter, requiredFrom(now, changeTime), now);
+}
+
 // Returns a pool of engines with five adapter slots that run eight requests at once.
 inline auto enginePool() -> Pool
 {
--- a/test/relay/relay_settings_test.cc
+++ b/test/relay/relay_settings_test.cc
@@ -35,16 +35,19 @@
                 << "expected a fault at " << path << " among " << paths;
     }
 
-    TEST(RelaySettingsTest, ChecksTheBoundOnAdapterVersions)
+    TEST(RelaySettingsTest, ReadsTheBoundOnAdapterVersions)
     {
-        const auto faultsWith = [](const std::string& milliseconds) {
+        const auto settingsWith = [](const std::string& milliseconds) {
             auto text = std::string(complete);
             text.insert(text.find("\"retry_ratio\""), "\"adapter_version_ms\":" + milliseconds + ",");
-            const auto settings = parseRelaySettings(text);
-            return settings ? std::size_t { 0 } : settings.error().m_faults.size();
+            return parseRelaySettings(text);
         };
-        EXPECT_EQ(faultsWith("5000"), 0U);
-        EXPECT_EQ(faultsWith("-1"), 1U);
+        const auto settings = settingsWith("4000");
+        ASSERT_TRUE(settings);
+        EXPECT_EQ(settings.value().m_bounds.m_versionTime, Milliseconds(4'000));
+        const auto negative = settingsWith("-1");
+        ASSERT_FALSE(negative);
+        EXPECT_EQ(negative.error().m_faults.size(), 1U);
     }
 
     TEST(RelaySettingsTest, RejectsTextThatIsNotJson)
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -138,7 +138,7 @@
     TEST_F(UpstreamChoiceTest, RequiresAnAnnouncedVersionAfterTheGracePeriod)
     {
         add(engineRecord("old", { "a1" }));
-        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(0));
+        announce(m_table, { "model/a1", 2 }, at(0));
         EXPECT_EQ(choose(at(1)).m_outcome, ChoiceOutcome::Chosen);
         EXPECT_EQ(choose(at(4)).m_outcome, ChoiceOutcome::NotLoaded)
             << "version 1 may be used for at most 5 s after the announcement";
@@ -147,8 +147,8 @@
     TEST_F(UpstreamChoiceTest, ALaterVersionDoesNotLiftTheBoundOfTheOneBefore)
     {
         add(engineRecord("old", { "a1" }));
-        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(0));
-        (void)applyAdapterVersion(m_table, { "model/a1", 3 }, at(3.5));
+        announce(m_table, { "model/a1", 2 }, at(0));
+        announce(m_table, { "model/a1", 3 }, at(3.5));
         EXPECT_EQ(choose(at(4)).m_outcome, ChoiceOutcome::NotLoaded)
             << "version 1 may be used for at most 5 s after version 2 was announced";
     }
@@ -159,7 +159,7 @@
         auto& busy = add(engineRecord("new"));
         busy.m_inFlight = 6;
         recordLoadOrder(busy, { "model/a1", 2 }, at(0.5), at(0.2));
-        (void)applyAdapterVersion(m_table, { "model/a1", 2 }, at(0));
+        announce(m_table, { "model/a1", 2 }, at(0));
         EXPECT_EQ(choose(at(1)).m_upstream->m_record.m_name, UpstreamName("new"));
     }
 
