Unload adapter versions on which no request may begin any more

What callers saw: requests that ran on an older version of their adapter more than 5 s after a newer one was announced (VERSION), beside queues at the engines.

The promise names the moment at which the request begins, and at that moment only the engine can act. It keeps an old version until it is replaced, which the plan did only with a free slot beside it.

Now the holder of the order lease unloads a version as soon as no node may send a request to it. The engine refuses the requests that wait for it, as not run, and their nodes send them to the new version, also those that may run only once. Requests under way go on; the engine takes no other order until they have ended.

Ruled out: replacing such versions, as a load of a further version leaves the queue as it is, and stating the version to the engine, which checks it on arrival only (51 of 51 refusals within 3 ms).

--- a/src/relay/adapter_plan.cc
+++ b/src/relay/adapter_plan.cc
@@ -226,17 +226,38 @@
             }
         }
 
-        // Replaces older versions once another engine serves the newest one, so that no request has to wait
-        // for the replacement.
+        // Unloads versions that may no longer be used, and replaces other old ones.
         auto planVersions() -> void
         {
             for (auto& engine : m_view.m_engines) {
-                for (const auto& held : engine.m_held)
-                    planVersion(engine, held);
+                for (const auto& held : engine.m_held) {
+                    if (isOutdated(held))
+                        evictOutdated(engine, held);
+                    else
+                        replaceOldVersion(engine, held);
+                }
             }
         }
 
-        auto planVersion(PlannedEngine& engine, const HeldAdapter& held) -> void
+        // Whether no request may be sent to this version of the adapter any more.
+        auto isOutdated(const HeldAdapter& held) const -> bool
+        {
+            const auto& adapter = *m_view.m_adapters[held.m_adapter].m_name;
+            const auto lowest = lowestVersionToSend(m_input.m_table->m_versions, adapter, m_view.m_now);
+            return lowest && held.m_presence && held.m_presence->m_version < *lowest;
+        }
+
+        // The engine refuses the requests that wait for the adapter there, so that they don't begin on it
+        // later.
+        auto evictOutdated(PlannedEngine& engine, const HeldAdapter& held) -> void
+        {
+            if (takesOrders(engine) && !engine.m_isUnloading && isEvictable(m_view, engine, held))
+                orderEviction(engine, held);
+        }
+
+        // Replaces an older version once another engine serves the newest one, so that no request has to wait
+        // for the replacement.
+        auto replaceOldVersion(PlannedEngine& engine, const HeldAdapter& held) -> void
         {
             const auto& adapter = m_view.m_adapters[held.m_adapter];
             const auto* presence = held.m_presence;
--- a/src/relay/eviction_choice.cc
+++ b/src/relay/eviction_choice.cc
@@ -32,11 +32,16 @@
     return adapter.m_demand && (adapter.m_demand->m_inFlight > 0 || adapter.m_demand->m_waiting > 0);
 }
 
-auto keepingValue(const PlanView& view, const PlannedEngine& engine, const HeldAdapter& held) -> double
+auto isEvictable(const PlanView& view, const PlannedEngine& engine, const HeldAdapter& held) -> bool
 {
     const auto* presence = held.m_presence;
-    if (!presence || presence->m_readyAt > view.m_now || presence->m_evicted || presence->m_missing
-        || held.m_orderPending || mayBeLoading(engine, held))
+    return presence && presence->m_readyAt <= view.m_now && !presence->m_evicted && !presence->m_missing
+        && !held.m_orderPending && !mayBeLoading(engine, held);
+}
+
+auto keepingValue(const PlanView& view, const PlannedEngine& engine, const HeldAdapter& held) -> double
+{
+    if (!isEvictable(view, engine, held))
         return unevictable;
     const auto& adapter = view.m_adapters[held.m_adapter];
     // An engine that unloads an adapter in use accepts no other order until its requests have ended.
--- a/src/relay/eviction_choice.h
+++ b/src/relay/eviction_choice.h
@@ -23,6 +23,10 @@
 // Whether requests wait for the adapter or run on it.
 auto isUsed(const PlannedAdapter&) -> bool;
 
+// Whether the engine can be ordered to unload the adapter: it is loaded there, and no order for it is
+// pending.
+auto isEvictable(const PlanView&, const PlannedEngine&, const HeldAdapter&) -> bool;
+
 // Returns the value of keeping this adapter at its engine, in requests per second that another engine would
 // have to serve. Infinity if the adapter must not be unloaded now.
 auto keepingValue(const PlanView&, const PlannedEngine&, const HeldAdapter&) -> double;
