Keep the configuration of a request for as long as its state

What callers saw: nothing that is shown to be this.

Cause: the route of a request lies in the configuration that was in force when it arrived, which RequestRunner::run kept in a local variable. After it threw, or returned without an answer, the session logged the name of the route; if the configuration had been replaced meanwhile, its memory was freed by then.

The state of a request now holds the configuration that its route points into.

CallerServerTest.ARouteIsKeptForAsLongAsTheStateOfItsRequest failed before: the replaced configuration was gone while the state still pointed to its route.

--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -96,9 +96,9 @@
 {
 }
 
-auto RequestRunner::admit(CallState& state, const std::shared_ptr<const RoutingConfiguration>& configuration)
-    -> Result<const Organisation*>
+auto RequestRunner::admit(CallState& state) -> Result<const Organisation*>
 {
+    const auto& configuration = state.m_configuration;
     if (!configuration)
         return refusal(
             FailureType::Unavailable, "this node has no configuration yet", configurationRetryAfter);
@@ -211,9 +211,8 @@
 {
     m_board.m_metrics.add(Counter::RequestsReceived);
     state.m_request = m_dialect.m_readRequest(state.m_message.base());
-    // Kept alive for the whole request, since the route and organisation below point into it.
-    const auto configuration = m_board.m_configuration;
-    const auto admitted = admit(state, configuration);
+    state.m_configuration = m_board.m_configuration;
+    const auto admitted = admit(state);
     if (!admitted) {
         co_await refuse(state, answer, admitted.error());
         co_return;
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -37,7 +37,7 @@
         std::optional<AttemptsEnd> m_end; // Why there is none; empty: there may be one at the next try.
     };
 
-    auto admit(CallState&, const std::shared_ptr<const RoutingConfiguration>&) -> Result<const Organisation*>;
+    auto admit(CallState&) -> Result<const Organisation*>;
     auto acceptsStream(const CallState&) const -> bool;
     // Charges the organisation's allowance; returns the refusal if it doesn't cover the request.
     auto charge(CallState&, const Organisation&, Attempts&) -> Awaitable<std::optional<Failure>>;
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -57,7 +57,8 @@
 struct CallState {
     boost::beast::http::request<boost::beast::http::string_body> m_message;
     CallerRequest m_request;
-    const Route* m_route = nullptr;
+    std::shared_ptr<const RoutingConfiguration> m_configuration; // In force when it arrived.
+    const Route* m_route = nullptr; // In that configuration.
     OrganisationName m_organisation;
     int m_priority = 0;
     std::vector<Suspect> m_suspects; // What it has that may crash upstreams.
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -2,6 +2,7 @@
 
 #include "relay/relay_fixtures.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -12,6 +13,7 @@
 
     constexpr auto port = 28'612;
     constexpr auto maxSteps = 10'000; // Of the event loop, for one answer.
+    constexpr auto stepTime = Milliseconds(10); // Longest wait for a step.
     constexpr auto request = std::string_view("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
 
     auto testDialect() -> Dialect
@@ -105,6 +107,35 @@
         EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503") << "expected a refusal, got '" << answer << "'";
     }
 
+    // The session logs the route of a request that failed inside the node.
+    TEST_F(CallerServerTest, ARouteIsKeptForAsLongAsTheStateOfItsRequest)
+    {
+        auto route = Route();
+        route.m_pathPrefix = "/";
+        route.m_timeout = Milliseconds(100);
+        route.m_pools = { { PoolName("none"), 1 } };
+        auto configuration = std::make_shared<RoutingConfiguration>();
+        configuration->m_routesByHost[""] = { route };
+        const auto replaced = std::weak_ptr(configuration);
+        m_node.m_board.m_configuration = std::move(configuration);
+        auto state = CallState();
+        state.m_message.target("/x");
+        state.m_arrivedAt = std::chrono::steady_clock::now();
+        auto stream = tcp_stream(m_node.m_context.get_executor());
+        auto answer = CallerAnswer(stream, false);
+        auto ended = false;
+        net::co_spawn(m_node.m_context, m_node.m_runner.run(state, answer),
+            [&](const std::exception_ptr& /*exception*/) { ended = true; });
+        for (auto step = 0; step < maxSteps && !ended; ++step) {
+            m_node.m_context.run_one_for(stepTime);
+            if (state.m_route)
+                m_node.m_board.m_configuration = nullptr;
+        }
+        ASSERT_TRUE(ended);
+        ASSERT_NE(state.m_route, nullptr);
+        EXPECT_FALSE(replaced.expired());
+    }
+
     TEST_F(CallerServerTest, AnIdleConnectionIsClosed)
     {
         for (auto step = 0; step < 100; ++step)
