Refuse a request that comes too slowly instead of closing its connection

What callers saw: a connection that is closed without a word when the head of a request takes longer than the configuration allows, though the node means to answer 408, not run.

Cause: the timeout of the stream closes the socket before the read returns, so the refusal could not be sent. At the idle timeout of a kept connection the same close could drop a request whose bytes had just arrived; a change of the configuration that shortens the idle time makes such ends more frequent.

ReadTimeout ends the pending read and leaves the connection open: a slow request is refused, and bytes that arrived as the idle time ended are read.

--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "relay/listener.h"
+#include "relay/read_timeout.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,6 +47,14 @@
             notRun(FailureType::BadRequest, "no valid request: " + error.message()) };
     }
 
+    // Returns `timeout` instead of the error of a read that the timeout ended.
+    auto readError(ErrorCode error, const ReadTimeout& timeout) -> ErrorCode
+    {
+        if (error == net::error::operation_aborted && timeout.expired())
+            return beast::error::timeout;
+        return error;
+    }
+
     // Whether two HTTP parsers could disagree on the length of the body (request smuggling).
     auto hasAmbiguousFraming(const HeaderFields& fields) -> bool
     {
@@ -144,7 +153,7 @@
             co_return true;
         m_idleTimeout = std::max(m_idleTimeout, bounds().m_idleTimeout);
         m_idle = true;
-        m_stream.expires_after(m_idleTimeout + idleTimeoutMargin);
+        const auto timeout = ReadTimeout(m_stream, m_idleTimeout + idleTimeoutMargin);
         auto error = ErrorCode();
         do {
             const auto space = m_buffer.prepare(readBufferBytes);
@@ -155,25 +164,38 @@
         co_return !error;
     }
 
+    // Returns `timeout` if the request came too slowly.
     auto readRequest(RequestParser& parser, MonotonicTime& arrivedAt) -> Awaitable<ErrorCode>
     {
         const auto limits = bounds();
         parser.header_limit(static_cast<std::uint32_t>(limits.m_headerBytes));
         parser.body_limit(limits.m_bodyBytes);
-        auto error = ErrorCode();
-        m_stream.expires_after(limits.m_headerTimeout);
-        co_await http::async_read_header(m_stream, m_buffer, parser, errorTo(error));
+        const auto error = co_await readHead(parser, limits.m_headerTimeout);
         arrivedAt = Clock::now();
         if (error || parser.is_done() || hasAmbiguousFraming(parser.get()))
             co_return error;
-        m_stream.expires_after(bodyTimeout);
+        co_return co_await readBody(parser);
+    }
+
+    auto readHead(RequestParser& parser, Milliseconds time) -> Awaitable<ErrorCode>
+    {
+        const auto timeout = ReadTimeout(m_stream, time);
+        auto error = ErrorCode();
+        co_await http::async_read_header(m_stream, m_buffer, parser, errorTo(error));
+        co_return readError(error, timeout);
+    }
+
+    auto readBody(RequestParser& parser) -> Awaitable<ErrorCode>
+    {
+        const auto timeout = ReadTimeout(m_stream, bodyTimeout);
+        auto error = ErrorCode();
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             static constexpr auto continueLine = std::string_view("HTTP/1.1 100 Continue\r\n\r\n");
             co_await net::async_write(m_stream, net::buffer(continueLine), errorTo(error));
         }
         if (!error)
             co_await http::async_read(m_stream, m_buffer, parser, errorTo(error));
-        co_return error;
+        co_return readError(error, timeout);
     }
 
     // Reads and answers one request; true when the connection may serve another.
@@ -196,7 +218,6 @@
             co_return false;
         }
         state->m_message = parser.release();
-        m_stream.expires_never();
         watchForDisconnect(state);
         auto answer = CallerAnswer(m_stream, state->m_message.keep_alive() && !m_board.m_leaving);
         co_await answerRequest(*state, answer);
