Count a finished answer as delivered, though its call was taken back

Found by reading: a call is taken back for an outdated adapter version until its answer begins, and an answer without events never does. If its version became required while the end of such an answer was being written, the finished request counted as taken back, and a further try could have written to a connection that had its answer. No test shows it: the write must be suspended at that moment.

Only calls that broke count as taken back now.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -195,6 +195,13 @@
         return timedOut ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
     }
 
+    // Whether the upstream's answer ended before its end was forwarded.
+    auto isBroken(UpstreamCallOutcome outcome) -> bool
+    {
+        return outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted
+            || outcome == UpstreamCallOutcome::TimedOut;
+    }
+
     // Reads the rest of an answer; returns the error if the answer is incomplete.
     auto readWhole(UpstreamConnection& connection, HeadParser& head, WholeAnswer& answer, bool& keepAlive)
         -> Awaitable<ErrorCode>
@@ -341,7 +348,8 @@
         if (stream.m_outcome == UpstreamCallOutcome::Delivered)
             releaseIfReusable(
                 m_connections, state, upstream, std::move(connection), stream.m_keepAlive, idleTime);
-        co_return inProgress.isTakenBack() ? UpstreamCallOutcome::TakenBack : stream.m_outcome;
+        const auto isTakenBack = inProgress.isTakenBack() && isBroken(stream.m_outcome);
+        co_return isTakenBack ? UpstreamCallOutcome::TakenBack : stream.m_outcome;
     }
     auto whole = WholeAnswer();
     auto keepAlive = false;
