Give the nodes of tests addresses that differ

Cause: each address is found by opening port 0 and closing it again, and the system may choose the same port twice. The node then can't open an address, and its event loop ends.

A port is returned once by each process now, and a node that can't start fails its test at once with that message.

--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -3,9 +3,11 @@
 #include "relay/relay_fixtures.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <poll.h>
+#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +21,7 @@
     constexpr auto deliveryTime = std::chrono::milliseconds(50); // Of an answer over loopback.
     constexpr auto answerTimeout = std::chrono::milliseconds(5'000); // For a whole answer.
     constexpr auto loopTimeout = std::chrono::seconds(20); // For a function to run on the event loop.
+    constexpr auto loopPollInterval = std::chrono::milliseconds(100);
     constexpr auto closeTimeout = std::chrono::milliseconds(150); // For a close after the answer.
 
     auto testSettings(const Address& store) -> RelaySettings
@@ -117,11 +120,17 @@
 auto freeAddress() -> Address
 {
     constexpr auto hostNumber = 200; // No other fixture of a test process uses this one.
+    // The system may choose a port again as long as nothing listens there.
+    static auto returnedPorts = std::set<int>();
     const auto host = loopbackHost(hostNumber);
     auto context = net::io_context();
-    const auto acceptor
-        = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address(host), 0));
-    return Address { host, acceptor.local_endpoint().port() };
+    for (;;) {
+        const auto acceptor
+            = net::ip::tcp::acceptor(context, net::ip::tcp::endpoint(net::ip::make_address(host), 0));
+        const auto port = acceptor.local_endpoint().port();
+        if (returnedPorts.insert(port).second)
+            return Address { host, port };
+    }
 }
 
 struct RelayHarness::Parts {
@@ -140,6 +149,7 @@
     HttpClient m_storeClient;
     RelayDeployment m_deployment;
     RelayNode m_node;
+    std::atomic<bool> m_startFailed = false;
     std::map<std::string, std::unique_ptr<FakeUpstream>> m_upstreams;
     std::map<std::string, nlohmann::json> m_entries; // Of the upstreams, as written last.
 };
@@ -149,7 +159,7 @@
 {
     if (prepare)
         prepare(m_parts->m_store);
-    m_thread = std::thread([this] { m_parts->m_node.run(); });
+    m_thread = std::thread([this] { m_parts->m_startFailed = m_parts->m_node.run() != 0; });
 }
 
 RelayHarness::~RelayHarness()
@@ -165,8 +175,14 @@
         function();
         done->set_value();
     });
-    if (done->get_future().wait_for(loopTimeout) != std::future_status::ready)
-        throw std::runtime_error("the node's event loop ran no function within 20 s");
+    const auto isDone = done->get_future();
+    const auto until = std::chrono::steady_clock::now() + loopTimeout;
+    while (isDone.wait_for(loopPollInterval) != std::future_status::ready) {
+        if (m_parts->m_startFailed)
+            throw std::runtime_error("the node could not open one of its addresses");
+        if (std::chrono::steady_clock::now() >= until)
+            throw std::runtime_error("the node's event loop ran no function within 20 s");
+    }
 }
 
 auto RelayHarness::put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void
