Split the request runner into modules with one job each

No change of what callers see.

Free functions over plain structs take their place, each with a header of its own:

request_admission route, organisation, priority and deadline of a request request_attempts the attempts made, and whether a further one may follow request_failure the failure told to the caller, and its Retry-After request_log_lines the log lines about a request's way to its answer request_needs what a request needs of an upstream

Attempts, Move and SlotWait leave the class: RequestAttempts, PreparedMove, SlotWait. The runner keeps what waits: charging, acquiring a place, the calls. How a call ended is judged in two steps, counting it and then deciding, with the time read once for both.

--- /dev/null
+++ b/src/relay/request_log_lines.cc
@@ -0,0 +1,97 @@
+#include "relay/request_log_lines.h"
+
+#include <string>
+#include <string_view>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    using Clock = std::chrono::steady_clock;
+
+    auto formatVersion(std::optional<std::uint64_t> version) -> std::string
+    {
+        return version ? std::to_string(*version) : "";
+    }
+
+    auto formatWhole(double value) -> std::string
+    {
+        return std::to_string(static_cast<std::int64_t>(value));
+    }
+
+    auto logEnd(RequestLog& log, const CallState& state, std::string_view event, std::string reason,
+        std::optional<AttemptsEnd> end, std::uint64_t configurationVersion) -> void
+    {
+        log.write(event, state.m_request.m_id,
+            { { "route", state.m_route ? state.m_route->m_name : "" },
+                { "organisation", state.m_organisation.value() }, { "adapter", state.m_request.m_adapter },
+                { "reason", std::move(reason) }, { "last_attempt_because", formatEnd(end) },
+                { "age_ms", millisecondsBetween(state.m_arrivedAt, Clock::now()) },
+                { "configuration", std::to_string(configurationVersion) } });
+    }
+
+} // namespace
+
+auto logAllowanceRefusal(RequestLog& log, const CallState& state, const Organisation& organisation,
+    const AllowanceDecision& decision, double tokens) -> void
+{
+    log.write("allowance_refused", state.m_request.m_id,
+        { { "organisation", organisation.m_name.value() },
+            { "outcome", std::string(nameOf(allowanceOutcomeNames, decision.m_outcome)) },
+            { "tokens", formatWhole(tokens) },
+            { "retry_after_ms", std::to_string(decision.m_retryAfter.count()) },
+            { "rate", formatWhole(organisation.m_tokensPerSecond) },
+            { "burst", formatWhole(organisation.m_burstTokens) } });
+}
+
+auto logAttempt(RequestLog& log, const CallState& state, const Upstream& upstream,
+    UpstreamCallOutcome outcome, const SlotWait& wait, std::optional<AttemptsEnd> end) -> void
+{
+    const auto late = state.m_timeToFirstPart && *state.m_timeToFirstPart > state.m_route->m_targetLatency;
+    if (outcome == UpstreamCallOutcome::Delivered && !late && !isSampled(state.m_request.m_id))
+        return;
+    const auto now = Clock::now();
+    const auto firstPartTime
+        = state.m_timeToFirstPart ? std::to_string(state.m_timeToFirstPart->count()) : "";
+    log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
+        { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
+            { "adapter", state.m_request.m_adapter },
+            { "held_version", formatVersion(state.m_versions.m_held) },
+            { "stated_version", formatVersion(state.m_versions.m_stated) },
+            { "sent_ms", millisecondsBetween(state.m_arrivedAt, state.m_versions.m_sentAt) },
+            { "end", std::string(nameOf(upstreamCallOutcomeNames, outcome)) },
+            { "waited_ms", std::to_string(wait.m_time.count()) },
+            { "waited_for", std::string(nameOf(choiceOutcomeNames, wait.m_reason)) },
+            { "first_part_ms", firstPartTime }, { "age_ms", millisecondsBetween(state.m_arrivedAt, now) },
+            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
+            { "left_ms", millisecondsBetween(now, state.m_deadline) },
+            { "last_attempt_because", formatEnd(end) },
+            { "upstream_in_flight", std::to_string(upstream.m_inFlight) },
+            { "peers_in_flight", std::to_string(upstream.m_peersInFlight) } });
+}
+
+auto logSilence(RequestLog& log, const CallState& state, const Upstream& upstream,
+    std::optional<AttemptsEnd> stayReason, MonotonicTime now) -> void
+{
+    log.write("upstream_silent", state.m_request.m_id,
+        { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
+            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
+            { "left_ms", millisecondsBetween(now, state.m_deadline) },
+            { "stays_because", formatEnd(stayReason) } });
+}
+
+auto logFailure(RequestLog& log, const CallState& state, const Failure& failure,
+    std::optional<AttemptsEnd> end, std::uint64_t configurationVersion) -> void
+{
+    const auto* event = failure.m_verdict == Verdict::NotRun ? "request_refused" : "request_failed";
+    logEnd(log, state, event, failure.m_message, end, configurationVersion);
+}
+
+auto logCut(RequestLog& log, const CallState& state, std::optional<AttemptsEnd> end,
+    std::uint64_t configurationVersion) -> void
+{
+    const auto* reason = "the upstream's stream broke and could not be resumed";
+    logEnd(log, state, "request_cut", reason, end, configurationVersion);
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -2,13 +2,11 @@
 #pragma once
 
 #include "relay/allowance_exchange.h"
-#include "relay/attempts_end.h"
 #include "relay/crash_watch.h"
 #include "relay/relay_settings.h"
+#include "relay/request_attempts.h"
 #include "relay/request_limit_exchange.h"
 #include "relay/request_log.h"
-#include "relay/upstream_call.h"
-#include "relay/wait_list.h"
 
 namespace marigoldladder::relay {
 
@@ -21,15 +19,6 @@
     auto run(CallState&, CallerAnswer&) -> Awaitable<void>;
 
 private:
-    struct Attempts;
-    struct Move;
-
-    // How long a request waited for a slot on an upstream, and why.
-    struct SlotWait {
-        Milliseconds m_time { 0 };
-        ChoiceOutcome m_reason = ChoiceOutcome::Chosen; // `Chosen`: it got a slot at once.
-    };
-
     // A slot at the next upstream, with everything that sending the request there needs.
     struct Place {
         UpstreamSlot m_slot; // Empty if there is none.
@@ -37,33 +26,34 @@
         std::optional<AttemptsEnd> m_end; // Why there is none; empty: there may be one at the next try.
     };
 
-    auto admit(CallState&) -> Result<const Organisation*>;
-    auto acceptsStream(const CallState&) const -> bool;
     // Charges the organisation's allowance; returns the refusal if it doesn't cover the request.
-    auto charge(CallState&, const Organisation&, Attempts&) -> Awaitable<std::optional<Failure>>;
+    auto charge(const CallState&, const Organisation&, RequestAttempts&) -> Awaitable<std::optional<Failure>>;
+    // Sends the request to upstreams until one has answered it or no further one may get it.
+    auto makeAttempts(CallState&, CallerAnswer&, RequestAttempts&) -> Awaitable<void>;
     // Sends the request to one upstream. Returns why it isn't sent to another, or nothing if it may be.
-    auto attempt(CallState&, CallerAnswer&, Attempts&) -> Awaitable<std::optional<AttemptsEnd>>;
-    auto acquirePlace(const CallState&, Attempts&) -> Awaitable<Place>;
-    auto handleSilence(const CallState&, Attempts&, const UpstreamPointer&) -> SilenceHandling;
+    auto attempt(CallState&, CallerAnswer&, RequestAttempts&) -> Awaitable<std::optional<AttemptsEnd>>;
+    auto acquirePlace(const CallState&, RequestAttempts&) -> Awaitable<Place>;
+    // Acquires what sending the request to a further upstream needs besides a slot. Returns why it must not
+    // be sent.
+    auto obstacleToSend(const CallState&, RequestAttempts&) -> std::optional<AttemptsEnd>;
+    auto acquireRetry(const RequestAttempts&) -> bool;
+    // Records how a call ended. Returns why the request isn't sent to another upstream, or nothing if it may
+    // be.
+    auto recordCall(const CallState&, RequestAttempts&, const UpstreamPointer&, UpstreamCallOutcome)
+        -> std::optional<AttemptsEnd>;
+
+    auto handleSilence(const CallState&, RequestAttempts&, const UpstreamPointer&) -> SilenceHandling;
     auto noteSilence(const CallState&, Upstream&, std::optional<AttemptsEnd> stayReason) -> void;
     // Acquires a place at an upstream other than this silent one. Returns why there is none now, or nothing
     // if there is one, which the next attempt takes.
-    auto tryMove(const CallState&, Attempts&, const Upstream&) -> std::optional<AttemptsEnd>;
-    auto beginMove(const Attempts&, const Upstream&) -> std::shared_ptr<Move>;
-    auto acquirePermit(std::shared_ptr<Move>) -> Awaitable<void>;
-    auto obstacleToSend(const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
-    auto acquireRetry(const Attempts&) -> bool;
-    auto endAfter(UpstreamCallOutcome, const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
-    auto refuse(CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
+    auto tryMove(const CallState&, RequestAttempts&, const Upstream& silent) -> std::optional<AttemptsEnd>;
+    auto beginMove(const RequestAttempts&, const Upstream& silent) -> std::shared_ptr<PreparedMove>;
+    auto acquirePermit(std::shared_ptr<PreparedMove>) -> Awaitable<void>;
+
+    auto refuse(const CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
         -> Awaitable<void>;
-    auto finish(CallState&, CallerAnswer&, Attempts&) -> Awaitable<void>;
-    auto logAttempt(const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&,
-        std::optional<AttemptsEnd>) -> void;
-    auto logEnd(const CallState&, std::string_view event, std::string reason,
-        std::optional<AttemptsEnd> = std::nullopt) -> void;
-    auto recordTestedLoad(const Upstream&, const std::string& adapter, UpstreamCallOutcome) -> void;
-    auto failureFor(const CallState&, const Attempts&) -> Failure;
-    auto retryAfter(const Attempts&) -> Milliseconds;
+    auto finish(const CallState&, CallerAnswer&, const RequestAttempts&) -> Awaitable<void>;
+    auto configurationVersion() const -> std::uint64_t;
 
     Executor m_executor;
     const RelaySettings& m_settings;
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -1,5 +1,6 @@
 // The part of the request runner that decides what a request does while its upstream is silent.
-#include "relay/request_attempts.h"
+#include "relay/request_log_lines.h"
+#include "relay/request_runner.h"
 #include "relay/upstream_health.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,8 +16,8 @@
 } // namespace
 
 // An upstream's silence alone doesn't end a call, since a sound one may be silent for a while.
-auto RequestRunner::handleSilence(const CallState& state, Attempts& attempts, const UpstreamPointer& upstream)
-    -> SilenceHandling
+auto RequestRunner::handleSilence(
+    const CallState& state, RequestAttempts& attempts, const UpstreamPointer& upstream) -> SilenceHandling
 {
     attempts.m_isSilenceNoted = false;
     if (!mayRetry(*state.m_route))
@@ -37,14 +38,10 @@
 {
     const auto now = Clock::now();
     recordCallEnd(upstream.m_health, state.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
-    m_log.write("upstream_silent", state.m_request.m_id,
-        { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
-            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
-            { "left_ms", millisecondsBetween(now, state.m_deadline) },
-            { "stays_because", formatEnd(stayReason) } });
+    logSilence(m_log, state, upstream, stayReason, now);
 }
 
-auto RequestRunner::tryMove(const CallState& state, Attempts& attempts, const Upstream& silent)
+auto RequestRunner::tryMove(const CallState& state, RequestAttempts& attempts, const Upstream& silent)
     -> std::optional<AttemptsEnd>
 {
     const auto now = Clock::now();
@@ -68,14 +65,15 @@
 }
 
 // Returns null if no other upstream has room.
-auto RequestRunner::beginMove(const Attempts& attempts, const Upstream& silent) -> std::shared_ptr<Move>
+auto RequestRunner::beginMove(const RequestAttempts& attempts, const Upstream& silent)
+    -> std::shared_ptr<PreparedMove>
 {
     auto needs = attempts.m_needs;
     needs.m_tried.push_back(&silent);
     auto slot = m_waitList.tryAcquireOther(std::move(needs));
     if (!slot)
         return nullptr;
-    auto move = std::make_shared<Move>(Move { std::move(slot) });
+    auto move = std::make_shared<PreparedMove>(PreparedMove { std::move(slot) });
     if (isLimited(move->m_slot.upstream()->m_requestLimit)) {
         move->m_asksForPermit = true;
         net::co_spawn(m_executor, acquirePermit(move), net::detached);
@@ -84,7 +82,7 @@
 }
 
 // The move may have been given up when the permit arrives.
-auto RequestRunner::acquirePermit(std::shared_ptr<Move> move) -> Awaitable<void>
+auto RequestRunner::acquirePermit(std::shared_ptr<PreparedMove> move) -> Awaitable<void>
 {
     move->m_isPermitted = co_await m_requestLimits.acquire(move->m_slot.upstream());
     move->m_asksForPermit = false;
