Ask whether a socket is idle or closed in one place

The caller server read the socket's state with a copy of the call behind isIdle. isClosed now stands beside it in tcp, and both ask nextArrival. No change of behaviour.

--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <sys/socket.h>
 
 namespace marigoldladder::relay {
 
@@ -66,14 +65,6 @@
         return fields.count(http::field::content_length) > 0 || !beast::iequals(encoding->value(), "chunked");
     }
 
-    // Whether the caller closed its connection.
-    auto isClosed(net::ip::tcp::socket& socket) -> bool
-    {
-        auto byte = char();
-        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
     auto describe(const std::exception_ptr& exception) -> std::string
     {
         try {
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -18,6 +18,23 @@
         (void)::setsockopt(socket, level, option, &value, sizeof(value));
     }
 
+    enum class Arrival {
+        Nothing, // Yet.
+        Data,
+        End, // The peer closed the connection, or it broke.
+    };
+
+    // Returns what a read would find now. The data stay in the socket.
+    auto nextArrival(net::ip::tcp::socket& socket) -> Arrival
+    {
+        auto byte = char();
+        const auto length = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (length > 0)
+            return Arrival::Data;
+        const auto wouldWait = length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return wouldWait ? Arrival::Nothing : Arrival::End;
+    }
+
     auto waitAndCall(std::chrono::milliseconds time, std::function<void()> function) -> Awaitable<void>
     {
         co_await sleepFor(time);
@@ -49,9 +66,12 @@
 
 auto isIdle(net::ip::tcp::socket& socket) -> bool
 {
-    auto byte = char();
-    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return nextArrival(socket) == Arrival::Nothing;
+}
+
+auto isClosed(net::ip::tcp::socket& socket) -> bool
+{
+    return nextArrival(socket) == Arrival::End;
 }
 
 auto sleepFor(std::chrono::milliseconds time) -> Awaitable<void>
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -37,6 +37,9 @@
 // Whether a connection is open and no data has arrived on it.
 auto isIdle(net::ip::tcp::socket&) -> bool;
 
+// Whether a connection was closed by its peer, or broke, and all data that arrived before has been read.
+auto isClosed(net::ip::tcp::socket&) -> bool;
+
 // Waits for the time given; returns early only if the event loop stops.
 auto sleepFor(std::chrono::milliseconds) -> Awaitable<void>;
 
