Encode each message between nodes by one call

Seven places put their message into a union, and then encoded the union. encodeDatagram takes the message itself now, in peer_message.h. No change of the bytes that are sent.

The rest of what the exchanges share stays: the constructor and a loop of three lines. Two loops begin with their work and two with their pause, so a common one would need a switch for that.

--- a/src/relay/allowance_exchange.cc
+++ b/src/relay/allowance_exchange.cc
@@ -1,7 +1,7 @@
 #include "relay/allowance_exchange.h"
 
 #include "core/log.h"
-#include "relay/generated/peer_messages_generated.h"
+#include "relay/peer_message.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -135,15 +135,13 @@
     -> Awaitable<ShardCharge>
 {
     const auto number = m_pendingCharges.nextNumber();
-    auto message = messages::PeerMessageUnion();
     auto request = messages::ChargeRequestT();
     request.asker = m_incarnation;
     request.number = number;
     request.organisation = shard.m_organisation;
     request.part = static_cast<std::uint8_t>(shard.m_shard);
     request.tokens = tokens;
-    message.Set(request);
-    const auto datagram = encodeDatagram(message);
+    const auto datagram = encodeDatagram(request);
     auto answer = std::optional<ShardCharge>();
     for (const auto timeout : answerTimeouts) {
         const auto peer = m_board.m_fleet.m_peers.find(owner);
@@ -179,9 +177,7 @@
     refund.bucket = charge.m_bucketId;
     refund.charge = charge.m_charge;
     refund.tokens = decision.m_tokens;
-    auto message = messages::PeerMessageUnion();
-    message.Set(refund);
-    m_socket.send(peer->second.m_peerAddress, encodeDatagram(message));
+    m_socket.send(peer->second.m_peerAddress, encodeDatagram(refund));
 }
 
 auto AllowanceExchange::answerOnce(const messages::ChargeRequest& request, const std::string& host)
@@ -213,9 +209,7 @@
     answer.bucket = charged.m_bucketId;
     answer.charge = charged.m_charge;
     answer.retry_after_ms = static_cast<std::uint32_t>(charged.m_retryAfter.count());
-    auto message = messages::PeerMessageUnion();
-    message.Set(answer);
-    m_socket.send(from, encodeDatagram(message));
+    m_socket.send(from, encodeDatagram(answer));
 }
 
 auto AllowanceExchange::handle(const messages::ChargeAnswer& answer) -> void
--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -2,8 +2,8 @@
 
 #include "relay/crash_evidence_report.h"
 #include "relay/data_centre_gateways.h"
-#include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_loads.h"
+#include "relay/peer_message.h"
 #include "relay/request_limit_report.h"
 #include "relay/store_revisions.h"
 #include "relay/upstream_health.h"
@@ -96,9 +96,7 @@
     fillMembers(digest, now);
     fillLoads(digest);
     fillFaults(digest, now);
-    auto message = messages::PeerMessageUnion();
-    message.Set(std::move(digest));
-    return encodeDatagram(message);
+    return encodeDatagram(std::move(digest));
 }
 
 auto DigestExchange::fillMembers(messages::DigestT& digest, MonotonicTime now) const -> void
--- a/src/relay/peer_socket.cc
+++ b/src/relay/peer_socket.cc
@@ -72,12 +72,4 @@
     }
 }
 
-auto encodeDatagram(const messages::PeerMessageUnion& message) -> std::string
-{
-    auto builder = flatbuffers::FlatBufferBuilder();
-    const auto packed = message.Pack(builder);
-    builder.Finish(messages::CreateDatagram(builder, message.type, packed));
-    return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
-}
-
 } // namespace marigoldladder::relay
--- a/src/relay/peer_socket.h
+++ b/src/relay/peer_socket.h
@@ -11,7 +11,6 @@
 
 namespace marigoldladder::relay::messages {
 struct Datagram;
-struct PeerMessageUnion;
 } // namespace marigoldladder::relay::messages
 
 namespace marigoldladder::relay {
@@ -39,7 +38,4 @@
     std::array<char, 65'536> m_received {};
 };
 
-// Returns the serialised datagram that contains this message.
-auto encodeDatagram(const messages::PeerMessageUnion&) -> std::string;
-
 } // namespace marigoldladder::relay
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -1,7 +1,7 @@
 // Builds this node's summary, the state that it sends to its peers.
 #include "relay/crash_evidence_report.h"
-#include "relay/generated/peer_messages_generated.h"
 #include "relay/peer_exchange.h"
+#include "relay/peer_message.h"
 #include "relay/request_limit_report.h"
 #include "relay/store_revisions.h"
 #include "relay/upstream_health.h"
@@ -63,9 +63,7 @@
     summary.holder_number = holderPeer == m_board.m_fleet.m_peers.end() ? 0 : holderPeer->second.m_number;
     summary.holder_age_ms = orders.m_holdsLease ? 0 : ageInMilliseconds(holder.m_lastReportedAt, now);
     fillContents(summary, recipient);
-    auto message = messages::PeerMessageUnion();
-    message.Set(std::move(summary));
-    return encodeDatagram(message);
+    return encodeDatagram(std::move(summary));
 }
 
 auto PeerExchange::fillContents(messages::SummaryT& summary, Recipient recipient) const -> void
--- a/src/relay/request_limit_exchange.cc
+++ b/src/relay/request_limit_exchange.cc
@@ -1,7 +1,7 @@
 #include "relay/request_limit_exchange.h"
 
 #include "relay/allowance_shards.h"
-#include "relay/generated/peer_messages_generated.h"
+#include "relay/peer_message.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -128,9 +128,7 @@
     request.shard = static_cast<std::uint8_t>(shard);
     request.requests_per_second = limit.m_requestsPerSecond.value_or(0);
     request.age_ms = static_cast<std::uint32_t>(ageOf(limit, Clock::now()).count());
-    auto message = messages::PeerMessageUnion();
-    message.Set(request);
-    m_socket.send(address, encodeDatagram(message));
+    m_socket.send(address, encodeDatagram(request));
     const auto permit = co_await m_pendingPermits.waitFor(request.number, answerTimeout);
     co_return permit.value_or(LimitPermit { false, unansweredRetryAfter });
 }
@@ -159,9 +157,7 @@
     answer.number = request.number();
     answer.granted = permit.m_isGranted;
     answer.retry_after_ms = static_cast<std::uint32_t>(permit.m_retryAfter.count());
-    auto message = messages::PeerMessageUnion();
-    message.Set(answer);
-    m_socket.send(from, encodeDatagram(message));
+    m_socket.send(from, encodeDatagram(answer));
 }
 
 auto RequestLimitExchange::handle(const messages::PermitAnswer& answer) -> void
