Serve the connections of a port by one function

The server of readiness and metrics and that of the peers' changes opened their port and started a coroutine for each connection by the same lines. serveConnections does it for both. The callers' server keeps its own, as it records how a session ended. No change of behaviour.

--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -3,8 +3,6 @@
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/listener.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -111,13 +109,8 @@
 
 auto CacheExchange::listen(const Address& address) -> bool
 {
-    if (!openListener(m_acceptor, address))
-        return false;
-    auto serveConnection = [this](net::ip::tcp::socket socket) {
-        net::co_spawn(m_executor, serve(std::move(socket)), net::detached);
-    };
-    net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(serveConnection)), net::detached);
-    return true;
+    return serveConnections(
+        m_acceptor, address, [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
 }
 
 auto CacheExchange::serve(net::ip::tcp::socket socket) -> Awaitable<void>
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -2,6 +2,9 @@
 
 #include "core/log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace marigoldladder::relay {
 
 namespace {
@@ -51,4 +54,17 @@
     }
 }
 
+auto serveConnections(net::ip::tcp::acceptor& acceptor, const Address& address,
+    std::function<Awaitable<void>(net::ip::tcp::socket)> serve) -> bool
+{
+    if (!openListener(acceptor, address))
+        return false;
+    const auto executor = acceptor.get_executor();
+    auto startServing = [executor, serve = std::move(serve)](net::ip::tcp::socket socket) {
+        net::co_spawn(executor, serve(std::move(socket)), net::detached);
+    };
+    net::co_spawn(executor, acceptConnections(acceptor, std::move(startServing)), net::detached);
+    return true;
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/listener.h
+++ b/src/relay/listener.h
@@ -16,4 +16,9 @@
 auto acceptConnections(net::ip::tcp::acceptor&, std::function<void(net::ip::tcp::socket)> serve)
     -> Awaitable<void>;
 
+// Opens the acceptor at the address and runs `serve` for each accepted connection until the acceptor is
+// closed. Returns false if it can't be opened, and logs the reason.
+auto serveConnections(net::ip::tcp::acceptor&, const Address&,
+    std::function<Awaitable<void>(net::ip::tcp::socket)> serve) -> bool;
+
 } // namespace marigoldladder::relay
--- a/src/relay/simple_http_server.cc
+++ b/src/relay/simple_http_server.cc
@@ -2,8 +2,6 @@
 
 #include "relay/listener.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -23,21 +21,15 @@
 } // namespace
 
 SimpleHttpServer::SimpleHttpServer(Executor executor, SimpleHttpHandler handler)
-    : m_executor(std::move(executor))
-    , m_handler(std::move(handler))
-    , m_acceptor(m_executor)
+    : m_handler(std::move(handler))
+    , m_acceptor(std::move(executor))
 {
 }
 
 auto SimpleHttpServer::listen(const Address& address) -> bool
 {
-    if (!openListener(m_acceptor, address))
-        return false;
-    auto startSession = [this](net::ip::tcp::socket socket) {
-        net::co_spawn(m_executor, serve(std::move(socket)), net::detached);
-    };
-    net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(startSession)), net::detached);
-    return true;
+    return serveConnections(
+        m_acceptor, address, [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
 }
 
 auto SimpleHttpServer::serve(net::ip::tcp::socket socket) -> Awaitable<void>
--- a/src/relay/simple_http_server.h
+++ b/src/relay/simple_http_server.h
@@ -28,7 +28,6 @@
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
 
-    Executor m_executor;
     SimpleHttpHandler m_handler;
     net::ip::tcp::acceptor m_acceptor;
 };
