--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -54,7 +54,7 @@
     summary.store_reachable = m_board.m_storeReachable;
     fillRevisions(m_board.m_objects, summary);
     summary.leaving = m_board.m_leaving;
-    summary.configuration_version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
+    summary.configuration_version = configurationVersion(m_board);
     const auto& holder = m_board.m_fleet.m_holder;
     const auto& orders = m_board.m_orders;
     summary.holder = orders.m_holdsLease ? m_settings.m_vm.value() : holder.m_vm.value();
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -95,4 +95,10 @@
     std::function<void()> m_adapterWanted = [] {};
 };
 
+// Returns the version of the configuration in force; 0 if none has been read.
+inline auto configurationVersion(const RelayBoard& board) -> std::uint64_t
+{
+    return board.m_configuration ? board.m_configuration->m_version : 0;
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -228,7 +228,7 @@
 {
     m_board.m_metrics.add(failure.m_verdict == Verdict::NotRun ? Counter::RequestsRefusedNotRun
                                                                : Counter::RequestsRefusedMayHaveRun);
-    logFailure(m_log, state, failure, end, configurationVersion());
+    logFailure(m_log, state, failure, end, configurationVersion(m_board));
     const auto own = LocalAnswer { static_cast<unsigned>(httpStatus(failure.m_type)), failure };
     co_await answer.sendLocalAnswer(own);
 }
@@ -248,7 +248,7 @@
     if (answer.begun()) {
         metrics.add(Counter::StreamsCut);
         metrics.add(attempts.m_end ? cutCounterOf(*attempts.m_end) : Counter::StreamsCutOtherwise);
-        logCut(m_log, state, attempts.m_end, configurationVersion());
+        logCut(m_log, state, attempts.m_end, configurationVersion(m_board));
         co_return;
     }
     if (state.m_upstreamFailure) {
@@ -261,9 +261,4 @@
     co_await refuse(state, answer, failure, attempts.m_end);
 }
 
-auto RequestRunner::configurationVersion() const -> std::uint64_t
-{
-    return m_board.m_configuration ? m_board.m_configuration->m_version : 0;
-}
-
 } // namespace marigoldladder::relay
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -53,7 +53,6 @@
     auto refuse(const CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
         -> Awaitable<void>;
     auto finish(const CallState&, CallerAnswer&, const RequestAttempts&) -> Awaitable<void>;
-    auto configurationVersion() const -> std::uint64_t;
 
     Executor m_executor;
     const RelaySettings& m_settings;
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -254,7 +254,7 @@
 auto StoreSync::fetchNewerConfiguration() -> Awaitable<void>
 {
     const auto now = Clock::now();
-    const auto version = m_board.m_configuration ? m_board.m_configuration->m_version : 0;
+    const auto version = configurationVersion(m_board);
     const auto* peer = peerWithNewerConfiguration(m_board.m_fleet, version, now);
     if (!peer || now < m_nextVersionFetchAt)
         co_return;
