Check again that an upstream takes requests directly before one is sent

Between the choice of an upstream and the write of the request, the node waits for a permit of the upstream's request limit (up to three answers of 80 ms) and for a connect (up to 700 ms). An upstream that began to leave, was removed, whose data centre was evacuated or that asked for a pause in that time got the request all the same. With the 0.3 s between two watches of the store and the way through peers, that is close to the 2 s after which a leaving upstream must get none.

The caller of upstreams now asks the same questions as the choice once more before the connect and directly before the write. A request that isn't sent is chosen an upstream anew; it counts neither as sent nor as tried. A request at a silent upstream gives up the slot that it holds elsewhere if that upstream stops taking requests while the permit is asked for, so it doesn't leave the silent one for nothing.

Not checked again are the slots, as the request holds one, the adapter, as the engine refuses the request if it lacks it, and the request limit, of which the request has a permit if it was known at the choice.

Before, ChangedUpstreamTest (Leaving, Removed, Evacuated, Paused) and MoveToChangedUpstreamTest failed: the changed upstream received the request, and in the last case the request left the silent upstream for it.

--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -272,7 +272,8 @@
         attempts.m_move = nullptr;
     if (testsLoad)
         recordTestedLoad(*upstream, attempts.m_needs.m_adapter, outcome);
-    attempts.m_needs.m_tried.push_back(upstream.get());
+    if (outcome != UpstreamCallOutcome::NotSent)
+        attempts.m_needs.m_tried.push_back(upstream.get());
     if (outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted)
         m_crashWatch.noteBroken(upstream, state);
     const auto end = endAfter(outcome, state, attempts);
@@ -344,7 +345,8 @@
         return AttemptsEnd::CallerDisconnected;
     case UpstreamCallOutcome::Refused:
     case UpstreamCallOutcome::NotReached:
-        if (outcome == UpstreamCallOutcome::NotReached)
+    case UpstreamCallOutcome::NotSent:
+        if (outcome != UpstreamCallOutcome::Refused)
             --attempts.m_sends;
         if (attempts.m_needs.m_tried.size() >= maxUpstreamsTried)
             return AttemptsEnd::RefusalsSpent;
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -55,6 +55,8 @@
     if (!allowsRetry(
             m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
         return AttemptsEnd::RetryBudgetSpent;
+    if (attempts.m_move && !maySendTo(m_board.m_upstreams, *attempts.m_move->m_slot.upstream(), now))
+        attempts.m_move = nullptr;
     if (!attempts.m_move)
         attempts.m_move = beginMove(attempts, silent);
     if (!attempts.m_move || attempts.m_move->m_asksForPermit)
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -235,6 +235,7 @@
         case UpstreamCallOutcome::TimedOut:
             return CallEnd::TimedOut;
         case UpstreamCallOutcome::Refused:
+        case UpstreamCallOutcome::NotSent:
         case UpstreamCallOutcome::Moved: // Its silence has been recorded.
         case UpstreamCallOutcome::TakenBack:
         case UpstreamCallOutcome::CallerDisconnected:
@@ -289,21 +290,33 @@
         m_board.m_upstreamUnreachable(upstream);
 }
 
+auto UpstreamCaller::obstacleToSend(const CallState& state, const Upstream& upstream) const
+    -> std::optional<UpstreamCallOutcome>
+{
+    const auto now = Clock::now();
+    if (state.m_callerDisconnected)
+        return UpstreamCallOutcome::CallerDisconnected;
+    if (now >= state.m_deadline)
+        return UpstreamCallOutcome::NotReached;
+    if (!maySendTo(m_board.m_upstreams, upstream, now))
+        return UpstreamCallOutcome::NotSent;
+    return std::nullopt;
+}
+
 auto UpstreamCaller::call(CallState& state, CallerAnswer& answer, const UpstreamPointer& upstream,
     const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
 {
     state.m_answerBegan = false;
     state.m_versions = { std::nullopt, std::nullopt, Clock::now() };
-    if (Clock::now() >= state.m_deadline)
-        co_return UpstreamCallOutcome::NotReached;
+    if (const auto obstacle = obstacleToSend(state, *upstream))
+        co_return *obstacle;
     auto refused = false;
     auto connection = co_await m_connections.acquire(upstream, state.m_usedConnections, refused);
     auto outcome = UpstreamCallOutcome::NotReached;
-    if (state.m_callerDisconnected)
-        co_return UpstreamCallOutcome::CallerDisconnected;
-    if (connection && Clock::now() >= state.m_deadline)
-        co_return UpstreamCallOutcome::NotReached;
     if (connection) {
+        // The connect may have taken a while.
+        if (const auto obstacle = obstacleToSend(state, *upstream))
+            co_return *obstacle;
         state.m_usedConnections.push_back(connection->m_number);
         outcome = co_await exchange(state, answer, upstream, std::move(connection), handling);
     }
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -16,6 +16,7 @@
     Delivered, // The caller received the whole answer.
     Refused, // The upstream did not run the request and will not.
     NotReached, // No connection was established before the deadline; nothing was sent.
+    NotSent, // The upstream stopped taking requests before this one was sent.
     Failed, // The upstream ran the request and answered with a failure, kept in the call state if it may be
             // sent.
     Broken, // The connection broke before an answer; the request may have run.
@@ -30,6 +31,7 @@
     EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::Delivered, "delivered" },
     EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::Refused, "refused" },
     EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::NotReached, "not_reached" },
+    EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::NotSent, "not_sent" },
     EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::Failed, "failed" },
     EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::Broken, "broken" },
     EnumName<UpstreamCallOutcome> { UpstreamCallOutcome::Interrupted, "cut" },
@@ -88,6 +90,8 @@
         -> Awaitable<UpstreamCallOutcome>;
 
 private:
+    // Returns why the request must not be sent to the upstream now, although the upstream was chosen for it.
+    auto obstacleToSend(const CallState&, const Upstream&) const -> std::optional<UpstreamCallOutcome>;
     auto exchange(CallState&, CallerAnswer&, const UpstreamPointer&, UpstreamConnectionPointer,
         const SilenceHandling&) -> Awaitable<UpstreamCallOutcome>;
     auto recordReachability(Upstream&, UpstreamCallOutcome, bool refused) -> void;
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -204,6 +204,12 @@
         && !table.m_evacuated.contains(upstream.m_record.m_dataCentre);
 }
 
+// A permit of its request limit was acquired after the choice, if one was needed, and is still valid.
+auto maySendTo(const UpstreamTable& table, const Upstream& upstream, MonotonicTime now) -> bool
+{
+    return acceptsNewRequests(table, upstream) && upstream.m_pausedUntil <= now;
+}
+
 auto wantsRequestsAt(const Upstream& upstream, MonotonicTime now) -> MonotonicTime
 {
     const auto& limit = upstream.m_requestLimit;
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -64,6 +64,9 @@
 // is not evacuated.
 auto acceptsNewRequests(const UpstreamTable&, const Upstream&) -> bool;
 
+// Whether a request that the upstream was chosen for earlier may still be sent there now.
+auto maySendTo(const UpstreamTable&, const Upstream&, MonotonicTime now) -> bool;
+
 // Refills this node's allowance of requests to a cold upstream (a token bucket of one request) and charges
 // one request to it. Returns false if it has none.
 auto acquireColdAllowance(Upstream&, const Pool&, std::size_t nodes, MonotonicTime now) -> bool;
