Give back the retry and the allowance of a request that is never sent

A retry is counted before the connect to the next upstream. If that connect failed, the retry stayed counted and the next attempt counted another one, though the bound is on arrivals: beside an upstream that can't be reached, the budget was spent on retries that no upstream received, and callers got 502 for requests that another upstream could have served. A caller that disconnected during the connect counted as a run, so its organisation's allowance wasn't refunded.

Both now end in one place: an attempt that wasn't sent gives back its retry, in the interval in which it was counted, and a request that was sent nowhere has no runs, so its charge is refunded as that of any other.

Ruled out: tokens charged and used seconds later. The bound counts requests that are sent and arrive within one window, and the charge lies between both.

--- a/src/relay/request_attempts.h
+++ b/src/relay/request_attempts.h
@@ -20,6 +20,7 @@
     UpstreamNeeds m_needs;
     std::size_t m_runs = 0; // Upstreams that ran the request or may have run it.
     std::size_t m_sends = 0; // Upstreams to which the request was sent.
+    std::optional<MonotonicTime> m_retryCountedAt; // Of the latest attempt; empty: it is no retry.
     bool m_timedOut = false;
     std::optional<Failure> m_refusal; // Why it isn't sent although an upstream could take it.
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -314,6 +314,7 @@
 // sent.
 auto RequestRunner::obstacleToSend(const CallState& state, Attempts& attempts) -> std::optional<AttemptsEnd>
 {
+    attempts.m_retryCountedAt.reset();
     attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
     if (attempts.m_refusal)
         return AttemptsEnd::CrashSuspect;
@@ -322,15 +323,24 @@
     return std::nullopt;
 }
 
-auto RequestRunner::acquireRetry(const Attempts& attempts) -> bool
+auto RequestRunner::acquireRetry(Attempts& attempts) -> bool
 {
-    if (!tryAcquireRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes,
-            Clock::now()))
+    const auto now = Clock::now();
+    if (!tryAcquireRetry(
+            m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
         return false;
+    attempts.m_retryCountedAt = now;
     m_board.m_metrics.add(Counter::RequestsRetried);
     return true;
 }
 
+auto RequestRunner::undoSend(Attempts& attempts) -> void
+{
+    --attempts.m_sends;
+    if (const auto countedAt = std::exchange(attempts.m_retryCountedAt, std::nullopt))
+        returnRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, *countedAt);
+}
+
 // Records how a call ended. Returns why the request isn't sent to another upstream, or nothing if it may be.
 auto RequestRunner::endAfter(UpstreamCallOutcome outcome, const CallState& state, Attempts& attempts)
     -> std::optional<AttemptsEnd>
@@ -347,7 +357,9 @@
     case UpstreamCallOutcome::NotReached:
     case UpstreamCallOutcome::NotSent:
         if (outcome != UpstreamCallOutcome::Refused)
-            --attempts.m_sends;
+            undoSend(attempts);
+        if (state.m_callerDisconnected)
+            return AttemptsEnd::CallerDisconnected;
         if (attempts.m_needs.m_tried.size() >= maxUpstreamsTried)
             return AttemptsEnd::RefusalsSpent;
         return isLate ? std::optional(AttemptsEnd::DeadlineReached) : std::nullopt;
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -52,7 +52,9 @@
     auto beginMove(const Attempts&, const Upstream&) -> std::shared_ptr<Move>;
     auto acquirePermit(std::shared_ptr<Move>) -> Awaitable<void>;
     auto obstacleToSend(const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
-    auto acquireRetry(const Attempts&) -> bool;
+    auto acquireRetry(Attempts&) -> bool;
+    // Undoes what was counted for an attempt that wasn't sent to its upstream.
+    auto undoSend(Attempts&) -> void;
     auto endAfter(UpstreamCallOutcome, const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
     auto refuse(CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
         -> Awaitable<void>;
--- a/src/relay/retry_budget.cc
+++ b/src/relay/retry_budget.cc
@@ -61,4 +61,15 @@
     return true;
 }
 
+auto returnRetry(
+    RetryBudget& budget, const PoolName& pool, const FleetBounds& bounds, MonotonicTime countedAt) -> void
+{
+    auto& window = budget.m_windows[pool];
+    const auto interval = intervalAt(window, bounds, countedAt);
+    for (auto& counts : window.m_intervals) {
+        if (counts.m_interval == interval)
+            counts.m_retries -= 1;
+    }
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/retry_budget.h
+++ b/src/relay/retry_budget.h
@@ -40,4 +40,7 @@
 auto tryAcquireRetry(RetryBudget&, const PoolName&, const FleetBounds&, std::size_t nodes, MonotonicTime now)
     -> bool;
 
+// Takes back a retry that was counted at `countedAt` and then not sent.
+auto returnRetry(RetryBudget&, const PoolName&, const FleetBounds&, MonotonicTime countedAt) -> void;
+
 } // namespace marigoldladder::relay
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -294,11 +294,9 @@
     -> std::optional<UpstreamCallOutcome>
 {
     const auto now = Clock::now();
-    if (state.m_callerDisconnected)
-        return UpstreamCallOutcome::CallerDisconnected;
     if (now >= state.m_deadline)
         return UpstreamCallOutcome::NotReached;
-    if (!maySendTo(m_board.m_upstreams, upstream, now))
+    if (state.m_callerDisconnected || !maySendTo(m_board.m_upstreams, upstream, now))
         return UpstreamCallOutcome::NotSent;
     return std::nullopt;
 }
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -16,7 +16,7 @@
     Delivered, // The caller received the whole answer.
     Refused, // The upstream did not run the request and will not.
     NotReached, // No connection was established before the deadline; nothing was sent.
-    NotSent, // The upstream stopped taking requests before this one was sent.
+    NotSent, // Before it was sent, the upstream stopped taking requests or the caller disconnected.
     Failed, // The upstream ran the request and answered with a failure, kept in the call state if it may be
             // sent.
     Broken, // The connection broke before an answer; the request may have run.
--- a/test/relay/retry_budget_test.cc
+++ b/test/relay/retry_budget_test.cc
@@ -36,5 +36,27 @@
         EXPECT_TRUE(tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(11)));
     }
 
+    TEST(RetryBudgetTest, ARetryThatWasNotSentIsAllowedAgain)
+    {
+        auto bounds = FleetBounds();
+        bounds.m_retryExtra = 10;
+        auto budget = RetryBudget();
+        while (tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(0))) { }
+        returnRetry(budget, PoolName("pool"), bounds, at(0));
+        EXPECT_TRUE(tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(2)));
+        EXPECT_FALSE(tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(2)));
+    }
+
+    TEST(RetryBudgetTest, ARetryReturnedAfterItsWindowChangesNothing)
+    {
+        auto bounds = FleetBounds();
+        bounds.m_retryExtra = 10;
+        auto budget = RetryBudget();
+        EXPECT_TRUE(tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(0)));
+        while (tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(10))) { }
+        returnRetry(budget, PoolName("pool"), bounds, at(0));
+        EXPECT_FALSE(tryAcquireRetry(budget, PoolName("pool"), bounds, 1, at(10)));
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
