Tell the runs of an upstream apart wherever they are in memory

A request kept the plain addresses of the upstreams that it was sent to, and the lease holder the address of the engine's run that its order state belongs to. When an upstream is removed and freed, the next one, often its own next run, tends to get the same memory. It then counted as tried, so a request preferred any other upstream to it. An engine's next run, whose count of orders begins anew, kept the count and the pending loads of the run before; its reports counted as outdated and orders that it might still carry out as void.

Both now refer to the object itself, whose memory isn't reused meanwhile. Ruled out: the pool of connections and the watch for crashes, which are keyed by addresses too, but hold the upstream for as long.

Before, EngineOrderTrackerTest.AnEnginesNextRunCountsItsOrdersAnewWhereverItIsInMemory and UpstreamChoiceTest.AnEnginesNextRunDoesNotCountAsTriedWhereverItIsInMemory failed.

--- a/src/relay/engine_order_tracker.cc
+++ b/src/relay/engine_order_tracker.cc
@@ -80,14 +80,19 @@
 
 } // namespace
 
+auto isOfRun(const EngineOrders& orders, const Upstream& upstream) -> bool
+{
+    return orders.m_run.lock().get() == &upstream;
+}
+
 auto ordersOf(EngineOrderTracker& tracker, const Upstream& upstream) -> EngineOrders&
 {
     auto& entry = tracker[upstream.m_record.m_name];
-    if (entry.m_run == &upstream)
+    if (isOfRun(entry, upstream))
         return entry;
     auto unconfirmed = std::move(entry.m_unconfirmed);
     entry = EngineOrders();
-    entry.m_run = &upstream;
+    entry.m_run = upstream.weak_from_this();
     entry.m_unconfirmed = std::move(unconfirmed);
     return entry;
 }
--- a/src/relay/engine_order_tracker.h
+++ b/src/relay/engine_order_tracker.h
@@ -23,7 +23,7 @@
 
 // The orders for one engine, from its queue to their outcomes. Maps and sets are keyed by `model/adapter`.
 struct EngineOrders {
-    const Upstream* m_run = nullptr; // Identifies the engine's run; only compared, never dereferenced.
+    std::weak_ptr<const Upstream> m_run; // The engine's run; see `isOfRun`.
     std::deque<AdapterOrder> m_queue; // Not sent yet; sent one at a time.
     bool m_sending = false; // An order was sent, and its call has not ended.
     // Loads that are queued, sent or accepted, with their expected end.
@@ -56,6 +56,9 @@
 // Keyed by the engine's name, since orders that got no answer may reach its next run under the same name.
 using EngineOrderTracker = std::map<UpstreamName, EngineOrders>;
 
+// Whether the entry is of this run of the engine.
+auto isOfRun(const EngineOrders&, const Upstream&) -> bool;
+
 // Returns the engine's entry. For a new run of the engine the entry is reset, except for unconfirmed orders,
 // which the new run may still carry out.
 auto ordersOf(EngineOrderTracker&, const Upstream&) -> EngineOrders&;
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -134,7 +134,7 @@
     applyNotices(m_board, *upstream, answer.m_notices, Clock::now());
     const auto& report = answer.m_report;
     const auto found = m_orderTracker.find(upstream->m_record.m_name);
-    if (!report || found == m_orderTracker.end() || found->second.m_run != upstream.get())
+    if (!report || found == m_orderTracker.end() || !isOfRun(found->second, *upstream))
         co_return;
     if (report->m_startedAt != 0 && upstream->m_record.m_startedAt != 0
         && report->m_startedAt != upstream->m_record.m_startedAt)
@@ -190,7 +190,7 @@
 {
     for (;;) {
         const auto found = m_orderTracker.find(upstream->m_record.m_name);
-        if (found == m_orderTracker.end() || found->second.m_run != upstream.get())
+        if (found == m_orderTracker.end() || !isOfRun(found->second, *upstream))
             co_return;
         if (!mayOrderNow() || upstream->m_pausedUntil > Clock::now()) {
             cancelQueuedOrders(found->second);
@@ -212,7 +212,7 @@
     m_board.m_metrics.add(Counter::EngineOrders);
     logOrder(order, sender, answer);
     const auto found = m_orderTracker.find(order.m_upstream->m_record.m_name);
-    if (found == m_orderTracker.end() || found->second.m_run != order.m_upstream.get()) {
+    if (found == m_orderTracker.end() || !isOfRun(found->second, *order.m_upstream)) {
         // The engine was restarted or removed meanwhile. Its next run may still receive the order.
         if (answer == OrderAnswer::Unknown)
             m_orderTracker[order.m_upstream->m_record.m_name].m_unconfirmed[order.m_adapter]
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -273,7 +273,7 @@
     if (testsLoad)
         recordTestedLoad(*upstream, attempts.m_needs.m_adapter, outcome);
     if (outcome != UpstreamCallOutcome::NotSent)
-        attempts.m_needs.m_tried.push_back(upstream.get());
+        attempts.m_needs.m_tried.push_back(upstream);
     if (outcome == UpstreamCallOutcome::Broken || outcome == UpstreamCallOutcome::Interrupted)
         m_crashWatch.noteBroken(upstream, state);
     const auto end = endAfter(outcome, state, attempts);
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -48,8 +48,8 @@
     auto noteSilence(const CallState&, Upstream&, std::optional<AttemptsEnd> stayReason) -> void;
     // Acquires a place at an upstream other than this silent one. Returns why there is none now, or nothing
     // if there is one, which the next attempt takes.
-    auto tryMove(const CallState&, Attempts&, const Upstream&) -> std::optional<AttemptsEnd>;
-    auto beginMove(const Attempts&, const Upstream&) -> std::shared_ptr<Move>;
+    auto tryMove(const CallState&, Attempts&, const UpstreamPointer&) -> std::optional<AttemptsEnd>;
+    auto beginMove(const Attempts&, const UpstreamPointer&) -> std::shared_ptr<Move>;
     auto acquirePermit(std::shared_ptr<Move>) -> Awaitable<void>;
     auto obstacleToSend(const CallState&, Attempts&) -> std::optional<AttemptsEnd>;
     auto acquireRetry(Attempts&) -> bool;
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -23,7 +23,7 @@
         return {};
     auto handling = SilenceHandling();
     handling.m_tryMove = [this, &state, &attempts, upstream] {
-        const auto stayReason = tryMove(state, attempts, *upstream);
+        const auto stayReason = tryMove(state, attempts, upstream);
         if (!std::exchange(attempts.m_isSilenceNoted, true))
             noteSilence(state, *upstream, stayReason);
         return !stayReason;
@@ -44,7 +44,7 @@
             { "stays_because", formatEnd(stayReason) } });
 }
 
-auto RequestRunner::tryMove(const CallState& state, Attempts& attempts, const Upstream& silent)
+auto RequestRunner::tryMove(const CallState& state, Attempts& attempts, const UpstreamPointer& silent)
     -> std::optional<AttemptsEnd>
 {
     const auto now = Clock::now();
@@ -70,10 +70,11 @@
 }
 
 // Returns null if no other upstream has room.
-auto RequestRunner::beginMove(const Attempts& attempts, const Upstream& silent) -> std::shared_ptr<Move>
+auto RequestRunner::beginMove(const Attempts& attempts, const UpstreamPointer& silent)
+    -> std::shared_ptr<Move>
 {
     auto needs = attempts.m_needs;
-    needs.m_tried.push_back(&silent);
+    needs.m_tried.push_back(silent);
     auto slot = m_waitList.tryAcquireOther(std::move(needs));
     if (!slot)
         return nullptr;
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -58,7 +58,7 @@
     std::map<VmName, MonotonicTime> m_refusedPeers; // Peers that were refused, and when they reported it.
 };
 
-struct Upstream {
+struct Upstream : std::enable_shared_from_this<Upstream> {
     UpstreamRecord m_record;
     std::unordered_map<std::string, AdapterPresence> m_adapters; // By `model/adapter`.
     std::vector<std::string> m_cachedModels; // Loads of these need no weight store; as of its last report.
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -133,7 +133,7 @@
             cost += coldCost;
         if (isLimited(upstream.m_requestLimit))
             cost += limitedCost;
-        if (std::find(needs.m_tried.begin(), needs.m_tried.end(), &upstream) != needs.m_tried.end())
+        if (wasTried(needs, upstream))
             cost += triedCost;
         return cost + jitter(upstream, context);
     }
@@ -198,6 +198,12 @@
 
 } // namespace
 
+auto wasTried(const UpstreamNeeds& needs, const Upstream& upstream) -> bool
+{
+    return std::any_of(needs.m_tried.begin(), needs.m_tried.end(),
+        [&](const auto& tried) { return tried.get() == &upstream; });
+}
+
 auto acceptsNewRequests(const UpstreamTable& table, const Upstream& upstream) -> bool
 {
     return !upstream.m_removed && !upstream.m_record.m_leaving
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -17,7 +17,8 @@
     std::vector<std::string> m_routeRegions; // Where the route may run; empty: anywhere.
     std::vector<std::string> m_organisationRegions; // Where the organisation's requests may run.
     DataCentreName m_dataCentre; // This node's; its upstreams are preferred.
-    std::vector<const Upstream*> m_tried; // Sent to already; chosen again only if no other can serve it.
+    std::vector<std::shared_ptr<const Upstream>>
+        m_tried; // Sent to already; chosen again only if no other can serve it.
 };
 
 enum class ChoiceOutcome {
@@ -54,6 +55,9 @@
     std::uint64_t m_jitterSeed = 0; // New for each choice, so that nodes choose differently.
 };
 
+// Whether the request was sent to the upstream already.
+auto wasTried(const UpstreamNeeds&, const Upstream&) -> bool;
+
 auto chooseUpstream(const UpstreamTable&, const UpstreamNeeds&, const ChoiceContext&) -> UpstreamChoice;
 
 // Returns when the upstream wants requests of this node again, by what it said itself; a time that isn't
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -126,8 +126,7 @@
     const auto choice = choose(needs);
     if (!choice.m_upstream || choice.m_upstream->m_health.m_avoidUntil > Clock::now())
         return {};
-    const auto& tried = needs.m_tried;
-    if (std::find(tried.begin(), tried.end(), choice.m_upstream.get()) != tried.end())
+    if (wasTried(needs, *choice.m_upstream))
         return {};
     return acquireSlot(choice, needs);
 }
--- a/test/relay/engine_order_tracker_test.cc
+++ b/test/relay/engine_order_tracker_test.cc
@@ -121,6 +121,16 @@
         EXPECT_FALSE(orders.m_unconfirmed.contains("model/a1"));
     }
 
+    TEST_F(EngineOrderTrackerTest, AnEnginesNextRunCountsItsOrdersAnewWhereverItIsInMemory)
+    {
+        (void)applyAcceptedCount(orders(), 4, at(0));
+        auto record = engine()->m_record;
+        removeUpstream(m_table, record.m_name, at(1));
+        record.m_startedAt = 2;
+        applyUpstreamRecord(m_table, record, at(2));
+        EXPECT_FALSE(orders().m_acceptedCount) << "the count is that of the run before";
+    }
+
     TEST_F(EngineOrderTrackerTest, IgnoresAReportOlderThanTheLastAcceptedOrder)
     {
         (void)applyAcceptedCount(orders(), 4, at(0));
--- a/test/relay/upstream_choice_test.cc
+++ b/test/relay/upstream_choice_test.cc
@@ -188,6 +188,18 @@
         EXPECT_EQ(choice.m_retryAt, at(1.7)) << "the engine may accept connections again by then";
     }
 
+    TEST_F(UpstreamChoiceTest, AnEnginesNextRunDoesNotCountAsTriedWhereverItIsInMemory)
+    {
+        auto record = engineRecord("restarted", { "a1" });
+        add(record);
+        add(engineRecord("other", { "a1" })).m_peersInFlight = 4;
+        m_needs.m_tried.push_back(m_table.m_upstreams.at(record.m_name));
+        removeUpstream(m_table, record.m_name, at(0.1));
+        record.m_startedAt = 2;
+        add(record);
+        EXPECT_EQ(choose().m_upstream->m_record.m_name, record.m_name);
+    }
+
     // Guards against overloading one engine when many nodes choose by the same figures, which are a second
     // old.
     TEST_F(UpstreamChoiceTest, NodesOfALargeFleetWithTheSameViewChooseDifferentEngines)
