Ask whether a node may still order directly before an order is written

The holder of the order lease asked whether it may send an order, and then connected to the engine for up to 1 s. An order could so be written 2.3 s after the last renewal, though others count on 1.3 s and 0.3 s for orders that are still on their way: a node that takes the lease over 4.6 s after the last sign of the holder could follow the holder's last order by 2.3 s instead of the lease time of 3 s. It was written as well if the holder learnt during the connect that another node has the lease.

The question is now part of the call and is asked after the connect, directly before the write, also whether the lease is still the one whose fence the order bears. An order that isn't sent counts as refused, like one whose engine can't be reached.

With the question asked only before the call, as it was, OrderControllerTest.AnOrderIsNotWrittenIfAnotherNodeTakesTheLeaseOverDuringTheConnect fails: the engine receives the order.

--- a/src/relay/engine_calls.h
+++ b/src/relay/engine_calls.h
@@ -34,7 +34,10 @@
 
 struct EngineCalls {
     std::function<Awaitable<EngineReportAnswer>(UpstreamPointer)> m_report;
-    std::function<Awaitable<EngineOrderAnswer>(AdapterOrder, OrderSender)> m_order;
+    // `maySend` is asked directly before the order is sent, after a connect; if it returns false, the order
+    // isn't sent and counts as refused.
+    std::function<Awaitable<EngineOrderAnswer>(AdapterOrder, OrderSender, std::function<bool()> maySend)>
+        m_order;
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/http_client.cc
+++ b/src/relay/http_client.cc
@@ -53,6 +53,8 @@
             co_return HttpCallFailure::NotSent;
         setDeadPeerTimeout(connection->m_stream.socket(), deadPeerTimeout);
     }
+    if (call.m_maySend && !call.m_maySend())
+        co_return HttpCallFailure::NotSent;
     auto reusable = false;
     auto result = co_await exchange(*connection, call, reusable);
     if (reusable && m_idle.size() < maxIdle)
--- a/src/relay/http_client.h
+++ b/src/relay/http_client.h
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,6 +18,9 @@
     std::string m_body; // JSON; empty: no body.
     boost::beast::http::fields m_fields; // Additional header fields.
     std::chrono::milliseconds m_timeout { 1'000 };
+    // Asked directly before the call is written, which may be long after it was made; the call isn't sent if
+    // it returns false. Empty: it may be sent.
+    std::function<bool()> m_maySend;
 };
 
 struct HttpReply {
@@ -26,7 +30,7 @@
 };
 
 enum class HttpCallFailure {
-    NotSent, // No connection was established; the server did not receive the call.
+    NotSent, // No connection was established, or the call may not be sent; the server did not receive it.
     Unknown, // The connection failed or the call timed out; the server may have executed it.
 };
 
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -206,7 +206,9 @@
 auto OrderController::send(AdapterOrder order) -> Awaitable<void>
 {
     const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
-    const auto [answer, notices] = co_await m_engines.m_order(order, sender);
+    const auto maySend
+        = [this, fence = sender.m_fence] { return mayOrderNow() && m_board.m_orders.m_fence == fence; };
+    const auto [answer, notices] = co_await m_engines.m_order(order, sender, maySend);
     const auto now = Clock::now();
     applyNotices(m_board, *order.m_upstream, notices, now);
     m_board.m_metrics.add(Counter::EngineOrders);
--- /dev/null
+++ b/test/platform/order_controller_test.cc
@@ -0,0 +1,145 @@
+// Orders around a change of the order lease, from the decision to the engine.
+#include "relay/order_controller.h"
+
+#include "platform/engine_client.h"
+#include "platform/fake_upstream.h"
+#include "relay/relay_fixtures.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::platform {
+namespace {
+
+    using namespace relay;
+    using relay::Upstream;
+    using Clock = std::chrono::steady_clock;
+
+    constexpr auto leaseTime = Milliseconds(500);
+    const auto self = VmName("node-1");
+    const auto other = VmName("node-2");
+
+    auto reportReply() -> UpstreamReply
+    {
+        const auto body
+            = std::string(R"({"models":[{"name":"model","version":1,"adapters":[]}],"sequence":0})");
+        auto reply = UpstreamReply { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body };
+        reply.m_closes = true;
+        return reply;
+    }
+
+    // A node that may order the load of an adapter that a request waits for, at one engine.
+    struct Node {
+        Node()
+            : m_engine(m_context, [](const UpstreamRequest& request) { return answer(request); })
+            , m_engineCalls(makeEngineCalls(m_context.get_executor()))
+            , m_socket(m_context.get_executor())
+            , m_peers(m_context.get_executor(), m_settings, m_board, m_store, m_socket, Incarnation { 77 })
+            , m_orders(m_context.get_executor(), m_settings, m_board, m_store, m_countedCalls, m_peers)
+            , m_waiting(m_board.m_adapterRates, "model/a1", &AdapterRate::m_waiting)
+        {
+            m_settings.m_vm = self;
+            m_settings.m_bounds.m_leaseTime = leaseTime;
+            m_board.m_configuration
+                = std::make_shared<const RoutingConfiguration>(configurationWith(enginePool()));
+            auto record = engineRecord("engine");
+            record.m_address = m_engine.address();
+            applyUpstreamRecord(m_board.m_upstreams, record, Clock::now());
+            m_countedCalls = m_engineCalls;
+            m_countedCalls.m_order = [this](auto&&... arguments) {
+                ++m_ordersBegun;
+                return m_engineCalls.m_order(std::forward<decltype(arguments)>(arguments)...);
+            };
+            m_store.m_get = [this](const std::string& kind, std::string) { return read(kind); };
+            m_store.m_create = [this](std::string kind, StoredObject object) { return write(kind, object); };
+            m_store.m_replace = m_store.m_create;
+            m_store.m_list = [](std::string, ListingAge) { return listNothing(); };
+            m_peers.start([] { return true; });
+        }
+
+        static auto answer(const UpstreamRequest& request) -> UpstreamReply
+        {
+            if (request.target() == "/report")
+                return reportReply();
+            return { "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n" };
+        }
+
+        static auto listNothing() -> Awaitable<StoreResult<ObjectListing>> { co_return ObjectListing(); }
+
+        auto read(std::string kind) -> Awaitable<StoreResult<StoredObject>>
+        {
+            if (kind != "leases" || !m_lease)
+                co_return StoreFailure { StoreFailureType::Conflict, "missing" };
+            co_return *m_lease;
+        }
+
+        auto write(std::string kind, StoredObject object) -> Awaitable<StoreResult<StoredObject>>
+        {
+            if (kind != "leases")
+                co_return object; // The node's entry.
+            ++m_leaseWrites;
+            co_await sleepFor(m_storeDelay);
+            object.m_revision = { firstEra, object.m_revision.m_revision + 1 };
+            m_lease = object;
+            co_return object;
+        }
+
+        net::io_context m_context { 1 };
+        RelaySettings m_settings;
+        RelayBoard m_board;
+        FakeUpstream m_engine;
+        EngineCalls m_engineCalls;
+        EngineCalls m_countedCalls;
+        ObjectStore m_store;
+        std::optional<StoredObject> m_lease;
+        Milliseconds m_storeDelay { 0 };
+        int m_leaseWrites = 0;
+        int m_ordersBegun = 0;
+        PeerSocket m_socket;
+        PeerExchange m_peers;
+        OrderController m_orders;
+        AdapterUse m_waiting;
+    };
+
+    class OrderControllerTest : public testing::Test {
+    protected:
+        OrderControllerTest()
+            : m_node(*new Node()) // NOLINT(cppcoreguidelines-owning-memory): see the member.
+        {
+        }
+
+        // Runs the event loop, one handler at a time, until the function returns true or the time is over.
+        auto runUntil(const std::function<bool()>& holds, Milliseconds time = Milliseconds(8'000)) -> bool
+        {
+            constexpr auto stepTime = Milliseconds(10);
+            const auto until = Clock::now() + time;
+            while (!holds()) {
+                if (Clock::now() >= until)
+                    return false;
+                (void)m_node.m_context.run_one_for(stepTime);
+            }
+            return true;
+        }
+
+        auto ordersReceived() -> std::ptrdiff_t
+        {
+            const auto& requests = m_node.m_engine.requests();
+            return std::count_if(requests.begin(), requests.end(),
+                [](const UpstreamRequest& request) { return request.target() == "/order"; });
+        }
+
+        Node& m_node; // Never destroyed, as suspended coroutines may refer to its members.
+    };
+
+    TEST_F(OrderControllerTest, AnOrderIsNotWrittenIfAnotherNodeTakesTheLeaseOverDuringTheConnect)
+    {
+        m_node.m_orders.start([] { return true; });
+        ASSERT_TRUE(runUntil([&] { return m_node.m_ordersBegun == 1; }));
+        m_node.m_board.m_fleet.m_holder
+            = KnownHolder { other, m_node.m_board.m_orders.m_fence + 1, Clock::now() };
+        (void)runUntil([&] { return ordersReceived() > 0; }, Milliseconds(300));
+        EXPECT_EQ(ordersReceived(), 0);
+    }
+
+} // namespace
+} // namespace marigoldladder::platform
