Count the lease time of orders from the last sign of the holder before, also during the takeover

A node decides to take the order lease over when the holder hasn't been heard of for 4.6 s, and then waits for the store. If the holder is heard of again meanwhile, as after a partition, it may send orders, since every node acknowledges its summaries; the new holder ordered as soon as the store had answered, and so within a lease time of it.

A node that acquires the lease now computes its first order's time anew from the last sign of another holder that it knows of then. Where nothing was heard meanwhile that is at once, as before.

Without that, OrderControllerTest.ANodeSendsNoOrderWithinALeaseTimeOfTheHolderBefore fails: an order arrived 203 ms after the last sign of the holder, with a lease time of 500 ms.

--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -21,7 +21,7 @@
 
 private:
     auto runLeaseLoop() -> Awaitable<void>;
-    auto leaseContext(BootClockTime startedAt) const -> LeaseContext;
+    auto leaseContext() const -> LeaseContext;
     auto performLeaseStep(LeaseStep, std::uint64_t newFence) -> Awaitable<void>;
     auto readLease() -> Awaitable<void>;
     auto applyFoundLease(const LeaseRecord&) -> void;
@@ -49,6 +49,7 @@
     const EngineCalls& m_engines;
     PeerExchange& m_peers;
     std::function<bool()> m_isReady;
+    BootClockTime m_startedAt {}; // When the lease loop started.
     LeaseState m_lease;
     EngineOrderTracker m_orderTracker;
     bool m_planPending = false;
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -44,13 +44,13 @@
 
 auto OrderController::runLeaseLoop() -> Awaitable<void>
 {
-    const auto startedAt = bootClockNow();
+    m_startedAt = bootClockNow();
     for (;;) {
         co_await sleepFor(leaseStepInterval);
         const auto& holder = m_board.m_fleet.m_holder;
         if (m_lease.m_holding && holder.m_fence > m_board.m_orders.m_fence)
             loseLease("another node holds a lease with a higher fence");
-        const auto context = leaseContext(startedAt);
+        const auto context = leaseContext();
         const auto step = nextLeaseStep(m_lease, context);
         if (step == LeaseStep::Nothing)
             continue;
@@ -60,7 +60,7 @@
     }
 }
 
-auto OrderController::leaseContext(BootClockTime startedAt) const -> LeaseContext
+auto OrderController::leaseContext() const -> LeaseContext
 {
     const auto& holder = m_board.m_fleet.m_holder;
     auto context = LeaseContext();
@@ -71,7 +71,7 @@
         context.m_holderLastSeenAt = context.m_now - (Clock::now() - holder.m_lastReportedAt);
     context.m_eligible = m_isReady();
     context.m_rank = m_peers.rankAmongReady();
-    context.m_startedAt = startedAt;
+    context.m_startedAt = m_startedAt;
     context.m_largeFleet = !isSmallFleet(m_board.m_fleet);
     context.m_storeEra = m_board.m_storeEra.value_or(0);
     context.m_highestFence = std::max(holder.m_fence, m_board.m_orders.m_fence);
@@ -168,6 +168,8 @@
     m_lease.m_renewedAt = sentAt;
     m_lease.m_heldEra = record.m_era;
     const auto isNew = !m_lease.m_holding;
+    if (isNew)
+        m_lease.m_ordersFrom = firstOrderAt(leaseContext());
     m_lease.m_holding = true;
     m_board.m_orders.m_holdsLease = true;
     m_board.m_orders.m_fence = record.m_fence;
--- a/src/relay/order_lease.cc
+++ b/src/relay/order_lease.cc
@@ -15,6 +15,12 @@
     constexpr auto immediateReaders = std::size_t { 4 };
     constexpr auto readDelayPerRank = Milliseconds(1'000);
 
+    // Returns the time from the last sign of a holder until its successor may send orders.
+    auto successionTime(const LeaseContext& context) -> Milliseconds
+    {
+        return renewalValidity + context.m_leaseTime + takeoverMargin;
+    }
+
     // Whether this node does not read the object yet and leaves that to nodes of lower rank, which limits the
     // load on the store in a large fleet.
     auto defersReading(const LeaseContext& context) -> bool
@@ -41,7 +47,15 @@
 
 auto mayOrder(const LeaseState& state, bool confirmedByAll, BootClockTime now) -> bool
 {
-    return state.m_holding && (now < state.m_renewedAt + renewalValidity || confirmedByAll);
+    const auto isConfirmed = now < state.m_renewedAt + renewalValidity || confirmedByAll;
+    return state.m_holding && now >= state.m_ordersFrom && isConfirmed;
+}
+
+auto firstOrderAt(const LeaseContext& context) -> BootClockTime
+{
+    if (context.m_holderLastSeenAt == BootClockTime())
+        return context.m_now;
+    return std::max(context.m_now, context.m_holderLastSeenAt + successionTime(context));
 }
 
 auto nextFence(const LeaseState& state, const LeaseContext& context) -> std::uint64_t
@@ -107,7 +121,7 @@
     // is nothing to wait for.
     if (isOwnLastLease(state, context))
         return LeaseStep::TakeOver;
-    const auto takeoverDelay = renewalValidity + context.m_leaseTime + takeoverMargin + rankTime;
+    const auto takeoverDelay = successionTime(context) + rankTime;
     const auto inactiveSince = std::max(state.m_unchangedSince, context.m_holderLastSeenAt);
     if (context.m_now < inactiveSince + takeoverDelay)
         return LeaseStep::Read;
--- a/src/relay/order_lease.h
+++ b/src/relay/order_lease.h
@@ -34,6 +34,8 @@
     BootClockTime m_unchangedSince {}; // When `m_lastRecord` was first read or written.
     bool m_holding = false; // This node holds the lease, as far as it knows.
     BootClockTime m_renewedAt {}; // When the last successful renewal was sent.
+    // When this node may send its first order: a lease time after the last possible one of the holder before.
+    BootClockTime m_ordersFrom {};
     std::uint64_t m_heldEra = 0; // Of the store when the lease was last written by this node.
     std::uint64_t m_highestFence = 0; // Of all records, those of earlier eras included.
 };
@@ -64,6 +66,10 @@
 // Returns the step that this node has to take now.
 auto nextLeaseStep(const LeaseState&, const LeaseContext&) -> LeaseStep;
 
+// Returns when a node that has just acquired the lease may send its first order. The holder before may have
+// been heard of again after the decision to take over.
+auto firstOrderAt(const LeaseContext&) -> BootClockTime;
+
 // Returns the fence of a node that creates the lease or takes it over.
 auto nextFence(const LeaseState&, const LeaseContext&) -> std::uint64_t;
 
--- a/test/platform/order_controller_test.cc
+++ b/test/platform/order_controller_test.cc
@@ -141,5 +141,20 @@
         EXPECT_EQ(ordersReceived(), 0);
     }
 
+    TEST_F(OrderControllerTest, ANodeSendsNoOrderWithinALeaseTimeOfTheHolderBefore)
+    {
+        m_node.m_lease = StoredObject { "engine-orders", { firstEra, 5 }, false,
+            { { "vm", other.value() }, { "fence", 4 }, { "renewals", 9 } } };
+        m_node.m_board.m_fleet.m_holder = KnownHolder { other, 4, Clock::now() };
+        m_node.m_storeDelay = Milliseconds(200);
+        m_node.m_orders.start([] { return true; });
+        ASSERT_TRUE(runUntil([&] { return m_node.m_leaseWrites == 1; }));
+        // The holder is heard of again while the store takes the lease's change.
+        m_node.m_board.m_fleet.m_holder.m_lastReportedAt = Clock::now();
+        const auto lastHeardAt = Clock::now();
+        ASSERT_TRUE(runUntil([&] { return ordersReceived() > 0; }));
+        EXPECT_GE(Clock::now() - lastHeardAt, leaseTime);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
