Call an engine that returns at another address there

Connections for reports and orders were kept by the engine's name together with the address of its first run. An engine that started again under its name at another address was asked for reports at the old one, so it got no orders until the node's clients were discarded.

Before, EngineClientTest.AnEngineThatReturnsAtAnotherAddressIsCalledThere failed: the second order went to the old address.

--- a/src/relay/http_client.h
+++ b/src/relay/http_client.h
@@ -43,6 +43,7 @@
     HttpClient(Executor, Address server);
 
     auto call(HttpCall) -> Awaitable<HttpResult>;
+    auto server() const -> const Address& { return m_server; }
 
 private:
     struct Connection {
