Let the trial of a convicted prompt part go on if no upstream received it

A convicted suspect's request is sent as a trial from time to time, and the time doubles with each trial. The trial began when the request was chosen an upstream. If that upstream couldn't be reached, the same request was refused at its next attempt, as the trial was over, though nothing had tried it; callers of a prompt part that no longer crashes anything were refused for twice as long.

A request that the watch for crashes has let pass isn't asked about again until it was sent.

With the question asked each time, UnsentRequestTest.TheTrialOfAConvictedPromptPartGoesOnAtAnotherUpstream ends with 503 instead of 200.

--- a/src/relay/request_attempts.h
+++ b/src/relay/request_attempts.h
@@ -22,6 +22,7 @@
     std::size_t m_sends = 0; // Upstreams to which the request was sent.
     std::optional<MonotonicTime> m_retryCountedAt; // Of the latest attempt; empty: it is no retry.
     bool m_timedOut = false;
+    std::optional<std::size_t> m_clearedSend; // Number of the send that the crash watch allowed last.
     std::optional<Failure> m_refusal; // Why it isn't sent although an upstream could take it.
     ChoiceOutcome m_lastOutcome = ChoiceOutcome::Chosen;
     MonotonicTime m_retryAt {}; // When the last outcome may change by time alone; zero: unknown.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -315,9 +315,12 @@
 auto RequestRunner::obstacleToSend(const CallState& state, Attempts& attempts) -> std::optional<AttemptsEnd>
 {
     attempts.m_retryCountedAt.reset();
-    attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
+    // A send that reached no upstream may be tried again, as it may be the trial of a convicted suspect.
+    if (attempts.m_clearedSend != attempts.m_sends)
+        attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
     if (attempts.m_refusal)
         return AttemptsEnd::CrashSuspect;
+    attempts.m_clearedSend = attempts.m_sends;
     if (attempts.m_sends > 0 && !acquireRetry(attempts))
         return AttemptsEnd::RetryBudgetSpent;
     return std::nullopt;
--- a/test/platform/stepped_runner.h
+++ b/test/platform/stepped_runner.h
@@ -139,7 +139,7 @@
     }
 
     // Starts an idempotent request that a caller sent. It proceeds as the event loop runs.
-    auto send() -> SteppedRequest&
+    auto send(const std::string& promptParts = "") -> SteppedRequest&
     {
         namespace http = boost::beast::http;
         if (!m_node.m_board.m_configuration)
@@ -152,6 +152,8 @@
         state.m_message.set(http::field::host, "h.example");
         state.m_message.set("X-Marigoldladder-Request-Id", "r" + std::to_string(++m_sent));
         state.m_message.set("Api-Key", "key-1");
+        if (!promptParts.empty())
+            state.m_message.set("X-Marigoldladder-Prompt-Prefix", promptParts);
         state.m_arrivedAt = std::chrono::steady_clock::now();
         boost::asio::co_spawn(m_node.m_context, m_node.m_runner.run(state, request.m_answer),
             [&request](const std::exception_ptr&) { request.m_ended = true; });
--- a/test/platform/unsent_request_test.cc
+++ b/test/platform/unsent_request_test.cc
@@ -60,5 +60,24 @@
         EXPECT_EQ(next.status(), 200);
     }
 
+    TEST_F(UnsentRequestTest, TheTrialOfAConvictedPromptPartGoesOnAtAnotherUpstream)
+    {
+        constexpr auto part = relay::Suspect { relay::SuspectKind::PromptPart, 0xab };
+        auto& evidence = m_node.m_board.m_crashEvidence;
+        const auto crashedAt = std::chrono::steady_clock::now() - 2 * relay::firstTrialDelay;
+        auto& record = evidence.m_records[part];
+        for (auto run = relay::UpstreamRunId { 1 }; run <= relay::crashesUntilConvicted; ++run)
+            record.m_crashes[run] = crashedAt;
+        record.m_conviction = relay::Conviction { crashedAt, 0 };
+        evidence.m_convictions = 1;
+        addRecord("i-1", freeAddress());
+        addUpstream("i-2", answerWith("ok"));
+        occupy("i-2", 2);
+        auto& request = send("ab:100,cd:10");
+        EXPECT_TRUE(runUntil([&] { return request.m_ended; }));
+        EXPECT_EQ(requestsAt("i-2"), 1U);
+        EXPECT_EQ(request.status(), 200);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
