--- a/test/platform/order_controller_test.cc
+++ b/test/platform/order_controller_test.cc
@@ -11,7 +11,6 @@
 namespace {
 
     using namespace relay;
-    using relay::Upstream;
     using Clock = std::chrono::steady_clock;
 
     constexpr auto leaseTime = Milliseconds(500);
@@ -50,10 +49,12 @@
                 ++m_ordersBegun;
                 return m_engineCalls.m_order(std::forward<decltype(arguments)>(arguments)...);
             };
-            m_store.m_get = [this](const std::string& kind, std::string) { return read(kind); };
-            m_store.m_create = [this](std::string kind, StoredObject object) { return write(kind, object); };
+            m_store.m_get = [this](const std::string& kind, const std::string&) { return read(kind); };
+            m_store.m_create = [this](std::string kind, StoredObject object) {
+                return write(std::move(kind), std::move(object));
+            };
             m_store.m_replace = m_store.m_create;
-            m_store.m_list = [](std::string, ListingAge) { return listNothing(); };
+            m_store.m_list = [](const std::string&, ListingAge) { return listNothing(); };
             m_peers.start([] { return true; });
         }
 
