--- a/src/relay/request_attempts.cc
+++ b/src/relay/request_attempts.cc
@@ -33,6 +33,7 @@
     case UpstreamCallOutcome::Refused:
         return;
     case UpstreamCallOutcome::NotReached:
+    case UpstreamCallOutcome::NotSent:
         --attempts.m_sends;
         return;
     case UpstreamCallOutcome::TimedOut:
@@ -62,6 +63,7 @@
         return std::nullopt;
     case UpstreamCallOutcome::Refused:
     case UpstreamCallOutcome::NotReached:
+    case UpstreamCallOutcome::NotSent:
         return endAfterRefusal(attempts, isLate);
     case UpstreamCallOutcome::Failed:
     case UpstreamCallOutcome::Broken:
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -190,27 +190,46 @@
 auto RequestRunner::obstacleToSend(const CallState& state, RequestAttempts& attempts)
     -> std::optional<AttemptsEnd>
 {
-    attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
+    attempts.m_retryCountedAt.reset();
+    // A send that reached no upstream may be tried again, as it may be the trial of a convicted suspect.
+    if (attempts.m_clearedSend != attempts.m_sends)
+        attempts.m_refusal = m_crashWatch.refusalAtDispatch(state);
     if (attempts.m_refusal)
         return AttemptsEnd::CrashSuspect;
+    attempts.m_clearedSend = attempts.m_sends;
     if (attempts.m_sends > 0 && !acquireRetry(attempts))
         return AttemptsEnd::RetryBudgetSpent;
     return std::nullopt;
 }
 
-auto RequestRunner::acquireRetry(const RequestAttempts& attempts) -> bool
+auto RequestRunner::acquireRetry(RequestAttempts& attempts) -> bool
 {
-    if (!tryAcquireRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes,
-            Clock::now()))
+    const auto now = Clock::now();
+    if (!tryAcquireRetry(
+            m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
         return false;
+    attempts.m_retryCountedAt = now;
     m_board.m_metrics.add(Counter::RequestsRetried);
     return true;
 }
 
+auto RequestRunner::giveBackRetry(RequestAttempts& attempts) -> void
+{
+    if (const auto countedAt = std::exchange(attempts.m_retryCountedAt, std::nullopt))
+        returnRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, *countedAt);
+}
+
 auto RequestRunner::recordCall(const CallState& state, RequestAttempts& attempts,
     const UpstreamPointer& upstream, UpstreamCallOutcome outcome) -> std::optional<AttemptsEnd>
 {
-    attempts.m_needs.m_tried.push_back(upstream.get());
+    const auto wasSent
+        = outcome != UpstreamCallOutcome::NotReached && outcome != UpstreamCallOutcome::NotSent;
+    if (!wasSent)
+        giveBackRetry(attempts);
+    if (!wasSent && state.m_callerDisconnected)
+        return AttemptsEnd::CallerDisconnected;
+    if (outcome != UpstreamCallOutcome::NotSent)
+        attempts.m_needs.m_tried.push_back(upstream);
     if (brokeOff(outcome))
         m_crashWatch.noteBroken(upstream, state);
     if (isToResume(outcome, state.m_answerBegan))
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -36,7 +36,9 @@
     // Acquires what sending the request to a further upstream needs besides a slot. Returns why it must not
     // be sent.
     auto obstacleToSend(const CallState&, RequestAttempts&) -> std::optional<AttemptsEnd>;
-    auto acquireRetry(const RequestAttempts&) -> bool;
+    auto acquireRetry(RequestAttempts&) -> bool;
+    // Gives back the retry that was counted for an attempt that wasn't sent to its upstream.
+    auto giveBackRetry(RequestAttempts&) -> void;
     // Records how a call ended. Returns why the request isn't sent to another upstream, or nothing if it may
     // be.
     auto recordCall(const CallState&, RequestAttempts&, const UpstreamPointer&, UpstreamCallOutcome)
@@ -46,8 +48,9 @@
     auto noteSilence(const CallState&, Upstream&, std::optional<AttemptsEnd> stayReason) -> void;
     // Acquires a place at an upstream other than this silent one. Returns why there is none now, or nothing
     // if there is one, which the next attempt takes.
-    auto tryMove(const CallState&, RequestAttempts&, const Upstream& silent) -> std::optional<AttemptsEnd>;
-    auto beginMove(const RequestAttempts&, const Upstream& silent) -> std::shared_ptr<PreparedMove>;
+    auto tryMove(const CallState&, RequestAttempts&, const UpstreamPointer& silent)
+        -> std::optional<AttemptsEnd>;
+    auto beginMove(const RequestAttempts&, const UpstreamPointer& silent) -> std::shared_ptr<PreparedMove>;
     auto acquirePermit(std::shared_ptr<PreparedMove>) -> Awaitable<void>;
 
     auto refuse(const CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -24,7 +24,7 @@
         return {};
     auto handling = SilenceHandling();
     handling.m_tryMove = [this, &state, &attempts, upstream] {
-        const auto stayReason = tryMove(state, attempts, *upstream);
+        const auto stayReason = tryMove(state, attempts, upstream);
         if (!std::exchange(attempts.m_isSilenceNoted, true))
             noteSilence(state, *upstream, stayReason);
         return !stayReason;
@@ -41,7 +41,7 @@
     logSilence(m_log, state, upstream, stayReason, now);
 }
 
-auto RequestRunner::tryMove(const CallState& state, RequestAttempts& attempts, const Upstream& silent)
+auto RequestRunner::tryMove(const CallState& state, RequestAttempts& attempts, const UpstreamPointer& silent)
     -> std::optional<AttemptsEnd>
 {
     const auto now = Clock::now();
@@ -52,6 +52,8 @@
     if (!allowsRetry(
             m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
         return AttemptsEnd::RetryBudgetSpent;
+    if (attempts.m_move && !maySendTo(m_board.m_upstreams, *attempts.m_move->m_slot.upstream(), now))
+        attempts.m_move = nullptr;
     if (!attempts.m_move)
         attempts.m_move = beginMove(attempts, silent);
     if (!attempts.m_move || attempts.m_move->m_asksForPermit)
@@ -65,11 +67,11 @@
 }
 
 // Returns null if no other upstream has room.
-auto RequestRunner::beginMove(const RequestAttempts& attempts, const Upstream& silent)
+auto RequestRunner::beginMove(const RequestAttempts& attempts, const UpstreamPointer& silent)
     -> std::shared_ptr<PreparedMove>
 {
     auto needs = attempts.m_needs;
-    needs.m_tried.push_back(&silent);
+    needs.m_tried.push_back(silent);
     auto slot = m_waitList.tryAcquireOther(std::move(needs));
     if (!slot)
         return nullptr;
