State the version that an engine holds, not a lower one

What callers saw: requests refused, or sent to several engines in vain, though an engine held a version of their adapter that they could run on.

Cause: an engine refuses every version but its own. A request that was sent to an engine with version 3 stated 2 while 2 was the lowest version that may run and 4 was announced, as with versions that follow each other within the bound; or while 2 was the newest version of which the node knew, as an engine's list or an order can be known before the announcement. Such a refusal also counts as a missing adapter and is reported to the holder of the order lease.

Now a request states the version that its engine is believed to hold if that is at least the lowest that may run, or the newest.

--- a/src/relay/adapter_versions.cc
+++ b/src/relay/adapter_versions.cc
@@ -68,13 +68,16 @@
     return lowestVersionAt(versions, adapter, now + maxStartTime);
 }
 
-// An engine that is believed to hold the newest version may still be loading it, and would run the request on
-// an older one.
+// An engine refuses any version but its own, so the one that it is believed to hold is stated. That guards
+// against an engine that is still loading it, and would run the request on an older one.
 auto versionToState(const AdapterVersions& versions, const std::string& adapter,
     std::optional<std::uint64_t> held, MonotonicTime now) -> std::optional<std::uint64_t>
 {
     const auto newest = newestVersion(versions, adapter);
-    return newest && held && *held >= *newest ? newest : lowestVersionToSend(versions, adapter, now);
+    const auto lowest = lowestVersionToSend(versions, adapter, now);
+    const auto holdsNewest = newest && held && *held >= *newest;
+    const auto holdsEnough = lowest && held && *held >= *lowest;
+    return holdsNewest || holdsEnough ? held : lowest;
 }
 
 } // namespace marigoldladder::relay
--- a/test/platform/outdated_version_test.cc
+++ b/test/platform/outdated_version_test.cc
@@ -30,6 +30,13 @@
         return {};
     }
 
+    // An engine that holds version 3 refuses a request that states any other version, also a lower one.
+    auto unlessOtherThan3(const UpstreamRequest& request) -> UpstreamReply
+    {
+        const auto stated = request["X-Marigoldladder-Expect-Version"];
+        return { answerTo(request, stated.empty() || stated == "3" ? 200 : 421, "answer") };
+    }
+
     class OutdatedVersionTest : public RelayPathTest {
     protected:
         // Writes a configuration in which a request may wait for its upstream longer than the bound.
@@ -112,6 +119,35 @@
         EXPECT_EQ(reply.get().m_body, allEvents);
     }
 
+    TEST_F(OutdatedVersionTest, ARequestRunsOnAHeldVersionBetweenTheLowestAndTheNewest)
+    {
+        constexpr auto untilNewest = milliseconds(2'000); // Version 2 isn't required yet.
+        constexpr auto untilSent = milliseconds(600); // Then it is, and the newest one isn't.
+        addEngine("i-1", "a1@3", unlessOtherThan3);
+        configurePatiently();
+        announce(2);
+        std::this_thread::sleep_for(untilNewest);
+        announce(4);
+        std::this_thread::sleep_for(untilSent);
+        EXPECT_EQ(send("/plain/x").m_status, 200);
+        ASSERT_EQ(m_relay.requestsAt("i-1").size(), 1U);
+        EXPECT_EQ(m_relay.requestsAt("i-1")[0]["X-Marigoldladder-Expect-Version"], "3");
+    }
+
+    // What an engine holds may become known before the announcement of its version.
+    TEST_F(OutdatedVersionTest, ARequestRunsOnAHeldVersionThatIsNewerThanTheNewestKnown)
+    {
+        addEngine("i-1", "a1@3", unlessOtherThan3);
+        configurePatiently();
+        announce(2);
+        ASSERT_TRUE(m_relay.eventually([&] {
+            (void)send("/plain/x");
+            return !m_relay.requestsAt("i-1").back()["X-Marigoldladder-Expect-Version"].empty();
+        }));
+        EXPECT_EQ(m_relay.requestsAt("i-1").back()["X-Marigoldladder-Expect-Version"], "3");
+        EXPECT_EQ(send("/plain/x").m_status, 200);
+    }
+
     // How long ago it was announced isn't known.
     TEST(VersionAtStartTest, AVersionAnnouncedBeforeTheNodeStartedIsRequiredAtOnce)
     {
--- a/test/relay/adapter_versions_test.cc
+++ b/test/relay/adapter_versions_test.cc
@@ -2,6 +2,7 @@
 
 #include "relay/relay_fixtures.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -70,6 +71,28 @@
         EXPECT_EQ(lowestVersionAt(m_versions, adapter, at(1)), 3U);
     }
 
+    // An engine refuses a request that states any other version than the one that it holds.
+    TEST_F(AdapterVersionsTest, ARequestStatesTheVersionThatItsEngineHoldsIfThatMayBeUsed)
+    {
+        EXPECT_TRUE(announceAt(2, 0));
+        EXPECT_TRUE(announceAt(3, 1.5));
+        EXPECT_TRUE(announceAt(4, 2));
+        EXPECT_FALSE(versionToState(m_versions, adapter, 3, at(2))) << "it may be any";
+        ASSERT_EQ(lowestVersionToSend(m_versions, adapter, at(3)), 2U);
+        EXPECT_EQ(versionToState(m_versions, adapter, 1, at(3)), 2U);
+        EXPECT_EQ(versionToState(m_versions, adapter, 3, at(3)), 3U);
+        EXPECT_EQ(versionToState(m_versions, adapter, 4, at(3)), 4U);
+        EXPECT_EQ(versionToState(m_versions, adapter, std::nullopt, at(3)), 2U);
+    }
+
+    TEST_F(AdapterVersionsTest, ARequestStatesAHeldVersionOfWhichThisNodeHasNotLearntYet)
+    {
+        EXPECT_FALSE(versionToState(m_versions, adapter, 3, at(0)));
+        EXPECT_TRUE(announceAt(2, 0));
+        EXPECT_EQ(versionToState(m_versions, adapter, 3, at(1)), 3U);
+        EXPECT_EQ(versionToState(m_versions, adapter, 3, at(10)), 3U);
+    }
+
     TEST_F(AdapterVersionsTest, VersionsThatNoLongerMatterAreDropped)
     {
         constexpr auto versions = 1'000;
@@ -108,5 +131,77 @@
         }
     }
 
+    // An announcement, and when this node learns of it.
+    struct Announcement {
+        std::uint64_t m_version = 0;
+        double m_acknowledgedAt = 0;
+        double m_knownAt = 0;
+    };
+
+    // Up to eight announcements that take up to a second each to reach this node, in the order of arrival.
+    auto drawAnnouncements() -> std::vector<Announcement>
+    {
+        auto announcements = std::vector<Announcement>();
+        const auto count = *rc::gen::inRange(1, 9);
+        for (auto number = 0; number < count; ++number) {
+            const auto version = static_cast<std::uint64_t>(*rc::gen::inRange(1, 8));
+            const auto acknowledgedAt = *rc::gen::inRange(0, 150) / 10.0;
+            announcements.push_back(
+                { version, acknowledgedAt, acknowledgedAt + *rc::gen::inRange(0, 11) / 10.0 });
+        }
+        std::sort(announcements.begin(), announcements.end(),
+            [](const auto& left, const auto& right) { return left.m_knownAt < right.m_knownAt; });
+        return announcements;
+    }
+
+    auto announceUntil(AdapterVersions& versions, const std::vector<Announcement>& announcements, double now)
+        -> void
+    {
+        for (const auto& announced : announcements) {
+            const auto knownAt = at(announced.m_knownAt);
+            if (announced.m_knownAt <= now)
+                (void)announceVersion(
+                    versions, { adapter, announced.m_version }, requiredFrom(knownAt, changeTime), knownAt);
+        }
+    }
+
+    // Returns when a call that stated this version is taken back: at the first time at which it's too low.
+    auto takenBackAt(const std::vector<Announcement>& announcements, std::uint64_t stated, double sentAt)
+        -> MonotonicTime
+    {
+        auto earliest = MonotonicTime::max();
+        for (const auto& announced : announcements) {
+            const auto time = requiredFrom(at(announced.m_knownAt), changeTime);
+            if (announced.m_version > stated && time >= at(sentAt))
+                earliest = std::min(earliest, time);
+        }
+        return earliest;
+    }
+
+    // The rule itself, for one request that is sent to an engine whose version may not be the one that this
+    // node believes, and that may wait there for any time.
+    RC_GTEST_PROP(
+        AdapterVersionsPropertyTest, NoRequestBeginsOnAVersionBeyondTheBoundAndNoneIsRefusedInVain, ())
+    {
+        const auto announcements = drawAnnouncements();
+        const auto sentAt = *rc::gen::inRange(0, 200) / 10.0;
+        const auto held = static_cast<std::uint64_t>(*rc::gen::inRange(1, 8));
+        const auto believed
+            = *rc::gen::inRange(0, 2) == 0 ? held : static_cast<std::uint64_t>(*rc::gen::inRange(1, 8));
+        auto versions = AdapterVersions();
+        announceUntil(versions, announcements, sentAt);
+        const auto stated = versionToState(versions, adapter, believed, at(sentAt));
+        const auto isAccepted = !stated || *stated == held;
+        const auto lowest = lowestVersionToSend(versions, adapter, at(sentAt)).value_or(0);
+        RC_ASSERT(isAccepted || believed != held || held < lowest);
+        if (!isAccepted)
+            return;
+        const auto lastBegin = takenBackAt(announcements, stated.value_or(0), sentAt);
+        for (const auto& announced : announcements) {
+            if (announced.m_version > held)
+                RC_ASSERT(lastBegin <= at(announced.m_acknowledgedAt) + changeTime);
+        }
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
