--- a/test/relay/adapter_versions_test.cc
+++ b/test/relay/adapter_versions_test.cc
@@ -203,5 +203,26 @@
         }
     }
 
+    // What is done once a version is required depends on whether its announcement changed anything.
+    RC_GTEST_PROP(AdapterVersionsPropertyTest, AnAnnouncementChangesSomethingIfAndOnlyIfItSaysSo, ())
+    {
+        auto versions = AdapterVersions();
+        auto now = 0.0;
+        const auto steps = *rc::gen::inRange(1, 30);
+        for (auto step = 0; step < steps; ++step) {
+            now += *rc::gen::inRange(0, 30) / 10.0;
+            const auto version = static_cast<std::uint64_t>(*rc::gen::inRange(1, 12));
+            const auto required = at(now + *rc::gen::inRange(0, 50) / 10.0);
+            const auto before = versions;
+            const auto changed = announceVersion(versions, { adapter, version }, required, at(now));
+            const auto atRequired = lowestVersionAt(before, adapter, required).value_or(0);
+            RC_ASSERT(changed == (atRequired < version));
+            RC_ASSERT(
+                lowestVersionAt(versions, adapter, required).value_or(0) == std::max(atRequired, version));
+            RC_ASSERT(newestVersion(versions, adapter)
+                == std::max(newestVersion(before, adapter).value_or(0), version));
+        }
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
