Keep a call whose whole answer has begun to arrive

What callers saw: 502 for a request that had run, when the version of its adapter became required while the answer's body was on its way.

Cause: a call is taken back for an outdated version until its answer begins, and an answer that is no stream counted as begun only when its body was complete. Its head shows already that the request has run. The head of a stream may come before the request begins, so streams are left as they are.

OutdatedVersionTest.AWholeAnswerWhoseBodyArrivesLaterGoesOn failed before (the caller got 502 after 4.2 s) and passes now.

--- a/src/relay/calls_in_progress.cc
+++ b/src/relay/calls_in_progress.cc
@@ -27,7 +27,8 @@
     for (auto* call : calls) {
         const auto mayBeginOutdated = call->m_adapter == adapter && call->m_statedVersion < lowest;
         // Bytes that have arrived but weren't read yet are an answer too.
-        if (!mayBeginOutdated || call->m_answerBegan || call->m_takenBack || !isIdle(call->m_stream.socket()))
+        const auto isAnswered = call->m_isAnswered || call->m_answerBegan;
+        if (!mayBeginOutdated || isAnswered || call->m_takenBack || !isIdle(call->m_stream.socket()))
             continue;
         call->m_takenBack = true;
         call->m_stream.close();
--- a/src/relay/calls_in_progress.h
+++ b/src/relay/calls_in_progress.h
@@ -15,13 +15,16 @@
 class CallInProgress {
 public:
     // `statedVersion`: the only version on which the engine runs the request; 0: any. `answerBegan` is set by
-    // the caller once the engine has begun to answer.
+    // the caller once the engine has sent an event.
     CallInProgress(std::list<CallInProgress*>&, std::string adapter, std::uint64_t statedVersion, tcp_stream&,
         const bool& answerBegan);
     ~CallInProgress();
     CallInProgress(const CallInProgress&) = delete;
     auto operator=(const CallInProgress&) -> CallInProgress& = delete;
 
+    // The engine has begun to answer, so the call isn't taken back any more.
+    auto recordAnswer() -> void { m_isAnswered = true; }
+
     // Whether the call was ended by `takeBackOutdated`. Its request may have begun shortly before.
     auto isTakenBack() const -> bool { return m_takenBack; }
 
@@ -35,6 +38,7 @@
     std::uint64_t m_statedVersion;
     tcp_stream& m_stream; // Closed to take the call back.
     const bool& m_answerBegan;
+    bool m_isAnswered = false;
     bool m_takenBack = false;
 };
 
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -323,7 +323,7 @@
         = versionToState(m_board.m_upstreams.m_versions, state.m_request.m_adapter, held, Clock::now());
     const auto request = requestFor(state, m_dialect, dispatch);
     const auto disconnectHook = DisconnectHook(state, connection->m_stream);
-    const auto inProgress = CallInProgress(m_board.m_callsInProgress, state.m_request.m_adapter,
+    auto inProgress = CallInProgress(m_board.m_callsInProgress, state.m_request.m_adapter,
         dispatch.m_adapterVersion.value_or(0), connection->m_stream, state.m_answerBegan);
     auto error = ErrorCode();
     const auto sentAt = Clock::now();
@@ -351,6 +351,8 @@
         const auto isTakenBack = inProgress.isTakenBack() && isBroken(stream.m_outcome);
         co_return isTakenBack ? UpstreamCallOutcome::TakenBack : stream.m_outcome;
     }
+    // Unlike that of a stream, this answer's head shows that the request has begun.
+    inProgress.recordAnswer();
     auto whole = WholeAnswer();
     auto keepAlive = false;
     error = co_await readWhole(*connection, *head.m_parser, whole, keepAlive);
--- a/test/platform/outdated_version_test.cc
+++ b/test/platform/outdated_version_test.cc
@@ -119,6 +119,22 @@
         EXPECT_EQ(reply.get().m_body, allEvents);
     }
 
+    // The head of an answer that is no stream shows that the request has run.
+    TEST_F(OutdatedVersionTest, AWholeAnswerWhoseBodyArrivesLaterGoesOn)
+    {
+        addEngine("i-1", "a1@1", [](const UpstreamRequest& request) {
+            const auto bytes = answerTo(request, 200, "answer");
+            const auto head = bytes.size() - 1;
+            return UpstreamReply { bytes.substr(0, head), false, false, false,
+                { { versionBound, bytes.substr(head) } } };
+        });
+        configurePatiently();
+        auto reply = std::async(std::launch::async, [&] { return send("/charge/x"); });
+        waitForRequestAt("i-1");
+        announce(2);
+        EXPECT_EQ(reply.get().m_body, "answer");
+    }
+
     TEST_F(OutdatedVersionTest, ARequestRunsOnAHeldVersionBetweenTheLowestAndTheNewest)
     {
         constexpr auto untilNewest = milliseconds(2'000); // Version 2 isn't required yet.
