Let tries that met a change of owners take none of those left for refusals

What callers saw: 503 "the upstream was taken out of service" for a queued completion whose data centre was taken out, though another engine was in service and would have served it.

Cause: a request has six tries until its answer begins. A try that finds no owner of the upstream is repeated without charge, but was counted among the six. Right after a start, or while owners change, a call meets five of them within half a second; it then waits at an owner, and the first refusal there was its sixth try and ended it.

Only tries that failed for other reasons count towards the six now; all tries together stay bounded by forty.

Ruled out by the log of a failing run: the deadline (60 s), a load that was refused or lost, a lost connection to the owner, an upstream that could not be reached, an empty retry budget.

--- a/src/serving/stream_answer.cc
+++ b/src/serving/stream_answer.cc
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr auto streamDone = std::string_view("data: [DONE]");
-    constexpr auto maxTriesUnanswered = std::uint32_t { 6 }; // Before the answer began.
+    constexpr auto maxFailuresUnanswered = std::uint32_t { 6 }; // Before the answer began.
     constexpr auto maxTries = std::uint32_t { 40 };
     constexpr auto firstPause = std::chrono::milliseconds(20); // Once all upstreams have been tried.
     // An owner refuses a queued call this much before the deadline, so that its proof that nothing ran
@@ -188,6 +188,8 @@
     if (m_complete)
         return finish({ true, {}, m_call.m_costTokens, false }); // Only the note of its end was lost.
     m_mayHaveRun = m_mayHaveRun || end.m_failure.m_verdict != Verdict::NotRun;
+    if (end.m_failure.m_type != FailureType::NotOwner)
+        ++m_failures;
     if (!mayTryAgain(end.m_failure))
         return finish(std::move(end));
     planNextTry(end.m_failure);
@@ -196,15 +198,15 @@
 
 auto StreamAnswer::mayTryAgain(const Failure& failure) -> bool
 {
-    if (failure.m_type == FailureType::BadRequest || now() >= m_deadline)
+    if (failure.m_type == FailureType::BadRequest || m_tries >= maxTries || now() >= m_deadline)
         return false;
     if (failure.m_verdict != Verdict::NotRun && !m_call.m_idempotent)
         return false;
     // An answer that began is finished at any price: it was admitted once and would be cut. One that met
     // a change of owners has cost no upstream anything.
     if (m_headPassed || failure.m_type == FailureType::NotOwner)
-        return m_tries < maxTries;
-    return m_tries < maxTriesUnanswered && m_services.m_retries.takeRetry();
+        return true;
+    return m_failures < maxFailuresUnanswered && m_services.m_retries.takeRetry();
 }
 
 auto StreamAnswer::planNextTry(const Failure& failure) -> void
--- a/src/serving/stream_answer.h
+++ b/src/serving/stream_answer.h
@@ -65,6 +65,7 @@
     bool m_headPassed = false;
     bool m_complete = false; // The caller has all of the answer.
     std::uint32_t m_tries = 0;
+    std::uint32_t m_failures = 0; // Tries that failed, those that met a change of owners left out.
     std::optional<AnswerEnd> m_end;
     std::minstd_rand m_random { std::random_device()() };
 };
