End no lease of a running process because its predecessor said goodbye

What was seen: RollingRestartTest.RefusesNoRequestWithinTheAllowance, "expected node 2 to end by itself with 0" after 30 s (listed as a known fault). The last of three nodes that are restarted in turn drains, keeps all upstreams, and the others go on sending it calls.

Cause: a process that says goodbye is a member in state Gone until the news of the next process of its VM arrives. That process writes its lease sooner. The node that puts down for good which processes are gone took the state of the earlier process for that of the holder of the lease, and ended the lease of a process that runs. It can't renew a lease that was ended, so it owns nothing for as long as it runs. With both restarted nodes in this state there is nobody to hand over to.

mayStillRun compares the incarnations now: only what is known of the same or a later process counts.

The new test fails before and passes after.

--- a/src/routing/ownership.cc
+++ b/src/routing/ownership.cc
@@ -119,7 +119,9 @@
     if (record.m_ended && record.m_holder == start)
         return false;
     const auto member = membership.m_members.find(start.m_vm);
-    return member == membership.m_members.end() || member->second.m_state != MemberState::Gone;
+    if (member == membership.m_members.end() || member->second.m_state != MemberState::Gone)
+        return true;
+    return member->second.m_incarnation < start.m_incarnation; // Only an earlier process is known to be gone.
 }
 
 auto desiredOwner(const OwnershipView& view, const Upstream& upstream) -> NodeStart
--- a/src/routing/ownership.h
+++ b/src/routing/ownership.h
@@ -71,7 +71,8 @@
 auto hasLapsed(const ObservedLeases&, const VmName&) -> bool;
 
 // Whether the process may still use upstreams or give them orders. It may not once its lease
-// was ended, its VM runs a later process, or its VM is gone.
+// was ended, its VM runs a later process, or it or its VM is gone. That an earlier process of its VM is gone
+// says nothing about it.
 auto mayStillRun(const ObservedLeases&, const Membership&, const NodeStart&) -> bool;
 
 // What one node knows when it decides about ownership.
--- a/test/routing/ownership_test.cc
+++ b/test/routing/ownership_test.cc
@@ -148,6 +148,18 @@
         EXPECT_TRUE(takenRecord(view, m_record).m_earlierOwners.empty());
     }
 
+    TEST_F(OwnershipTest, ALaterProcessMayRunThoughItsPredecessorSaidGoodbye)
+    {
+        setState("a", MemberState::Gone);
+        EXPECT_FALSE(mayStillRun(m_leases, m_members, startOf("a", 1)));
+        auto changed = records(2, 2, 2);
+        changed[0].m_holder.m_incarnation = 2;
+        m_leases = observeLeases(m_leases, changed, start, start);
+        EXPECT_TRUE(mayStillRun(m_leases, m_members, startOf("a", 2)))
+            << "expected the news of the earlier process to say nothing about this one";
+        EXPECT_FALSE(mayStillRun(m_leases, m_members, startOf("a", 1)));
+    }
+
     TEST_F(OwnershipTest, HandsOverWhenItDrains)
     {
         setState("a", MemberState::Draining);
