End a request by its last refusal when another try would come too late

Cause: the deadline could pass between two tries, and its end was told as may_have_run whatever the verdict of the tries was. Requests that met only a change of owners until their deadline were told so before, too.

A request ends by the verdict of its last try when the next one could not be refused in time, so it is also refused at once and not at its deadline.

--- a/src/serving/stream_answer.cc
+++ b/src/serving/stream_answer.cc
@@ -193,6 +193,8 @@
     if (!mayTryAgain(end.m_failure))
         return finish(std::move(end));
     planNextTry(end.m_failure);
+    if (m_nextTryAt + refusalTravel >= m_deadline)
+        return finish(std::move(end)); // Its verdict is known; that of a further try would come too late.
     return std::nullopt;
 }
 
--- a/test/serving/stream_answer_test.cc
+++ b/test/serving/stream_answer_test.cc
@@ -74,14 +74,14 @@
             return m_blackboard.m_metrics.value(Counter::RequestsRetried);
         }
 
-        auto makeAnswer() -> StreamAnswer
+        auto makeAnswer(std::chrono::milliseconds atMost = callTime) -> StreamAnswer
         {
             auto call = ServeCall();
             call.m_requestId = RequestId("request-1");
             call.m_method = "GET";
             call.m_path = "/";
             call.m_idempotent = true;
-            return { m_services, call, pool, std::chrono::steady_clock::now() + callTime };
+            return { m_services, call, pool, std::chrono::steady_clock::now() + atMost };
         }
 
         Blackboard m_blackboard;
@@ -116,6 +116,16 @@
         EXPECT_EQ(std::get<AnswerHead>(*event).m_upstream, kept);
     }
 
+    TEST_F(StreamAnswerTest, IsToldAsNotRunWhenNoOwnerWasFoundInTime)
+    {
+        addUpstream(UpstreamName("booking-1"), nobody);
+        auto answer = makeAnswer(1s);
+        const auto event = answer.next(std::chrono::steady_clock::now() + callTime);
+        ASSERT_TRUE(event);
+        ASSERT_TRUE(std::holds_alternative<AnswerEnd>(*event));
+        EXPECT_EQ(std::get<AnswerEnd>(*event).m_failure.m_verdict, Verdict::NotRun);
+    }
+
     TEST_F(StreamAnswerTest, EndsAfterAFewRefusals)
     {
         addUpstream(UpstreamName("booking-1"), nobody);
