Test that a node that exits answers the requests under way

Both tests fail: callers of a node that is stopping see no answer, neither a failure nor a refusal, when it exits while their request is at an upstream that hasn't answered. RelayNode::stopWhenIdle stops the event loop at that time, whatever is under way.

--- /dev/null
+++ b/test/platform/stopping_node_test.cc
@@ -0,0 +1,57 @@
+// A node that stops while requests are under way: each caller gets an answer before the process exits.
+#include "platform/relay_path_fixture.h"
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace marigoldladder::platform {
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // From the stop signal until a request is sent: the node still accepts it, and exits before its deadline.
+    constexpr auto lateArrival = milliseconds(4'000);
+    constexpr auto requestTime = milliseconds(4'500);
+
+    class StoppingNodeTest : public RelayPathTest {
+    protected:
+        auto SetUp() -> void override
+        {
+            addUpstream("i-1", [](const UpstreamRequest&) { return UpstreamReply {}; });
+            auto configuration = testConfiguration(1);
+            for (auto& route : configuration["routes"])
+                route["timeout_ms"] = requestTime.count();
+            m_relay.put("config", "main", configuration);
+            ASSERT_TRUE(m_relay.eventually([&] { return m_relay.readiness() == 200; }));
+        }
+
+        // Stops the node and sends it a request that no upstream answers.
+        auto sendWhileStopping(const std::string& method, const std::string& path) -> CallerReply
+        {
+            std::raise(SIGTERM);
+            std::this_thread::sleep_for(lateArrival);
+            auto bytes = callerRequest(method, path, "", method == "POST" ? "go" : "");
+            const auto deadline = std::string("Deadline-Ms: 3000");
+            bytes.replace(
+                bytes.find(deadline), deadline.size(), "Deadline-Ms: " + std::to_string(requestTime.count()));
+            return m_relay.send(bytes);
+        }
+    };
+
+    TEST_F(StoppingNodeTest, AnUnsafeRequestThatWasSentToAnUpstreamGetsAnAnswerBeforeTheExit)
+    {
+        const auto reply = sendWhileStopping("POST", "/charge/x");
+        EXPECT_GE(reply.m_status, 502) << "expected an answer that says that the request may have run";
+        EXPECT_TRUE(reply.m_complete);
+    }
+
+    TEST_F(StoppingNodeTest, AnIdempotentRequestThatWasSentToAnUpstreamGetsAnAnswerBeforeTheExit)
+    {
+        const auto reply = sendWhileStopping("GET", "/plain/x");
+        EXPECT_GE(reply.m_status, 502) << "expected an answer that says that the request may have run";
+        EXPECT_TRUE(reply.m_complete);
+    }
+
+} // namespace
+} // namespace marigoldladder::platform
