Answer the requests that a stopping node accepts before it exits

What callers saw, by the tests: a request that a stopping node accepts, and that is at an upstream when the node exits 7.6 s after the stop signal, ends with a closed connection: neither an answer nor a refusal (LOST), and no line in the log.

Cause: the end of the process ended every request, whatever its state; only streams were checked for whether they end in time.

The deadline of a request that arrives while the node is stopping is now 0.2 s before the exit at the latest. The upstream is told the shorter time, and the caller is answered 504, may have run.

Both StoppingNodeTest tests failed before (no byte within 5 s) and pass now. Their first version sent the request to a node that had already exited as it was idle; another request keeps it up now, and the checks are the same.

--- a/src/relay/request_admission.cc
+++ b/src/relay/request_admission.cc
@@ -11,6 +11,7 @@
 
     constexpr auto defaultTimeout = Milliseconds(60'000); // For callers that state no deadline.
     constexpr auto answerDeliveryMargin = Milliseconds(30); // Reserved for sending the answer to the caller.
+    constexpr auto exitMargin = Milliseconds(200); // Reserved for the answer before the process exits.
     constexpr auto drainRetryAfter = Milliseconds(50); // Another node can serve it at once.
     constexpr auto configurationRetryAfter = Milliseconds(500);
 
@@ -36,12 +37,15 @@
         return board.m_acceptsStreams && now + time <= board.m_exitsAt;
     }
 
-    auto deadlineOf(const CallState& state) -> MonotonicTime
+    // A node that is stopping has to answer before it exits.
+    auto deadlineOf(const CallState& state, const RelayBoard& board) -> MonotonicTime
     {
         auto timeLeft = state.m_request.m_timeout.value_or(defaultTimeout);
         if (state.m_route->m_timeout.count() > 0)
             timeLeft = std::min(timeLeft, state.m_route->m_timeout);
-        return state.m_arrivedAt + timeLeft - answerDeliveryMargin;
+        const auto deadline = state.m_arrivedAt + timeLeft - answerDeliveryMargin;
+        const auto isStopping = board.m_exitsAt != MonotonicTime();
+        return isStopping ? std::min(deadline, board.m_exitsAt - exitMargin) : deadline;
     }
 
 } // namespace
@@ -68,7 +72,7 @@
         state.m_organisation = organisation->m_name;
         state.m_priority = organisation->m_priority.value_or(state.m_priority);
     }
-    state.m_deadline = deadlineOf(state);
+    state.m_deadline = deadlineOf(state, board);
     return organisation;
 }
 
--- a/test/platform/stopping_node_test.cc
+++ b/test/platform/stopping_node_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <future>
 #include <thread>
 
 namespace marigoldladder::platform {
@@ -10,7 +11,9 @@
 
     using std::chrono::milliseconds;
 
-    // From the stop signal until a request is sent: the node still accepts it, and exits before its deadline.
+    // From the stop signal until a request is sent that keeps the node from exiting early.
+    constexpr auto firstArrival = milliseconds(1'000);
+    // Until the request is sent after it: the node still accepts it, and exits before its deadline.
     constexpr auto lateArrival = milliseconds(4'000);
     constexpr auto requestTime = milliseconds(4'500);
 
@@ -30,12 +33,21 @@
         auto sendWhileStopping(const std::string& method, const std::string& path) -> CallerReply
         {
             std::raise(SIGTERM);
-            std::this_thread::sleep_for(lateArrival);
+            std::this_thread::sleep_for(firstArrival);
+            const auto first
+                = std::async(std::launch::async, [&] { return m_relay.send(request(method, path)); });
+            std::this_thread::sleep_for(lateArrival - firstArrival);
+            return m_relay.send(request(method, path));
+        }
+
+    private:
+        static auto request(const std::string& method, const std::string& path) -> std::string
+        {
             auto bytes = callerRequest(method, path, "", method == "POST" ? "go" : "");
             const auto deadline = std::string("Deadline-Ms: 3000");
             bytes.replace(
                 bytes.find(deadline), deadline.size(), "Deadline-Ms: " + std::to_string(requestTime.count()));
-            return m_relay.send(bytes);
+            return bytes;
         }
     };
 
