Let the upstreams of tests listen at a host that only their process uses

What was seen: FalseRefusalTest.AnUpstreamsFailureThatSoundsLikeARefusalIsNone... counted 13 requests instead of one at its upstream, once, while eight processes of platform_test ran beside each other; 4 of 4 alone passed. Suspected, not shown: a node of another process, whose upstream had closed its port, sent its requests to the upstream that the system gave that port to next, as all of them listened at one host.

--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -1,6 +1,7 @@
 #include "platform/fake_upstream.h"
 
 #include "relay/listener.h"
+#include "relay/relay_fixtures.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,11 +13,19 @@
 using namespace relay;
 namespace http = boost::beast::http;
 
+namespace {
+
+    // Only this process uses the host, so that no node of another one sends requests to a port that an
+    // upstream of it has closed.
+    constexpr auto hostNumber = 201;
+
+} // namespace
+
 FakeUpstream::FakeUpstream(
     boost::asio::io_context& context, std::function<UpstreamReply(const UpstreamRequest&)> reply)
     : m_context(context)
     , m_reply(std::move(reply))
-    , m_acceptor(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    , m_acceptor(context, net::ip::tcp::endpoint(net::ip::make_address(loopbackHost(hostNumber)), 0))
 {
     auto serveConnection = [this](boost::asio::ip::tcp::socket socket) {
         net::co_spawn(m_context, serve(std::move(socket)), net::detached);
@@ -26,7 +35,7 @@
 
 auto FakeUpstream::address() const -> Address
 {
-    return Address { "127.0.0.1", m_acceptor.local_endpoint().port() };
+    return Address { loopbackHost(hostNumber), m_acceptor.local_endpoint().port() };
 }
 
 auto FakeUpstream::crash() -> void
