--- a/src/relay/simple_http_server.cc
+++ b/src/relay/simple_http_server.cc
@@ -20,9 +20,9 @@
 
 } // namespace
 
-SimpleHttpServer::SimpleHttpServer(Executor executor, SimpleHttpHandler handler)
+SimpleHttpServer::SimpleHttpServer(const Executor& executor, SimpleHttpHandler handler)
     : m_handler(std::move(handler))
-    , m_acceptor(std::move(executor))
+    , m_acceptor(executor)
 {
 }
 
--- a/src/relay/simple_http_server.h
+++ b/src/relay/simple_http_server.h
@@ -20,7 +20,7 @@
 
 class SimpleHttpServer {
 public:
-    SimpleHttpServer(Executor, SimpleHttpHandler);
+    SimpleHttpServer(const Executor&, SimpleHttpHandler);
 
     // Listens at the address; false when that fails, which is logged.
     auto listen(const Address&) -> bool;
