--- a/review/stand-ins/small_site.py
+++ b/review/stand-ins/small_site.py
@@ -240,8 +240,12 @@
                 "slots": self.slots, "state": self.state, "cold_left_ms": 0, "sequence": self.sequence,
                 "born": self.born}
 
+    def health_headers(self):
+        """Returns further headers of health answers."""
+        return []
+
     async def handle(self, message, writer):
-        line, headers, body = message
+        line, headers, _ = message
         ident = headers.get("x-marigoldladder-request-id", "")
         expected = headers.get("x-marigoldladder-expect-instance")
         common = [("X-Marigoldladder-Instance-Id", self.name), ("X-Marigoldladder-Request-Id", ident)]
@@ -250,7 +254,8 @@
             await writer.drain()
             return True
         if line.split(" ")[1] == "/healthz":
-            writer.write(answer_bytes(200 if self.state == "ready" else 503, b"", common))
+            status = 200 if self.state == "ready" else 503
+            writer.write(answer_bytes(status, b"", common + self.health_headers()))
             await writer.drain()
             return True
         self.arrivals.append((time.monotonic(), ident))
