--- a/review/stand-ins/small_site.py
+++ b/review/stand-ins/small_site.py
@@ -7,10 +7,8 @@
 import asyncio
 import json
 import os
-import re
 import signal
 import shutil
-import socket
 import sys
 import tempfile
 import time
@@ -27,10 +25,20 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(ip="127.0.0.1"):
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+class Hosts:
+    """Loopback addresses that only this run uses, so that no other connection takes a port of its servers."""
+
+    def __init__(self):
+        block = os.urandom(2)
+        self.prefix = f"127.{block[0] % 200 + 20}.{block[1] % 250 + 1}"
+        self.count = 0
+
+    def next(self):
+        self.count += 1
+        return f"{self.prefix}.{self.count}"
+
+
+HOSTS = Hosts()
 
 
 class Record:
@@ -89,8 +97,8 @@
 class Server:
     """A loopback HTTP server whose `handle` answers one request."""
 
-    def __init__(self, ip="127.0.0.1"):
-        self.ip = ip
+    def __init__(self):
+        self.ip = HOSTS.next()
         self.port = None
         self.server = None
         self.writers = set()
@@ -268,64 +276,14 @@
         return True
 
 
-class CutProxy:
-    """A TCP proxy on loopback. While cut, it resets open connections and refuses new ones."""
-
-    def __init__(self, target):
-        self.target = target
-        self.cut = False
-        self.writers = set()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
-
-    async def serve(self, reader, writer):
-        if self.cut:
-            writer.transport.abort()
-            return
-        host, port = self.target.rsplit(":", 1)
-        try:
-            other_reader, other_writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        pair = {writer, other_writer}
-        self.writers |= pair
-        await asyncio.gather(self.pump(reader, other_writer), self.pump(other_reader, writer))
-        self.writers -= pair
-
-    @staticmethod
-    async def pump(reader, writer):
-        try:
-            while data := await reader.read(65536):
-                writer.write(data)
-                await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    def set_cut(self, cut):
-        self.cut = cut
-        if cut:
-            for writer in list(self.writers):
-                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-                sock = writer.get_extra_info("socket")
-                if sock:
-                    try:
-                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                    except OSError:
-                        pass
-                writer.transport.abort()
-
-
 class Relay:
     """A relay process with settings as the template of the deploy file makes them."""
 
     def __init__(self, record, folder, name, zone, store, bounds=None, zones=None):
         self.record, self.folder, self.name, self.zone = record, folder, name, zone
-        ports = {key: f"127.0.0.1:{free_port()}" for key in ("caller", "readiness", "directory", "peer", "metrics")}
+        ip = HOSTS.next()
+        keys = ("caller", "readiness", "directory", "peer", "metrics")
+        ports = {key: f"{ip}:{8221 + number}" for number, key in enumerate(keys)}
         self.caller, self.readiness, self.directory = ports["caller"], ports["readiness"], ports["directory"]
         limits = {"retry_ratio": 0.2, "retry_extra": 56, "retry_window_s": 10, "drain_ms": 2000, "stop_s": 8,
                   "lease_ms": 3000, "adapter_version_ms": 5000, "allowance_window_s": 8, "allowance_excess": 0.1}
@@ -466,6 +424,7 @@
     record = Record(case)
     folder = tempfile.mkdtemp(prefix="marigoldladder-case-")
     status = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends what was started before it exits.
     try:
         status = asyncio.run(asyncio.wait_for(main(record, folder), 110))
     except Exception as error:  # Any failure of the stand-ins means that the case couldn't run.
