Read what others wrote part by part and within bounds

Cause: texts of others were parsed whole, kept, copied, compared and sent on as they stood. The JSON library copies and compares by recursion, so depth exhausts the stack; and a listing was read as one text, so one bad item lost all.

Ruled out: memory (the signal is 11, and a flat list of the same length doesn't end a node) and exceptions (signal 6).

Mend: a text is split into its parts without reading them, and each part is read by one function within bounds of depth, values and bytes. What can't be read has no content at its revision; its siblings hold. Listings, watches, single objects, engines' reports and objects between nodes go that way; the nodes' own kinds are read field by field, as a field of another type ended their loops silently; times, counts and priorities are bounded.

--- a/platform/json_fields.cc
+++ b/src/core/json_fields.cc
@@ -1,58 +1,8 @@
-#include "platform/json_fields.h"
+#include "core/json_fields.h"
 
 #include <utility>
 
-namespace marigoldladder::platform {
-
-namespace {
-
-    // Returns the length of the UTF-8 sequence that starts at `at`, or 0 if none is valid.
-    auto sequenceLength(std::string_view text, std::size_t at) -> std::size_t
-    {
-        const auto byteAt = [&](std::size_t index) { return static_cast<unsigned char>(text[index]); };
-        const auto first = byteAt(at);
-        auto length = std::size_t { 1 };
-        if (first >= 0xF5 || (first >= 0x80 && first < 0xC2))
-            return 0;
-        if (first >= 0xF0)
-            length = 4;
-        else if (first >= 0xE0)
-            length = 3;
-        else if (first >= 0xC2)
-            length = 2;
-        if (at + length > text.size())
-            return 0;
-        for (auto index = at + 1; index < at + length; ++index) {
-            if ((byteAt(index) & 0xC0) != 0x80)
-                return 0;
-        }
-        return length;
-    }
-
-    auto replaceInvalid(std::string_view text) -> std::string
-    {
-        auto valid = std::string();
-        valid.reserve(text.size());
-        for (auto at = std::size_t { 0 }; at < text.size();) {
-            const auto length = sequenceLength(text, at);
-            if (length == 0)
-                valid.push_back('?');
-            else
-                valid.append(text.substr(at, length));
-            at += std::max<std::size_t>(length, 1);
-        }
-        return valid;
-    }
-
-} // namespace
-
-auto parseLeniently(std::string_view text) -> nlohmann::json
-{
-    auto json = nlohmann::json::parse(text, nullptr, false);
-    if (json.is_discarded())
-        json = nlohmann::json::parse(replaceInvalid(text), nullptr, false);
-    return json;
-}
+namespace marigoldladder {
 
 auto member(const nlohmann::json& object, std::string_view field) -> const nlohmann::json*
 {
@@ -112,4 +62,4 @@
     return strings;
 }
 
-} // namespace marigoldladder::platform
+} // namespace marigoldladder
--- a/platform/json_fields.h
+++ b/src/core/json_fields.h
@@ -1,4 +1,4 @@
-// Reads fields of the platform's JSON that may be missing or of another type.
+// Reads fields of JSON that others wrote, which may be missing or of another type.
 #pragma once
 
 #include <cstdint>
@@ -8,11 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace marigoldladder::platform {
-
-// Parses JSON. Invalid UTF-8 bytes are replaced, so that one bad entry doesn't make the others unreadable.
-// Returns a discarded value if the text still isn't JSON.
-auto parseLeniently(std::string_view text) -> nlohmann::json;
+namespace marigoldladder {
 
 // Returns a field of an object, or a null pointer if it is missing or null.
 auto member(const nlohmann::json&, std::string_view field) -> const nlohmann::json*;
@@ -32,4 +28,4 @@
 // Returns the strings of an array; skips elements of other types.
 auto texts(const nlohmann::json&, std::string_view field) -> std::vector<std::string>;
 
-} // namespace marigoldladder::platform
+} // namespace marigoldladder
--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -68,6 +68,7 @@
         EnumName<Counter> { Counter::StreamsCutAsSuspect, "streams_cut_as_suspect_total" },
         EnumName<Counter> { Counter::StreamsCutOtherwise, "streams_cut_otherwise_total" },
         EnumName<Counter> { Counter::InternalFailures, "internal_failures_total" },
+        EnumName<Counter> { Counter::ObjectsUnreadable, "objects_unreadable_total" },
     };
     static_assert(counterNames.size() == static_cast<std::size_t>(Counter::Last));
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -55,6 +55,7 @@
     StreamsCutAsSuspect,
     StreamsCutOtherwise,
     InternalFailures,
+    ObjectsUnreadable,
     Last, // Counts the values above.
 };
 
--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -1,5 +1,6 @@
 #include "relay/cache_exchange.h"
 
+#include "core/bounded_json.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/listener.h"
 
@@ -91,8 +92,9 @@
             auto object = StoredObject();
             object.m_name = changed->name;
             object.m_revision = { changed->era, changed->revision };
-            if (!changed->removed)
-                object.m_content = nlohmann::json::parse(changed->content, nullptr, false);
+            auto content = changed->removed ? std::nullopt : readBoundedJson(changed->content);
+            if (content)
+                object.m_content = std::move(*content);
             changes.m_changes.push_back({ std::move(object), changed->removed });
         }
         return changes;
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -1,4 +1,5 @@
 // The part of the order controller that acquires, renews and loses the order lease.
+#include "core/json_fields.h"
 #include "core/log.h"
 #include "relay/order_controller.h"
 
@@ -26,9 +27,9 @@
         record.m_era = object.m_revision.m_era;
         if (!object.m_content.is_object())
             return record;
-        record.m_vm = VmName(object.m_content.value("vm", ""));
-        record.m_fence = object.m_content.value("fence", std::uint64_t { 1 });
-        record.m_renewals = object.m_content.value("renewals", std::uint64_t { 0 });
+        record.m_vm = VmName(textOr(object.m_content, "vm", ""));
+        record.m_fence = countOr(object.m_content, "fence", 1);
+        record.m_renewals = countOr(object.m_content, "renewals", 0);
         return record;
     }
 
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -1,5 +1,6 @@
 #include "relay/peer_exchange.h"
 
+#include "core/json_fields.h"
 #include "core/log.h"
 #include "relay/data_centre_gateways.h"
 #include "relay/generated/peer_messages_generated.h"
@@ -249,15 +250,15 @@
 auto PeerExchange::addMember(const StoredObject& object) -> void
 {
     const auto vm = VmName(object.m_name);
-    if (m_board.m_fleet.m_peers.contains(vm) || !object.m_content.is_object())
+    if (m_board.m_fleet.m_peers.contains(vm))
         return;
-    const auto address = parseAddress(object.m_content.value("peer_address", ""));
+    const auto address = parseAddress(textOr(object.m_content, "peer_address", ""));
     if (!address)
         return;
     auto& peer = m_board.m_fleet.m_peers[vm];
     peer.m_vm = vm;
     peer.m_peerAddress = *address;
-    peer.m_dataCentre = DataCentreName(object.m_content.value("data_centre", ""));
+    peer.m_dataCentre = DataCentreName(textOr(object.m_content, "data_centre", ""));
     peer.m_knownSince = Clock::now();
 }
 
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -46,6 +46,7 @@
     auto mergeUpdate(ObjectKind, const CacheChanges&) -> void;
     auto applyChanges(ObjectKind, StoreRevision before, const std::vector<ObjectChange>&) -> void;
     auto recordEra(ObjectKind, StoreRevision before) -> void;
+    auto recordUnreadable(ObjectKind, const StoredObject&) -> void;
     auto applyObject(ObjectKind, const StoredObject&, ChangeOrigin) -> void;
     auto announceAdapterVersion(const ListedAdapter&, ChangeOrigin) -> void;
     auto applyUpstream(const StoredObject&, ChangeOrigin) -> void;
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -47,7 +47,9 @@
     if (!m_board.m_storeEra || era > *m_board.m_storeEra)
         recordEra(kind, before);
     for (const auto& change : changes) {
-        if (change.m_removed)
+        if (change.m_object.m_name.empty())
+            recordUnreadable(kind, change.m_object);
+        else if (change.m_removed)
             applyRemoval(kind, change.m_object.m_name, origin);
         else
             applyObject(kind, change.m_object, origin);
@@ -71,6 +73,15 @@
     m_board.m_storeRestored();
 }
 
+// The cache reports an unreadable object once, however often it is read again.
+auto StoreSync::recordUnreadable(ObjectKind kind, const StoredObject& object) -> void
+{
+    m_board.m_metrics.add(Counter::ObjectsUnreadable);
+    logWarning("object_unreadable",
+        { { "kind", kindName(m_schema, kind) }, { "object", object.m_name },
+            { "revision", std::to_string(object.m_revision.m_revision) } });
+}
+
 auto StoreSync::applyObject(ObjectKind kind, const StoredObject& object, ChangeOrigin origin) -> void
 {
     switch (kind) {
@@ -79,7 +90,7 @@
         if (configuration)
             applyConfiguration(m_board, std::move(*configuration));
         else
-            logWarning("configuration_unreadable", { { "object", object.m_name } });
+            recordUnreadable(kind, object);
         break;
     }
     case ObjectKind::Upstreams:
@@ -93,7 +104,7 @@
         if (const auto adapter = m_schema.m_readVersion(object.m_content))
             announceAdapterVersion(*adapter, origin);
         else
-            logWarning("adapter_version_unreadable", { { "object", object.m_name } });
+            recordUnreadable(kind, object);
         break;
     }
 }
@@ -115,7 +126,7 @@
 {
     const auto record = m_schema.m_readUpstream(object.m_name, object.m_content);
     if (!record) {
-        logWarning("upstream_entry_unreadable", { { "upstream", object.m_name } });
+        recordUnreadable(ObjectKind::Upstreams, object);
         removeUpstream(m_board.m_upstreams, UpstreamName(object.m_name), Clock::now());
     } else if (origin == ChangeOrigin::OlderCopy) {
         applyCopiedUpstream(*record);
--- a/test/platform/fake_store.cc
+++ b/test/platform/fake_store.cc
@@ -49,7 +49,12 @@
     return Address { "127.0.0.1", m_acceptor.local_endpoint().port() };
 }
 
-auto FakeStore::put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void
+auto FakeStore::put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void
+{
+    putText(kind, name, spec.dump());
+}
+
+auto FakeStore::putText(const std::string& kind, const std::string& name, std::string spec) -> void
 {
     m_state.m_objects[kind][name] = Object { ++m_state.m_revision, std::move(spec) };
     m_state.m_changes.push_back({ m_state.m_revision, kind, name, false });
@@ -95,32 +100,34 @@
     }
 }
 
-auto FakeStore::describe(const std::string& name, const Object& object) const -> nlohmann::json
+auto FakeStore::describe(const std::string& name, const Object& object) const -> std::string
 {
-    return { { "metadata", { { "name", name }, { "revision", object.m_revision } } },
-        { "spec", object.m_spec }, { "status", nullptr } };
+    const auto metadata = nlohmann::json { { "name", name }, { "revision", object.m_revision } };
+    return R"({"metadata":)" + metadata.dump() + R"(,"spec":)" + object.m_spec + R"(,"status":null})";
 }
 
-auto FakeStore::list(const std::string& kind) const -> nlohmann::json
+auto FakeStore::list(const std::string& kind) const -> std::string
 {
-    auto items = nlohmann::json::array();
+    auto items = std::string();
     if (const auto found = m_state.m_objects.find(kind); found != m_state.m_objects.end()) {
         for (const auto& [name, object] : found->second)
-            items.push_back(describe(name, object));
+            items += (items.empty() ? "" : ",") + describe(name, object);
     }
-    return { { "items", items }, { "more_pages", false }, { "as_of", m_state.m_revision } };
+    return R"({"items":[)" + items + R"(],"more_pages":false,"as_of":)" + std::to_string(m_state.m_revision)
+        + "}";
 }
 
-auto FakeStore::changesAfter(const std::string& kind, std::uint64_t revision) const -> nlohmann::json
+auto FakeStore::changesAfter(const std::string& kind, std::uint64_t revision) const -> std::string
 {
-    auto events = nlohmann::json::array();
+    auto events = std::string();
     for (const auto& change : m_state.m_changes) {
         if (change.m_kind != kind || change.m_revision <= revision)
             continue;
         const auto& objects = m_state.m_objects.at(kind);
         const auto found = objects.find(change.m_name);
-        const auto object = found == objects.end() ? Object { change.m_revision, nullptr } : found->second;
-        events.push_back({ { "deleted", change.m_removed }, { "object", describe(change.m_name, object) } });
+        const auto object = found == objects.end() ? Object { change.m_revision, "null" } : found->second;
+        events += (events.empty() ? "" : ",") + std::string(R"({"deleted":)")
+            + (change.m_removed ? "true" : "false") + R"(,"object":)" + describe(change.m_name, object) + "}";
     }
     return events;
 }
@@ -142,7 +149,7 @@
         return;
     }
     put(kind, ownName, body["spec"]);
-    response.body() = describe(ownName, objects[ownName]).dump();
+    response.body() = describe(ownName, objects[ownName]);
 }
 
 auto FakeStore::answer(const Request& request) -> Awaitable<Response>
@@ -170,14 +177,14 @@
     const auto watch = queryParameter(target, "watch");
     if (!name.empty()) {
         if (m_state.m_objects[kind].contains(name))
-            response.body() = describe(name, m_state.m_objects[kind][name]).dump();
+            response.body() = describe(name, m_state.m_objects[kind][name]);
         else
             response.result(http::status::not_found);
         co_return response;
     }
     if (watch.empty()) {
         m_publishedRevisions[kind] = m_state.m_revision;
-        response.body() = list(kind).dump();
+        response.body() = list(kind);
         co_return response;
     }
     const auto revision = std::stoull(watch);
@@ -198,7 +205,7 @@
         co_return response;
     }
     m_publishedRevisions[kind] = m_state.m_revision;
-    response.body() = nlohmann::json { { "events", events }, { "as_of", m_state.m_revision } }.dump();
+    response.body() = R"({"events":[)" + events + R"(],"as_of":)" + std::to_string(m_state.m_revision) + "}";
     co_return response;
 }
 
--- a/test/platform/fake_store.h
+++ b/test/platform/fake_store.h
@@ -22,7 +22,9 @@
     auto address() const -> Address;
 
     // Writes an object as an operator or a replica would.
-    auto put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void;
+    auto put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void;
+    // The same with any text as its content, as another writer may leave it.
+    auto putText(const std::string& kind, const std::string& name, std::string spec) -> void;
     auto remove(const std::string& kind, const std::string& name) -> void;
 
     // Discards the changes so far, so that watches from earlier revisions fail.
@@ -48,7 +50,7 @@
 private:
     struct Object {
         std::uint64_t m_revision = 0;
-        nlohmann::json m_spec;
+        std::string m_spec; // As text.
     };
     struct Change {
         std::uint64_t m_revision = 0;
@@ -68,9 +70,10 @@
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
     auto answer(const Request&) -> relay::Awaitable<Response>;
     auto answerWithinEra(const Request&) -> relay::Awaitable<Response>;
-    auto list(const std::string& kind) const -> nlohmann::json;
-    auto changesAfter(const std::string& kind, std::uint64_t revision) const -> nlohmann::json;
-    auto describe(const std::string& name, const Object&) const -> nlohmann::json;
+    // Return JSON as text, as the contents of objects may be any text.
+    auto list(const std::string& kind) const -> std::string;
+    auto changesAfter(const std::string& kind, std::uint64_t revision) const -> std::string;
+    auto describe(const std::string& name, const Object&) const -> std::string;
     auto write(const Request&, const std::string& kind, const std::string& name, Response&) -> void;
 
     boost::asio::io_context& m_context;
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -1,7 +1,5 @@
 #include "platform/object_decoder.h"
 
-#include "platform/json_fields.h"
-
 #include <gtest/gtest.h>
 
 namespace marigoldladder::platform {
@@ -63,12 +61,27 @@
         EXPECT_FALSE(decodeUpstream("", entry()));
     }
 
-    TEST(ObjectDecoderTest, InvalidUtf8InOneEntryDoesNotHideTheOthers)
+    TEST(ObjectDecoderTest, BoundsNumbersThatAreTooLarge)
     {
-        const auto json = parseLeniently("{\"items\":[{\"a\":\"\xff\xfe\"},{\"a\":\"gr\xc3\xbcn\"}]}");
-        ASSERT_EQ(elements(json, "items").size(), 2U);
-        EXPECT_EQ(textOr(elements(json, "items")[1], "a", ""), "gr\xc3\xbcn");
-        EXPECT_TRUE(parseLeniently("{\"items\":").is_discarded());
+        auto large = entry();
+        large["slots"] = 1e300;
+        large["cold_left_ms"] = 1e300;
+        const auto record = decodeUpstream("i-1", large);
+        ASSERT_TRUE(record);
+        EXPECT_EQ(record->m_slots, 1'000'000U);
+        EXPECT_EQ(record->m_coldLeft, std::chrono::hours(24));
+        const auto configuration = decodeConfiguration(nlohmann::json::parse(R"({"version":7,
+            "routes":[{"host":"h","path_prefix":"/","timeout_ms":1e300,"attempts":-1e300,"priority":1e300}],
+            "services":[{"name":"x","cold_start_s":1e300}],
+            "tenants":[{"name":"t","api_keys":["k"],"priority":-1e300}]})"));
+        ASSERT_TRUE(configuration);
+        const auto* route = findRoute(*configuration, "h", "/");
+        ASSERT_TRUE(route);
+        EXPECT_EQ(route->m_timeout, std::chrono::hours(24));
+        EXPECT_EQ(route->m_maxUpstreams, 1U);
+        EXPECT_EQ(route->m_priority, 1'000'000);
+        EXPECT_EQ(findOrganisation(*configuration, "k")->m_priority, -1'000'000);
+        EXPECT_EQ(configuration->m_pools.at(PoolName("x")).m_coldTime, std::chrono::hours(24));
     }
 
     TEST(ObjectDecoderTest, DecodesAConfiguration)
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -185,9 +185,14 @@
     }
 }
 
-auto RelayHarness::put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void
+auto RelayHarness::put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void
 {
-    onLoop([&] { m_parts->m_store.put(kind, name, std::move(spec)); });
+    onLoop([&] { m_parts->m_store.put(kind, name, spec); });
+}
+
+auto RelayHarness::putText(const std::string& kind, const std::string& name, std::string spec) -> void
+{
+    onLoop([&] { m_parts->m_store.putText(kind, name, std::move(spec)); });
 }
 
 auto RelayHarness::addUpstream(const std::string& name, const std::string& pool,
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -37,7 +37,9 @@
     auto onLoop(std::function<void()>) -> void;
 
     // Writes an object to the store, as an operator or a replica would.
-    auto put(const std::string& kind, const std::string& name, nlohmann::json spec) -> void;
+    auto put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void;
+    // The same with any text as the object's content.
+    auto putText(const std::string& kind, const std::string& name, std::string spec) -> void;
 
     // Starts an upstream, writes its entry with `models` to the store and waits until the node has received
     // it.
