Recognise requests that crash upstreams during their answers

A stream that crashes its upstream after its first event came again every 3 s and was never refused: 26 crashes, 11 returns past the bound of 3, 47 runs of others ended.

Cause: an answer that begins cleared its request's suspects, and a break after that left no evidence at all.

Ruled out: crashes that aren't recognised (each had its line) and evidence that doesn't spread (there was none).

Mend: what crashes upstreams during answers is a suspect of its own, cleared by an answer that ends. As long answers meet crashes that others caused, such a suspect is convicted only beyond chance: an answer that is always at one upstream meets as many of the crashes known around then with less than 1 in 100.

CrashEvidenceTest has bystanders by chance, bystanders of a culprit, two culprits by turns and trials.

--- a/src/relay/crash_evidence.cc
+++ b/src/relay/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "relay/crash_evidence.h"
 
 #include <algorithm>
+#include <boost/math/distributions/poisson.hpp>
 
 namespace marigoldladder::relay {
 
@@ -13,6 +14,22 @@
     constexpr auto maxNotices = std::size_t { 256 };
     constexpr auto maxRememberedAnswers = std::size_t { 4'096 }; // In one generation.
     constexpr auto reportTolerance = std::chrono::milliseconds(100); // A report's age is this exact.
+    constexpr auto maxCrashedRuns = std::size_t { 4'096 };
+
+    // A suspect during answers is convicted if an answer meets as many crashes by chance with less than this
+    // probability, going by the other crashes from some time before its first one on.
+    constexpr auto maxChance = 0.01;
+    constexpr auto chanceMargin = std::chrono::seconds(3);
+
+    auto isPart(SuspectKind kind) -> bool
+    {
+        return kind == SuspectKind::PromptPart || kind == SuspectKind::PromptPartDuringAnswer;
+    }
+
+    auto isDuringAnswer(SuspectKind kind) -> bool
+    {
+        return kind == SuspectKind::PromptPartDuringAnswer || kind == SuspectKind::RequestDuringAnswer;
+    }
 
     auto lastAnswer(const AnswerMemory& answers, const Suspect& suspect) -> MonotonicTime
     {
@@ -102,7 +119,7 @@
         records.erase(oldest);
     }
 
-    // Takes a crash off all suspects but the one that caused it.
+    // Takes a crash off all suspects but the part that caused it.
     auto explainRun(CrashEvidence& evidence, UpstreamRunId run, const Suspect& cause, MonotonicTime crashedAt)
         -> void
     {
@@ -113,21 +130,59 @@
         }
     }
 
+    // Takes a crash during the answer to a request off all other requests.
+    auto explainRunByRequest(CrashEvidence& evidence, UpstreamRunId run, const Suspect& cause) -> void
+    {
+        for (auto& [suspect, record] : evidence.m_records) {
+            if (suspect.m_kind == cause.m_kind && suspect != cause)
+                record.m_crashes.erase(run);
+        }
+    }
+
     auto convict(CrashEvidence& evidence, const Suspect& suspect, const Conviction& conviction) -> void
     {
         auto& record = evidence.m_records[suspect];
         evidence.m_convictions += record.m_conviction ? 0 : 1;
         record.m_conviction = conviction;
-        // A request may crash upstreams by one of its parts, so its crashes stay with the parts.
-        if (suspect.m_kind != SuspectKind::PromptPart)
-            return;
         const auto crashes = record.m_crashes;
-        for (const auto& [run, crashedAt] : crashes)
-            explainRun(evidence, run, suspect, crashedAt);
+        // A request may crash upstreams by one of its parts, so its crashes stay with the parts.
+        for (const auto& [run, crashedAt] : crashes) {
+            if (isPart(suspect.m_kind))
+                explainRun(evidence, run, suspect, crashedAt);
+            else if (isDuringAnswer(suspect.m_kind))
+                explainRunByRequest(evidence, run, suspect);
+        }
+    }
+
+    // Counts the known crashes from shortly before the record's first one on that aren't in the record.
+    auto countOtherCrashes(const CrashEvidence& evidence, const SuspectRecord& record) -> std::size_t
+    {
+        auto since = MonotonicTime::max();
+        for (const auto& [run, crashedAt] : record.m_crashes)
+            since = std::min(since, crashedAt);
+        const auto& runs = evidence.m_crashedRuns;
+        return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), [&](const auto& entry) {
+            return entry.second + chanceMargin >= since && !record.m_crashes.contains(entry.first)
+                && !evidence.m_explainedRuns.contains(entry.first);
+        }));
+    }
+
+    // Whether an answer that was always at one of the upstreams would hardly have met as many crashes.
+    auto isBeyondChance(const CrashEvidence& evidence, const SuspectRecord& record, std::size_t upstreams)
+        -> bool
+    {
+        constexpr auto leastMean = 1e-6; // The distribution needs a positive one.
+        const auto others = static_cast<double>(countOtherCrashes(evidence, record));
+        const auto mean
+            = std::max(others / static_cast<double>(std::max<std::size_t>(upstreams, 1)), leastMean);
+        const auto fewer = static_cast<double>(countCrashes(record)) - 1;
+        return boost::math::cdf(boost::math::complement(boost::math::poisson(mean), fewer)) < maxChance;
     }
 
-    auto hasEnoughEvidence(const SuspectRecord& record, MonotonicTime now) -> bool
+    auto hasEnoughEvidence(const CrashEvidence& evidence, const Suspect& suspect, std::size_t upstreams,
+        MonotonicTime now) -> bool
     {
+        const auto& record = evidence.m_records.at(suspect);
         if (record.m_conviction || record.m_crashes.size() < crashesUntilConvicted)
             return false;
         auto counted = SuspectRecord();
@@ -135,7 +190,9 @@
             if (crashedAt + convictionDelay <= now)
                 counted.m_crashes[run] = crashedAt;
         }
-        return countCrashes(counted) >= crashesUntilConvicted;
+        if (countCrashes(counted) < crashesUntilConvicted)
+            return false;
+        return !isDuringAnswer(suspect.m_kind) || isBeyondChance(evidence, counted, upstreams);
     }
 
     // Whether `left` is the likelier cause: without answers for longer, with more crashes, in fewer requests.
@@ -154,10 +211,22 @@
 
 } // namespace
 
+auto suspectsDuringAnswer(std::vector<Suspect> suspects) -> std::vector<Suspect>
+{
+    for (auto& suspect : suspects)
+        suspect.m_kind
+            = isPart(suspect.m_kind) ? SuspectKind::PromptPartDuringAnswer : SuspectKind::RequestDuringAnswer;
+    return suspects;
+}
+
 auto recordCrash(CrashEvidence& evidence, const CrashNotice& notice, MonotonicTime now) -> void
 {
     const auto tooOld = notice.m_crashedAt + crashRetention <= now;
-    if (tooOld || notice.m_crashedAt <= lastAnswer(evidence.m_answers, notice.m_suspect))
+    if (tooOld)
+        return;
+    if (evidence.m_crashedRuns.size() < maxCrashedRuns)
+        evidence.m_crashedRuns.emplace(notice.m_run, notice.m_crashedAt);
+    if (notice.m_crashedAt <= lastAnswer(evidence.m_answers, notice.m_suspect))
         return;
     const auto found = evidence.m_records.find(notice.m_suspect);
     const auto isConvicted = found != evidence.m_records.end() && found->second.m_conviction;
@@ -167,7 +236,7 @@
         makeRoom(evidence);
     auto& record = evidence.m_records[notice.m_suspect];
     record.m_position = std::max(record.m_position, notice.m_position);
-    if (isConvicted && notice.m_suspect.m_kind == SuspectKind::PromptPart)
+    if (isConvicted && isPart(notice.m_suspect.m_kind))
         explainRun(evidence, notice.m_run, notice.m_suspect, notice.m_crashedAt);
     const auto isFull = record.m_crashes.size() >= maxCrashesPerSuspect;
     if (!isFull && record.m_crashes.emplace(notice.m_run, notice.m_crashedAt).second)
@@ -180,7 +249,7 @@
     for (const auto& suspect : suspects) {
         const auto cleared = !evidence.m_records.empty() && clearUntil(evidence, suspect, now);
         // Requests are seldom repeated, so their answers are remembered only where they are evidence.
-        if (cleared || suspect.m_kind == SuspectKind::PromptPart)
+        if (cleared || isPart(suspect.m_kind))
             rememberAnswer(evidence.m_answers, suspect, now);
         if (cleared)
             addNotice(evidence.m_answerNotices, AnswerNotice { suspect, now, ReportSource::Self });
@@ -213,13 +282,15 @@
     convict(evidence, suspect, conviction);
 }
 
-auto convictSuspects(CrashEvidence& evidence, MonotonicTime now) -> std::vector<Suspect>
+auto convictSuspects(CrashEvidence& evidence, std::size_t upstreams, MonotonicTime now)
+    -> std::vector<Suspect>
 {
     auto convicted = std::vector<Suspect>();
     for (;;) {
         auto likeliest = std::optional<Suspect>();
         for (const auto& [suspect, record] : evidence.m_records) {
-            if (hasEnoughEvidence(record, now) && (!likeliest || isLikelier(evidence, suspect, *likeliest)))
+            if (hasEnoughEvidence(evidence, suspect, upstreams, now)
+                && (!likeliest || isLikelier(evidence, suspect, *likeliest)))
                 likeliest = suspect;
         }
         if (!likeliest)
@@ -284,6 +355,7 @@
     std::erase_if(evidence.m_answerNotices,
         [&](const auto& notice) { return notice.m_begunAt + noticeRetention <= now; });
     std::erase_if(evidence.m_explainedRuns, isOldCrash);
+    std::erase_if(evidence.m_crashedRuns, isOldCrash);
     for (auto& [suspect, record] : evidence.m_records) {
         std::erase_if(record.m_crashes, isOldCrash);
         if (record.m_conviction && record.m_conviction->m_since + convictionLifetime <= now) {
--- a/src/relay/crash_evidence.h
+++ b/src/relay/crash_evidence.h
@@ -1,9 +1,14 @@
 // Finds what crashes upstreams: a part that prompts share, or a single request that callers repeat.
 //
-// A crash counts against every suspect whose request was at the upstream without an answer. An answer that
-// begins clears the suspects of its request. A suspect with enough crashes at different upstreams and no
-// answer since is convicted: its requests are refused, but for a trial from time to time. Once a prompt part
-// is convicted, its crashes no longer count against the other suspects of the same requests.
+// A crash counts against every suspect whose request was at the upstream. What crashes upstreams before they
+// answer and what crashes them while they answer are different suspects: an answer that begins clears the
+// former ones of its request, and only an answer that ends clears the latter. A suspect with enough crashes
+// at different upstreams and no such answer since is convicted: its requests are refused, but for a trial
+// from time to time. Once a prompt part is convicted, its crashes no longer count against the other suspects
+// of the same requests.
+//
+// Long answers meet crashes that others caused, so a suspect during answers is convicted only if it met more
+// of them than an answer does by chance.
 #pragma once
 
 #include "core/blackboard.h"
@@ -25,11 +30,15 @@
 enum class SuspectKind : std::uint8_t {
     PromptPart, // Known by its id.
     Request, // Known by a hash of path, organisation and body.
+    PromptPartDuringAnswer, // The same while an upstream answers.
+    RequestDuringAnswer,
 };
 
 inline constexpr auto suspectKindNames = std::array {
     EnumName<SuspectKind> { SuspectKind::PromptPart, "prompt part" },
     EnumName<SuspectKind> { SuspectKind::Request, "request" },
+    EnumName<SuspectKind> { SuspectKind::PromptPartDuringAnswer, "prompt part during an answer" },
+    EnumName<SuspectKind> { SuspectKind::RequestDuringAnswer, "request during its answer" },
 };
 
 // What a request has that may crash upstreams.
@@ -46,10 +55,13 @@
     }
 };
 
+// Returns the suspects while an upstream answers, given those before it does.
+auto suspectsDuringAnswer(std::vector<Suspect>) -> std::vector<Suspect>;
+
 // Identifies one run of an upstream, from its start to its end.
 using UpstreamRunId = std::uint32_t;
 
-// A crash of an upstream's run while a request with a suspect was there without an answer.
+// A crash of an upstream's run while a request with a suspect was there.
 struct CrashNotice {
     Suspect m_suspect;
     UpstreamRunId m_run = 0;
@@ -58,7 +70,7 @@
     ReportSource m_source = ReportSource::Self;
 };
 
-// An answer to a request with a suspect, begun after crashes.
+// An answer to a request with a suspect, begun, or ended for one during answers, after crashes.
 struct AnswerNotice {
     Suspect m_suspect;
     MonotonicTime m_begunAt {};
@@ -85,6 +97,7 @@
 struct CrashEvidence {
     std::unordered_map<Suspect, SuspectRecord, SuspectHash> m_records;
     std::map<UpstreamRunId, MonotonicTime> m_explainedRuns; // Crashed under a convicted prompt part.
+    std::map<UpstreamRunId, MonotonicTime> m_crashedRuns; // All known ones.
     AnswerMemory m_answers;
     std::deque<CrashNotice> m_crashNotices; // Recent ones, to be reported to other nodes; oldest first.
     std::deque<AnswerNotice> m_answerNotices; // Likewise.
@@ -109,8 +122,8 @@
 // Records a crash. One that is known, or is older than an answer to such a request, changes nothing.
 auto recordCrash(CrashEvidence&, const CrashNotice&, MonotonicTime now) -> void;
 
-// Records that an answer to a request of this node with these suspects began. Returns whether that cleared
-// any of them.
+// Records that an answer to a request of this node with these suspects began, or ended for suspects during
+// answers. Returns whether that cleared any of them.
 auto recordAnswer(CrashEvidence&, const std::vector<Suspect>&, MonotonicTime now) -> bool;
 
 // Apply what another node reports.
@@ -118,7 +131,8 @@
 auto mergeConviction(CrashEvidence&, const Suspect&, const Conviction&, MonotonicTime now) -> void;
 
 // Convicts the suspects whose evidence suffices; returns them. The ones least recently answered come first.
-auto convictSuspects(CrashEvidence&, MonotonicTime now) -> std::vector<Suspect>;
+// `upstreams`: how many there are, over which crashes that others caused are spread.
+auto convictSuspects(CrashEvidence&, std::size_t upstreams, MonotonicTime now) -> std::vector<Suspect>;
 
 // Returns the first of the suspects that is convicted.
 auto findConvicted(const CrashEvidence&, const std::vector<Suspect>&) -> std::optional<Suspect>;
--- a/src/relay/crash_evidence_report.cc
+++ b/src/relay/crash_evidence_report.cc
@@ -24,7 +24,7 @@
     // Returns nothing if this version doesn't know the kind.
     auto readSuspect(std::uint8_t kind, std::uint64_t id) -> std::optional<Suspect>
     {
-        if (kind > static_cast<std::uint8_t>(SuspectKind::Request))
+        if (kind >= suspectKindNames.size())
             return std::nullopt;
         return Suspect { static_cast<SuspectKind>(kind), id };
     }
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -58,12 +58,24 @@
         return std::string(nameOf(suspectKindNames, suspect.m_kind)) + " " + std::string(digits.data(), end);
     }
 
+    // Sorts the requests by how likely they are the cause: those without an answer, and then those that were
+    // sent last, come first.
+    auto sortByLikelihood(std::vector<BrokenRequest>& requests) -> void
+    {
+        std::stable_sort(requests.begin(), requests.end(), [](const auto& left, const auto& right) {
+            if (left.m_answerBegan != right.m_answerBegan)
+                return !left.m_answerBegan;
+            return left.m_sentAt > right.m_sentAt;
+        });
+    }
+
     // Returns one notice for each suspect, those that have other causes less likely first.
-    auto noticesOf(const std::vector<std::vector<Suspect>>& requests, UpstreamRunId run,
-        MonotonicTime crashedAt) -> std::vector<CrashNotice>
+    auto noticesOf(const std::vector<BrokenRequest>& requests, UpstreamRunId run, MonotonicTime crashedAt)
+        -> std::vector<CrashNotice>
     {
         auto notices = std::vector<CrashNotice>();
-        for (const auto& suspects : requests) {
+        for (const auto& request : requests) {
+            const auto& suspects = request.m_suspects;
             for (auto index = std::size_t { 0 }; index < suspects.size(); ++index) {
                 const auto isListed = [&](const auto& notice) { return notice.m_suspect == suspects[index]; };
                 if (notices.size() >= maxSuspectsPerCrash
@@ -102,8 +114,8 @@
         broken.m_firstAt = Clock::now();
         net::co_spawn(m_executor, check(upstream), net::detached);
     }
-    if (!state.m_answerBegan)
-        broken.m_unanswered.push_back(state.m_suspects);
+    auto suspects = state.m_answerBegan ? suspectsDuringAnswer(state.m_suspects) : state.m_suspects;
+    broken.m_cut.push_back({ std::move(suspects), state.m_answerBegan, state.m_versions.m_sentAt });
 }
 
 // Checks whether connections broke because the upstream crashed: after a crash, new connections are refused.
@@ -113,19 +125,22 @@
     auto stream = tcp_stream(m_executor);
     auto error = ErrorCode();
     co_await connectTo(stream, upstream->m_record.m_address, checkTimeout, error);
-    const auto broken = std::move(m_broken[upstream.get()]);
+    auto broken = std::move(m_broken[upstream.get()]);
     m_broken.erase(upstream.get());
     const auto refused = error == net::error::connection_refused || error == net::error::connection_reset;
     // One that said that it would leave has ended as it said.
     if (!refused || upstream->m_record.m_leaving)
         co_return;
     recordCallEnd(upstream->m_health, CallEnd::TimedOut, Clock::now());
-    recordCrashOf(*upstream, broken);
+    recordCrashOf(*upstream, std::move(broken));
 }
 
-auto CrashWatch::recordCrashOf(const Upstream& upstream, const BrokenConnections& broken) -> void
+auto CrashWatch::recordCrashOf(const Upstream& upstream, BrokenConnections broken) -> void
 {
-    const auto notices = noticesOf(broken.m_unanswered, runIdOf(upstream), broken.m_firstAt);
+    sortByLikelihood(broken.m_cut);
+    const auto notices = noticesOf(broken.m_cut, runIdOf(upstream), broken.m_firstAt);
+    const auto unanswered = std::count_if(
+        broken.m_cut.begin(), broken.m_cut.end(), [](const auto& request) { return !request.m_answerBegan; });
     auto names = std::string();
     for (auto index = std::size_t { 0 }; index < notices.size(); ++index) {
         recordCrash(m_board.m_crashEvidence, notices[index], Clock::now());
@@ -135,7 +150,7 @@
     m_board.m_metrics.add(Counter::UpstreamCrashes);
     logChange("upstream_crashed",
         { { "upstream", upstream.m_record.m_name.value() }, { "requests", std::to_string(broken.m_requests) },
-            { "unanswered", std::to_string(broken.m_unanswered.size()) }, { "suspects", names } });
+            { "unanswered", std::to_string(unanswered) }, { "suspects", names } });
     if (!notices.empty())
         m_board.m_crashEvidenceChanged();
 }
@@ -148,7 +163,7 @@
         return;
     m_judgedAt = now;
     dropOldEvidence(evidence, now);
-    const auto convicted = convictSuspects(evidence, now);
+    const auto convicted = convictSuspects(evidence, m_board.m_upstreams.m_upstreams.size(), now);
     for (const auto& suspect : convicted) {
         m_board.m_metrics.add(Counter::SuspectsConvicted);
         const auto crashes = evidence.m_records.at(suspect).m_crashes.size();
@@ -183,10 +198,19 @@
     return failure;
 }
 
+auto CrashWatch::findConvictedOf(const CallState& state) const -> std::optional<Suspect>
+{
+    const auto& evidence = m_board.m_crashEvidence;
+    if (evidence.m_convictions == 0)
+        return std::nullopt;
+    const auto suspect = findConvicted(evidence, state.m_suspects);
+    return suspect ? suspect : findConvicted(evidence, suspectsDuringAnswer(state.m_suspects));
+}
+
 auto CrashWatch::refusalOf(const CallState& state) -> std::optional<Failure>
 {
     judge();
-    const auto suspect = findConvicted(m_board.m_crashEvidence, state.m_suspects);
+    const auto suspect = findConvictedOf(state);
     if (!suspect || trialDueAt(m_board.m_crashEvidence, *suspect, trialWait(*suspect)) <= Clock::now())
         return std::nullopt;
     return refusalFor(*suspect);
@@ -195,7 +219,7 @@
 auto CrashWatch::refusalAtDispatch(const CallState& state) -> std::optional<Failure>
 {
     judge();
-    const auto suspect = findConvicted(m_board.m_crashEvidence, state.m_suspects);
+    const auto suspect = findConvictedOf(state);
     if (!suspect)
         return std::nullopt;
     if (!tryBeginTrial(m_board.m_crashEvidence, *suspect, trialWait(*suspect), Clock::now()))
--- a/src/relay/crash_watch.h
+++ b/src/relay/crash_watch.h
@@ -10,6 +10,13 @@
 // itself. The organisation has to be known.
 auto suspectsOf(const CallState&) -> std::vector<Suspect>;
 
+// A request that was broken off by an upstream.
+struct BrokenRequest {
+    std::vector<Suspect> m_suspects;
+    bool m_answerBegan = false;
+    MonotonicTime m_sentAt {}; // To that upstream.
+};
+
 class CrashWatch {
 public:
     CrashWatch(Executor, const RelaySettings&, RelayBoard&);
@@ -33,12 +40,13 @@
     struct BrokenConnections {
         MonotonicTime m_firstAt {};
         std::size_t m_requests = 0;
-        std::vector<std::vector<Suspect>> m_unanswered; // The suspects of each request without an answer.
+        std::vector<BrokenRequest> m_cut;
     };
 
     auto check(UpstreamPointer) -> Awaitable<void>;
-    auto recordCrashOf(const Upstream&, const BrokenConnections&) -> void;
+    auto recordCrashOf(const Upstream&, BrokenConnections) -> void;
     auto judge() -> void;
+    auto findConvictedOf(const CallState&) const -> std::optional<Suspect>;
     auto trialWait(const Suspect&) const -> Milliseconds;
     auto refusalFor(const Suspect&) -> Failure;
 
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -59,6 +59,11 @@
     (void)recordAnswer(board.m_crashEvidence, state.m_suspects, Clock::now());
 }
 
+auto recordAnswerEnded(const CallState& state, RelayBoard& board) -> void
+{
+    (void)recordAnswer(board.m_crashEvidence, suspectsDuringAnswer(state.m_suspects), Clock::now());
+}
+
 auto forwardStream(CallState& state, CallerAnswer& answer, UpstreamConnection& connection, HeadParser& head,
     SilenceWatch& silence, RelayBoard& board) -> Awaitable<StreamResult>
 {
@@ -101,6 +106,7 @@
         // Without framing, an end before the first event or inside an event shows that the stream broke.
         const auto broke = error || (atEnd && !isFramed && (!pending.empty() || !state.m_answerBegan));
         if (atEnd && !broke) {
+            recordAnswerEnded(state, board);
             const auto ended = co_await answer.endStream();
             const auto outcome = ended == SendOutcome::Sent ? UpstreamCallOutcome::Delivered
                                                             : UpstreamCallOutcome::CallerDisconnected;
--- a/src/relay/stream_forwarding.h
+++ b/src/relay/stream_forwarding.h
@@ -19,6 +19,9 @@
 // Records that the upstream has begun to answer the request.
 auto recordAnswerBegan(CallState&, RelayBoard&) -> void;
 
+// Records that the upstream has answered the request to the end.
+auto recordAnswerEnded(const CallState&, RelayBoard&) -> void;
+
 // Forwards whole events only, so that another upstream can resume the stream after the last one sent. Watches
 // for pauses between events.
 auto forwardStream(CallState&, CallerAnswer&, UpstreamConnection&, HeadParser&, SilenceWatch&, RelayBoard&)
--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -77,6 +77,10 @@
             if (!error)
                 co_await net::async_write(stream, net::buffer(later.m_bytes), errorTo(error));
         }
+        if (reply.m_crashesAfterwards) {
+            crash();
+            co_return;
+        }
         if (reply.m_resets)
             stream.socket().set_option(net::socket_base::linger(true, 0), error);
         if (error || reply.m_closes || reply.m_resets)
--- a/test/relay/crash_evidence_test.cc
+++ b/test/relay/crash_evidence_test.cc
@@ -13,6 +13,10 @@
     constexpr auto shared = Suspect { SuspectKind::PromptPart, 0xa };
     constexpr auto deadly = Suspect { SuspectKind::PromptPart, 0xdead };
     constexpr auto wholeRequest = Suspect { SuspectKind::Request, 0x7 };
+    constexpr auto requestInAnswer = Suspect { SuspectKind::RequestDuringAnswer, 0x7 };
+    constexpr auto bystander = Suspect { SuspectKind::RequestDuringAnswer, 0x8 };
+    constexpr auto sharedInAnswer = Suspect { SuspectKind::PromptPartDuringAnswer, 0xa };
+    constexpr auto upstreams = std::size_t { 6 };
     const auto start = MonotonicTime(std::chrono::seconds(1'000));
 
     auto at(int time) -> MonotonicTime
@@ -44,7 +48,7 @@
             crash(run, run * 200, { shared, deadly });
             (void)recordAnswer(m_evidence, { shared }, at(run * 200 + 50));
         }
-        EXPECT_EQ(convictSuspects(m_evidence, at(1'000)), std::vector<Suspect> { deadly });
+        EXPECT_EQ(convictSuspects(m_evidence, upstreams, at(1'000)), std::vector<Suspect> { deadly });
         EXPECT_FALSE(isConvicted(shared));
     }
 
@@ -54,7 +58,7 @@
         (void)recordAnswer(m_evidence, { shared }, at(-100));
         for (auto run = 0; run < 8; ++run)
             crash(run, run * 200, { shared, deadly });
-        EXPECT_EQ(convictSuspects(m_evidence, at(3'000)), std::vector<Suspect> { deadly });
+        EXPECT_EQ(convictSuspects(m_evidence, upstreams, at(3'000)), std::vector<Suspect> { deadly });
         crash(9, 3'100, { shared, deadly });
         EXPECT_FALSE(isLikelyCause(m_evidence, { shared }));
     }
@@ -63,35 +67,35 @@
     {
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { shared, deadly });
-        EXPECT_EQ(convictSuspects(m_evidence, at(1'000)), std::vector<Suspect> { deadly });
+        EXPECT_EQ(convictSuspects(m_evidence, upstreams, at(1'000)), std::vector<Suspect> { deadly });
     }
 
     TEST_F(CrashEvidenceTest, UpstreamsThatCrashTogetherCountOnce)
     {
         for (auto run = 0; run < 8; ++run)
             crash(run, run * 5, { deadly });
-        EXPECT_TRUE(convictSuspects(m_evidence, at(1'000)).empty());
+        EXPECT_TRUE(convictSuspects(m_evidence, upstreams, at(1'000)).empty());
     }
 
     TEST_F(CrashEvidenceTest, OneCrashReportedByManyNodesCountsOnce)
     {
         for (auto report = 0; report < 8; ++report)
             crash(1, report * 200, { deadly });
-        EXPECT_TRUE(convictSuspects(m_evidence, at(3'000)).empty());
+        EXPECT_TRUE(convictSuspects(m_evidence, upstreams, at(3'000)).empty());
     }
 
     TEST_F(CrashEvidenceTest, ARepeatedRequestThatCrashesUpstreamsIsConvicted)
     {
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { wholeRequest });
-        EXPECT_EQ(convictSuspects(m_evidence, at(1'000)), std::vector<Suspect> { wholeRequest });
+        EXPECT_EQ(convictSuspects(m_evidence, upstreams, at(1'000)), std::vector<Suspect> { wholeRequest });
     }
 
     TEST_F(CrashEvidenceTest, OnlyOneTrialIsBegunAndTheTimeUntilTheNextDoubles)
     {
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { deadly });
-        (void)convictSuspects(m_evidence, at(1'000));
+        (void)convictSuspects(m_evidence, upstreams, at(1'000));
         const auto none = milliseconds(0);
         EXPECT_FALSE(tryBeginTrial(m_evidence, deadly, none, at(10'999)));
         EXPECT_FALSE(tryBeginTrial(m_evidence, deadly, milliseconds(400), at(11'000)));
@@ -104,7 +108,7 @@
     {
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { deadly });
-        (void)convictSuspects(m_evidence, at(1'000));
+        (void)convictSuspects(m_evidence, upstreams, at(1'000));
         ASSERT_TRUE(tryBeginTrial(m_evidence, deadly, milliseconds(0), at(11'000)));
         EXPECT_TRUE(recordAnswer(m_evidence, { deadly }, at(11'100)));
         EXPECT_FALSE(isConvicted(deadly));
@@ -127,11 +131,72 @@
         EXPECT_TRUE(isLikelyCause(m_evidence, { deadly }));
     }
 
+    // Review 2: the first event cleared a request that crashed upstreams after it, again and again.
+    TEST_F(CrashEvidenceTest, ARequestThatCrashesUpstreamsAfterItsAnswerBeganIsConvicted)
+    {
+        for (auto run = 0; run < 3; ++run) {
+            (void)recordAnswer(m_evidence, { shared, wholeRequest }, at(run * 200 - 50));
+            crash(run, run * 200, { sharedInAnswer, requestInAnswer });
+            (void)recordAnswer(m_evidence, { sharedInAnswer }, at(run * 200 + 50));
+        }
+        EXPECT_EQ(
+            convictSuspects(m_evidence, upstreams, at(1'000)), std::vector<Suspect> { requestInAnswer });
+        EXPECT_FALSE(isConvicted(sharedInAnswer));
+    }
+
+    TEST_F(CrashEvidenceTest, AnAnswerThatEndsClearsWhatMetCrashesDuringIt)
+    {
+        for (auto run = 0; run < 3; ++run)
+            crash(run, run * 200, { requestInAnswer });
+        EXPECT_TRUE(recordAnswer(m_evidence, { requestInAnswer }, at(500)));
+        EXPECT_TRUE(convictSuspects(m_evidence, upstreams, at(1'000)).empty());
+    }
+
+    // A long answer is resumed at one upstream after the other while these crash for another reason.
+    TEST_F(CrashEvidenceTest, AnAnswerThatMeetsCrashesByChanceIsNotConvicted)
+    {
+        for (auto run = 0; run < 9; ++run)
+            crash(run, run * 200, { run % 3 == 0 ? bystander : Suspect { bystander.m_kind, 0x100U + run } });
+        EXPECT_TRUE(convictSuspects(m_evidence, upstreams, at(3'000)).empty());
+    }
+
+    TEST_F(CrashEvidenceTest, AnAnswerThatMeetsTheCrashesOfAnotherRequestIsNotConvicted)
+    {
+        for (auto run = 0; run < 5; ++run)
+            crash(run, run * 200,
+                run < 3 ? std::vector { requestInAnswer, bystander } : std::vector { requestInAnswer });
+        EXPECT_EQ(
+            convictSuspects(m_evidence, upstreams, at(3'000)), std::vector<Suspect> { requestInAnswer });
+        EXPECT_FALSE(isConvicted(bystander));
+    }
+
+    TEST_F(CrashEvidenceTest, TwoRequestsThatCrashUpstreamsByTurnsAreBothConvicted)
+    {
+        const auto other = Suspect { SuspectKind::RequestDuringAnswer, 0x9 };
+        for (auto run = 0; run < 10; ++run)
+            crash(run, run * 200, { run % 2 == 0 ? requestInAnswer : other });
+        (void)convictSuspects(m_evidence, upstreams, at(3'000));
+        EXPECT_TRUE(isConvicted(requestInAnswer));
+        EXPECT_TRUE(isConvicted(other));
+    }
+
+    TEST_F(CrashEvidenceTest, AnAnswerThatBeginsDoesNotEndATrialOfASuspectDuringAnswers)
+    {
+        for (auto run = 0; run < 3; ++run)
+            crash(run, run * 200, { requestInAnswer });
+        (void)convictSuspects(m_evidence, upstreams, at(1'000));
+        ASSERT_TRUE(tryBeginTrial(m_evidence, requestInAnswer, milliseconds(0), at(11'000)));
+        (void)recordAnswer(m_evidence, { wholeRequest }, at(11'100));
+        EXPECT_TRUE(isConvicted(requestInAnswer));
+        EXPECT_TRUE(recordAnswer(m_evidence, { requestInAnswer }, at(12'000)));
+        EXPECT_FALSE(isConvicted(requestInAnswer));
+    }
+
     TEST_F(CrashEvidenceTest, RecordsAreBoundedAndConvictionsOutlastSuspicions)
     {
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { deadly });
-        (void)convictSuspects(m_evidence, at(1'000));
+        (void)convictSuspects(m_evidence, upstreams, at(1'000));
         for (auto id = std::uint64_t { 1 }; id <= 3 * maxSuspectRecords; ++id)
             crash(100, 2'000, { Suspect { SuspectKind::Request, id } });
         EXPECT_LE(m_evidence.m_records.size(), maxSuspectRecords);
@@ -162,14 +227,14 @@
             }
         }
         for (auto& node : nodes)
-            EXPECT_EQ(convictSuspects(node, at(1'000)), std::vector<Suspect> { deadly });
+            EXPECT_EQ(convictSuspects(node, upstreams, at(1'000)), std::vector<Suspect> { deadly });
     }
 
     TEST_F(CrashEvidenceTest, ARestartedNodeLearnsConvictionsFromAnyReport)
     {
         for (auto run = 0; run < 3; ++run)
             crash(run, run * 200, { deadly });
-        (void)convictSuspects(m_evidence, at(1'000));
+        (void)convictSuspects(m_evidence, upstreams, at(1'000));
         ASSERT_TRUE(tryBeginTrial(m_evidence, deadly, milliseconds(0), at(20'000)));
         auto restarted = CrashEvidence();
         const auto report = makeEvidenceReport(m_evidence, ReportScope::Self, at(25'000));
@@ -189,7 +254,7 @@
         const auto report = makeEvidenceReport(other, ReportScope::Self, at(500));
         ASSERT_TRUE(report);
         applyEvidenceReport(m_evidence, *report, ReportSource::LocalPeer, at(500));
-        EXPECT_TRUE(convictSuspects(m_evidence, at(1'000)).empty());
+        EXPECT_TRUE(convictSuspects(m_evidence, upstreams, at(1'000)).empty());
     }
 
     TEST_F(CrashEvidenceTest, AGatewayReportsWhatItsDataCentreObservedButNotWhatOthersDid)
