Start on held ports, under early signals and with unknown settings

What was seen here on with real processes: a held port ends a node with 1, as often as it is started; SIGHUP before the settings are read ends it by the signal; null for a bound, or a field that it doesn't know, ends it with 2.

Cause: a start that takes the machine to be as expected.

Mend: a held port is tried again for 30 s with a line that names it; the metrics' port ends no node; from before main on no signal but SIGTERM and SIGKILL ends a node, SIGINT included; a setting that is null has its default, an unknown one is logged and passed over ("New fields may come; ignore what you don't know"), and a faulty one is named with file, field, value and what is expected.

What remains: SIGHUP in the milliseconds in which the libraries are loaded ends the process, as nothing of ours runs then.

--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -2,6 +2,7 @@
 #include "core/log.h"
 #include "platform/deployment.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <docopt.h>
@@ -25,6 +26,18 @@
 
 constexpr auto settingsExitCode = 2;
 
+// Signals whose default would end the process. SIGTERM isn't among them, nor are those of faults in the
+// program itself.
+constexpr auto ignoredSignals = std::array { SIGHUP, SIGINT, SIGQUIT, SIGPIPE, SIGALRM, SIGUSR1, SIGUSR2,
+    SIGVTALRM, SIGPROF, SIGXCPU, SIGXFSZ, SIGIO, SIGPWR };
+
+// Runs before `main`, as the platform may send SIGHUP as soon as the process exists.
+[[gnu::constructor]] auto ignoreSignals() -> void
+{
+    for (const auto number : ignoredSignals)
+        std::signal(number, SIG_IGN);
+}
+
 auto readSettings(const std::string& path)
     -> marigoldladder::CheckedSettings<marigoldladder::relay::RelaySettings>
 {
@@ -42,17 +55,19 @@
 auto main(int argc, char** argv) -> int
 {
     auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
-    const auto settings = readSettings(arguments["--settings"].asString());
+    const auto path = arguments["--settings"].asString();
+    const auto settings = readSettings(path);
     if (!settings) {
         for (const auto& fault : settings.error().m_faults)
-            std::cerr << fault.m_path << ": " << fault.m_message << '\n';
+            std::cerr << path << ": " << fault.m_path << ": " << fault.m_message << '\n';
         return settingsExitCode;
     }
     if (arguments["--check-settings"].asBool())
         return 0;
-    std::signal(SIGPIPE, SIG_IGN);
     marigoldladder::initialiseLog(settings.value().m_logLevel, settings.value().m_vm.value(),
         marigoldladder::LogTarget::StandardOutput);
+    for (const auto& field : settings.value().m_unknownFields)
+        marigoldladder::logWarning("settings_field_unknown", { { "file", path }, { "field", field } });
     auto context = boost::asio::io_context(1);
     auto storeClient
         = marigoldladder::relay::HttpClient(context.get_executor(), settings.value().m_storeAddress);
--- a/src/core/json_reader.cc
+++ b/src/core/json_reader.cc
@@ -66,14 +66,14 @@
     std::string_view field, const nlohmann::json& value, double fallback, NumberRange range) -> double
 {
     if (!value.is_number()) {
-        fault(field, "must be a number");
+        fault(field, std::string("must be a number, not of type ") + value.type_name());
         return fallback;
     }
     const auto number = value.get<double>();
     if (number < range.m_least || number > range.m_most) {
         const auto least = nlohmann::json(range.m_least).dump();
         const auto most = nlohmann::json(range.m_most).dump();
-        fault(field, "must be within " + least + " and " + most);
+        fault(field, "must be within " + least + " and " + most + ", not " + value.dump());
         return fallback;
     }
     return number;
@@ -143,14 +143,22 @@
     return texts;
 }
 
-auto JsonReader::rejectUnknownFields() -> void
+auto JsonReader::unknownFields() const -> std::vector<std::string>
 {
+    auto unknown = std::vector<std::string>();
     if (!m_object.is_object())
-        return;
+        return unknown;
     for (const auto& [field, value] : m_object.items()) {
         if (std::find(m_known.begin(), m_known.end(), field) == m_known.end())
-            fault(field, "is not known here");
+            unknown.push_back(pathOf(field));
     }
+    return unknown;
+}
+
+auto JsonReader::rejectUnknownFields() -> void
+{
+    for (const auto& path : unknownFields())
+        m_faults.push_back({ path, "is not known here" });
 }
 
 namespace {
--- a/src/core/json_reader.h
+++ b/src/core/json_reader.h
@@ -43,7 +43,10 @@
     auto has(std::string_view field) const -> bool;
     auto fault(std::string_view field, std::string message) -> void;
 
-    // Reports each field that none of the calls above has asked for.
+    // Returns the paths of the fields that none of the calls above has asked for.
+    auto unknownFields() const -> std::vector<std::string>;
+
+    // Reports each of these as a fault.
     auto rejectUnknownFields() -> void;
 
 private:
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -33,6 +33,8 @@
         acceptor.listen(backlog, error);
     if (!error)
         return true;
+    auto ignored = ErrorCode();
+    acceptor.close(ignored); // So that it can be opened again.
     logWarning("listen_failed", { { "address", formatAddress(address) }, { "reason", error.message() } });
     return false;
 }
--- a/src/relay/listener.h
+++ b/src/relay/listener.h
@@ -8,7 +8,7 @@
 
 namespace marigoldladder::relay {
 
-// Opens the acceptor at the address; returns false on failure and logs the reason.
+// Opens the acceptor at the address; returns false on failure and logs the reason. It may be tried again.
 auto openListener(net::ip::tcp::acceptor&, const Address&) -> bool;
 
 // Passes each accepted connection to `serve` until the acceptor is closed. After a failed accept, for example
--- a/src/relay/peer_socket.cc
+++ b/src/relay/peer_socket.cc
@@ -36,7 +36,10 @@
     if (!error)
         m_socket.non_blocking(true, error);
     if (error) {
-        logWarning("peer_port_failed", { { "reason", error.message() } });
+        auto ignored = ErrorCode();
+        m_socket.close(ignored); // So that it can be opened again.
+        logWarning(
+            "peer_port_failed", { { "address", formatAddress(address) }, { "reason", error.message() } });
         return false;
     }
     net::co_spawn(m_executor, receive(), net::detached);
--- a/src/relay/peer_socket.h
+++ b/src/relay/peer_socket.h
@@ -24,7 +24,7 @@
     explicit PeerSocket(Executor);
 
     // Binds the address and starts to receive datagrams. Returns false, and logs the error, when it can't
-    // bind.
+    // bind; it may be tried again then.
     auto open(const Address&, Handler) -> bool;
 
     auto send(const Address&, const std::string& datagram) -> void;
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -20,6 +20,11 @@
     constexpr auto usualRequestTime = Milliseconds(2'500); // In which most requests that aren't streams end.
     constexpr auto stopPollInterval = Milliseconds(50);
 
+    // A port may still be held by a process that hasn't ended yet, or by a connection that got its number.
+    constexpr auto portWaitTime = Milliseconds(30'000);
+    constexpr auto portRetryInterval = Milliseconds(250);
+    constexpr auto portFailureCode = 1;
+
     // Callers cache addresses and keep connections open, so a stopping node goes on serving for this long
     // before it closes idle connections.
     constexpr auto addressLifetime = Milliseconds(3'000);
@@ -103,27 +108,67 @@
 
 auto RelayNode::run() -> int
 {
-    const auto listening = m_callerServer.listen(m_settings.m_callerAddress)
-        && m_readiness.listen(m_settings.m_readinessAddress)
-        && m_directory.listen(m_settings.m_directoryAddress) && m_metrics.listen(m_settings.m_metricsAddress);
-    if (!listening)
-        return 1;
+    awaitSignals();
+    net::co_spawn(m_context, start(), net::detached);
+    m_context.run();
+    logChange("stopped");
+    return m_exitCode;
+}
+
+auto RelayNode::start() -> Awaitable<void>
+{
+    const auto opened = co_await openPorts();
+    if (!opened) {
+        logWarning("start_failed", { { "reason", "a port was held for too long" } });
+        m_exitCode = portFailureCode;
+        m_context.stop();
+        co_return;
+    }
     logChange("started", { { "vm", m_settings.m_vm.value() } });
     const auto ready = [this] { return isReady(); };
-    const auto handle = [this](const messages::Datagram& datagram, std::string_view bytes,
-                            const Address& from) { handleDatagram(datagram, bytes, from); };
-    if (!m_peerSocket.open(m_settings.m_peerAddress, handle) || !m_storeSync.start())
-        return 1;
     m_peers.start(ready);
     m_digests.start(ready);
     m_allowances.start(ready);
     m_requestLimits.start(ready);
     m_orders.start(ready);
-    awaitSignals();
+    net::co_spawn(m_context, openMetricsPort(), net::detached);
     net::co_spawn(m_context, closeExpiredConnections(), net::detached);
-    m_context.run();
-    logChange("stopped");
-    return 0;
+}
+
+auto RelayNode::openWithin(Milliseconds time, std::function<bool()> open) -> Awaitable<bool>
+{
+    const auto until = Clock::now() + time;
+    while (!open()) {
+        if (Clock::now() >= until)
+            co_return false;
+        co_await sleepFor(portRetryInterval);
+    }
+    co_return true;
+}
+
+auto RelayNode::openPorts() -> Awaitable<bool>
+{
+    const auto handle = [this](const messages::Datagram& datagram, std::string_view bytes,
+                            const Address& from) { handleDatagram(datagram, bytes, from); };
+    const auto opens = std::vector<std::function<bool()>> {
+        [this] { return m_callerServer.listen(m_settings.m_callerAddress); },
+        [this] { return m_readiness.listen(m_settings.m_readinessAddress); },
+        [this] { return m_directory.listen(m_settings.m_directoryAddress); },
+        [this, handle] { return m_peerSocket.open(m_settings.m_peerAddress, handle); },
+        [this] { return m_storeSync.start(); },
+    };
+    for (const auto& open : opens) {
+        const auto opened = co_await openWithin(portWaitTime, open);
+        if (!opened)
+            co_return false;
+    }
+    co_return true;
+}
+
+// A node without metrics still serves, so it doesn't end for want of their port.
+auto RelayNode::openMetricsPort() -> Awaitable<void>
+{
+    (void)co_await openWithin(portWaitTime, [this] { return m_metrics.listen(m_settings.m_metricsAddress); });
 }
 
 auto RelayNode::handleDatagram(
@@ -172,7 +217,6 @@
 auto RelayNode::awaitSignals() -> void
 {
     m_signals.add(SIGTERM);
-    m_signals.add(SIGINT);
     m_signals.add(SIGHUP);
     m_signals.async_wait([this](ErrorCode error, int signal) {
         if (error)
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -30,8 +30,8 @@
 public:
     RelayNode(net::io_context&, const RelaySettings&, const RelayDeployment&);
 
-    // Serves until the process receives SIGTERM or SIGINT. Returns its exit code: 1 if a port can't be
-    // opened.
+    // Serves until the process receives SIGTERM. Returns its exit code: 1 if a port can't be opened
+    // in time.
     auto run() -> int;
 
     // The node's state. Read it on the event loop's thread only.
@@ -39,6 +39,10 @@
 
 private:
     auto isReady() const -> bool;
+    auto openWithin(Milliseconds time, std::function<bool()> open) -> Awaitable<bool>;
+    auto openPorts() -> Awaitable<bool>;
+    auto openMetricsPort() -> Awaitable<void>;
+    auto start() -> Awaitable<void>;
     auto handleDatagram(const messages::Datagram&, std::string_view bytes, const Address& from) -> void;
     auto handleSummary(const messages::Summary&, std::string_view bytes, const Address& from) -> void;
     auto callerAddresses() const -> std::vector<Address>;
@@ -68,6 +72,7 @@
     DigestExchange m_digests;
     OrderController m_orders;
     net::signal_set m_signals;
+    int m_exitCode = 0;
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -16,7 +16,28 @@
         return Milliseconds(static_cast<std::int64_t>(value));
     }
 
-    auto readBounds(const nlohmann::json& object, std::vector<FieldFault>& faults) -> FleetBounds
+    // Removes fields that are null, which the platform writes for what a deployment doesn't state.
+    auto removeNulls(nlohmann::json& object) -> void
+    {
+        for (auto field = object.begin(); field != object.end();) {
+            if (field->is_null()) {
+                field = object.erase(field);
+                continue;
+            }
+            if (field->is_object())
+                removeNulls(*field);
+            ++field;
+        }
+    }
+
+    auto appendUnknownFields(const JsonReader& reader, RelaySettings& settings) -> void
+    {
+        const auto unknown = reader.unknownFields();
+        settings.m_unknownFields.insert(settings.m_unknownFields.end(), unknown.begin(), unknown.end());
+    }
+
+    auto readBounds(const nlohmann::json& object, std::vector<FieldFault>& faults, RelaySettings& settings)
+        -> FleetBounds
     {
         constexpr auto millisecondsPerSecond = 1'000.0;
         const auto defaults = FleetBounds();
@@ -38,7 +59,7 @@
             static_cast<int>(reader.optionalNumber("allowance_window_s", seconds, { 1, maxTimeSeconds })));
         bounds.m_allowance.m_excess
             = reader.optionalNumber("allowance_excess", allowance.m_excess, { 0, 10 });
-        reader.rejectUnknownFields();
+        appendUnknownFields(reader, settings);
         return bounds;
     }
 
@@ -61,9 +82,10 @@
 auto parseRelaySettings(std::string_view json) -> CheckedSettings<RelaySettings>
 {
     auto faults = std::vector<FieldFault>();
-    const auto object = parseJsonObject(json, faults);
+    auto object = parseJsonObject(json, faults);
     if (!object)
         return SettingsFaults { std::move(faults) };
+    removeNulls(*object);
     auto reader = JsonReader(*object, "", faults);
     auto settings = RelaySettings();
     settings.m_vm = VmName(reader.requiredText("vm"));
@@ -84,8 +106,8 @@
     if (const auto* regions = reader.child("data_centre_regions"))
         settings.m_regions = readRegions(*regions, faults);
     if (const auto* bounds = reader.child("bounds"))
-        settings.m_bounds = readBounds(*bounds, faults);
-    reader.rejectUnknownFields();
+        settings.m_bounds = readBounds(*bounds, faults, settings);
+    appendUnknownFields(reader, settings);
     if (!faults.empty())
         return SettingsFaults { std::move(faults) };
     return settings;
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marigoldladder::relay {
 
@@ -41,9 +42,11 @@
     double m_processorShare = 1; // Cores that this node may use.
     FleetBounds m_bounds;
     std::string m_logLevel = "info";
+    std::vector<std::string> m_unknownFields; // Paths of fields that are passed over.
 };
 
-// Parses the settings from JSON text. Returns all faults if there is any.
+// Parses the settings from JSON text. Returns all faults if there is any. Fields that are missing or null
+// have their defaults, and fields that aren't known are passed over.
 auto parseRelaySettings(std::string_view json) -> CheckedSettings<RelaySettings>;
 
 } // namespace marigoldladder::relay
--- a/test/soak/relay_site.cc
+++ b/test/soak/relay_site.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <fcntl.h>
 #include <fstream>
 #include <future>
 #include <httplib.h>
@@ -45,6 +46,14 @@
 
 } // namespace
 
+HeldPort::HeldPort(const Address& address)
+    : m_acceptor(
+        m_context, { net::ip::make_address(address.m_host), static_cast<std::uint16_t>(address.m_port) })
+{
+    if (::fcntl(m_acceptor.native_handle(), F_SETFD, FD_CLOEXEC) != 0)
+        throw std::runtime_error("the port's descriptor can't be kept from other processes");
+}
+
 RelaySite::RelaySite(std::size_t relays, std::size_t upstreams, SoakRecord& record)
     : m_record(record)
     , m_work(m_context.get_executor())
--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -18,6 +18,16 @@
 
 namespace marigoldladder::soak {
 
+// Holds a port for the lifetime of the object. Processes that are started meanwhile don't inherit it.
+class HeldPort {
+public:
+    explicit HeldPort(const Address&);
+
+private:
+    boost::asio::io_context m_context { 1 };
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
 // One relay process and the proxy between it and the store.
 struct RelayProcess {
     std::string m_settingsFile;
