Take an upstream that restarted for cold until more is known

A replica that was cut off from the store crashed and came back cold under its id; it got 33 or 34 requests in a second where 27.5 are allowed, and crashed again under them.

Cause: what is cold was known from the store's entry alone, and that was the one of the run before.

Ruled out: nodes that don't keep the cold rate together (with a fresh entry the case passes).

Mend: nobody listening at an upstream's address (a refused connection, seen here or by two peers) ends what is believed of its run: it gets the rate of a cold one, and its pool's cold time starts with the first new connection. An answer on a connection from before shows that the run goes on, and a reset alone changes nothing. No probe is sent.

--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -3,6 +3,7 @@
 #include "core/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldladder::relay {
 
@@ -138,6 +139,20 @@
     return isOf(table.m_removedLately) ? RunKnowledge::Removed : RunKnowledge::Unknown;
 }
 
+auto recordNobodyListens(Upstream& upstream) -> void
+{
+    upstream.m_mayHaveRestarted = true;
+}
+
+auto recordAccepted(Upstream& upstream, const Pool* pool, MonotonicTime now) -> bool
+{
+    if (!std::exchange(upstream.m_mayHaveRestarted, false))
+        return false;
+    if (pool)
+        upstream.m_coldUntil = std::max(upstream.m_coldUntil, now + pool->m_coldTime);
+    return true;
+}
+
 auto applyEngineReport(
     Upstream& upstream, const EngineReport& report, MonotonicTime requestedAt, ReportedState state) -> void
 {
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -30,6 +30,14 @@
 // Removes an upstream that left, or whose entry can't be decoded.
 auto removeUpstream(UpstreamTable&, const UpstreamName&, MonotonicTime now) -> void;
 
+// Records that nobody listens at the upstream's address, so that its run has ended.
+auto recordNobodyListens(Upstream&) -> void;
+
+// Records that the upstream accepts connections. If nobody listened there before, this may be a new run,
+// which counts as cold for its pool's time; its own entry or answers may tell more. Returns whether that is
+// so.
+auto recordAccepted(Upstream&, const Pool*, MonotonicTime now) -> bool;
+
 // Whether a report contains the effects of all orders known to be accepted.
 enum class ReportedState {
     Exact, // It does: the engine counts its orders. The report replaces all that was known.
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -1,6 +1,7 @@
 #include "relay/crash_watch.h"
 
 #include "core/log.h"
+#include "relay/blackboard_updates.h"
 #include "relay/rendezvous_hash.h"
 #include "relay/upstream_health.h"
 
@@ -128,6 +129,8 @@
     auto broken = std::move(m_broken[upstream.get()]);
     m_broken.erase(upstream.get());
     const auto refused = error == net::error::connection_refused || error == net::error::connection_reset;
+    if (error == net::error::connection_refused)
+        recordNobodyListens(*upstream);
     // One that said that it would leave has ended as it said.
     if (!refused || upstream->m_record.m_leaving)
         co_return;
--- a/src/relay/peer_loads.cc
+++ b/src/relay/peer_loads.cc
@@ -1,5 +1,6 @@
 #include "relay/peer_loads.h"
 
+#include "relay/blackboard_updates.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/upstream_health.h"
 
@@ -49,6 +50,8 @@
     auto& reachability = found->second->m_reachability;
     const auto wasKnown = isUnreachable(reachability, now);
     reachability.m_refusedPeers[peer] = now;
+    if (isUnreachable(reachability, now))
+        recordNobodyListens(*found->second);
     if (!wasKnown && isUnreachable(reachability, now) && board.m_orders.m_holdsLease)
         board.m_adapterWanted();
 }
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -66,6 +66,9 @@
     MonotonicTime m_coldUntil {};
     double m_coldAllowance = 0; // Requests that this node may still send during its warm-up.
     MonotonicTime m_coldRefilledAt {};
+    // Nobody listened at its address since its last connection, so the next one may reach a new run of it, of
+    // which its entry doesn't tell yet.
+    bool m_mayHaveRestarted = false;
     std::size_t m_inFlight = 0; // Requests of this node.
     double m_tokensInFlight = 0; // Their tokens.
     std::size_t m_peersInFlight = 0; // Requests of the other nodes, by their latest summaries.
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -280,8 +280,10 @@
 auto UpstreamCaller::recordReachability(Upstream& upstream, UpstreamCallOutcome outcome, bool refused) -> void
 {
     const auto now = Clock::now();
-    if (outcome == UpstreamCallOutcome::Delivered || outcome == UpstreamCallOutcome::Refused)
+    if (outcome == UpstreamCallOutcome::Delivered || outcome == UpstreamCallOutcome::Refused) {
         upstream.m_reachability = {};
+        upstream.m_mayHaveRestarted = false; // A new run would have been found by a new connection.
+    }
     if (!refused)
         return;
     const auto wasKnown = isUnreachable(upstream.m_reachability, now);
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -129,7 +129,7 @@
             cost += otherDataCentreCost;
         if (upstream.m_health.m_avoidUntil > context.m_now)
             cost += avoidedCost;
-        if (upstream.m_coldUntil > context.m_now)
+        if (isCold(upstream, context.m_now))
             cost += coldCost;
         if (isLimited(upstream.m_requestLimit))
             cost += limitedCost;
@@ -140,7 +140,7 @@
 
     auto hasColdAllowance(const Upstream& upstream, const Pool* pool, const ChoiceContext& context) -> bool
     {
-        if (upstream.m_coldUntil <= context.m_now || !pool || pool->m_coldRequestsPerSecond <= 0)
+        if (!isCold(upstream, context.m_now) || !pool || pool->m_coldRequestsPerSecond <= 0)
             return true;
         auto copy = Upstream();
         copy.m_coldAllowance = upstream.m_coldAllowance;
@@ -216,6 +216,11 @@
     return acceptsNewRequests(table, upstream) && upstream.m_pausedUntil <= now;
 }
 
+auto isCold(const Upstream& upstream, MonotonicTime now) -> bool
+{
+    return upstream.m_coldUntil > now || upstream.m_mayHaveRestarted;
+}
+
 auto wantsRequestsAt(const Upstream& upstream, MonotonicTime now) -> MonotonicTime
 {
     const auto& limit = upstream.m_requestLimit;
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -60,6 +60,9 @@
 
 auto chooseUpstream(const UpstreamTable&, const UpstreamNeeds&, const ChoiceContext&) -> UpstreamChoice;
 
+// Whether the upstream gets no more than the rate of a cold one: it is cold, or may be.
+auto isCold(const Upstream&, MonotonicTime now) -> bool;
+
 // Returns when the upstream wants requests of this node again, by what it said itself; a time that isn't
 // later than `now` if it wants them now.
 auto wantsRequestsAt(const Upstream&, MonotonicTime now) -> MonotonicTime;
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -1,5 +1,8 @@
 #include "relay/upstream_connection_pool.h"
 
+#include "core/log.h"
+#include "relay/blackboard_updates.h"
+
 #include <algorithm>
 
 namespace marigoldladder::relay {
@@ -54,12 +57,26 @@
     m_board.m_metrics.add(Counter::UpstreamConnects);
     co_await connectTo(connection->m_stream, upstream->m_record.m_address, connectTimeout, error);
     refused = error == net::error::connection_refused || error == net::error::connection_reset;
+    if (error == net::error::connection_refused)
+        recordNobodyListens(*upstream);
     if (error)
         co_return nullptr;
+    noteAccepted(*upstream);
     setDeadPeerTimeout(connection->m_stream.socket(), deadPeerTimeout);
     co_return connection;
 }
 
+auto UpstreamConnectionPool::noteAccepted(Upstream& upstream) -> void
+{
+    const Pool* pool = nullptr;
+    if (m_board.m_configuration) {
+        const auto found = m_board.m_configuration->m_pools.find(upstream.m_record.m_pool);
+        pool = found == m_board.m_configuration->m_pools.end() ? nullptr : &found->second;
+    }
+    if (recordAccepted(upstream, pool, std::chrono::steady_clock::now()))
+        logChange("upstream_returned", { { "upstream", upstream.m_record.m_name.value() } });
+}
+
 auto UpstreamConnectionPool::release(
     const UpstreamPointer& upstream, UpstreamConnectionPointer connection, Milliseconds idleTime) -> void
 {
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -38,6 +38,7 @@
     auto closeExpired(MonotonicTime now) -> void;
 
 private:
+    auto noteAccepted(Upstream&) -> void;
     struct Idle {
         UpstreamPointer m_upstream;
         std::vector<UpstreamConnectionPointer> m_connections;
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -85,8 +85,7 @@
     const auto now = Clock::now();
     const auto& pools = m_board.m_configuration->m_pools;
     const auto pool = pools.find(needs.m_pool);
-    if (choice.m_upstream->m_coldUntil > now && pool != pools.end()
-        && pool->second.m_coldRequestsPerSecond > 0)
+    if (isCold(*choice.m_upstream, now) && pool != pools.end() && pool->second.m_coldRequestsPerSecond > 0)
         (void)acquireColdAllowance(*choice.m_upstream, pool->second, m_board.m_nodes, now);
     return UpstreamSlot(m_board, choice.m_upstream, needs.m_tokens);
 }
