Let nodes fetch a large configuration compressed, from drawn sources

Cause: all nodes of a data centre fetched the whole text from the same peer, within one second in all, and began anew after a transfer that ended early; over 10 Mbit/s twenty transfers of a megabyte take 16 s.

Ruled out: decoding (the processor's share is low). Not told apart by a log: late announcements.

Older nodes get the plain text.

--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -1,17 +1,22 @@
 #include "relay/cache_exchange.h"
 
 #include "core/bounded_json.h"
+#include "core/compression.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/listener.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 
 namespace marigoldladder::relay {
 
 namespace {
 
-    constexpr auto exchangeTimeout = std::chrono::milliseconds(1'000);
+    constexpr auto silenceTimeout = std::chrono::milliseconds(1'000); // Of the other side.
+    // For a whole answer. Many nodes may fetch a large configuration over one narrow link.
+    constexpr auto answerTimeout = std::chrono::milliseconds(5'000);
+    constexpr auto pieceBytes = std::size_t { 64 } << 10; // Of a message, read at once.
     constexpr auto lengthBytes = std::size_t { 4 };
     constexpr auto maxMessageBytes = std::uint32_t { 64 }
         << 20; // More than all objects of the largest fleet.
@@ -34,19 +39,28 @@
         return length;
     }
 
-    // Returns the next message's table; empty if the connection ended or the message is too long.
+    // Returns the next message's table; empty if the connection ended or was silent, or the message is too
+    // long.
     auto readMessage(tcp_stream& stream) -> Awaitable<std::string>
     {
         auto error = ErrorCode();
         auto header = std::array<unsigned char, lengthBytes>();
+        stream.expires_after(silenceTimeout);
         co_await net::async_read(stream, net::buffer(header), errorTo(error));
         const auto length = readLength(header);
         if (error || length > maxMessageBytes)
             co_return std::string();
-        auto message = std::string(length, '\0');
-        co_await net::async_read(stream, net::buffer(message), errorTo(error));
-        if (error)
-            message.clear();
+        auto message = std::string();
+        while (message.size() < length) {
+            const auto begin = message.size();
+            message.resize(std::min<std::size_t>(length, begin + pieceBytes));
+            stream.expires_after(silenceTimeout);
+            const auto space = net::buffer(message.data() + begin, message.size() - begin);
+            const auto received = co_await stream.async_read_some(space, errorTo(error));
+            if (error)
+                co_return std::string();
+            message.resize(begin + received);
+        }
         co_return message;
     }
 
@@ -57,7 +71,13 @@
         return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(data) : nullptr;
     }
 
-    auto encode(const CacheChanges& changes) -> std::string
+    auto setPlainContent(messages::ChangedObjectT& object, const StoredObject& source) -> void
+    {
+        object.content = source.m_content.dump();
+    }
+
+    auto encode(const CacheChanges& changes,
+        const std::function<void(messages::ChangedObjectT&, const StoredObject&)>& setContent) -> std::string
     {
         auto answer = messages::ChangesAnswerT();
         answer.revision = changes.m_revision.m_revision;
@@ -70,7 +90,7 @@
             object->era = static_cast<std::uint32_t>(change.m_object.m_revision.m_era);
             object->removed = change.m_removed;
             if (!change.m_removed)
-                object->content = change.m_object.m_content.dump();
+                setContent(*object, change.m_object);
             answer.objects.push_back(std::move(object));
         }
         auto builder = flatbuffers::FlatBufferBuilder();
@@ -78,6 +98,19 @@
         return prefixLength(builder);
     }
 
+    // Returns the content, or nothing if it can't be read.
+    auto readContent(const messages::ChangedObjectT& object) -> std::optional<nlohmann::json>
+    {
+        if (object.compressed.empty())
+            return readBoundedJson(object.content);
+        if (object.content_length > maxMessageBytes)
+            return std::nullopt;
+        const auto bytes = std::string_view(
+            reinterpret_cast<const char*>(object.compressed.data()), object.compressed.size());
+        const auto text = decompress(bytes, object.content_length);
+        return text ? readBoundedJson(*text) : std::nullopt;
+    }
+
     auto decode(const std::string& message) -> std::optional<CacheChanges>
     {
         const auto* table = parse<messages::ChangesAnswer>(message);
@@ -92,7 +125,7 @@
             auto object = StoredObject();
             object.m_name = changed->name;
             object.m_revision = { changed->era, changed->revision };
-            auto content = changed->removed ? std::nullopt : readBoundedJson(changed->content);
+            auto content = changed->removed ? std::nullopt : readContent(*changed);
             if (content)
                 object.m_content = std::move(*content);
             changes.m_changes.push_back({ std::move(object), changed->removed });
@@ -118,28 +151,53 @@
 auto CacheExchange::serve(net::ip::tcp::socket socket) -> Awaitable<void>
 {
     auto stream = tcp_stream(std::move(socket));
-    stream.expires_after(exchangeTimeout);
     const auto message = co_await readMessage(stream);
     const auto* request = parse<messages::ChangesRequest>(message);
     if (message.empty() || !request || request->kind() >= objectKinds.size())
         co_return;
     const auto after = StoreRevision { request->after_era(), request->after() };
-    const auto answer = encode(changesSince(m_cache[objectKinds[request->kind()]], after));
+    const auto kind = objectKinds[request->kind()];
+    const auto setCompressed = [this, kind](messages::ChangedObjectT& object, const StoredObject& source) {
+        setContent(object, kind, source);
+    };
+    const auto answer = request->accepts_compressed()
+        ? encode(changesSince(m_cache[kind], after), setCompressed)
+        : encode(changesSince(m_cache[kind], after), setPlainContent);
     auto error = ErrorCode();
+    stream.expires_after(answerTimeout);
     co_await net::async_write(stream, net::buffer(answer), errorTo(error));
 }
 
+// A configuration is asked for by many nodes at once, so its compressed form is kept until it changes.
+auto CacheExchange::setContent(messages::ChangedObjectT& object, ObjectKind kind, const StoredObject& source)
+    -> void
+{
+    if (kind != ObjectKind::Configuration) {
+        setPlainContent(object, source);
+        return;
+    }
+    auto& known = m_compressed[source.m_name];
+    if (known.m_revision != source.m_revision) {
+        const auto text = source.m_content.dump();
+        known = { source.m_revision, text.size(), compress(text) };
+    }
+    object.compressed.assign(known.m_bytes.begin(), known.m_bytes.end());
+    object.content_length = static_cast<std::uint32_t>(known.m_length);
+    if (known.m_bytes.empty())
+        setPlainContent(object, source);
+}
+
 auto CacheExchange::fetch(Address peer, ObjectKind kind, StoreRevision after)
     -> Awaitable<std::optional<CacheChanges>>
 {
     auto stream = tcp_stream(m_executor);
     auto error = ErrorCode();
-    co_await connectTo(stream, peer, exchangeTimeout, error);
+    co_await connectTo(stream, peer, silenceTimeout, error);
     if (error)
         co_return std::nullopt;
     auto builder = flatbuffers::FlatBufferBuilder();
-    builder.Finish(messages::CreateChangesRequest(
-        builder, static_cast<std::uint8_t>(kind), after.m_revision, static_cast<std::uint32_t>(after.m_era)));
+    builder.Finish(messages::CreateChangesRequest(builder, static_cast<std::uint8_t>(kind), after.m_revision,
+        static_cast<std::uint32_t>(after.m_era), true));
     const auto request = prefixLength(builder);
     co_await net::async_write(stream, net::buffer(request), errorTo(error));
     if (error)
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -9,6 +9,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
+namespace marigoldladder::relay::messages {
+struct ChangedObjectT;
+} // namespace marigoldladder::relay::messages
+
 namespace marigoldladder::relay {
 
 class CacheExchange {
@@ -22,11 +26,20 @@
     auto fetch(Address peer, ObjectKind, StoreRevision after) -> Awaitable<std::optional<CacheChanges>>;
 
 private:
+    // An object's content as it travels.
+    struct CompressedContent {
+        StoreRevision m_revision;
+        std::size_t m_length = 0; // Of the text.
+        std::string m_bytes; // Empty: it can't be compressed.
+    };
+
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
+    auto setContent(messages::ChangedObjectT&, ObjectKind, const StoredObject&) -> void;
 
     Executor m_executor;
     ObjectCache& m_cache;
     net::ip::tcp::acceptor m_acceptor;
+    std::map<std::string, CompressedContent> m_compressed; // Of configurations, by name.
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -81,6 +81,24 @@
         return dataCentres.size();
     }
 
+    // How well a peer serves as a source of objects.
+    struct PeerRank {
+        bool m_isHere = false;
+        std::uint64_t m_version = 0;
+        StoreRevision m_revision;
+        auto operator<=>(const PeerRank&) const = default; // NOLINT(modernize-use-nullptr): false positive.
+    };
+
+    // Peers that have the same configuration rank the same, whatever else the store has changed since, as
+    // many nodes fetch a large one at once.
+    auto rankAsSource(const Peer& peer, ObjectKind kind, const DataCentreName& here) -> PeerRank
+    {
+        const auto isHere = peer.m_dataCentre == here;
+        if (kind == ObjectKind::Configuration)
+            return { isHere, peer.m_configurationVersion, {} };
+        return { isHere, 0, peer.m_revisions[static_cast<std::size_t>(kind)] };
+    }
+
 } // namespace
 
 auto bootClockNow() -> BootClockTime
@@ -211,21 +229,24 @@
     return best;
 }
 
-auto peerWithNewerObjects(const FleetView& fleet, std::size_t kind, StoreRevision revision,
-    const DataCentreName& here, MonotonicTime now) -> const Peer*
+auto peerWithNewerObjects(const FleetView& fleet, ObjectKind kind, StoreRevision revision,
+    const DataCentreName& here, std::uint64_t draw, MonotonicTime now) -> const Peer*
 {
-    const auto* best = static_cast<const Peer*>(nullptr);
-    auto bestRank = std::pair(false, revision);
+    const auto index = static_cast<std::size_t>(kind);
+    auto best = std::vector<const Peer*>();
+    auto bestRank = PeerRank();
     for (const auto& [vm, peer] : fleet.m_peers) {
-        if (!isAlive(peer, now) || peer.m_revisions.size() <= kind || peer.m_revisions[kind] <= revision)
+        if (!isAlive(peer, now) || peer.m_revisions.size() <= index || peer.m_revisions[index] <= revision)
             continue;
-        const auto rank = std::pair(peer.m_dataCentre == here, peer.m_revisions[kind]);
-        if (!best || rank > bestRank) {
-            best = &peer;
+        const auto rank = rankAsSource(peer, kind, here);
+        if (best.empty() || rank > bestRank) {
+            best.clear();
             bestRank = rank;
         }
+        if (rank == bestRank)
+            best.push_back(&peer);
     }
-    return best;
+    return best.empty() ? nullptr : best[draw % best.size()];
 }
 
 auto readyAddresses(const FleetView& fleet, const std::optional<Address>& self, MonotonicTime now)
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -3,7 +3,7 @@
 
 #include "core/blackboard.h"
 #include "marigoldladder/settings.h"
-#include "relay/object_store.h"
+#include "relay/object_cache.h"
 #include "relay/routing_configuration.h"
 
 #include <cstdint>
@@ -127,9 +127,10 @@
 auto anyPeerReachesStore(const FleetView&, MonotonicTime now) -> bool;
 
 // Returns a live peer that has a later revision of a kind of objects than this one, or a null pointer. Peers
-// in the data centre `here` are preferred, to save traffic between data centres.
-auto peerWithNewerObjects(const FleetView&, std::size_t kind, StoreRevision, const DataCentreName& here,
-    MonotonicTime now) -> const Peer*;
+// in the data centre `here` are preferred, to save traffic between data centres; of those that have the same,
+// `draw` selects one.
+auto peerWithNewerObjects(const FleetView&, ObjectKind, StoreRevision, const DataCentreName& here,
+    std::uint64_t draw, MonotonicTime now) -> const Peer*;
 
 // Returns a live peer that has a configuration of a higher version in force, or a null pointer. It may have
 // received it before the store returned from an older copy.
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -215,9 +215,9 @@
 
 auto StoreSync::peerWithNews(ObjectKind kind) -> const Peer*
 {
-    const auto index = static_cast<std::size_t>(kind);
     const auto revision = m_board.m_objects[kind].m_revision;
-    return peerWithNewerObjects(m_board.m_fleet, index, revision, m_settings.m_dataCentre, Clock::now());
+    return peerWithNewerObjects(
+        m_board.m_fleet, kind, revision, m_settings.m_dataCentre, m_random(), Clock::now());
 }
 
 auto StoreSync::fetchFrom(const Peer& peer, ObjectKind kind, StoreRevision after) -> Awaitable<void>
--- a/test/relay/fleet_view_test.cc
+++ b/test/relay/fleet_view_test.cc
@@ -3,6 +3,7 @@
 #include "relay/relay_fixtures.h"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace marigoldladder::relay {
 namespace {
@@ -125,6 +126,41 @@
         return shouldWatchStore(fleet, self, at(10));
     }
 
+    // Review 5: all nodes of a data centre fetched a large configuration from the same one at once.
+    TEST(FleetViewTest, SourcesOfAConfigurationAreDrawnAmongThosePeersHereThatHaveTheNewest)
+    {
+        auto fleet = largeFleet(10);
+        auto revision = std::uint64_t { 20 };
+        for (auto& [vm, peer] : fleet.m_peers) {
+            peer.m_revisions = { StoreRevision { 1, ++revision } };
+            peer.m_configurationVersion = vm == VmName("a0") ? 4 : 5;
+        }
+        const auto sourceOf = [&](std::uint64_t draw) {
+            return peerWithNewerObjects(
+                fleet, ObjectKind::Configuration, { 1, 10 }, DataCentreName("a"), draw, at(10))
+                ->m_vm;
+        };
+        auto sources = std::set<VmName>();
+        for (auto draw = std::uint64_t { 0 }; draw < 100; ++draw)
+            sources.insert(sourceOf(draw));
+        EXPECT_EQ(sources.size(), 9U);
+        EXPECT_FALSE(sources.contains(VmName("a0")));
+        EXPECT_FALSE(sources.contains(VmName("b0")));
+        EXPECT_FALSE(peerWithNewerObjects(
+            fleet, ObjectKind::Configuration, { 1, 100 }, DataCentreName("a"), 0, at(10)));
+    }
+
+    TEST(FleetViewTest, OtherObjectsComeFromThePeerWithTheLatestRevision)
+    {
+        auto fleet = largeFleet(10);
+        for (auto& [vm, peer] : fleet.m_peers)
+            peer.m_revisions = { {}, StoreRevision { 1, vm == VmName("a3") ? 30U : 20U } };
+        const auto* source
+            = peerWithNewerObjects(fleet, ObjectKind::Upstreams, { 1, 10 }, DataCentreName("a"), 5, at(10));
+        ASSERT_TRUE(source);
+        EXPECT_EQ(source->m_vm, VmName("a3"));
+    }
+
     TEST(FleetViewTest, OneNodeOfEachDataCentreWatchesTheStore)
     {
         const auto fleet = largeFleet(9.9);
