Judge bystanders of crashes by events, not by single crashes

Cause: the chance of meeting crashes was computed as if upstreams crashed one by one, and for one upstream at a time.

--- a/src/relay/crash_evidence.h
+++ b/src/relay/crash_evidence.h
@@ -7,8 +7,9 @@
 // from time to time. Once a prompt part is convicted, its crashes no longer count against the other suspects
 // of the same requests.
 //
-// Long answers meet crashes that others caused, so a suspect during answers is convicted only if it met more
-// of them than an answer does by chance.
+// Long answers meet crashes that have another cause, so a suspect during answers is convicted only if it met
+// more of them than by chance: upstreams that crash together are one event, which an answer meets by chance
+// with the share of the upstreams that crashed in it.
 #pragma once
 
 #include "core/blackboard.h"
