Weigh the chance of meeting crashes by the number of suspects

Cause: the bound was on each suspect alone, and there are many.

Mend: the chance is multiplied by the number of suspects during answers, and the bound is 1 in 100 again.

Test: OneOfManyAnswersThatMeetsThreeCrashesIsNotConvicted; by the bound before, (1/16)^3 is under 1 in 500, so it would have been convicted (computed, not run).

--- a/src/relay/crash_evidence.cc
+++ b/src/relay/crash_evidence.cc
@@ -16,9 +16,9 @@
     constexpr auto reportTolerance = std::chrono::milliseconds(100); // A report's age is this exact.
     constexpr auto maxCrashedRuns = std::size_t { 4'096 };
 
-    // A suspect during answers is convicted if it would meet as many crashes by chance with less than this
-    // probability, going by all crashes from some time before its first one on. Many answers are looked at.
-    constexpr auto maxChance = 0.002;
+    // Suspects during answers are convicted if any of them would meet as many crashes by chance with less
+    // than this probability, going by all crashes from some time before its first one on.
+    constexpr auto maxChance = 0.01;
     constexpr auto chanceMargin = std::chrono::seconds(3);
 
     auto isPart(SuspectKind kind) -> bool
@@ -216,7 +216,11 @@
             probabilities.push_back(1 - missed);
             met += event.m_met > 0 ? 1 : 0;
         }
-        return met >= crashesUntilConvicted && chanceOfAtLeast(met, probabilities) < maxChance;
+        // The more suspects there are, the likelier one of them met many crashes by chance.
+        const auto suspects = std::count_if(evidence.m_records.begin(), evidence.m_records.end(),
+            [](const auto& entry) { return isDuringAnswer(entry.first.m_kind); });
+        const auto chance = chanceOfAtLeast(met, probabilities) * static_cast<double>(suspects);
+        return met >= crashesUntilConvicted && chance < maxChance;
     }
 
     auto hasEnoughEvidence(const CrashEvidence& evidence, const Suspect& suspect, std::size_t upstreams,
--- a/test/relay/crash_evidence_test.cc
+++ b/test/relay/crash_evidence_test.cc
@@ -206,6 +206,19 @@
         EXPECT_TRUE(convictSuspects(m_evidence, manyUpstreams, at(9'000)).empty());
     }
 
+    // Among hundreds of long answers, some meet three crashes in a row.
+    TEST_F(CrashEvidenceTest, OneOfManyAnswersThatMeetsThreeCrashesIsNotConvicted)
+    {
+        constexpr auto manyUpstreams = std::size_t { 16 };
+        for (auto run = 0; run < 3; ++run) {
+            auto met = std::vector { bystander };
+            for (auto other = 0; other < 20; ++other)
+                met.push_back({ bystander.m_kind, 0x1000U + 100U * run + other });
+            crash(run, run * 2'000, met);
+        }
+        EXPECT_TRUE(convictSuspects(m_evidence, manyUpstreams, at(5'000)).empty());
+    }
+
     TEST_F(CrashEvidenceTest, APartThatCrashesOneUpstreamAfterTheOtherDuringAnswersIsConvicted)
     {
         constexpr auto manyUpstreams = std::size_t { 12 };
