Split the chance of meeting crashes from the evidence of crashes

Change: src/relay/crash_chance has the second; the number of suspects is passed to it. Behaviour unchanged, no test changed.

--- a/src/relay/crash_evidence.cc
+++ b/src/relay/crash_evidence.cc
@@ -1,7 +1,8 @@
 #include "relay/crash_evidence.h"
 
+#include "relay/crash_chance.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace marigoldladder::relay {
 
@@ -16,11 +17,6 @@
     constexpr auto reportTolerance = std::chrono::milliseconds(100); // A report's age is this exact.
     constexpr auto maxCrashedRuns = std::size_t { 4'096 };
 
-    // Suspects during answers are convicted if any of them would meet as many crashes by chance with less
-    // than this probability, going by all crashes from some time before its first one on.
-    constexpr auto maxChance = 0.01;
-    constexpr auto chanceMargin = std::chrono::seconds(3);
-
     auto isPart(SuspectKind kind) -> bool
     {
         return kind == SuspectKind::PromptPart || kind == SuspectKind::PromptPartDuringAnswer;
@@ -154,73 +150,10 @@
         }
     }
 
-    // Upstreams that crashed in quick succession.
-    struct CrashEvent {
-        MonotonicTime m_lastAt {};
-        std::size_t m_crashes = 0;
-        std::size_t m_met = 0; // Those of the crashes that the suspect's requests met.
-    };
-
-    // Returns the events from shortly before the record's first crash on, except for explained crashes.
-    auto eventsAround(const CrashEvidence& evidence, const SuspectRecord& record) -> std::vector<CrashEvent>
-    {
-        auto since = MonotonicTime::max();
-        for (const auto& [run, crashedAt] : record.m_crashes)
-            since = std::min(since, crashedAt);
-        auto crashes = std::vector<std::pair<MonotonicTime, UpstreamRunId>>();
-        for (const auto& [run, crashedAt] : evidence.m_crashedRuns) {
-            if (crashedAt + chanceMargin >= since && !evidence.m_explainedRuns.contains(run))
-                crashes.emplace_back(crashedAt, run);
-        }
-        std::sort(crashes.begin(), crashes.end());
-        auto events = std::vector<CrashEvent>();
-        for (const auto& [crashedAt, run] : crashes) {
-            if (events.empty() || crashedAt >= events.back().m_lastAt + minCrashSpacing)
-                events.emplace_back();
-            auto& event = events.back();
-            event.m_lastAt = crashedAt;
-            ++event.m_crashes;
-            event.m_met += record.m_crashes.contains(run) ? 1 : 0;
-        }
-        return events;
-    }
-
-    // Returns the probability that at least `least` of the independent events come true.
-    auto chanceOfAtLeast(std::size_t least, const std::vector<double>& probabilities) -> double
+    auto countSuspectsDuringAnswers(const CrashEvidence& evidence) -> std::size_t
     {
-        auto byCount = std::vector<double>(least + 1, 0.0); // The last one: as many or more.
-        byCount[0] = 1;
-        for (const auto probability : probabilities) {
-            byCount[least] += byCount[least - 1] * probability;
-            for (auto count = least - 1; count > 0; --count)
-                byCount[count] = byCount[count] * (1 - probability) + byCount[count - 1] * probability;
-            byCount[0] *= 1 - probability;
-        }
-        return byCount[least];
-    }
-
-    // Whether a suspect would hardly have met as many crashes if they had another cause: whether requests
-    // that were at as many upstreams at once as it was would have.
-    auto isBeyondChance(const CrashEvidence& evidence, const SuspectRecord& record, std::size_t upstreams)
-        -> bool
-    {
-        const auto events = eventsAround(evidence, record);
-        auto atOnce = std::size_t { 1 };
-        for (const auto& event : events)
-            atOnce = std::max(atOnce, event.m_met);
-        auto probabilities = std::vector<double>();
-        auto met = std::size_t { 0 };
-        for (const auto& event : events) {
-            const auto share = static_cast<double>(event.m_crashes) / static_cast<double>(upstreams);
-            const auto missed = std::pow(std::max(1 - share, 0.0), static_cast<double>(atOnce));
-            probabilities.push_back(1 - missed);
-            met += event.m_met > 0 ? 1 : 0;
-        }
-        // The more suspects there are, the likelier one of them met many crashes by chance.
-        const auto suspects = std::count_if(evidence.m_records.begin(), evidence.m_records.end(),
-            [](const auto& entry) { return isDuringAnswer(entry.first.m_kind); });
-        const auto chance = chanceOfAtLeast(met, probabilities) * static_cast<double>(suspects);
-        return met >= crashesUntilConvicted && chance < maxChance;
+        return static_cast<std::size_t>(std::count_if(evidence.m_records.begin(), evidence.m_records.end(),
+            [](const auto& entry) { return isDuringAnswer(entry.first.m_kind); }));
     }
 
     auto hasEnoughEvidence(const CrashEvidence& evidence, const Suspect& suspect, std::size_t upstreams,
@@ -237,7 +170,7 @@
         if (countCrashes(counted) < crashesUntilConvicted)
             return false;
         return !isDuringAnswer(suspect.m_kind)
-            || isBeyondChance(evidence, counted, std::max<std::size_t>(upstreams, 1));
+            || isBeyondChance(evidence, counted, countSuspectsDuringAnswers(evidence), upstreams);
     }
 
     // Whether `left` is the likelier cause: without answers for longer, with more crashes, in fewer requests.
