Ignore signals before the node's libraries are loaded

What users saw: processes that ended by themselves at their start, on a site whose settings change (suspected: no logs were kept).

The program now needs the C library alone, ignores signals in .preinit_array, and loads the node as a library of its own. What is left is the time in which the kernel and the loader set up the program itself.

RelayProgramTest failed before: the loader listed nine libraries besides the C library. Ruled out: a handler in main or in a constructor (both run after the libraries are relocated); linking statically, as log4cplus comes as a shared library only.

--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -1,81 +1,49 @@
-// The relay daemon: serves callers on one event loop and stores nothing on disk.
-#include "core/log.h"
-#include "platform/deployment.h"
+// The relay daemon: ignores signals, then loads the library in which the node is.
+//
+// The program itself needs the C library alone, so that its first instruction runs within a millisecond:
+// until then a signal such as SIGHUP, by which the platform says that the settings changed, ends the process.
+#include "daemons/relay_main.h"
 
 #include <array>
 #include <csignal>
-#include <cstdlib>
-#include <docopt.h>
-#include <fstream>
-#include <iostream>
-#include <iterator>
+#include <cstdio>
+#include <dlfcn.h>
 
 namespace {
 
-constexpr auto usage = R"(Serves callers' requests from the upstreams of a deployment.
-
-Usage:
-  marigoldladder-relay --settings FILE [--check-settings]
-  marigoldladder-relay --help
-
-Options:
-  --settings FILE   The node's settings, as JSON.
-  --check-settings  Only check the settings: prints every fault with its path.
-  --help            Shows this text.
-)";
-
-constexpr auto settingsExitCode = 2;
+constexpr auto libraryName = "libmarigoldladder-relay.so"; // Beside the program.
+constexpr auto mainName = "marigoldladderRelayMain";
+constexpr auto loadExitCode = 3;
 
 // Signals whose default would end the process. SIGTERM isn't among them, nor are those of faults in the
 // program itself.
 constexpr auto ignoredSignals = std::array { SIGHUP, SIGINT, SIGQUIT, SIGPIPE, SIGALRM, SIGUSR1, SIGUSR2,
     SIGVTALRM, SIGPROF, SIGXCPU, SIGXFSZ, SIGIO, SIGPWR };
 
-// Runs before `main`, as the platform may send SIGHUP as soon as the process exists.
-[[gnu::constructor]] auto ignoreSignals() -> void
+auto ignoreSignals() -> void
 {
     for (const auto number : ignoredSignals)
         std::signal(number, SIG_IGN);
 }
 
-auto readSettings(const std::string& path)
-    -> marigoldladder::CheckedSettings<marigoldladder::relay::RelaySettings>
+// The loader calls this before any library's own initialisation.
+[[gnu::section(".preinit_array"), gnu::used]] auto* const ignoreSignalsFirst = &ignoreSignals;
+
+auto failToLoad() -> int
 {
-    auto file = std::ifstream(path);
-    if (!file)
-        return marigoldladder::SettingsFaults {
-            { { "/", "the settings file " + path + " can't be opened" } }
-        };
-    const auto text = std::string(std::istreambuf_iterator<char>(file), {});
-    return marigoldladder::relay::parseRelaySettings(text);
+    std::fprintf(stderr, "marigoldladder-relay: can't load %s: %s\n", libraryName, ::dlerror());
+    return loadExitCode;
 }
 
 } // namespace
 
 auto main(int argc, char** argv) -> int
 {
-    auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
-    const auto path = arguments["--settings"].asString();
-    const auto settings = readSettings(path);
-    if (!settings) {
-        for (const auto& fault : settings.error().m_faults)
-            std::cerr << path << ": " << fault.m_path << ": " << fault.m_message << '\n';
-        return settingsExitCode;
-    }
-    if (arguments["--check-settings"].asBool())
-        return 0;
-    marigoldladder::initialiseLog(settings.value().m_logLevel, settings.value().m_vm.value(),
-        marigoldladder::LogTarget::StandardOutput);
-    for (const auto& field : settings.value().m_unknownFields)
-        marigoldladder::logWarning("settings_field_unknown", { { "file", path }, { "field", field } });
-    auto context = boost::asio::io_context(1);
-    auto storeClient
-        = marigoldladder::relay::HttpClient(context.get_executor(), settings.value().m_storeAddress);
-    const auto deployment = marigoldladder::platform::makeDeployment(context.get_executor(), storeClient);
-    auto node = marigoldladder::relay::RelayNode(context, settings.value(), deployment);
-    const auto exitCode = node.run();
-    // Suspended coroutines refer to members of the node, so the process exits without destroying them after
-    // it.
-    std::cout.flush();
-    std::_Exit(exitCode);
+    auto* const library = ::dlopen(libraryName, RTLD_NOW | RTLD_LOCAL);
+    if (!library)
+        return failToLoad();
+    const auto run = reinterpret_cast<decltype(&marigoldladderRelayMain)>(::dlsym(library, mainName));
+    if (!run)
+        return failToLoad();
+    return run(argc, argv);
 }
--- /dev/null
+++ b/daemons/relay_main.cc
@@ -0,0 +1,68 @@
+#include "daemons/relay_main.h"
+
+#include "core/log.h"
+#include "platform/deployment.h"
+
+#include <cstdlib>
+#include <docopt.h>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+constexpr auto usage = R"(Serves callers' requests from the upstreams of a deployment.
+
+Usage:
+  marigoldladder-relay --settings FILE [--check-settings]
+  marigoldladder-relay --help
+
+Options:
+  --settings FILE   The node's settings, as JSON.
+  --check-settings  Only check the settings: prints every fault with its path.
+  --help            Shows this text.
+)";
+
+constexpr auto settingsExitCode = 2;
+
+auto readSettings(const std::string& path)
+    -> marigoldladder::CheckedSettings<marigoldladder::relay::RelaySettings>
+{
+    auto file = std::ifstream(path);
+    if (!file)
+        return marigoldladder::SettingsFaults {
+            { { "/", "the settings file " + path + " can't be opened" } }
+        };
+    const auto text = std::string(std::istreambuf_iterator<char>(file), {});
+    return marigoldladder::relay::parseRelaySettings(text);
+}
+
+} // namespace
+
+extern "C" auto marigoldladderRelayMain(int argc, char** argv) -> int
+{
+    using namespace marigoldladder::relay;
+    auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
+    const auto path = arguments["--settings"].asString();
+    const auto settings = readSettings(path);
+    if (!settings) {
+        for (const auto& fault : settings.error().m_faults)
+            std::cerr << path << ": " << fault.m_path << ": " << fault.m_message << '\n';
+        return settingsExitCode;
+    }
+    if (arguments["--check-settings"].asBool())
+        return 0;
+    marigoldladder::initialiseLog(settings.value().m_logLevel, settings.value().m_vm.value(),
+        marigoldladder::LogTarget::StandardOutput);
+    for (const auto& field : settings.value().m_unknownFields)
+        marigoldladder::logWarning("settings_field_unknown", { { "file", path }, { "field", field } });
+    auto context = boost::asio::io_context(1);
+    auto storeClient = HttpClient(context.get_executor(), settings.value().m_storeAddress);
+    const auto deployment = marigoldladder::platform::makeDeployment(context.get_executor(), storeClient);
+    auto node = RelayNode(context, settings.value(), deployment);
+    const auto exitCode = node.run();
+    // Suspended coroutines refer to members of the node, so the process exits without destroying them after
+    // it.
+    std::cout.flush();
+    std::_Exit(exitCode);
+}
--- a/test/soak/relay_start_test.cc
+++ b/test/soak/relay_start_test.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -84,6 +85,21 @@
         EXPECT_FALSE(relay().m_relay.hasEnded());
     }
 
+    // Issue 43: SIGHUP ended a process whose libraries were still being loaded, for some milliseconds.
+    TEST(RelayProgramTest, NeedsOnlyTheCLibraryBeforeItIgnoresSignals)
+    {
+        ::setenv("LD_TRACE_LOADED_OBJECTS", "1", 1); // The loader lists the libraries and runs nothing.
+        const auto listing = harness::runCommand("marigoldladder-relay", {}).m_output;
+        ::unsetenv("LD_TRACE_LOADED_OBJECTS");
+        auto needed = std::vector<std::string>();
+        auto lines = std::istringstream(listing);
+        for (auto line = std::string(); std::getline(lines, line);) {
+            if (line.find(" => ") != std::string::npos)
+                needed.push_back(line.substr(1, line.find(' ') - 1));
+        }
+        EXPECT_EQ(needed, std::vector<std::string> { "libc.so.6" }) << listing;
+    }
+
     TEST_F(RelayStartTest, IsNotEndedBySignalsWhileItServes)
     {
         m_site.restart(relay());
