Wait for settings that are still being written

What users saw: processes that ended by themselves at their start, only on a site whose settings change (suspected: no logs were kept).

RelayStartTest.WaitsForSettingsThatAreStillBeingWritten failed before (the process had ended) and passes now. Ruled out: taking a partial file for a default, as a node on wrong addresses is worse than one that waits.

--- a/daemons/relay_main.cc
+++ b/daemons/relay_main.cc
@@ -2,12 +2,11 @@
 
 #include "core/log.h"
 #include "platform/deployment.h"
+#include "relay/settings_file.h"
 
 #include <cstdlib>
 #include <docopt.h>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 namespace {
 
@@ -25,18 +24,6 @@
 
 constexpr auto settingsExitCode = 2;
 
-auto readSettings(const std::string& path)
-    -> marigoldladder::CheckedSettings<marigoldladder::relay::RelaySettings>
-{
-    auto file = std::ifstream(path);
-    if (!file)
-        return marigoldladder::SettingsFaults {
-            { { "/", "the settings file " + path + " can't be opened" } }
-        };
-    const auto text = std::string(std::istreambuf_iterator<char>(file), {});
-    return marigoldladder::relay::parseRelaySettings(text);
-}
-
 } // namespace
 
 extern "C" auto marigoldladderRelayMain(int argc, char** argv) -> int
@@ -44,13 +31,14 @@
     using namespace marigoldladder::relay;
     auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
     const auto path = arguments["--settings"].asString();
-    const auto settings = readSettings(path);
+    const auto onlyChecks = arguments["--check-settings"].asBool();
+    const auto settings = onlyChecks ? readSettingsFile(path) : awaitSettingsFile(path);
     if (!settings) {
         for (const auto& fault : settings.error().m_faults)
             std::cerr << path << ": " << fault.m_path << ": " << fault.m_message << '\n';
         return settingsExitCode;
     }
-    if (arguments["--check-settings"].asBool())
+    if (onlyChecks)
         return 0;
     marigoldladder::initialiseLog(settings.value().m_logLevel, settings.value().m_vm.value(),
         marigoldladder::LogTarget::StandardOutput);
--- a/test/soak/relay_start_test.cc
+++ b/test/soak/relay_start_test.cc
@@ -39,6 +39,11 @@
             std::ofstream(relay().m_settingsFile) << settings.dump();
         }
 
+        static auto startOn(const std::string& settingsFile) -> harness::ChildProcess
+        {
+            return { "marigoldladder-relay", { "--settings", settingsFile }, harness::ReadyLine::NotAwaited };
+        }
+
         SoakRecord m_record;
         RelaySite m_site { 1, 1, m_record };
     };
@@ -68,8 +73,7 @@
     {
         const auto pipe = relay().m_settingsFile + ".pipe";
         ASSERT_EQ(::mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR), 0);
-        relay().m_relay = harness::ChildProcess(
-            "marigoldladder-relay", { "--settings", pipe }, harness::ReadyLine::NotAwaited);
+        relay().m_relay = startOn(pipe);
         auto writer = -1;
         while (writer < 0 && !relay().m_relay.hasEnded())
             writer = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC); // Fails while nobody reads.
@@ -119,6 +123,30 @@
         EXPECT_TRUE(m_site.allReady(startTime));
     }
 
+    // Issue 43: a node that started while the platform wrote its settings anew found a part of them and
+    // ended.
+    TEST_F(RelayStartTest, WaitsForSettingsThatAreStillBeingWritten)
+    {
+        const auto settings = readFile(relay().m_settingsFile);
+        std::ofstream(relay().m_settingsFile, std::ios::trunc).close();
+        relay().m_relay = startOn(relay().m_settingsFile);
+        for (const auto part : { std::size_t { 0 }, settings.size() / 2, settings.size() - 1 }) {
+            std::ofstream(relay().m_settingsFile) << settings.substr(0, part);
+            std::this_thread::sleep_for(milliseconds(300));
+            EXPECT_FALSE(relay().m_relay.hasEnded()) << part << " bytes";
+        }
+        std::ofstream(relay().m_settingsFile) << settings;
+        EXPECT_TRUE(m_site.allReady(startTime));
+    }
+
+    TEST_F(RelayStartTest, EndsWithSettingsThatStayIncomplete)
+    {
+        std::ofstream(relay().m_settingsFile) << "{\"vm\": ";
+        const auto outcome
+            = harness::runCommand("marigoldladder-relay", { "--settings", relay().m_settingsFile });
+        EXPECT_EQ(outcome.m_exitCode, settingsExitCode);
+    }
+
     TEST_F(RelayStartTest, EndsWithAValueThatCannotBeRight)
     {
         changeSettings({ { "max_descriptors", -1 } });
