Leave the ports of outgoing connections to listeners

Outgoing sockets now state before they connect that their address may be used again, as listeners do, and a start waits 90 s, longer than the kernel keeps ports of programs that don't. Ruled out: only waiting longer, as the node serves nothing meanwhile.

--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -20,8 +20,9 @@
     constexpr auto usualRequestTime = Milliseconds(2'500); // In which most requests that aren't streams end.
     constexpr auto stopPollInterval = Milliseconds(50);
 
-    // A port may still be held by a process that hasn't ended yet, or by a connection that got its number.
-    constexpr auto portWaitTime = Milliseconds(30'000);
+    // A port may still be held by a process that hasn't ended yet, or by a connection that got its number:
+    // the kernel keeps a closed one for 60 s.
+    constexpr auto portWaitTime = Milliseconds(90'000);
     constexpr auto portRetryInterval = Milliseconds(250);
     constexpr auto portFailureCode = 1;
 
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -95,6 +95,12 @@
         error = net::error::make_error_code(net::error::invalid_argument);
         co_return;
     }
+    stream.socket().open(endpoint->protocol(), error);
+    // Else the closed connection would keep its port from a listener for a minute.
+    if (!error)
+        stream.socket().set_option(net::socket_base::reuse_address(true), error);
+    if (error)
+        co_return;
     stream.expires_after(timeout);
     co_await stream.async_connect(*endpoint, errorTo(error));
     if (error)
--- a/src/wire/socket.cc
+++ b/src/wire/socket.cc
@@ -147,6 +147,8 @@
         return native.error();
     auto connection = Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
     setFlag(connection.descriptor(), IPPROTO_TCP, TCP_NODELAY);
+    // Else the closed connection would keep its port from a listener for a minute.
+    setFlag(connection.descriptor(), SOL_SOCKET, SO_REUSEADDR);
     const auto* generic = reinterpret_cast<const sockaddr*>(&native.value());
     const auto started = connect(connection.descriptor(), generic, sizeof(sockaddr_in));
     const auto pending = started != 0 && errno == EINPROGRESS;
--- /dev/null
+++ b/test/relay/tcp_test.cc
@@ -0,0 +1,60 @@
+#include "relay/tcp.h"
+
+#include "relay/listener.h"
+#include "relay/relay_fixtures.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    constexpr auto connectTime = Milliseconds(2'000);
+
+    // A connection of this process to a server of its own.
+    class OutgoingConnectionTest : public testing::Test {
+    protected:
+        OutgoingConnectionTest()
+            : m_server(m_context, { net::ip::make_address(loopbackHost(9)), 0 })
+            , m_stream(m_context.get_executor())
+        {
+            const auto endpoint = m_server.local_endpoint();
+            const auto server = Address { endpoint.address().to_string(), endpoint.port() };
+            auto error = ErrorCode();
+            auto connect
+                = [&]() -> Awaitable<void> { co_await connectTo(m_stream, server, connectTime, error); };
+            net::co_spawn(m_context, connect(), net::detached);
+            m_context.run_for(connectTime); // The kernel accepts it.
+            m_accepted = std::make_unique<net::ip::tcp::socket>(m_server.accept());
+            EXPECT_FALSE(error) << error.message();
+            const auto local = m_stream.socket().local_endpoint();
+            m_local = { local.address().to_string(), local.port() };
+        }
+
+        net::io_context m_context { 1 };
+        net::ip::tcp::acceptor m_server;
+        tcp_stream m_stream;
+        std::unique_ptr<net::ip::tcp::socket> m_accepted;
+        Address m_local; // The connection's end in this process.
+    };
+
+    // Issue 43: a connection that a node had closed first kept its port for a minute, so that a node whose
+    // port it was didn't start.
+    TEST_F(OutgoingConnectionTest, LeavesItsPortToAListenerOnceItIsClosed)
+    {
+        m_stream.close();
+        m_accepted->close();
+        auto listener = net::ip::tcp::acceptor(m_context);
+        EXPECT_TRUE(openListener(listener, m_local));
+    }
+
+    TEST_F(OutgoingConnectionTest, LeavesItsPortToAListenerWhileItIsOpen)
+    {
+        auto listener = net::ip::tcp::acceptor(m_context);
+        EXPECT_TRUE(openListener(listener, m_local));
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
