Find the node's library from the working folder too

The program now tries that path first, then the one beside itself. Ruled out: the search path in the program (it is absolute as well).

--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -5,9 +5,12 @@
 #include "daemons/relay_main.h"
 
 #include <array>
+#include <climits>
 #include <csignal>
 #include <cstdio>
 #include <dlfcn.h>
+#include <string>
+#include <unistd.h>
 
 namespace {
 
@@ -31,15 +34,47 @@
 
 auto failToLoad() -> int
 {
-    std::fprintf(stderr, "marigoldladder-relay: can't load %s: %s\n", libraryName, ::dlerror());
+    std::fprintf(stderr, "marigoldladder-relay: can't load its library: %s\n", ::dlerror());
     return loadExitCode;
 }
 
+// Returns the path of the library beside the program; empty if it can't be found out.
+auto libraryPath() -> std::string
+{
+    auto program = std::array<char, PATH_MAX> {};
+    const auto length = ::readlink("/proc/self/exe", program.data(), program.size());
+    if (length <= 0)
+        return {};
+    const auto path = std::string(program.data(), static_cast<std::size_t>(length));
+    return path.substr(0, path.rfind('/') + 1) + libraryName;
+}
+
+// A platform may show the process another file system, in which only the working folder is where it was.
+auto relativeToWorkingFolder(const std::string& path) -> std::string
+{
+    auto folder = std::array<char, PATH_MAX> {};
+    if (!::getcwd(folder.data(), folder.size()))
+        return path;
+    const auto prefix = std::string(folder.data()) + "/";
+    return path.starts_with(prefix) ? path.substr(prefix.size()) : path;
+}
+
+auto loadLibrary() -> void*
+{
+    const auto path = libraryPath();
+    const auto relative = relativeToWorkingFolder(path);
+    if (relative.find('/') != std::string::npos) {
+        if (auto* const library = ::dlopen(relative.c_str(), RTLD_NOW | RTLD_LOCAL))
+            return library;
+    }
+    return ::dlopen(path.empty() ? libraryName : path.c_str(), RTLD_NOW | RTLD_LOCAL);
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
 {
-    auto* const library = ::dlopen(libraryName, RTLD_NOW | RTLD_LOCAL);
+    auto* const library = loadLibrary();
     if (!library)
         return failToLoad();
     const auto run = reinterpret_cast<decltype(&marigoldladderRelayMain)>(::dlsym(library, mainName));
