Streams go on only at the software that began them

The version of the run that sends the first event is now part of what the request needs: the choice of an upstream, moves from silent ones and a last look before the write all keep to it. For a stream that its caller takes up, the node asks up to five nodes drawn by the stream's key, of which three keep the version since before the first event went out, while a pool has several versions; streams from before a release are told when it begins. Nobody knows and there were several: refused at once as not run.

Ruled out: writing origins to the store (400 writes a second for all), telling all nodes (grows with the fleet), asking all nodes (slow ones), a mark in the event ids (they are the upstream's).

--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -37,6 +37,8 @@
         EnumName<Counter> { Counter::AdapterEvictions, "adapter_evictions_total" },
         EnumName<Counter> { Counter::AnswersDropped, "answers_dropped_total" },
         EnumName<Counter> { Counter::StreamsResumed, "streams_resumed_total" },
+        EnumName<Counter> { Counter::StreamsTakenUp, "streams_taken_up_total" },
+        EnumName<Counter> { Counter::StreamsNotTakenUp, "streams_not_taken_up_total" },
         EnumName<Counter> { Counter::RequestsRetried, "requests_retried_total" },
         EnumName<Counter> { Counter::PeerConnectionsLost, "peer_connections_lost_total" },
         EnumName<Counter> { Counter::PeerHandshakesRefused, "peer_handshakes_refused_total" },
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -24,6 +24,8 @@
     AdapterEvictions,
     AnswersDropped,
     StreamsResumed,
+    StreamsTakenUp,
+    StreamsNotTakenUp,
     RequestsRetried,
     PeerConnectionsLost,
     PeerHandshakesRefused,
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -31,6 +31,7 @@
     double m_promptTokens = 0;
     double m_outputTokens = 0; // At most.
     std::string m_lastEventId; // A stream is resumed after this event; empty: it begins anew.
+    std::string m_resumedId; // Of the attempt that brought the first event of a resumed stream.
     // The parts of the prompt that other requests may have too, without duplicates. The last part, which only
     // this request or its session has, is left out.
     std::vector<PromptPartId> m_sharedParts;
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -43,6 +43,8 @@
     std::vector<OrderedAdapter> m_recent; // Oldest first.
 };
 
+struct CallState;
+
 struct RelayBoard {
     std::shared_ptr<const RoutingConfiguration>
         m_configuration; // Null until one has been read. By the store's sync.
@@ -91,6 +93,9 @@
     // Called when there is news on what crashes upstreams that the other nodes should have soon.
     std::function<void()> m_crashEvidenceChanged = [] {};
 
+    // Called before the caller gets the first event of a stream.
+    std::function<void(const CallState&)> m_streamBegan = [](const CallState&) {};
+
     // Called when a request starts to wait for an adapter that no engine has loaded.
     std::function<void()> m_adapterWanted = [] {};
 };
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/request_limit_report.h"
+#include "relay/taken_up_stream.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,8 +46,9 @@
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
     , m_crashWatch(context.get_executor(), settings, m_board)
     , m_requestLimits(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
+    , m_origins(context.get_executor(), m_board, m_peerSocket, m_incarnation)
     , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits,
-          m_upstreamCaller, m_crashWatch, deployment.m_dialect)
+          m_origins, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
     , m_callerServer(context.get_executor(), m_board, m_runner, m_waitList)
     , m_readiness(context.get_executor(),
           [this](const std::string& target) { return m_deployment.m_answerReadiness(target, isReady()); })
@@ -86,6 +88,10 @@
                 m_board.m_callsInProgress, m_board.m_upstreams.m_versions, adapter, Clock::now());
         });
     };
+    m_board.m_streamBegan = [this](const CallState& state) {
+        if (const auto stream = streamKeyOf(state))
+            m_origins.noteBegan(*stream, *state.m_origin);
+    };
     m_board.m_storeRestored = [this] { m_peers.registerAgain(); };
     m_board.m_crashEvidenceChanged = [this] { m_peers.scheduleSendToAll(); };
     m_board.m_adapterWanted = [this] {
@@ -131,6 +137,7 @@
     m_digests.start(ready);
     m_allowances.start(ready);
     m_requestLimits.start(ready);
+    m_origins.start();
     m_orders.start(ready);
     net::co_spawn(m_context, openMetricsPort(), net::detached);
     net::co_spawn(m_context, closeExpiredConnections(), net::detached);
@@ -189,6 +196,12 @@
         m_requestLimits.handle(*permitRequest, from);
     else if (const auto* permitAnswer = datagram.message_as_PermitAnswer())
         m_requestLimits.handle(*permitAnswer);
+    else if (const auto* notice = datagram.message_as_OriginNotice())
+        m_origins.handle(*notice);
+    else if (const auto* question = datagram.message_as_OriginQuestion())
+        m_origins.handle(*question, from);
+    else if (const auto* originAnswer = datagram.message_as_OriginAnswer())
+        m_origins.handle(*originAnswer);
 }
 
 // A summary with orders that arrives directly from another data centre is forwarded to the nodes of this one.
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -62,6 +62,7 @@
     UpstreamCaller m_upstreamCaller;
     CrashWatch m_crashWatch;
     RequestLimitExchange m_requestLimits;
+    StreamOriginExchange m_origins;
     RequestRunner m_runner;
     CallerServer m_callerServer;
     SimpleHttpServer m_readiness;
--- a/src/relay/request_log_lines.cc
+++ b/src/relay/request_log_lines.cc
@@ -9,6 +9,8 @@
 
     using Clock = std::chrono::steady_clock;
 
+    constexpr auto maxIdLength = std::size_t { 64 }; // Of what a caller names, in a line.
+
     auto formatVersion(std::optional<std::uint64_t> version) -> std::string
     {
         return version ? std::to_string(*version) : "";
@@ -70,6 +72,17 @@
             { "peers_in_flight", std::to_string(upstream.m_peersInFlight) } });
 }
 
+auto logTakenUp(RequestLog& log, const CallState& state, bool isServed) -> void
+{
+    log.write("stream_taken_up", state.m_request.m_id,
+        { { "route", state.m_route->m_name },
+            { "began_with", state.m_request.m_resumedId.substr(0, maxIdLength) },
+            { "after_event", state.m_request.m_lastEventId.substr(0, maxIdLength) },
+            { "software", state.m_origin ? std::to_string(*state.m_origin) : "" },
+            { "served", isServed ? "yes" : "no" },
+            { "age_ms", millisecondsBetween(state.m_arrivedAt, Clock::now()) } });
+}
+
 auto logSilence(RequestLog& log, const CallState& state, const Upstream& upstream,
     std::optional<AttemptsEnd> stayReason, MonotonicTime now) -> void
 {
--- a/src/relay/request_log_lines.h
+++ b/src/relay/request_log_lines.h
@@ -12,6 +12,10 @@
 auto logAllowanceRefusal(
     RequestLog&, const CallState&, const Organisation&, const AllowanceDecision&, double tokens) -> void;
 
+// `stream_taken_up`: a caller goes on with a stream of an earlier attempt. `isServed`: upstreams of the
+// software that began it are there.
+auto logTakenUp(RequestLog&, const CallState&, bool isServed) -> void;
+
 // `request_attempt`, or `request_late` if the first part came later than the route's target: how one call to
 // an upstream ended. Of answers in time only a sample is logged.
 auto logAttempt(RequestLog&, const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&,
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -5,6 +5,7 @@
 #include "relay/request_failure.h"
 #include "relay/request_log_lines.h"
 #include "relay/request_needs.h"
+#include "relay/taken_up_stream.h"
 
 #include <algorithm>
 
@@ -18,6 +19,9 @@
     // milliseconds to load, longer when many load at once.
     constexpr auto maxSlotWait = Milliseconds(3'000);
 
+    // Upstreams that crashed are back about then.
+    constexpr auto originRetryAfter = Milliseconds(1'000);
+
     // A request that counts as in flight during the object's lifetime.
     class RequestInFlight {
     public:
@@ -63,13 +67,15 @@
 
 RequestRunner::RequestRunner(Executor executor, const RelaySettings& settings, RelayBoard& board,
     AllowanceExchange& allowances, WaitList& waitList, RequestLimitExchange& requestLimits,
-    UpstreamCaller& upstreamCaller, CrashWatch& crashWatch, const Dialect& dialect)
+    StreamOriginExchange& origins, UpstreamCaller& upstreamCaller, CrashWatch& crashWatch,
+    const Dialect& dialect)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_board(board)
     , m_allowances(allowances)
     , m_waitList(waitList)
     , m_requestLimits(requestLimits)
+    , m_origins(origins)
     , m_upstreamCaller(upstreamCaller)
     , m_crashWatch(crashWatch)
     , m_dialect(dialect)
@@ -92,6 +98,10 @@
         co_await refuse(state, answer, *refused);
         co_return;
     }
+    if (const auto refused = co_await findOrigin(state)) {
+        co_await refuse(state, answer, *refused);
+        co_return;
+    }
     auto attempts = RequestAttempts();
     const auto* organisation = admitted.value();
     if (organisation) {
@@ -102,6 +112,9 @@
         }
     }
     attempts.m_needs = needsOf(state, organisation, m_random);
+    if (state.m_origin)
+        attempts.m_needs.m_pool = poolOfSoftware(m_board.m_upstreams, *state.m_route, *state.m_origin)
+                                      .value_or(attempts.m_needs.m_pool);
     co_await makeAttempts(state, answer, attempts);
     if (attempts.m_runs == 0)
         m_allowances.refund(attempts.m_charge);
@@ -120,6 +133,25 @@
         attempts.m_end = co_await attempt(state, answer, attempts);
 }
 
+auto RequestRunner::findOrigin(CallState& state) -> Awaitable<std::optional<Failure>>
+{
+    if (!isTakenUp(state))
+        co_return std::nullopt;
+    m_board.m_metrics.add(Counter::StreamsTakenUp);
+    const auto stream = streamKeyOf(state).value_or(0);
+    state.m_origin = co_await m_origins.find(stream, poolNamesOf(*state.m_route));
+    const auto isServed
+        = state.m_origin && poolOfSoftware(m_board.m_upstreams, *state.m_route, *state.m_origin);
+    logTakenUp(m_log, state, isServed);
+    if (isServed)
+        co_return std::nullopt;
+    m_board.m_metrics.add(Counter::StreamsNotTakenUp);
+    co_return refusal(FailureType::Unavailable,
+        state.m_origin ? "no upstream runs the software that began the stream"
+                       : "it isn't known which software began the stream",
+        originRetryAfter);
+}
+
 auto RequestRunner::charge(const CallState& state, const Organisation& organisation,
     RequestAttempts& attempts) -> Awaitable<std::optional<Failure>>
 {
@@ -163,6 +195,7 @@
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
     const auto slotDeadline = std::min(state.m_arrivedAt + maxSlotWait, state.m_deadline);
     attempts.m_refusal.reset();
+    attempts.m_needs.m_software = state.m_origin;
     const auto waitStartedAt = Clock::now();
     auto found
         = co_await m_waitList.acquire(attempts.m_needs, rank, slotDeadline, state.m_callerDisconnected);
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -7,13 +7,14 @@
 #include "relay/request_attempts.h"
 #include "relay/request_limit_exchange.h"
 #include "relay/request_log.h"
+#include "relay/stream_origin_exchange.h"
 
 namespace marigoldladder::relay {
 
 class RequestRunner {
 public:
     RequestRunner(Executor, const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&,
-        RequestLimitExchange&, UpstreamCaller&, CrashWatch&, const Dialect&);
+        RequestLimitExchange&, StreamOriginExchange&, UpstreamCaller&, CrashWatch&, const Dialect&);
 
     // Answers the request in the call state. If the answer is incomplete then, the connection must be closed.
     auto run(CallState&, CallerAnswer&) -> Awaitable<void>;
@@ -26,6 +27,9 @@
         std::optional<AttemptsEnd> m_end; // Why there is none; empty: there may be one at the next try.
     };
 
+    // Finds the software at which a stream that the caller takes up may go on; returns the refusal if none
+    // is known, or none serves.
+    auto findOrigin(CallState&) -> Awaitable<std::optional<Failure>>;
     // Charges the organisation's allowance; returns the refusal if it doesn't cover the request.
     auto charge(const CallState&, const Organisation&, RequestAttempts&) -> Awaitable<std::optional<Failure>>;
     // Sends the request to upstreams until one has answered it or no further one may get it.
@@ -63,6 +67,7 @@
     AllowanceExchange& m_allowances;
     WaitList& m_waitList;
     RequestLimitExchange& m_requestLimits;
+    StreamOriginExchange& m_origins;
     UpstreamCaller& m_upstreamCaller;
     CrashWatch& m_crashWatch;
     const Dialect& m_dialect;
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -54,6 +54,7 @@
         return AttemptsEnd::RetryBudgetSpent;
     if (attempts.m_move && !maySendTo(m_board.m_upstreams, *attempts.m_move->m_slot.upstream(), now))
         attempts.m_move = nullptr;
+    attempts.m_needs.m_software = state.m_origin;
     if (!attempts.m_move)
         attempts.m_move = beginMove(attempts, silent);
     if (!attempts.m_move || attempts.m_move->m_asksForPermit)
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -33,6 +33,8 @@
             state.m_lastEventId = std::move(id);
         if (state.m_timeToFirstPart)
             return;
+        state.m_origin = state.m_software;
+        board.m_streamBegan(state);
         const auto age = Clock::now() - state.m_arrivedAt;
         state.m_timeToFirstPart = std::chrono::duration_cast<Milliseconds>(age);
         board.m_metrics.observe(Latency::FirstToken, std::chrono::duration<double>(age).count());
--- /dev/null
+++ b/src/relay/stream_origins.cc
@@ -0,0 +1,146 @@
+#include "relay/stream_origins.h"
+
+#include "relay/rendezvous_hash.h"
+
+#include <algorithm>
+#include <map>
+#include <xxhash.h>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto maxOrigins = std::size_t { 100'000 }; // Some megabytes.
+
+    auto isOver(MonotonicTime recordedAt, MonotonicTime now) -> bool
+    {
+        return recordedAt + streamLifetime <= now;
+    }
+
+    auto discardOldest(StreamOrigins& origins) -> void
+    {
+        const auto [recordedAt, stream] = origins.m_oldestFirst.front();
+        origins.m_oldestFirst.pop_front();
+        origins.m_byKey.erase(stream);
+    }
+
+    auto addSoftware(std::vector<SoftwareId>& software, SoftwareId added) -> void
+    {
+        if (std::find(software.begin(), software.end(), added) == software.end())
+            software.push_back(added);
+    }
+
+    struct RankedPeer {
+        std::size_t m_ahead = 0; // Peers of its data centre that rank higher.
+        std::uint64_t m_rank = 0;
+        const Peer* m_peer = nullptr;
+    };
+
+    auto rankedPeers(const FleetView& fleet, StreamKey stream, MonotonicTime now) -> std::vector<RankedPeer>
+    {
+        auto peers = std::vector<RankedPeer>();
+        for (const auto& [vm, peer] : fleet.m_peers) {
+            if (isAlive(peer, now) && !peer.m_leaving)
+                peers.push_back({ 0, rendezvousRank(vm, stream), &peer });
+        }
+        std::sort(peers.begin(), peers.end(),
+            [](const auto& left, const auto& right) { return left.m_rank > right.m_rank; });
+        auto seen = std::map<DataCentreName, std::size_t>();
+        for (auto& ranked : peers)
+            ranked.m_ahead = seen[ranked.m_peer->m_dataCentre]++;
+        std::stable_sort(peers.begin(), peers.end(),
+            [](const auto& left, const auto& right) { return left.m_ahead < right.m_ahead; });
+        return peers;
+    }
+
+} // namespace
+
+auto softwareIdOf(const PoolName& pool, std::string_view version) -> SoftwareId
+{
+    const auto& name = pool.value();
+    const auto id
+        = XXH3_64bits_withSeed(version.data(), version.size(), XXH3_64bits(name.data(), name.size()));
+    return std::max<SoftwareId>(id, 1); // 0 stands for an unknown one in messages.
+}
+
+auto streamKeyOf(const OrganisationName& organisation, std::string_view attempt) -> StreamKey
+{
+    const auto& name = organisation.value();
+    return XXH3_64bits_withSeed(attempt.data(), attempt.size(), XXH3_64bits(name.data(), name.size()));
+}
+
+auto recordOrigin(StreamOrigins& origins, StreamKey stream, StreamOrigin origin) -> void
+{
+    const auto now = origin.m_recordedAt;
+    while (!origins.m_oldestFirst.empty()
+        && (isOver(origins.m_oldestFirst.front().first, now) || origins.m_byKey.size() >= maxOrigins))
+        discardOldest(origins);
+    if (origins.m_byKey.emplace(stream, origin).second)
+        origins.m_oldestFirst.emplace_back(now, stream);
+}
+
+auto findOrigin(const StreamOrigins& origins, StreamKey stream, MonotonicTime now)
+    -> std::optional<SoftwareId>
+{
+    const auto found = origins.m_byKey.find(stream);
+    if (found == origins.m_byKey.end() || isOver(found->second.m_recordedAt, now))
+        return std::nullopt;
+    return found->second.m_software;
+}
+
+auto localStreamsOf(const StreamOrigins& origins, SoftwareId software, MonotonicTime now)
+    -> std::vector<StreamKey>
+{
+    auto streams = std::vector<StreamKey>();
+    for (const auto& [stream, origin] : origins.m_byKey) {
+        if (origin.m_isLocal && origin.m_software == software && !isOver(origin.m_recordedAt, now))
+            streams.push_back(stream);
+    }
+    return streams;
+}
+
+auto softwareOf(const UpstreamTable& table, const PoolName& pool, MonotonicTime now)
+    -> std::vector<SoftwareId>
+{
+    auto software = std::vector<SoftwareId>();
+    for (const auto& [name, upstream] : table.m_upstreams) {
+        if (upstream->m_record.m_pool == pool)
+            addSoftware(software, upstream->m_record.m_software);
+    }
+    for (const auto& [name, upstream] : table.m_removedLately) {
+        if (upstream->m_record.m_pool == pool && !isOver(upstream->m_removedAt, now))
+            addSoftware(software, upstream->m_record.m_software);
+    }
+    return software;
+}
+
+auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others)
+    -> std::optional<SoftwareId>
+{
+    if (local.m_software)
+        return local.m_software;
+    auto candidates = local.m_candidates;
+    for (const auto& other : others) {
+        if (other.m_software)
+            return other.m_software;
+        for (const auto software : other.m_candidates)
+            addSoftware(candidates, software);
+    }
+    if (candidates.size() != 1)
+        return std::nullopt;
+    return candidates.front();
+}
+
+auto originKeepers(const FleetView& fleet, StreamKey stream, std::size_t count, MonotonicTime now)
+    -> std::vector<Address>
+{
+    auto keepers = std::vector<Address>();
+    for (const auto& ranked : rankedPeers(fleet, stream, now)) {
+        if (keepers.size() == count)
+            break;
+        keepers.push_back(ranked.m_peer->m_peerAddress);
+    }
+    return keepers;
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/taken_up_stream.cc
@@ -0,0 +1,54 @@
+#include "relay/taken_up_stream.h"
+
+#include "relay/upstream_choice.h"
+
+#include <algorithm>
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    auto isResumableStream(const CallState& state) -> bool
+    {
+        return state.m_route->m_kind == CallKind::Stream && mayRetry(*state.m_route);
+    }
+
+} // namespace
+
+auto isTakenUp(const CallState& state) -> bool
+{
+    return isResumableStream(state) && !state.m_request.m_lastEventId.empty();
+}
+
+auto streamKeyOf(const CallState& state) -> std::optional<StreamKey>
+{
+    if (!isResumableStream(state))
+        return std::nullopt;
+    const auto& attempt = isTakenUp(state) ? state.m_request.m_resumedId : state.m_request.m_id;
+    if (attempt.empty())
+        return std::nullopt;
+    return streamKeyOf(state.m_organisation, attempt);
+}
+
+auto poolNamesOf(const Route& route) -> std::vector<PoolName>
+{
+    auto names = std::vector<PoolName>();
+    for (const auto& pool : route.m_pools)
+        names.push_back(pool.m_pool);
+    return names;
+}
+
+auto poolOfSoftware(const UpstreamTable& table, const Route& route, SoftwareId software)
+    -> std::optional<PoolName>
+{
+    const auto pools = poolNamesOf(route);
+    for (const auto& [name, upstream] : table.m_upstreams) {
+        const auto& record = upstream->m_record;
+        if (record.m_software == software && acceptsNewRequests(table, *upstream)
+            && std::find(pools.begin(), pools.end(), record.m_pool) != pools.end())
+            return record.m_pool;
+    }
+    return std::nullopt;
+}
+
+} // namespace marigoldladder::relay
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -12,11 +12,18 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace marigoldladder::relay {
 
+// Identifies a version of the upstreams' software within its pool. Not of the weights or adapters that they
+// hold.
+using SoftwareId = std::uint64_t;
+
+auto softwareIdOf(const PoolName&, std::string_view version) -> SoftwareId;
+
 // What an upstream reports of itself.
 struct UpstreamRecord {
     UpstreamName m_name; // Usually of one run of the upstream; see `m_startedAt`.
@@ -26,6 +33,7 @@
     std::size_t m_slots = 0;
     bool m_leaving = false;
     Milliseconds m_coldLeft { 0 };
+    SoftwareId m_software = 0; // That this run executes.
     std::uint64_t m_startedAt = 0; // Unix milliseconds. Tells apart runs that share a name.
     std::vector<std::string> m_models;
     std::vector<ListedAdapter> m_adapters;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -298,7 +298,8 @@
     const auto now = Clock::now();
     if (now >= state.m_deadline)
         return UpstreamCallOutcome::NotReached;
-    if (state.m_callerDisconnected || !maySendTo(m_board.m_upstreams, upstream, now))
+    const auto fitsOrigin = !state.m_origin || *state.m_origin == upstream.m_record.m_software;
+    if (state.m_callerDisconnected || !fitsOrigin || !maySendTo(m_board.m_upstreams, upstream, now))
         return UpstreamCallOutcome::NotSent;
     return std::nullopt;
 }
@@ -342,6 +343,7 @@
     const auto sentAt = Clock::now();
     state.m_versions = { held, dispatch.m_adapterVersion, sentAt };
     state.m_lastHeardAt = sentAt;
+    state.m_software = upstream->m_record.m_software;
     auto silence = SilenceWatch(connection->m_stream, handling);
     connection->m_stream.expires_at(state.m_deadline);
     silence.begin(answerPause(*state.m_route));
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -76,6 +76,8 @@
     std::optional<Milliseconds> m_timeToFirstPart; // From arrival to the first part of a stream.
     bool m_answerBegan = false; // The upstream called last sent an event, or a whole answer.
     SentVersions m_versions; // Of the call made last.
+    SoftwareId m_software = 0; // Of the upstream called last.
+    std::optional<SoftwareId> m_origin; // The software that began the stream; empty: it hasn't begun.
     std::string m_lastEventId; // Of the last event sent to the caller by this node.
     std::optional<WholeAnswer> m_upstreamFailure; // Sent to the caller if no retry succeeds.
 };
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -75,6 +75,13 @@
         return { readyAt <= now, readyAt > now, readyAt };
     }
 
+    // Whether new requests of the pool, or this stream, may go to the upstream at all.
+    auto isEligible(const UpstreamTable& table, const Upstream& upstream, const UpstreamNeeds& needs) -> bool
+    {
+        return upstream.m_record.m_pool == needs.m_pool && acceptsNewRequests(table, upstream)
+            && (!needs.m_software || *needs.m_software == upstream.m_record.m_software);
+    }
+
     // Returns the version that requests must run on: the newest announced one, once an engine serves it or
     // the time for older versions has passed. Otherwise any version will do.
     auto wantedVersion(const UpstreamTable& table, const UpstreamNeeds& needs, MonotonicTime now)
@@ -84,8 +91,7 @@
         if (!newest)
             return std::nullopt;
         for (const auto& [name, upstream] : table.m_upstreams) {
-            if (upstream->m_record.m_pool == needs.m_pool && acceptsNewRequests(table, *upstream)
-                && adapterState(*upstream, needs, newest, now).m_ready)
+            if (isEligible(table, *upstream, needs) && adapterState(*upstream, needs, newest, now).m_ready)
                 return newest;
         }
         return lowestVersionToSend(table.m_versions, needs.m_adapter, now);
@@ -256,8 +262,7 @@
     const auto version = wantedVersion(table, needs, context.m_now);
     auto lowest = std::numeric_limits<double>::infinity();
     for (const auto& [name, upstream] : table.m_upstreams) {
-        if (upstream->m_record.m_pool != needs.m_pool || !acceptsNewRequests(table, *upstream)
-            || !isInAllowedRegions(*upstream, needs, context))
+        if (!isEligible(table, *upstream, needs) || !isInAllowedRegions(*upstream, needs, context))
             continue;
         const auto assessment = assess(*upstream, pool, needs, version, context);
         if (assessment.m_outcome != ChoiceOutcome::Chosen) {
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -3,6 +3,7 @@
 
 #include "relay/upstream.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
     PoolName m_pool;
     std::string m_model; // Empty: none.
     std::string m_adapter; // `model/adapter`; empty: none.
+    std::optional<SoftwareId> m_software; // That has begun the stream; empty: any may serve the request.
     double m_tokens = 0; // Of prompt and answer.
     std::vector<std::string> m_routeRegions; // Where the route may run; empty: anywhere.
     std::vector<std::string> m_organisationRegions; // Where the organisation's requests may run.
--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -33,7 +33,7 @@
     TEST(ObjectDecoderTest, RejectsAnEntryWithAMissingOrMistypedField)
     {
         for (const auto* field :
-            { "service", "address", "zone", "state", "slots", "cold_left_ms", "sequence" }) {
+            { "service", "address", "zone", "version", "state", "slots", "cold_left_ms", "sequence" }) {
             auto missing = entry();
             missing.erase(field);
             EXPECT_FALSE(decodeUpstream("i-1", missing))
@@ -45,6 +45,19 @@
         }
     }
 
+    TEST(ObjectDecoderTest, TellsVersionsOfTheSoftwareApartWithinAPool)
+    {
+        const auto softwareOf = [](const nlohmann::json& changes) {
+            auto json = entry();
+            json.update(changes);
+            return decodeUpstream("i-1", json).value().m_software;
+        };
+        EXPECT_EQ(softwareOf({ { "slots", 1 } }), softwareOf({ { "version", "v1" } }));
+        EXPECT_NE(softwareOf({ { "version", "v1" } }), softwareOf({ { "version", "v2" } }));
+        EXPECT_NE(softwareOf({ { "version", 1 } }), softwareOf({ { "version", 2 } }));
+        EXPECT_NE(softwareOf({ { "service", "x" } }), softwareOf({ { "service", "y" } }));
+    }
+
     TEST(ObjectDecoderTest, RejectsAnEntryWithAnInvalidValue)
     {
         auto state = entry();
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -196,12 +196,13 @@
 }
 
 auto RelayHarness::addUpstream(const std::string& name, const std::string& pool,
-    std::function<UpstreamReply(const UpstreamRequest&)> reply, nlohmann::json models) -> void
+    std::function<UpstreamReply(const UpstreamRequest&)> reply, nlohmann::json models,
+    const std::string& version) -> void
 {
     onLoop([&] {
         auto upstream = std::make_unique<FakeUpstream>(m_parts->m_context, std::move(reply));
         m_parts->m_entries[name] = { { "service", pool }, { "address", formatAddress(upstream->address()) },
-            { "zone", "here" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" },
+            { "zone", "here" }, { "version", version }, { "slots", 8 }, { "state", "ready" },
             { "cold_left_ms", 0 }, { "models", std::move(models) }, { "sequence", 0 } };
         m_parts->m_upstreams[name] = std::move(upstream);
     });
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -41,11 +41,11 @@
     // The same with any text as the object's content.
     auto putText(const std::string& kind, const std::string& name, std::string spec) -> void;
 
-    // Starts an upstream, writes its entry with `models` to the store and waits until the node has received
-    // it.
+    // Starts an upstream, writes its entry with `models` and the version of its software to the store and
+    // waits until the node has received it.
     auto addUpstream(const std::string& name, const std::string& pool,
-        std::function<UpstreamReply(const UpstreamRequest&)>, nlohmann::json models = nlohmann::json::array())
-        -> void;
+        std::function<UpstreamReply(const UpstreamRequest&)>, nlohmann::json models = nlohmann::json::array(),
+        const std::string& version = "v1") -> void;
 
     // Writes an upstream's entry to the store again, with these fields changed, and waits until the node has
     // received it.
