Refuse connections that the kernel makes to themselves

The kernel tries the ports of outgoing connections in turn. When it comes to the very port that is called and nobody listens there, the connection is one to itself: it counts as made to an upstream, a peer or the store, and what is sent over it comes back as the answer.

Ruled out: as a cause of ends by themselves, as nothing here ends a process. Not shown: a request of a caller that was lost by it in the soak.

--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -35,6 +35,13 @@
         return wouldWait ? Arrival::Nothing : Arrival::End;
     }
 
+    // Whether the kernel chose the port that is called as the connection's own, as nobody listens there.
+    auto isToItself(const net::ip::tcp::socket& socket, ErrorCode& error) -> bool
+    {
+        const auto local = socket.local_endpoint(error);
+        return !error && local == socket.remote_endpoint(error);
+    }
+
     auto waitAndCall(std::chrono::milliseconds time, std::function<void()> function) -> Awaitable<void>
     {
         co_await sleepFor(time);
@@ -103,6 +110,11 @@
         co_return;
     stream.expires_after(timeout);
     co_await stream.async_connect(*endpoint, errorTo(error));
+    if (!error && isToItself(stream.socket(), error)) {
+        stream.socket().set_option(net::socket_base::linger(true, 0), error); // The port is free at once.
+        stream.close();
+        error = net::error::make_error_code(net::error::connection_refused);
+    }
     if (error)
         co_return;
     stream.socket().set_option(net::ip::tcp::no_delay(true), error);
--- a/test/relay/tcp_test.cc
+++ b/test/relay/tcp_test.cc
@@ -56,5 +56,41 @@
         EXPECT_TRUE(openListener(listener, m_local));
     }
 
+    // Returns the first of so many connects that succeeds although nobody listens, or 0.
+    auto firstThatSucceeds(tcp_stream& stream, const Address& unused, int connects) -> Awaitable<int>
+    {
+        for (auto number = 1; number <= connects; ++number) {
+            auto error = ErrorCode();
+            co_await connectTo(stream, unused, connectTime, error);
+            if (!error)
+                co_return number;
+            stream.close();
+        }
+        co_return 0;
+    }
+
+    // Issue 43: the kernel takes the ports of outgoing connections in turn. When it came to the port that was
+    // called, the connection was one to itself, and the request sent over it came back as its answer.
+    TEST(ConnectTest, RefusesAPortWithoutAListenerAlsoWhenItsOwnPortIsTheSame)
+    {
+        constexpr auto connects = 60'000; // More than twice as many as there are ports to connect from.
+        const auto host = net::ip::make_address("127.0.0.1"); // The source of all loopback connections.
+        auto context = net::io_context(1);
+        auto server = net::ip::tcp::acceptor(context, { host, 0 });
+        auto probe = net::ip::tcp::socket(context);
+        probe.connect(server.local_endpoint()); // Its port is one that the kernel gives out.
+        const auto unused = Address { host.to_string(), probe.local_endpoint().port() };
+        auto accepted = server.accept();
+        accepted.close(); // So that the port is held at the server's side only.
+        probe.close();
+        server.close();
+        auto stream = tcp_stream(context.get_executor());
+        auto first = -1;
+        net::co_spawn(context, firstThatSucceeds(stream, unused, connects),
+            [&](const std::exception_ptr&, int number) { first = number; });
+        context.run();
+        EXPECT_EQ(first, 0) << "the port is " << unused.m_port;
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
