Test listeners on a port that no other connection has

OutgoingConnectionTest failed in 7 of 20 runs beside the soak, with 27,000 closed connections of other processes on the machine, and passed with few. The kernel gives a port to several connections as long as they go to different servers, so the port of the test's connection was also that of a closed connection of a process that doesn't allow the reuse of addresses, and that one kept the listener from it. The test is about the relay's own connection.

The test now connects until its port is no other connection's. What remains is true of real machines: other programs' closed connections keep a port from a listener for up to a minute, for which a start waits.

--- a/test/relay/tcp_test.cc
+++ b/test/relay/tcp_test.cc
@@ -6,25 +6,57 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <sstream>
 
 namespace marigoldladder::relay {
 namespace {
 
     constexpr auto connectTime = Milliseconds(2'000);
 
-    // A connection of this process to a server of its own.
+    // Whether connections besides one have a port, such as closed ones of other processes: the kernel gives a
+    // port to several connections as long as they go to different servers.
+    auto hasOtherConnections(int port) -> bool
+    {
+        auto table = std::ifstream("/proc/net/tcp");
+        auto count = 0;
+        for (auto line = std::string(); std::getline(table, line);) {
+            auto fields = std::istringstream(line);
+            auto number = std::string();
+            auto local = std::string();
+            fields >> number >> local;
+            const auto colon = local.find(':');
+            if (colon != std::string::npos && std::stoi(local.substr(colon + 1), nullptr, 16) == port)
+                ++count;
+        }
+        return count > 1;
+    }
+
+    // A connection of this process to a server of its own, from a port that no other connection has.
     class OutgoingConnectionTest : public testing::Test {
     protected:
         OutgoingConnectionTest()
             : m_server(m_context, { net::ip::make_address(loopbackHost(9)), 0 })
             , m_stream(m_context.get_executor())
+        {
+            constexpr auto attempts = 1'000;
+            connect();
+            for (auto attempt = 1; attempt < attempts && hasOtherConnections(m_local.m_port); ++attempt) {
+                m_stream.close();
+                connect();
+            }
+            EXPECT_FALSE(hasOtherConnections(m_local.m_port)) << "the port is " << m_local.m_port;
+        }
+
+        auto connect() -> void
         {
             const auto endpoint = m_server.local_endpoint();
             const auto server = Address { endpoint.address().to_string(), endpoint.port() };
             auto error = ErrorCode();
             auto connect
                 = [&]() -> Awaitable<void> { co_await connectTo(m_stream, server, connectTime, error); };
+            m_context.restart();
             net::co_spawn(m_context, connect(), net::detached);
             m_context.run_for(connectTime); // The kernel accepts it.
             m_accepted = std::make_unique<net::ip::tcp::socket>(m_server.accept());
