Let only an answer that ran in one run clear suspects

Cause: the end of the resumed run cleared the suspects during answers. An end says something of the run that ended, from the event at which it began, and nothing of the part before, where the crash was. The class: a sign of one run clears the evidence of another.

Change: the end of a run that resumed the answer, for this node or by its caller's Last-Event-Id, clears no suspect during answers, and so isn't reported to other nodes either. A run that began the answer and ended it clears them as before, also in a trial.

Ruled out: crashes that aren't recognised (each was, with the request named), and the test against chance (a stream whose resumed runs crash too is convicted after 3 or 4 crashes, CrashingStreamTest).

Conclusion: such a stream is recognised within the bound (three retries after the third crash), whatever its resumed runs do.

--- a/src/relay/crash_evidence.h
+++ b/src/relay/crash_evidence.h
@@ -2,10 +2,10 @@
 //
 // A crash counts against every suspect whose request was at the upstream. What crashes upstreams before they
 // answer and what crashes them while they answer are different suspects: an answer that begins clears the
-// former ones of its request, and only an answer that ends clears the latter. A suspect with enough crashes
-// at different upstreams and no such answer since is convicted: its requests are refused, but for a trial
-// from time to time. Once a prompt part is convicted, its crashes no longer count against the other suspects
-// of the same requests.
+// former ones of its request, and only an answer that ends in the run that began it clears the latter: the
+// end of a resumed run says nothing of the part before. A suspect with enough crashes at different upstreams
+// and no such answer since is convicted: its requests are refused, but for a trial from time to time. Once a
+// prompt part is convicted, its crashes no longer count against the other suspects of the same requests.
 //
 // Long answers meet crashes that have another cause, so a suspect during answers is convicted only if it met
 // more of them than by chance: upstreams that crash together are one event, which an answer meets by chance
@@ -71,7 +71,7 @@
     ReportSource m_source = ReportSource::Self;
 };
 
-// An answer to a request with a suspect, begun, or ended for one during answers, after crashes.
+// An answer to a request with a suspect, begun, or ended in one run for one during answers, after crashes.
 struct AnswerNotice {
     Suspect m_suspect;
     MonotonicTime m_begunAt {};
@@ -123,8 +123,8 @@
 // Records a crash. One that is known, or is older than an answer to such a request, changes nothing.
 auto recordCrash(CrashEvidence&, const CrashNotice&, MonotonicTime now) -> void;
 
-// Records that an answer to a request of this node with these suspects began, or ended for suspects during
-// answers. Returns whether that cleared any of them.
+// Records that an answer to a request of this node with these suspects began, or for suspects during answers
+// ran from its beginning to its end. Returns whether that cleared any of them.
 auto recordAnswer(CrashEvidence&, const std::vector<Suspect>&, MonotonicTime now) -> bool;
 
 // Apply what another node reports.
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -101,6 +101,11 @@
     return suspects;
 }
 
+auto resumesAnswer(const CallState& state) -> bool
+{
+    return !state.m_lastEventId.empty() || !state.m_request.m_lastEventId.empty();
+}
+
 CrashWatch::CrashWatch(Executor executor, const RelaySettings& settings, RelayBoard& board)
     : m_executor(std::move(executor))
     , m_settings(settings)
--- a/src/relay/crash_watch.h
+++ b/src/relay/crash_watch.h
@@ -10,6 +10,9 @@
 // itself. The organisation has to be known.
 auto suspectsOf(const CallState&) -> std::vector<Suspect>;
 
+// Whether the next run of the request begins inside its answer: after an event that its caller has.
+auto resumesAnswer(const CallState&) -> bool;
+
 // A request that was broken off by an upstream.
 struct BrokenRequest {
     std::vector<Suspect> m_suspects;
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -1,5 +1,6 @@
 #include "relay/stream_forwarding.h"
 
+#include "relay/crash_watch.h"
 #include "relay/event_text.h"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -76,6 +77,7 @@
     }
     auto parser = http::response_parser<http::buffer_body>(std::move(head));
     parser.body_limit(boost::none);
+    const auto isResumed = resumesAnswer(state); // What is left then says nothing of the part before.
     const auto isFramed = !parser.need_eof(); // By a length or chunks; else it ends with its connection.
     auto part = std::string(readBufferBytes, '\0');
     auto pending = std::string();
@@ -108,7 +110,8 @@
         // Without framing, an end before the first event or inside an event shows that the stream broke.
         const auto broke = error || (atEnd && !isFramed && (!pending.empty() || !state.m_answerBegan));
         if (atEnd && !broke) {
-            recordAnswerEnded(state, board);
+            if (!isResumed)
+                recordAnswerEnded(state, board);
             const auto ended = co_await answer.endStream();
             const auto outcome = ended == SendOutcome::Sent ? UpstreamCallOutcome::Delivered
                                                             : UpstreamCallOutcome::CallerDisconnected;
--- a/src/relay/stream_forwarding.h
+++ b/src/relay/stream_forwarding.h
@@ -19,7 +19,7 @@
 // Records that the upstream has begun to answer the request.
 auto recordAnswerBegan(CallState&, RelayBoard&) -> void;
 
-// Records that the upstream has answered the request to the end.
+// Records that the upstream has answered the request from the beginning to the end.
 auto recordAnswerEnded(const CallState&, RelayBoard&) -> void;
 
 // Forwards whole events only, so that another upstream can resume the stream after the last one sent. Watches
