Name the relay's tasks and let none end silently

The relay's loops were started with net::detached, which drops an exception: the loop ended without a line, while the node went on and counted as ready. An accept loop that ended left connections that the kernel accepts and nobody reads.

Cause: tasks whose end nobody waits for. All are started by one module now: runLoop begins a task again, at most every 0.1 s, until it returns; runTask and runAfter are for what ends by itself. Each exception gives a line task_failed (in place of session_failed) and counts in internal_failures_total. What outlived an exception is mended too: an engine's m_sending (it got no order any more), the flags of permits, the time of the lease loop's start, changes in the cache that were never applied after a reader that threw, a socket closed under its loop. An exception at the start of a node ends it with 1.

Ruled out: catching at each place that may throw, as the next one would be forgotten; ending the process, as one bad datagram would then end every node that it reaches. Readers of objects are wrapped nonetheless: without it a listing with such an object would be merged again and again and never be applied.

Conclusion: an exception costs what it interrupts, no more.

--- a/src/relay/allowance_exchange.cc
+++ b/src/relay/allowance_exchange.cc
@@ -4,8 +4,6 @@
 #include "relay/peer_message.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cmath>
 
 namespace marigoldladder::relay {
@@ -47,7 +45,7 @@
 auto AllowanceExchange::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    net::co_spawn(m_executor, updatePeriodically(), net::detached);
+    runLoop(m_executor, "allowances", m_board.m_metrics, [this] { return updatePeriodically(); });
 }
 
 auto AllowanceExchange::updatePeriodically() -> Awaitable<void>
--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -142,10 +142,10 @@
 {
 }
 
-auto CacheExchange::listen(const Address& address) -> bool
+auto CacheExchange::listen(const Address& address, Metrics& metrics) -> bool
 {
-    return serveConnections(
-        m_acceptor, address, [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
+    return serveConnections(m_acceptor, address, metrics,
+        [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
 }
 
 auto CacheExchange::serve(net::ip::tcp::socket socket) -> Awaitable<void>
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -3,6 +3,7 @@
 // A message is a four-byte little-endian length followed by a FlatBuffers table.
 #pragma once
 
+#include "core/metrics.h"
 #include "relay/object_cache.h"
 #include "relay/tcp.h"
 
@@ -20,7 +21,7 @@
     CacheExchange(Executor, ObjectCache&);
 
     // Serves peers at the address. Returns false if the port can't be opened, which is logged.
-    auto listen(const Address&) -> bool;
+    auto listen(const Address&, Metrics&) -> bool;
 
     // Returns the changes after a revision that a peer has; nothing if it doesn't answer in time.
     auto fetch(Address peer, ObjectKind, StoreRevision after) -> Awaitable<std::optional<CacheChanges>>;
--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -4,8 +4,6 @@
 #include "relay/listener.h"
 #include "relay/read_timeout.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -65,28 +63,6 @@
         return fields.count(http::field::content_length) > 0 || !beast::iequals(encoding->value(), "chunked");
     }
 
-    auto describe(const std::exception_ptr& exception) -> std::string
-    {
-        try {
-            std::rethrow_exception(exception);
-        } catch (const std::exception& error) {
-            return error.what();
-        } catch (...) {
-            return "unknown exception";
-        }
-    }
-
-    // Returns a handler that logs and counts a session that ended by an exception.
-    auto recordSessionEnd(RelayBoard& board)
-    {
-        return [&board](const std::exception_ptr& exception) {
-            if (!exception)
-                return;
-            board.m_metrics.add(Counter::InternalFailures);
-            logWarning("session_failed", { { "fault", describe(exception) } });
-        };
-    }
-
 } // namespace
 
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
@@ -290,6 +266,15 @@
     bool m_idle = false;
 };
 
+namespace {
+
+    auto runSession(std::shared_ptr<CallerSession> session) -> Awaitable<void>
+    {
+        co_await session->run();
+    }
+
+} // namespace
+
 CallerServer::CallerServer(Executor executor, RelayBoard& board, RequestRunner& runner, WaitList& waitList)
     : m_executor(std::move(executor))
     , m_board(board)
@@ -308,10 +293,10 @@
     auto startSession = [this](net::ip::tcp::socket socket) {
         auto session
             = std::make_shared<CallerSession>(std::move(socket), *this, m_board, m_runner, m_waitList);
-        net::co_spawn(
-            m_executor, [session]() -> Awaitable<void> { return session->run(); }, recordSessionEnd(m_board));
+        runTask(m_executor, "session", m_board.m_metrics, runSession(std::move(session)));
     };
-    net::co_spawn(m_executor, acceptConnections(m_acceptor, std::move(startSession)), net::detached);
+    runLoop(m_executor, "accept " + formatAddress(address), m_board.m_metrics,
+        [this, startSession] { return acceptConnections(m_acceptor, startSession); });
     return true;
 }
 
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -3,11 +3,10 @@
 #include "core/log.h"
 #include "relay/blackboard_updates.h"
 #include "relay/rendezvous_hash.h"
+#include "relay/task.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <xxhash.h>
 
@@ -118,7 +117,7 @@
     auto& broken = m_broken[upstream.get()];
     if (++broken.m_requests == 1) {
         broken.m_firstAt = Clock::now();
-        net::co_spawn(m_executor, check(upstream), net::detached);
+        runTask(m_executor, "crash_check", m_board.m_metrics, check(upstream));
     }
     auto suspects = state.m_answerBegan ? suspectsDuringAnswer(state.m_suspects) : state.m_suspects;
     broken.m_cut.push_back({ std::move(suspects), state.m_answerBegan, state.m_versions.m_sentAt });
--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -9,8 +9,6 @@
 #include "relay/upstream_health.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace marigoldladder::relay {
 
@@ -55,7 +53,7 @@
 auto DigestExchange::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    net::co_spawn(m_executor, sendPeriodically(), net::detached);
+    runLoop(m_executor, "digests", m_board.m_metrics, [this] { return sendPeriodically(); });
 }
 
 auto DigestExchange::sendPeriodically() -> Awaitable<void>
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -2,9 +2,6 @@
 
 #include "core/log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace marigoldladder::relay {
 
 namespace {
@@ -42,11 +39,16 @@
 auto acceptConnections(net::ip::tcp::acceptor& acceptor, std::function<void(net::ip::tcp::socket)> serve)
     -> Awaitable<void>
 {
+    auto ignored = ErrorCode();
+    const auto endpoint = acceptor.local_endpoint(ignored);
+    const auto address = formatAddress({ endpoint.address().to_string(), endpoint.port() });
     for (;;) {
         auto error = ErrorCode();
         auto socket = co_await acceptor.async_accept(errorTo(error));
-        if (error == net::error::operation_aborted)
+        if (error == net::error::operation_aborted || !acceptor.is_open()) {
+            logWarning("accept_ended", { { "address", address }, { "reason", error.message() } });
             co_return;
+        }
         if (!error) {
             serve(std::move(socket));
             continue;
@@ -56,16 +58,17 @@
     }
 }
 
-auto serveConnections(net::ip::tcp::acceptor& acceptor, const Address& address,
+auto serveConnections(net::ip::tcp::acceptor& acceptor, const Address& address, Metrics& metrics,
     std::function<Awaitable<void>(net::ip::tcp::socket)> serve) -> bool
 {
     if (!openListener(acceptor, address))
         return false;
     const auto executor = acceptor.get_executor();
-    auto startServing = [executor, serve = std::move(serve)](net::ip::tcp::socket socket) {
-        net::co_spawn(executor, serve(std::move(socket)), net::detached);
+    auto startServing = [executor, &metrics, serve = std::move(serve)](net::ip::tcp::socket socket) {
+        runTask(executor, "connection", metrics, serve(std::move(socket)));
     };
-    net::co_spawn(executor, acceptConnections(acceptor, std::move(startServing)), net::detached);
+    runLoop(executor, "accept " + formatAddress(address), metrics,
+        [&acceptor, startServing] { return acceptConnections(acceptor, startServing); });
     return true;
 }
 
--- a/src/relay/listener.h
+++ b/src/relay/listener.h
@@ -1,7 +1,7 @@
 // Opens a listening socket and accepts connections.
 #pragma once
 
-#include "relay/tcp.h"
+#include "relay/task.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -18,7 +18,7 @@
 
 // Opens the acceptor at the address and runs `serve` for each accepted connection until the acceptor is
 // closed. Returns false if it can't be opened, and logs the reason.
-auto serveConnections(net::ip::tcp::acceptor&, const Address&,
+auto serveConnections(net::ip::tcp::acceptor&, const Address&, Metrics&,
     std::function<Awaitable<void>(net::ip::tcp::socket)> serve) -> bool;
 
 } // namespace marigoldladder::relay
--- a/src/relay/object_schema.cc
+++ b/src/relay/object_schema.cc
@@ -1,5 +1,7 @@
 #include "relay/object_schema.h"
 
+#include "relay/task.h"
+
 #include <utility>
 
 namespace marigoldladder::relay {
@@ -35,8 +37,32 @@
             < std::pair(knownRecord->m_startedAt, knownRecord->m_leaving);
     }
 
+    template <typename Object, typename... Arguments>
+    auto withRecordedException(std::function<std::optional<Object>(Arguments...)> read, Metrics& metrics)
+        -> std::function<std::optional<Object>(Arguments...)>
+    {
+        return [read = std::move(read), &metrics](Arguments... arguments) -> std::optional<Object> {
+            try {
+                return read(arguments...);
+            } catch (...) {
+                recordFailure("read_object", metrics, std::current_exception());
+                return std::nullopt;
+            }
+        };
+    }
+
 } // namespace
 
+auto withRecordedExceptions(const ObjectSchema& schema, Metrics& metrics) -> ObjectSchema
+{
+    auto guarded = schema;
+    guarded.m_readConfiguration = withRecordedException(schema.m_readConfiguration, metrics);
+    guarded.m_readConfigurationVersion = withRecordedException(schema.m_readConfigurationVersion, metrics);
+    guarded.m_readUpstream = withRecordedException(schema.m_readUpstream, metrics);
+    guarded.m_readVersion = withRecordedException(schema.m_readVersion, metrics);
+    return guarded;
+}
+
 auto kindName(const ObjectSchema& schema, ObjectKind kind) -> const std::string&
 {
     switch (kind) {
--- a/src/relay/object_schema.h
+++ b/src/relay/object_schema.h
@@ -1,6 +1,7 @@
 // The store's kinds of objects: their names, and what their contents say.
 #pragma once
 
+#include "core/metrics.h"
 #include "relay/object_cache.h"
 #include "relay/upstream.h"
 
@@ -31,4 +32,8 @@
 // Returns how objects of a kind change. The schema must outlive the rules.
 auto rulesOf(const ObjectSchema&, ObjectKind) -> KindRules;
 
+// Returns the same schema, in which an object that makes its reader throw counts as one that can't be read.
+// The exception is recorded.
+auto withRecordedExceptions(const ObjectSchema&, Metrics&) -> ObjectSchema;
+
 } // namespace marigoldladder::relay
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -7,8 +7,6 @@
 #include "relay/upstream_notices.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace marigoldladder::relay {
@@ -52,8 +50,9 @@
 auto OrderController::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    net::co_spawn(m_executor, runLeaseLoop(), net::detached);
-    net::co_spawn(m_executor, runPlanLoop(), net::detached);
+    m_startedAt = bootClockNow();
+    runLoop(m_executor, "order_lease", m_board.m_metrics, [this] { return runLeaseLoop(); });
+    runLoop(m_executor, "order_plans", m_board.m_metrics, [this] { return runPlanLoop(); });
 }
 
 auto OrderController::planSoon() -> void
@@ -61,7 +60,7 @@
     if (m_planPending || !m_lease.m_holding)
         return;
     m_planPending = true;
-    runAfter(m_executor, m_planPause, [this] {
+    runAfter(m_executor, "order_plan", m_board.m_metrics, m_planPause, [this] {
         m_planPending = false;
         plan();
     });
@@ -108,7 +107,7 @@
     logPlan(planned, now);
     for (const auto& order : planned.m_orders) {
         enqueueOrder(ordersOf(m_orderTracker, *order.m_upstream), order, now, expectedEnd(order, now));
-        net::co_spawn(m_executor, sendQueued(order.m_upstream), net::detached);
+        runTask(m_executor, "engine_orders", m_board.m_metrics, sendQueued(order.m_upstream));
     }
 }
 
@@ -123,7 +122,7 @@
         if (orders.m_reportRequestedAt != MonotonicTime() && orders.m_reportRequestedAt + pause > now)
             continue;
         orders.m_reportRequestedAt = now;
-        net::co_spawn(m_executor, fetchReport(upstream), net::detached);
+        runTask(m_executor, "engine_report", m_board.m_metrics, fetchReport(upstream));
     }
 }
 
@@ -208,9 +207,16 @@
     const auto sender = OrderSender { m_settings.m_vm, m_board.m_orders.m_fence };
     const auto maySend
         = [this, fence = sender.m_fence] { return mayOrderNow() && m_board.m_orders.m_fence == fence; };
-    const auto [answer, notices] = co_await m_engines.m_order(order, sender, maySend);
+    auto answered = EngineOrderAnswer();
+    try {
+        answered = co_await m_engines.m_order(order, sender, maySend);
+    } catch (...) {
+        // The engine may have received the order, and waits for the next one.
+        recordFailure("engine_order", m_board.m_metrics, std::current_exception());
+    }
+    const auto answer = answered.m_answer;
     const auto now = Clock::now();
-    applyNotices(m_board, *order.m_upstream, notices, now);
+    applyNotices(m_board, *order.m_upstream, answered.m_notices, now);
     m_board.m_metrics.add(Counter::EngineOrders);
     logOrder(order, sender, answer);
     const auto found = m_orderTracker.find(order.m_upstream->m_record.m_name);
--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -49,7 +49,7 @@
     const EngineCalls& m_engines;
     PeerExchange& m_peers;
     std::function<bool()> m_isReady;
-    BootClockTime m_startedAt {}; // When the lease loop started.
+    BootClockTime m_startedAt {}; // When the lease loop was first started.
     LeaseState m_lease;
     EngineOrderTracker m_orderTracker;
     bool m_planPending = false;
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -45,7 +45,6 @@
 
 auto OrderController::runLeaseLoop() -> Awaitable<void>
 {
-    m_startedAt = bootClockNow();
     for (;;) {
         co_await sleepFor(leaseStepInterval);
         const auto& holder = m_board.m_fleet.m_holder;
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -8,8 +8,6 @@
 #include "relay/request_limit_report.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace marigoldladder::relay {
@@ -50,8 +48,8 @@
 auto PeerExchange::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    net::co_spawn(m_executor, sendPeriodically(), net::detached);
-    net::co_spawn(m_executor, joinFleet(), net::detached);
+    runLoop(m_executor, "summaries", m_board.m_metrics, [this] { return sendPeriodically(); });
+    runLoop(m_executor, "members", m_board.m_metrics, [this] { return joinFleet(); });
 }
 
 auto PeerExchange::interval() const -> Milliseconds
@@ -147,7 +145,7 @@
     if (m_sendPending)
         return;
     m_sendPending = true;
-    runAfter(m_executor, batchDelay, [this] {
+    runAfter(m_executor, "summary", m_board.m_metrics, batchDelay, [this] {
         m_sendPending = false;
         sendToAll();
     });
@@ -220,7 +218,7 @@
 
 auto PeerExchange::registerAgain() -> void
 {
-    net::co_spawn(m_executor, registerAfterRestore(), net::detached);
+    runLoop(m_executor, "register_again", m_board.m_metrics, [this] { return registerAfterRestore(); });
 }
 
 // All nodes notice a restore at about the same time, so each waits for a random time.
--- a/src/relay/peer_socket.cc
+++ b/src/relay/peer_socket.cc
@@ -3,13 +3,12 @@
 #include "core/log.h"
 #include "relay/generated/peer_messages_generated.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace marigoldladder::relay {
 
 namespace {
 
+    constexpr auto receiveRetryDelay = std::chrono::milliseconds(50);
+
     auto udpEndpointOf(const Address& address, ErrorCode& error) -> net::ip::udp::endpoint
     {
         const auto ip = net::ip::make_address(address.m_host, error);
@@ -24,7 +23,7 @@
 {
 }
 
-auto PeerSocket::open(const Address& address, Handler handler) -> bool
+auto PeerSocket::open(const Address& address, Metrics& metrics, Handler handler) -> bool
 {
     m_handler = std::move(handler);
     auto error = ErrorCode();
@@ -42,7 +41,7 @@
             "peer_port_failed", { { "address", formatAddress(address) }, { "reason", error.message() } });
         return false;
     }
-    net::co_spawn(m_executor, receive(), net::detached);
+    runLoop(m_executor, "datagrams", metrics, [this] { return receive(); });
     return true;
 }
 
@@ -63,10 +62,15 @@
         auto from = net::ip::udp::endpoint();
         const auto length
             = co_await m_socket.async_receive_from(net::buffer(m_received), from, errorTo(error));
-        if (error == net::error::operation_aborted)
+        if (error == net::error::operation_aborted || !m_socket.is_open()) {
+            logWarning("receive_ended", { { "reason", error.message() } });
             co_return;
-        if (error)
+        }
+        if (error) {
+            logWarning("receive_failed", { { "reason", error.message() } });
+            co_await sleepFor(receiveRetryDelay);
             continue;
+        }
         const auto* data = reinterpret_cast<const std::uint8_t*>(m_received.data());
         auto verifier = flatbuffers::Verifier(data, length);
         if (messages::VerifyDatagramBuffer(verifier))
--- a/src/relay/peer_socket.h
+++ b/src/relay/peer_socket.h
@@ -1,7 +1,7 @@
 // Sends and receives the datagrams between nodes. Any datagram may be lost; malformed ones are discarded.
 #pragma once
 
-#include "relay/tcp.h"
+#include "relay/task.h"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -25,7 +25,7 @@
 
     // Binds the address and starts to receive datagrams. Returns false, and logs the error, when it can't
     // bind; it may be tried again then.
-    auto open(const Address&, Handler) -> bool;
+    auto open(const Address&, Metrics&, Handler) -> bool;
 
     auto send(const Address&, const std::string& datagram) -> void;
 
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -6,7 +6,6 @@
 #include "relay/taken_up_stream.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <csignal>
 
 namespace marigoldladder::relay {
@@ -25,7 +24,7 @@
     // the kernel keeps a closed one for 60 s.
     constexpr auto portWaitTime = Milliseconds(90'000);
     constexpr auto portRetryInterval = Milliseconds(250);
-    constexpr auto portFailureCode = 1;
+    constexpr auto startFailureCode = 1;
 
     // Callers cache addresses and keep connections open, so a stopping node goes on serving for this long
     // before it closes idle connections.
@@ -83,10 +82,11 @@
     };
     m_board.m_versionAnnounced = [this](const std::string& adapter, MonotonicTime requiredFrom) {
         const auto wait = std::chrono::ceil<Milliseconds>(requiredFrom - Clock::now());
-        runAfter(m_context.get_executor(), std::max(wait, Milliseconds(0)), [this, adapter] {
-            takeBackOutdated(
-                m_board.m_callsInProgress, m_board.m_upstreams.m_versions, adapter, Clock::now());
-        });
+        runAfter(m_context.get_executor(), "outdated_calls", m_board.m_metrics,
+            std::max(wait, Milliseconds(0)), [this, adapter] {
+                takeBackOutdated(
+                    m_board.m_callsInProgress, m_board.m_upstreams.m_versions, adapter, Clock::now());
+            });
     };
     m_board.m_streamBegan = [this](const CallState& state) {
         if (const auto stream = streamKeyOf(state))
@@ -116,7 +116,13 @@
 auto RelayNode::run() -> int
 {
     awaitSignals();
-    net::co_spawn(m_context, start(), net::detached);
+    net::co_spawn(m_context, start(), [this](const std::exception_ptr& exception) {
+        if (!exception)
+            return;
+        recordFailure("start", m_board.m_metrics, exception);
+        m_exitCode = startFailureCode;
+        m_context.stop();
+    });
     m_context.run();
     logChange("stopped");
     return m_exitCode;
@@ -127,11 +133,12 @@
     const auto opened = co_await openPorts();
     if (!opened) {
         logWarning("start_failed", { { "reason", "a port was held for too long" } });
-        m_exitCode = portFailureCode;
+        m_exitCode = startFailureCode;
         m_context.stop();
         co_return;
     }
     logChange("started", { { "vm", m_settings.m_vm.value() } });
+    const auto executor = m_context.get_executor();
     const auto ready = [this] { return isReady(); };
     m_peers.start(ready);
     m_digests.start(ready);
@@ -139,8 +146,8 @@
     m_requestLimits.start(ready);
     m_origins.start();
     m_orders.start(ready);
-    net::co_spawn(m_context, openMetricsPort(), net::detached);
-    net::co_spawn(m_context, closeExpiredConnections(), net::detached);
+    runLoop(executor, "open_metrics_port", m_board.m_metrics, [this] { return openMetricsPort(); });
+    runLoop(executor, "expired_connections", m_board.m_metrics, [this] { return closeExpiredConnections(); });
 }
 
 auto RelayNode::openWithin(Milliseconds time, std::function<bool()> open) -> Awaitable<bool>
@@ -160,9 +167,9 @@
                             const Address& from) { handleDatagram(datagram, bytes, from); };
     const auto opens = std::vector<std::function<bool()>> {
         [this] { return m_callerServer.listen(m_settings.m_callerAddress); },
-        [this] { return m_readiness.listen(m_settings.m_readinessAddress); },
-        [this] { return m_directory.listen(m_settings.m_directoryAddress); },
-        [this, handle] { return m_peerSocket.open(m_settings.m_peerAddress, handle); },
+        [this] { return m_readiness.listen(m_settings.m_readinessAddress, m_board.m_metrics); },
+        [this] { return m_directory.listen(m_settings.m_directoryAddress, m_board.m_metrics); },
+        [this, handle] { return m_peerSocket.open(m_settings.m_peerAddress, m_board.m_metrics, handle); },
         [this] { return m_storeSync.start(); },
     };
     for (const auto& open : opens) {
@@ -176,7 +183,8 @@
 // A node without metrics still serves, so it doesn't end for want of their port.
 auto RelayNode::openMetricsPort() -> Awaitable<void>
 {
-    (void)co_await openWithin(portWaitTime, [this] { return m_metrics.listen(m_settings.m_metricsAddress); });
+    (void)co_await openWithin(
+        portWaitTime, [this] { return m_metrics.listen(m_settings.m_metricsAddress, m_board.m_metrics); });
 }
 
 auto RelayNode::handleDatagram(
@@ -240,7 +248,7 @@
             awaitSignals();
             return;
         }
-        net::co_spawn(m_context, stopWhenIdle(), net::detached);
+        runLoop(m_context.get_executor(), "stop", m_board.m_metrics, [this] { return stopWhenIdle(); });
     });
 }
 
--- a/src/relay/request_limit_exchange.cc
+++ b/src/relay/request_limit_exchange.cc
@@ -4,8 +4,6 @@
 #include "relay/peer_message.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cmath>
 
 namespace marigoldladder::relay {
@@ -44,7 +42,7 @@
 auto RequestLimitExchange::start(std::function<bool()> isReady) -> void
 {
     m_isReady = std::move(isReady);
-    net::co_spawn(m_executor, updatePeriodically(), net::detached);
+    runLoop(m_executor, "request_limits", m_board.m_metrics, [this] { return updatePeriodically(); });
 }
 
 auto RequestLimitExchange::updatePeriodically() -> Awaitable<void>
@@ -86,17 +84,16 @@
     auto& state = upstream->m_requestLimit;
     if (!isLimited(state))
         co_return true;
-    state.m_isAsking = true;
     const auto shards = limitShardCount(*state.m_limit.m_requestsPerSecond);
     const auto first = m_random() % shards;
     auto isGranted = false;
     auto retryAfter = maxRetryAfter;
     for (auto index = std::size_t { 0 }; index < shards && !isGranted; ++index) {
+        const auto asking = RaisedFlag(state.m_isAsking);
         const auto permit = co_await ask(*upstream, (first + index) % shards);
         isGranted = permit.m_isGranted;
         retryAfter = std::min(retryAfter, permit.m_retryAfter);
     }
-    state.m_isAsking = false;
     if (!isGranted)
         state.m_closedUntil = Clock::now() + std::max(retryAfter, minRetryAfter);
     // Requests that waited for this one's answer can ask now.
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -3,8 +3,6 @@
 #include "relay/request_runner.h"
 #include "relay/upstream_health.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 namespace marigoldladder::relay {
@@ -78,8 +76,8 @@
         return nullptr;
     auto move = std::make_shared<PreparedMove>(PreparedMove { std::move(slot) });
     if (isLimited(move->m_slot.upstream()->m_requestLimit)) {
-        move->m_asksForPermit = true;
-        net::co_spawn(m_executor, acquirePermit(move), net::detached);
+        move->m_asksForPermit = true; // Until the task, which begins later, has ended.
+        runTask(m_executor, "permit", m_board.m_metrics, acquirePermit(move));
     }
     return move;
 }
@@ -87,8 +85,8 @@
 // The move may have been given up when the permit arrives.
 auto RequestRunner::acquirePermit(std::shared_ptr<PreparedMove> move) -> Awaitable<void>
 {
+    const auto asking = RaisedFlag(move->m_asksForPermit);
     move->m_isPermitted = co_await m_requestLimits.acquire(move->m_slot.upstream());
-    move->m_asksForPermit = false;
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/simple_http_server.cc
+++ b/src/relay/simple_http_server.cc
@@ -26,10 +26,10 @@
 {
 }
 
-auto SimpleHttpServer::listen(const Address& address) -> bool
+auto SimpleHttpServer::listen(const Address& address, Metrics& metrics) -> bool
 {
-    return serveConnections(
-        m_acceptor, address, [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
+    return serveConnections(m_acceptor, address, metrics,
+        [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
 }
 
 auto SimpleHttpServer::serve(net::ip::tcp::socket socket) -> Awaitable<void>
--- a/src/relay/simple_http_server.h
+++ b/src/relay/simple_http_server.h
@@ -1,6 +1,7 @@
 // A minimal HTTP server for GET requests that are answered from memory: readiness, addresses, metrics.
 #pragma once
 
+#include "core/metrics.h"
 #include "relay/tcp.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,7 +24,7 @@
     SimpleHttpServer(const Executor&, SimpleHttpHandler);
 
     // Listens at the address; false when that fails, which is logged.
-    auto listen(const Address&) -> bool;
+    auto listen(const Address&, Metrics&) -> bool;
 
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -1,10 +1,9 @@
 #include "relay/store_sync.h"
 
 #include "core/log.h"
+#include "relay/task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace marigoldladder::relay {
 
@@ -57,22 +56,23 @@
     , m_settings(settings)
     , m_board(board)
     , m_store(store)
-    , m_schema(schema)
+    , m_schema(withRecordedExceptions(schema, board.m_metrics))
     , m_exchange(m_executor, board.m_objects)
     , m_random(std::random_device()())
 {
     for (const auto kind : objectKinds)
-        m_rules[kind] = rulesOf(schema, kind);
+        m_rules[kind] = rulesOf(m_schema, kind);
 }
 
 auto StoreSync::start() -> bool
 {
-    if (!m_exchange.listen(m_settings.m_peerAddress))
+    if (!m_exchange.listen(m_settings.m_peerAddress, m_board.m_metrics))
         return false;
     m_startedAt = Clock::now();
     for (const auto kind : objectKinds) {
-        net::co_spawn(m_executor, follow(kind), net::detached);
-        net::co_spawn(m_executor, followPeers(kind), net::detached);
+        const auto name = kindName(m_schema, kind);
+        runLoop(m_executor, "store " + name, m_board.m_metrics, [this, kind] { return follow(kind); });
+        runLoop(m_executor, "peers' " + name, m_board.m_metrics, [this, kind] { return followPeers(kind); });
     }
     return true;
 }
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -67,7 +67,7 @@
     const RelaySettings& m_settings;
     RelayBoard& m_board;
     const ObjectStore& m_store;
-    const ObjectSchema& m_schema;
+    ObjectSchema m_schema;
     std::map<ObjectKind, KindRules> m_rules;
     CacheExchange m_exchange;
     MonotonicTime m_startedAt {};
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -2,6 +2,7 @@
 // blackboard.
 #include "core/log.h"
 #include "relay/store_sync.h"
+#include "relay/task.h"
 
 #include <algorithm>
 
@@ -157,7 +158,7 @@
 // expiry.
 auto StoreSync::applyEntryAfter(Milliseconds time, const UpstreamName& name) -> void
 {
-    runAfter(m_executor, time, [this, name] {
+    runAfter(m_executor, "store_recovery", m_board.m_metrics, time, [this, name] {
         const auto& objects = m_board.m_objects[ObjectKind::Upstreams].m_objects;
         const auto found = objects.find(name.value());
         if (found != objects.end())
@@ -191,7 +192,7 @@
         endEvacuation(name);
         return;
     }
-    runAfter(m_executor, time, [this, name] {
+    runAfter(m_executor, "store_recovery", m_board.m_metrics, time, [this, name] {
         if (!contains(ObjectKind::Evacuations, name))
             endEvacuationAfterRecovery(name);
     });
@@ -215,7 +216,7 @@
         removeUpstream(m_board.m_upstreams, UpstreamName(name), Clock::now());
         return;
     }
-    runAfter(m_executor, time, [this, name] {
+    runAfter(m_executor, "store_recovery", m_board.m_metrics, time, [this, name] {
         if (!contains(ObjectKind::Upstreams, name))
             removeUpstreamAfterRecovery(name);
     });
--- a/src/relay/stream_origin_exchange.cc
+++ b/src/relay/stream_origin_exchange.cc
@@ -1,10 +1,9 @@
 #include "relay/stream_origin_exchange.h"
 
 #include "relay/peer_message.h"
+#include "relay/task.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace marigoldladder::relay {
 
@@ -43,7 +42,7 @@
 
 auto StreamOriginExchange::start() -> void
 {
-    net::co_spawn(m_executor, watchPools(), net::detached);
+    runLoop(m_executor, "stream_origins", m_board.m_metrics, [this] { return watchPools(); });
 }
 
 auto StreamOriginExchange::watchPools() -> Awaitable<void>
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -1,7 +1,5 @@
 #include "relay/tcp.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -42,12 +40,6 @@
         return !error && local == socket.remote_endpoint(error);
     }
 
-    auto waitAndCall(std::chrono::milliseconds time, std::function<void()> function) -> Awaitable<void>
-    {
-        co_await sleepFor(time);
-        function();
-    }
-
 } // namespace
 
 auto endpointOf(const Address& address) -> std::optional<net::ip::tcp::endpoint>
@@ -88,12 +80,6 @@
     co_await timer.async_wait(errorTo(error));
 }
 
-auto runAfter(const Executor& executor, std::chrono::milliseconds time, std::function<void()> function)
-    -> void
-{
-    net::co_spawn(executor, waitAndCall(time, std::move(function)), net::detached);
-}
-
 auto connectTo(tcp_stream& stream, const Address& address, std::chrono::milliseconds timeout,
     ErrorCode& error) -> Awaitable<void>
 {
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -11,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <functional>
 
 namespace marigoldladder::relay {
 
@@ -43,9 +42,6 @@
 // Waits for the time given; returns early only if the event loop stops.
 auto sleepFor(std::chrono::milliseconds) -> Awaitable<void>;
 
-// Calls a function on the event loop after the time given.
-auto runAfter(const Executor&, std::chrono::milliseconds, std::function<void()>) -> void;
-
 // Opens a connection within the timeout; sets the error on failure.
 auto connectTo(tcp_stream&, const Address&, std::chrono::milliseconds timeout, ErrorCode&) -> Awaitable<void>;
 
--- a/test/platform/order_controller_test.cc
+++ b/test/platform/order_controller_test.cc
@@ -6,6 +6,7 @@
 #include "relay/relay_fixtures.h"
 
 #include <gtest/gtest.h>
+#include <stdexcept>
 
 namespace marigoldladder::platform {
 namespace {
@@ -46,7 +47,8 @@
             applyUpstreamRecord(m_board.m_upstreams, record, Clock::now());
             m_countedCalls = m_engineCalls;
             m_countedCalls.m_order = [this](auto&&... arguments) {
-                ++m_ordersBegun;
+                if (++m_ordersBegun <= m_failingOrders)
+                    throw std::runtime_error("broken");
                 return m_engineCalls.m_order(std::forward<decltype(arguments)>(arguments)...);
             };
             m_store.m_get = [this](const std::string& kind, const std::string&) { return read(kind); };
@@ -96,6 +98,7 @@
         Milliseconds m_storeDelay { 0 };
         int m_leaseWrites = 0;
         int m_ordersBegun = 0;
+        int m_failingOrders = 0;
         PeerSocket m_socket;
         PeerExchange m_peers;
         OrderController m_orders;
@@ -157,5 +160,15 @@
         EXPECT_GE(Clock::now() - lastHeardAt, leaseTime);
     }
 
+    // Issue 44: the order before counted as being sent for ever.
+    TEST_F(OrderControllerTest, AnEngineGetsTheOrderAfterOneWhoseCallThrew)
+    {
+        const auto waiting = AdapterUse(m_node.m_board.m_adapterRates, "model/a2", &AdapterRate::m_waiting);
+        m_node.m_failingOrders = 1;
+        m_node.m_orders.start([] { return true; });
+        EXPECT_TRUE(runUntil([&] { return ordersReceived() > 0; }));
+        EXPECT_EQ(m_node.m_board.m_metrics.value(Counter::InternalFailures), 1U);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
--- a/test/relay/allowance_exchange_test.cc
+++ b/test/relay/allowance_exchange_test.cc
@@ -49,7 +49,7 @@
 
         auto open() -> bool
         {
-            return m_socket.open(m_settings.m_peerAddress,
+            return m_socket.open(m_settings.m_peerAddress, m_board.m_metrics,
                 [this](const messages::Datagram& datagram, std::string_view, const Address& from) {
                     if (const auto* request = datagram.message_as_ChargeRequest())
                         m_allowances.handle(*request, from);
--- a/test/relay/cache_exchange_test.cc
+++ b/test/relay/cache_exchange_test.cc
@@ -44,7 +44,7 @@
 
         auto listen() -> void
         {
-            while (!m_exchange.listen(address()))
+            while (!m_exchange.listen(address(), m_metrics))
                 ++m_port; // Another test process of the same number may have it.
         }
 
@@ -91,6 +91,7 @@
 
         net::io_context m_context { 1 };
         ObjectCache m_objects;
+        Metrics m_metrics;
         CacheExchange m_exchange { m_context.get_executor(), m_objects };
         std::optional<net::ip::tcp::acceptor> m_acceptor;
         int m_port = 7'100;
--- a/test/relay/digest_exchange_test.cc
+++ b/test/relay/digest_exchange_test.cc
@@ -37,7 +37,7 @@
 
         auto open() -> bool
         {
-            return m_socket.open(m_settings.m_peerAddress,
+            return m_socket.open(m_settings.m_peerAddress, m_board.m_metrics,
                 [this](const messages::Datagram& datagram, std::string_view bytes, const Address& from) {
                     if (const auto* digest = datagram.message_as_Digest())
                         m_digests.apply(*digest, bytes, from);
@@ -135,7 +135,7 @@
         auto received = 0;
         auto neighbour = PeerSocket(m_context.get_executor());
         const auto host = loopbackHost(25);
-        ASSERT_TRUE(neighbour.open(Address { host, port },
+        ASSERT_TRUE(neighbour.open(Address { host, port }, m_b2.m_board.m_metrics,
             [&](const messages::Datagram&, std::string_view, const Address&) { ++received; }));
         auto& other = m_b2.m_board.m_fleet.m_peers[VmName("b3")];
         other = m_b2.addLivePeer(m_b1);
--- a/test/relay/request_limit_exchange_test.cc
+++ b/test/relay/request_limit_exchange_test.cc
@@ -33,7 +33,7 @@
 
         auto open() -> bool
         {
-            return m_socket.open(m_settings.m_peerAddress,
+            return m_socket.open(m_settings.m_peerAddress, m_board.m_metrics,
                 [this](const messages::Datagram& datagram, std::string_view, const Address& from) {
                     if (const auto* request = datagram.message_as_PermitRequest())
                         m_limits.handle(*request, from);
--- a/test/relay/stream_origin_exchange_test.cc
+++ b/test/relay/stream_origin_exchange_test.cc
@@ -32,8 +32,8 @@
 
         auto open() -> bool
         {
-            return m_socket.open(
-                m_address, [this](const messages::Datagram& datagram, std::string_view, const Address& from) {
+            return m_socket.open(m_address, m_board.m_metrics,
+                [this](const messages::Datagram& datagram, std::string_view, const Address& from) {
                     if (const auto* notice = datagram.message_as_OriginNotice())
                         m_origins.handle(*notice);
                     if (const auto* question = datagram.message_as_OriginQuestion())
