Count a resumed run's crash before its event as during the answer

What callers saw: a stream that crashes its upstream at a certain event, also when it is resumed just before it, crashed 8 of 10 upstreams before it was refused, where 6 are allowed. And a stream that met four crashes of another cause in a row was cut after its fourth run, though it may run five times and no stream is to be kept from being resumed for suspicion alone.

A resumed run that crashed its upstream before it sent an event counted as a crash before the answer: the beginning of the next run from the start, which says nothing of the later part, cleared it, and the chance test took it for a crash that the stream hadn't met. Two of them kept the request itself from being repeated.

Change: a run that resumes an answer is in it from its start, both for the suspects that its crash counts against and for whether it may go on.

Ruled out: clearing less when a resumed run begins. It gets past the same prompt as any run, so it still clears suspects before the answer.

Tests, failed before: CrashingLateStreamTest .IsRecognisedIfItsResumedRunsCrashBeforeTheirFirstEvent (8 runs, 6 allowed), .OneWhoseResumedRunsMeetCrashesGoesOnAtAFurtherUpstream (cut after 4 runs). Both pass now.

Conclusion: what a resumed run shows counts for the part of the answer that it ran.

--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -58,6 +58,13 @@
         return std::string(nameOf(suspectKindNames, suspect.m_kind)) + " " + std::string(digits.data(), end);
     }
 
+    // Whether the call made last was at work on an answer of which the caller has a part. A resumed run is,
+    // also before it sends an event: runs got past the request's beginning.
+    auto isInAnswer(const CallState& state) -> bool
+    {
+        return state.m_answerBegan || resumesAnswer(state);
+    }
+
     // Sorts the requests by how likely they are the cause: those without an answer, and then those that were
     // sent last, come first.
     auto sortByLikelihood(std::vector<BrokenRequest>& requests) -> void
@@ -119,7 +126,7 @@
         broken.m_firstAt = Clock::now();
         runTask(m_executor, "crash_check", m_board.m_metrics, check(upstream));
     }
-    auto suspects = state.m_answerBegan ? suspectsDuringAnswer(state.m_suspects) : state.m_suspects;
+    auto suspects = isInAnswer(state) ? suspectsDuringAnswer(state.m_suspects) : state.m_suspects;
     broken.m_cut.push_back({ std::move(suspects), state.m_answerBegan, state.m_versions.m_sentAt });
 }
 
@@ -240,7 +247,7 @@
 auto CrashWatch::mayRepeat(const CallState& state) -> bool
 {
     judge();
-    return state.m_answerBegan || !isLikelyCause(m_board.m_crashEvidence, state.m_suspects);
+    return isInAnswer(state) || !isLikelyCause(m_board.m_crashEvidence, state.m_suspects);
 }
 
 } // namespace marigoldladder::relay
--- a/test/platform/crashing_late_stream_test.cc
+++ b/test/platform/crashing_late_stream_test.cc
@@ -36,14 +36,19 @@
 
     class CrashingLateStreamTest : public RelayPathTest {
     protected:
-        auto addUpstreams(
-            const std::function<UpstreamReply(const UpstreamRequest&)>& reply, int upstreams = 20) -> void
+        // A request may run on so many upstreams.
+        auto addUpstreams(const std::function<UpstreamReply(const UpstreamRequest&)>& reply,
+            int upstreams = 20, int attempts = 2) -> void
         {
             for (auto number = 0; number < upstreams; ++number) {
                 m_names.push_back("i-" + std::to_string(number));
                 addUpstream(m_names.back(), reply);
             }
-            configure();
+            auto configuration = testConfiguration(1);
+            for (auto& route : configuration["routes"])
+                route["attempts"] = attempts;
+            m_relay.put("config", "main", configuration);
+            ASSERT_TRUE(m_relay.eventually([&] { return m_relay.readiness() == 200; }));
         }
 
         // A run from the beginning crashes its upstream after so many events; a resumed one ends before that.
@@ -134,6 +139,40 @@
         EXPECT_GE(runs("deadly", true), 2U);
     }
 
+    // A run that is resumed just before the deadly event crashes its upstream before it sends any.
+    TEST_F(CrashingLateStreamTest, IsRecognisedIfItsResumedRunsCrashBeforeTheirFirstEvent)
+    {
+        constexpr auto deadlyEvent = 6;
+        constexpr auto upstreams = 10;
+        const auto reply = [](const UpstreamRequest& request) {
+            auto stream = streamOf(request, firstEventOf(request), deadlyEvent - 1, true);
+            stream.m_later.back().m_pause = milliseconds(150); // Apart enough to count as two crashes.
+            return stream;
+        };
+        addUpstreams(reply, upstreams);
+        for (auto sent = 0; sent < 4; ++sent)
+            (void)send("deadly");
+        EXPECT_LE(runs("deadly", false) + runs("deadly", true), static_cast<std::size_t>(crashesAllowed));
+        expectRefused("deadly");
+    }
+
+    // Suspicion alone keeps no stream from being resumed, also if resumed runs met crashes before an event.
+    TEST_F(CrashingLateStreamTest, OneWhoseResumedRunsMeetCrashesGoesOnAtAFurtherUpstream)
+    {
+        constexpr auto crashes = 4;
+        constexpr auto upstreams = 20;
+        auto runs = std::make_shared<int>(0);
+        const auto reply = [runs](const UpstreamRequest& request) {
+            const auto crashesNow = (*runs)++ < crashes;
+            auto stream = streamOf(request, firstEventOf(request), crashesNow ? 5 : 7, crashesNow);
+            stream.m_later.back().m_pause = milliseconds(150); // Apart enough to count as several crashes.
+            return stream;
+        };
+        addUpstreams(reply, upstreams, crashes + 1);
+        EXPECT_TRUE(send("long").m_complete);
+        EXPECT_EQ(*runs, crashes + 1);
+    }
+
     // The opposite: upstreams crash under a stream for another cause, and it ends in one run in between.
     TEST_F(CrashingLateStreamTest, OneThatMeetsCrashesOfAnotherCauseIsServed)
     {
