Let a failure that an upstream answers clear no suspect during answers

A stream that crashes upstreams some events on, whose resumed runs are answered by a failure, ran 8 of 8 times and was never refused: the whole failure counted as an answer that ended.

Only a success is an answer that ended. The test failed before (8 runs where 6 are allowed) and passes; platform_test passes whole. Ruled out: refusals as not run, which return before. Open: whether a failure should go on to clear what crashes upstreams before an answer.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -380,7 +380,8 @@
     if (error)
         co_return outcomeWithoutAnswer(state, inProgress, silence, error == beast::error::timeout);
     recordAnswerBegan(state, m_board);
-    recordAnswerEnded(state, m_board);
+    if (isSuccess(whole.m_status))
+        recordAnswerEnded(state, m_board);
     releaseIfReusable(m_connections, state, upstream, std::move(connection), keepAlive, idleTime);
     removeConnectionFields(whole.m_fields);
     if (answer.begun())
--- a/test/platform/crashing_late_stream_test.cc
+++ b/test/platform/crashing_late_stream_test.cc
@@ -173,6 +173,17 @@
         EXPECT_EQ(*runs, crashes + 1);
     }
 
+    // A failure that an upstream answers says nothing of the events of an answer.
+    TEST_F(CrashingLateStreamTest, IsRecognisedThoughItsResumedRunsFail)
+    {
+        addUpstreams([](const UpstreamRequest& request) {
+            if (firstEventOf(request) > 1)
+                return UpstreamReply { answerTo(request, 500, "failed") };
+            return streamOf(request, 1, 5, true);
+        });
+        expectRecognised("deadly");
+    }
+
     // The opposite: upstreams crash under a stream for another cause, and it ends in one run in between.
     TEST_F(CrashingLateStreamTest, OneThatMeetsCrashesOfAnotherCauseIsServed)
     {
