--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -2,7 +2,7 @@
 //
 // The program itself needs the C library alone, so that its first instruction runs within a millisecond:
 // until then a signal such as SIGHUP, by which the platform says that the settings changed, ends the process.
-#include "daemons/relay_main.h"
+#include "daemons/marigoldladder_relay_main.h"
 
 #include <array>
 #include <climits>
--- a/daemons/relay_main.cc
+++ b/daemons/marigoldladder_relay_main.cc
@@ -1,4 +1,4 @@
-#include "daemons/relay_main.h"
+#include "daemons/marigoldladder_relay_main.h"
 
 #include "core/log.h"
 #include "platform/deployment.h"
