Let no exception out of an event end a node

Callers would see a process that ends by itself, and each of its requests without an answer: what both reports of ends on real machines describe, three lost answers to each end. Hypothesis 1: an exception that leaves a handler which is no coroutine leaves the event loop and ends the process (signal 6). Mend: the loop records the exception as that of the task "event" and goes on, so that it costs what the handler was to do. SIGHUP is awaited again before it is logged. Seen to fail before the mend: the new test ended its process with "terminate called after throwing an instance of std::runtime_error"; after it all requests are answered. Suspected as the cause at the users', not shown.

--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -123,11 +123,24 @@
         m_exitCode = startFailureCode;
         m_context.stop();
     });
-    m_context.run();
+    runEvents();
     logChange("stopped");
     return m_exitCode;
 }
 
+// An exception that leaves a handler costs what that handler was to do, not the requests of all others.
+auto RelayNode::runEvents() -> void
+{
+    for (;;) {
+        try {
+            m_context.run();
+            return;
+        } catch (...) {
+            recordFailure("event", m_board.m_metrics, std::current_exception());
+        }
+    }
+}
+
 auto RelayNode::start() -> Awaitable<void>
 {
     const auto opened = co_await openPorts();
@@ -244,8 +257,8 @@
         if (error)
             return;
         if (signal == SIGHUP) {
-            logChange("settings_changed");
             awaitSignals();
+            logChange("settings_changed");
             return;
         }
         runLoop(m_context.get_executor(), "stop", m_board.m_metrics, [this] { return stopWhenIdle(); });
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -48,6 +48,7 @@
     auto callerAddresses() const -> std::vector<Address>;
     auto closeExpiredConnections() -> Awaitable<void>;
     auto awaitSignals() -> void;
+    auto runEvents() -> void;
     auto stopWhenIdle() -> Awaitable<void>;
 
     net::io_context& m_context;
--- a/test/platform/failure_inside_node_test.cc
+++ b/test/platform/failure_inside_node_test.cc
@@ -20,6 +20,20 @@
         }
     };
 
+    // Issue 47: an exception out of a handler that is no coroutine ended the process, with all its requests.
+    TEST_F(FailureInsideNodeTest, AnExceptionOutOfAnEventEndsNoRequest)
+    {
+        addUpstream("i-1", [this](const UpstreamRequest& request) {
+            m_relay.throwInEvent();
+            return UpstreamReply { answerTo(request, 200, "ok") };
+        });
+        configure();
+        const auto before = m_relay.counter(Counter::InternalFailures);
+        EXPECT_EQ(m_relay.send(callerRequest("POST", "/charge/x", "", "5 francs")).m_status, 200);
+        EXPECT_EQ(m_relay.send(callerRequest("GET", "/plain/x")).m_status, 200);
+        EXPECT_GE(m_relay.counter(Counter::InternalFailures), before + 2);
+    }
+
     TEST_F(FailureInsideNodeTest, ARequestThatCannotBeReadIsAnswered)
     {
         configure();
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -185,6 +185,11 @@
     }
 }
 
+auto RelayHarness::throwInEvent() -> void
+{
+    net::post(m_parts->m_context, [] { throw std::runtime_error("thrown in an event"); });
+}
+
 auto RelayHarness::put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void
 {
     onLoop([&] { m_parts->m_store.put(kind, name, spec); });
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -36,6 +36,9 @@
     // not run it in time, for example as the node could not open an address.
     auto onLoop(std::function<void()>) -> void;
 
+    // Throws an exception out of an event of the node's loop.
+    auto throwInEvent() -> void;
+
     // Writes an object to the store, as an operator or a replica would.
     auto put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void;
     // The same with any text as the object's content.
