Let the relay's program run without its library beside it

Whoever copied the one program that the deploy file names got a system that didn't start: exit code 3, "can't load its library". Ruled out: linking all of it into the program, as the logging library exists as a shared one only and the loader would load it before the first instruction. The program still needs the C library alone before it ignores signals. Before: a copy alone ended with 3; after: it serves (new test; it fails before the mend).

--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -2,14 +2,17 @@
 //
 // The program itself needs the C library alone, so that its first instruction runs within a millisecond:
 // until then a signal such as SIGHUP, by which the platform says that the settings changed, ends the process.
+#include "daemons/embedded_library.h"
 #include "daemons/marigoldladder_relay_main.h"
 
 #include <array>
 #include <climits>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <dlfcn.h>
 #include <string>
+#include <string_view>
 #include <unistd.h>
 
 namespace {
@@ -59,6 +62,32 @@
     return path.starts_with(prefix) ? path.substr(prefix.size()) : path;
 }
 
+auto writeAll(int file, std::string_view bytes) -> bool
+{
+    while (!bytes.empty()) {
+        const auto written = ::write(file, bytes.data(), bytes.size());
+        if (written <= 0)
+            return false;
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+// Loads the library that is a part of the program, by a file that is removed at once.
+auto loadEmbeddedLibrary() -> void*
+{
+    auto path = std::string("/tmp/marigoldladder-relay-XXXXXX");
+    const auto file = ::mkstemp(path.data());
+    if (file < 0)
+        return nullptr;
+    const auto isWritten = writeAll(file, marigoldladder::embeddedLibrary());
+    ::close(file);
+    auto* const library = isWritten ? ::dlopen(path.c_str(), RTLD_NOW | RTLD_LOCAL) : nullptr;
+    ::unlink(path.c_str());
+    return library;
+}
+
+// The library beside the program comes first, as all processes of a machine share its memory.
 auto loadLibrary() -> void*
 {
     const auto path = libraryPath();
@@ -67,7 +96,9 @@
         if (auto* const library = ::dlopen(relative.c_str(), RTLD_NOW | RTLD_LOCAL))
             return library;
     }
-    return ::dlopen(path.empty() ? libraryName : path.c_str(), RTLD_NOW | RTLD_LOCAL);
+    if (auto* const library = ::dlopen(path.empty() ? libraryName : path.c_str(), RTLD_NOW | RTLD_LOCAL))
+        return library;
+    return loadEmbeddedLibrary();
 }
 
 } // namespace
--- a/test/soak/relay_start_test.cc
+++ b/test/soak/relay_start_test.cc
@@ -2,6 +2,7 @@
 #include "soak/relay_site.h"
 
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
@@ -104,6 +105,20 @@
         EXPECT_EQ(needed, std::vector<std::string> { "libc.so.6" }) << listing;
     }
 
+    // Issue 47: a program that was copied without its library ended with 3 at every start.
+    TEST_F(RelayStartTest, RunsAsACopyOfTheProgramAlone)
+    {
+        const auto folder = std::filesystem::path("alone-" + std::to_string(::getpid()));
+        const auto build = std::filesystem::path(MARIGOLDLADDER_BUILD);
+        std::filesystem::create_directory(build / folder);
+        std::filesystem::copy_file(build / "marigoldladder-relay", build / folder / "marigoldladder-relay");
+        relay().m_relay = harness::ChildProcess((folder / "marigoldladder-relay").string(),
+            { "--settings", relay().m_settingsFile }, harness::ReadyLine::NotAwaited);
+        EXPECT_TRUE(m_site.allReady(startTime));
+        EXPECT_FALSE(relay().m_relay.hasEnded()) << relay().m_relay.end();
+        std::filesystem::remove_all(build / folder);
+    }
+
     TEST_F(RelayStartTest, IsNotEndedBySignalsWhileItServes)
     {
         m_site.restart(relay());
