Reach upstreams through a peer when the own path is blocked

Cause: "I can't reach it" was taken for "it is down", by the node itself (no other way) and by the others (two that say so were believed). Ruled out: leaving the directory, as the others would carry all and addresses are kept for seconds; handing requests to a peer's own serving path, as allowance, attempts and verdicts would be counted over two nodes. Mend: a peer opens a TCP tunnel by the upstream's name; the node that the caller asked decides as before. Several blocked paths make a node stranded: it says so, takes back what it held against upstreams, gives the order lease up. Peers drop its reports.

--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -71,6 +71,8 @@
         EnumName<Counter> { Counter::StreamsCutOtherwise, "streams_cut_otherwise_total" },
         EnumName<Counter> { Counter::InternalFailures, "internal_failures_total" },
         EnumName<Counter> { Counter::ObjectsUnreadable, "objects_unreadable_total" },
+        EnumName<Counter> { Counter::TunnelsOpened, "tunnels_opened_total" },
+        EnumName<Counter> { Counter::TunnelsCarried, "tunnels_carried_total" },
     };
     static_assert(counterNames.size() == static_cast<std::size_t>(Counter::Last));
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -58,6 +58,8 @@
     StreamsCutOtherwise,
     InternalFailures,
     ObjectsUnreadable,
+    TunnelsOpened,
+    TunnelsCarried,
     Last, // Counts the values above.
 };
 
--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -3,9 +3,8 @@
 #include "core/bounded_json.h"
 #include "core/compression.h"
 #include "relay/generated/peer_messages_generated.h"
-#include "relay/listener.h"
+#include "relay/message_frames.h"
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 
@@ -16,60 +15,6 @@
     constexpr auto silenceTimeout = std::chrono::milliseconds(1'000); // Of the other side.
     // For a whole answer. Many nodes may fetch a large configuration over one narrow link.
     constexpr auto answerTimeout = std::chrono::milliseconds(5'000);
-    constexpr auto pieceBytes = std::size_t { 64 } << 10; // Of a message, read at once.
-    constexpr auto lengthBytes = std::size_t { 4 };
-    constexpr auto maxMessageBytes = std::uint32_t { 64 }
-        << 20; // More than all objects of the largest fleet.
-    constexpr auto bitsPerByte = 8U;
-
-    auto prefixLength(const flatbuffers::FlatBufferBuilder& builder) -> std::string
-    {
-        auto bytes = std::string();
-        for (auto index = std::size_t { 0 }; index < lengthBytes; ++index)
-            bytes.push_back(static_cast<char>(builder.GetSize() >> (index * bitsPerByte)));
-        bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
-        return bytes;
-    }
-
-    auto readLength(const std::array<unsigned char, lengthBytes>& bytes) -> std::uint32_t
-    {
-        auto length = std::uint32_t { 0 };
-        for (auto index = std::size_t { 0 }; index < lengthBytes; ++index)
-            length |= static_cast<std::uint32_t>(bytes[index]) << (index * bitsPerByte);
-        return length;
-    }
-
-    // Returns the next message's table; empty if the connection ended or was silent, or the message is too
-    // long.
-    auto readMessage(tcp_stream& stream) -> Awaitable<std::string>
-    {
-        auto error = ErrorCode();
-        auto header = std::array<unsigned char, lengthBytes>();
-        stream.expires_after(silenceTimeout);
-        co_await net::async_read(stream, net::buffer(header), errorTo(error));
-        const auto length = readLength(header);
-        if (error || length > maxMessageBytes)
-            co_return std::string();
-        auto message = std::string();
-        while (message.size() < length) {
-            const auto begin = message.size();
-            message.resize(std::min<std::size_t>(length, begin + pieceBytes));
-            stream.expires_after(silenceTimeout);
-            const auto space = net::buffer(message.data() + begin, message.size() - begin);
-            const auto received = co_await stream.async_read_some(space, errorTo(error));
-            if (error)
-                co_return std::string();
-            message.resize(begin + received);
-        }
-        co_return message;
-    }
-
-    template <typename Table> auto parse(const std::string& message) -> const Table*
-    {
-        const auto* data = reinterpret_cast<const std::uint8_t*>(message.data());
-        auto verifier = flatbuffers::Verifier(data, message.size());
-        return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(data) : nullptr;
-    }
 
     auto setPlainContent(messages::ChangedObjectT& object, const StoredObject& source) -> void
     {
@@ -95,7 +40,7 @@
         }
         auto builder = flatbuffers::FlatBufferBuilder();
         builder.Finish(messages::ChangesAnswer::Pack(builder, &answer));
-        return prefixLength(builder);
+        return frameOf(builder);
     }
 
     // Returns the content, or nothing if it can't be read.
@@ -103,7 +48,7 @@
     {
         if (object.compressed.empty())
             return readBoundedJson(object.content);
-        if (object.content_length > maxMessageBytes)
+        if (object.content_length > maxFrameBytes)
             return std::nullopt;
         const auto bytes = std::string_view(
             reinterpret_cast<const char*>(object.compressed.data()), object.compressed.size());
@@ -113,7 +58,7 @@
 
     auto decode(const std::string& message) -> std::optional<CacheChanges>
     {
-        const auto* table = parse<messages::ChangesAnswer>(message);
+        const auto* table = parseFrame<messages::ChangesAnswer>(message);
         if (!table)
             return std::nullopt;
         auto answer = messages::ChangesAnswerT();
@@ -138,22 +83,13 @@
 CacheExchange::CacheExchange(Executor executor, ObjectCache& cache)
     : m_executor(std::move(executor))
     , m_cache(cache)
-    , m_acceptor(m_executor)
-{
-}
-
-auto CacheExchange::listen(const Address& address, Metrics& metrics) -> bool
 {
-    return serveConnections(m_acceptor, address, metrics,
-        [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
 }
 
-auto CacheExchange::serve(net::ip::tcp::socket socket) -> Awaitable<void>
+auto CacheExchange::serve(std::shared_ptr<tcp_stream> stream, std::string message) -> Awaitable<void>
 {
-    auto stream = tcp_stream(std::move(socket));
-    const auto message = co_await readMessage(stream);
-    const auto* request = parse<messages::ChangesRequest>(message);
-    if (message.empty() || !request || request->kind() >= objectKinds.size())
+    const auto* request = parseFrame<messages::ChangesRequest>(message);
+    if (!request || request->kind() >= objectKinds.size())
         co_return;
     const auto after = StoreRevision { request->after_era(), request->after() };
     const auto kind = objectKinds[request->kind()];
@@ -164,8 +100,8 @@
         ? encode(changesSince(m_cache[kind], after), setCompressed)
         : encode(changesSince(m_cache[kind], after), setPlainContent);
     auto error = ErrorCode();
-    stream.expires_after(answerTimeout);
-    co_await net::async_write(stream, net::buffer(answer), errorTo(error));
+    stream->expires_after(answerTimeout);
+    co_await net::async_write(*stream, net::buffer(answer), errorTo(error));
 }
 
 // A configuration is asked for by many nodes at once, so its compressed form is kept until it changes.
@@ -198,11 +134,11 @@
     auto builder = flatbuffers::FlatBufferBuilder();
     builder.Finish(messages::CreateChangesRequest(builder, static_cast<std::uint8_t>(kind), after.m_revision,
         static_cast<std::uint32_t>(after.m_era), true));
-    const auto request = prefixLength(builder);
+    const auto request = frameOf(builder);
     co_await net::async_write(stream, net::buffer(request), errorTo(error));
     if (error)
         co_return std::nullopt;
-    const auto message = co_await readMessage(stream);
+    const auto message = co_await readFrame(stream, silenceTimeout);
     if (message.empty())
         co_return std::nullopt;
     co_return decode(message);
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -1,13 +1,11 @@
 // Fetches changes of the store's objects from peers, and serves them to peers, over TCP.
-//
-// A message is a four-byte little-endian length followed by a FlatBuffers table.
 #pragma once
 
-#include "core/metrics.h"
 #include "relay/object_cache.h"
 #include "relay/tcp.h"
 
-#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace marigoldladder::relay::messages {
@@ -20,8 +18,8 @@
 public:
     CacheExchange(Executor, ObjectCache&);
 
-    // Serves peers at the address. Returns false if the port can't be opened, which is logged.
-    auto listen(const Address&, Metrics&) -> bool;
+    // Answers a peer's request for changes; passes over a message that is none.
+    auto serve(std::shared_ptr<tcp_stream>, std::string message) -> Awaitable<void>;
 
     // Returns the changes after a revision that a peer has; nothing if it doesn't answer in time.
     auto fetch(Address peer, ObjectKind, StoreRevision after) -> Awaitable<std::optional<CacheChanges>>;
@@ -34,12 +32,10 @@
         std::string m_bytes; // Empty: it can't be compressed.
     };
 
-    auto serve(net::ip::tcp::socket) -> Awaitable<void>;
     auto setContent(messages::ChangedObjectT&, ObjectKind, const StoredObject&) -> void;
 
     Executor m_executor;
     ObjectCache& m_cache;
-    net::ip::tcp::acceptor m_acceptor;
     std::map<std::string, CompressedContent> m_compressed; // Of configurations, by name.
 };
 
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -112,10 +112,12 @@
     return !state.m_lastEventId.empty() || !state.m_request.m_lastEventId.empty();
 }
 
-CrashWatch::CrashWatch(Executor executor, const RelaySettings& settings, RelayBoard& board)
+CrashWatch::CrashWatch(
+    Executor executor, const RelaySettings& settings, RelayBoard& board, UpstreamConnector& connector)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_board(board)
+    , m_connector(connector)
 {
 }
 
@@ -135,12 +137,11 @@
 {
     co_await sleepFor(checkDelay);
     auto stream = tcp_stream(m_executor);
-    auto error = ErrorCode();
-    co_await connectTo(stream, upstream->m_record.m_address, checkTimeout, error);
+    const auto result = co_await m_connector.connect(stream, upstream, checkTimeout);
     auto broken = std::move(m_broken[upstream.get()]);
     m_broken.erase(upstream.get());
-    const auto refused = error == net::error::connection_refused || error == net::error::connection_reset;
-    if (error == net::error::connection_refused)
+    const auto refused = result.m_outcome == ConnectOutcome::Refused;
+    if (result.m_nobodyListens)
         recordNobodyListens(*upstream);
     // One that said that it would leave has ended as it said.
     if (!refused || upstream->m_record.m_leaving)
--- a/src/relay/crash_watch.h
+++ b/src/relay/crash_watch.h
@@ -22,7 +22,7 @@
 
 class CrashWatch {
 public:
-    CrashWatch(Executor, const RelaySettings&, RelayBoard&);
+    CrashWatch(Executor, const RelaySettings&, RelayBoard&, UpstreamConnector&);
 
     // Records that the connection to an upstream broke during a request; checks soon after whether the
     // upstream crashed.
@@ -56,6 +56,7 @@
     Executor m_executor;
     const RelaySettings& m_settings;
     RelayBoard& m_board;
+    UpstreamConnector& m_connector;
     std::map<const Upstream*, BrokenConnections> m_broken;
     MonotonicTime m_judgedAt {};
 };
--- a/src/relay/digest_exchange.cc
+++ b/src/relay/digest_exchange.cc
@@ -34,6 +34,7 @@
         member->ready = peer.m_ready;
         member->leaving = peer.m_leaving;
         member->store_reachable = peer.m_storeReachable;
+        member->stranded = peer.m_stranded;
         return member;
     }
 
@@ -109,6 +110,7 @@
     self.m_ready = m_isReady();
     self.m_leaving = m_board.m_leaving;
     self.m_storeReachable = m_board.m_storeReachable;
+    self.m_stranded = isStranded(m_board);
     digest.members.push_back(makeMember(self, now));
     for (const auto& [vm, peer] : m_board.m_fleet.m_peers) {
         if (isInLocalDataCentre(m_board.m_fleet, peer) && isAlive(peer, now))
@@ -217,6 +219,7 @@
     peer.m_ready = member.ready;
     peer.m_leaving = member.leaving;
     peer.m_storeReachable = member.store_reachable;
+    peer.m_stranded = member.stranded;
     peer.m_livenessTimeout = livenessTimeoutOf(fleet, peer);
     peer.m_lastReceivedAt = receivedAt;
 }
@@ -229,8 +232,7 @@
 
 auto DigestExchange::applyFaults(const messages::DigestT& digest, MonotonicTime now) -> void
 {
-    for (const auto id : digest.unreachable)
-        applyUnreachableReport(m_board, VmName(digest.vm), id, now);
+    applyUnreachableReports(m_board, VmName(digest.vm), digest.unreachable, now);
     applyLimitReports(m_board, digest.limits, ReportSource::RemotePeer, now);
     if (digest.crash_evidence)
         applyEvidenceReport(m_board.m_crashEvidence, *digest.crash_evidence, ReportSource::RemotePeer, now);
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -50,6 +50,7 @@
     bool m_storeReachable = false;
     std::vector<StoreRevision> m_revisions; // Of the store's objects that it has, indexed by kind.
     bool m_leaving = false;
+    bool m_stranded = false; // It reaches no upstream by itself.
     std::uint64_t m_configurationVersion = 0;
     MonotonicTime m_lastReceivedAt {}; // Of its summaries. Zero: none, it is only listed in the store.
     Milliseconds m_livenessTimeout { 1'500 }; // Without a summary for longer, it does not count as alive.
--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -51,6 +51,7 @@
     std::function<bool()> m_isReady;
     BootClockTime m_startedAt {}; // When the lease loop was first started.
     LeaseState m_lease;
+    MonotonicTime m_notStrandedAt {}; // When the lease loop last found that this node isn't stranded.
     EngineOrderTracker m_orderTracker;
     bool m_planPending = false;
     Milliseconds m_planPause { 0 }; // Minimum pause before the next plan.
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -12,6 +12,7 @@
     constexpr auto leaseKind = "leases"; // A kind of this project's own objects in the store.
     constexpr auto leaseName = "engine-orders";
     constexpr auto leaseStepInterval = Milliseconds(100);
+    constexpr auto strandedTime = Milliseconds(1'000); // After it a stranded holder gives the lease up.
     constexpr auto leaseReadInterval = Milliseconds(700);
 
     auto toJson(const LeaseRecord& record) -> nlohmann::json
@@ -50,6 +51,13 @@
         const auto& holder = m_board.m_fleet.m_holder;
         if (m_lease.m_holding && holder.m_fence > m_board.m_orders.m_fence)
             loseLease("another node holds a lease with a higher fence");
+        // The users' rules know a holder by the machine that calls engines, so its orders can't go through a
+        // peer.
+        const auto now = Clock::now();
+        if (!isStranded(m_board))
+            m_notStrandedAt = now;
+        if (m_lease.m_holding && m_notStrandedAt + strandedTime <= now)
+            loseLease("this node reaches no upstream by itself");
         const auto context = leaseContext();
         const auto step = nextLeaseStep(m_lease, context);
         if (step == LeaseStep::Nothing)
@@ -69,7 +77,7 @@
     context.m_now = bootClockNow();
     if (holder.m_lastReportedAt != MonotonicTime() && holder.m_vm != m_settings.m_vm)
         context.m_holderLastSeenAt = context.m_now - (Clock::now() - holder.m_lastReportedAt);
-    context.m_eligible = m_isReady();
+    context.m_eligible = m_isReady() && !isStranded(m_board);
     context.m_rank = m_peers.rankAmongReady();
     context.m_startedAt = m_startedAt;
     context.m_largeFleet = !isSmallFleet(m_board.m_fleet);
--- a/src/relay/order_lease.h
+++ b/src/relay/order_lease.h
@@ -55,7 +55,7 @@
     BootClockTime m_now {};
     // When any node last received from the holder, as far as this node knows.
     BootClockTime m_holderLastSeenAt {};
-    bool m_eligible = false; // This node is ready and not leaving.
+    bool m_eligible = false; // This node is ready, not leaving, and reaches upstreams by itself.
     std::size_t m_rank = 0; // Number of ready nodes that precede this one as candidates.
     BootClockTime m_startedAt {}; // When this node started its lease loop.
     bool m_largeFleet = false; // Limits how many nodes read the object at a time.
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -175,7 +175,7 @@
     const auto& peers = m_board.m_fleet.m_peers;
     return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto& entry) {
         const auto& peer = entry.second;
-        return peer.m_ready && !peer.m_leaving && isAlive(peer, now) && isPreferred(peer);
+        return peer.m_ready && !peer.m_leaving && !peer.m_stranded && isAlive(peer, now) && isPreferred(peer);
     }));
 }
 
--- a/src/relay/peer_loads.cc
+++ b/src/relay/peer_loads.cc
@@ -56,4 +56,17 @@
         board.m_adapterWanted();
 }
 
+auto applyUnreachableReports(RelayBoard& board, const VmName& peer,
+    const std::vector<std::uint32_t>& upstreamIds, MonotonicTime now) -> void
+{
+    for (const auto id : upstreamIds)
+        applyUnreachableReport(board, peer, id, now);
+}
+
+auto dropUnreachableReports(RelayBoard& board, const VmName& peer) -> void
+{
+    for (const auto& [name, upstream] : board.m_upstreams.m_upstreams)
+        upstream->m_reachability.m_refusedPeers.erase(peer);
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/peer_loads.h
+++ b/src/relay/peer_loads.h
@@ -22,5 +22,10 @@
 // Records that an upstream refused a connection of this peer.
 auto applyUnreachableReport(RelayBoard&, const VmName& peer, std::uint32_t upstreamId, MonotonicTime now)
     -> void;
+auto applyUnreachableReports(RelayBoard&, const VmName& peer, const std::vector<std::uint32_t>& upstreamIds,
+    MonotonicTime now) -> void;
+
+// Forgets what the peer reported: it is stranded, so the refusals say nothing of the upstreams.
+auto dropUnreachableReports(RelayBoard&, const VmName& peer) -> void;
 
 } // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/peer_server.cc
@@ -0,0 +1,38 @@
+#include "relay/peer_server.h"
+
+#include "relay/message_frames.h"
+#include "relay/tunnel_server.h"
+
+namespace marigoldladder::relay {
+
+namespace {
+
+    constexpr auto firstMessageTimeout = Milliseconds(1'000);
+
+} // namespace
+
+PeerServer::PeerServer(Executor executor, PeerCallHandler serveChanges, PeerCallHandler serveTunnel)
+    : m_serveChanges(std::move(serveChanges))
+    , m_serveTunnel(std::move(serveTunnel))
+    , m_acceptor(std::move(executor))
+{
+}
+
+auto PeerServer::listen(const Address& address, Metrics& metrics) -> bool
+{
+    return serveConnections(m_acceptor, address, metrics,
+        [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
+}
+
+auto PeerServer::serve(net::ip::tcp::socket socket) -> Awaitable<void>
+{
+    auto stream = std::make_shared<tcp_stream>(std::move(socket));
+    auto message = co_await readFrame(*stream, firstMessageTimeout);
+    if (message.empty())
+        co_return;
+    auto call = isTunnelRequest(message) ? m_serveTunnel(stream, std::move(message))
+                                         : m_serveChanges(stream, std::move(message));
+    co_await std::move(call);
+}
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/peer_server.h
@@ -0,0 +1,32 @@
+// Serves other nodes' calls over TCP at this node's port for peers: changes of objects, and tunnels to
+// upstreams.
+#pragma once
+
+#include "relay/listener.h"
+#include "relay/tcp.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace marigoldladder::relay {
+
+// Handles a connection whose first message has been read.
+using PeerCallHandler = std::function<Awaitable<void>(std::shared_ptr<tcp_stream>, std::string message)>;
+
+class PeerServer {
+public:
+    PeerServer(Executor, PeerCallHandler serveChanges, PeerCallHandler serveTunnel);
+
+    // Returns false if the port can't be opened, which is logged.
+    auto listen(const Address&, Metrics&) -> bool;
+
+private:
+    auto serve(net::ip::tcp::socket) -> Awaitable<void>;
+
+    PeerCallHandler m_serveChanges;
+    PeerCallHandler m_serveTunnel;
+    net::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace marigoldladder::relay
--- a/src/relay/peer_summary.cc
+++ b/src/relay/peer_summary.cc
@@ -54,6 +54,7 @@
     summary.store_reachable = m_board.m_storeReachable;
     fillRevisions(m_board.m_objects, summary);
     summary.leaving = m_board.m_leaving;
+    summary.stranded = isStranded(m_board);
     summary.configuration_version = configurationVersion(m_board);
     const auto& holder = m_board.m_fleet.m_holder;
     const auto& orders = m_board.m_orders;
--- a/src/relay/peer_summary_receiver.cc
+++ b/src/relay/peer_summary_receiver.cc
@@ -57,6 +57,7 @@
     peer.m_storeReachable = summary.store_reachable;
     peer.m_revisions = revisionsOf(summary);
     peer.m_leaving = summary.leaving;
+    peer.m_stranded = summary.stranded;
     peer.m_livenessTimeout = livenessTimeoutOf(m_board.m_fleet, peer);
     peer.m_configurationVersion = summary.configuration_version;
     peer.m_lastReceivedAt = now;
@@ -67,8 +68,10 @@
         applyEvidenceReport(m_board.m_crashEvidence, *summary.crash_evidence, ReportSource::LocalPeer, now);
     applyLimitReports(m_board, summary.limits, ReportSource::LocalPeer, now);
     applyHolder(summary, now);
-    for (const auto id : summary.unreachable)
-        applyUnreachableReport(m_board, vm, id, now);
+    if (summary.stranded)
+        dropUnreachableReports(m_board, vm);
+    else
+        applyUnreachableReports(m_board, vm, summary.unreachable, now);
     if (m_board.m_orders.m_holdsLease && !summary.demands.empty()) {
         auto& rates = m_board.m_fleetDemand.m_byNode[vm];
         rates.clear();
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -9,6 +9,7 @@
 #include "relay/fleet_view.h"
 #include "relay/load_speed.h"
 #include "relay/object_cache.h"
+#include "relay/own_links.h"
 #include "relay/retry_budget.h"
 #include "relay/upstream.h"
 
@@ -49,6 +50,7 @@
     std::shared_ptr<const RoutingConfiguration>
         m_configuration; // Null until one has been read. By the store's sync.
     UpstreamTable m_upstreams; // By the store's sync, the runner (in flight, health) and the orders.
+    OwnLinks m_ownLinks; // By the upstream connector.
     CallsInProgress m_callsInProgress; // By the upstream caller.
     RetryBudget m_retryBudget; // By the runner.
     CrashEvidence m_crashEvidence; // By the crash watch, the upstream caller and the peer exchange.
@@ -61,6 +63,7 @@
     Metrics m_metrics; // By all.
     std::size_t m_nodes = 1; // Among which the fleet's bounds are divided. By the peer exchange.
     std::size_t m_requestsInFlight = 0; // By the runner.
+    std::size_t m_tunnels = 0; // That this node carries for others. By the tunnel server.
     bool m_storeReachable = false; // By the store's sync.
     MonotonicTime m_storeRecoveredAt {}; // When any node last reached it again. By the store's sync and the
                                          // peer exchange.
@@ -87,6 +90,9 @@
     // Called when an upstream begins to refuse connections.
     std::function<void(const Upstream&)> m_upstreamUnreachable = [](const Upstream&) {};
 
+    // Called when this node has found that it reaches no upstream by itself, or that it does again.
+    std::function<void()> m_strandedChanged = [] {};
+
     // Called when an upstream names another limit of requests, or none any more.
     std::function<void(const Upstream&)> m_requestLimitChanged = [](const Upstream&) {};
 
@@ -106,4 +112,16 @@
     return board.m_configuration ? board.m_configuration->m_version : 0;
 }
 
+// Whether this node reaches no upstream by itself, as far as it knows.
+inline auto isStranded(const RelayBoard& board) -> bool
+{
+    return isStranded(board.m_ownLinks, board.m_upstreams.m_upstreams.size());
+}
+
+// Whether this node's own path to the upstream counts as blocked.
+inline auto isPathBlocked(const RelayBoard& board, const Upstream& upstream) -> bool
+{
+    return isPathBlocked(board.m_ownLinks, upstream, board.m_upstreams.m_upstreams.size());
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -41,9 +41,10 @@
     , m_peerSocket(context.get_executor())
     , m_allowances(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_waitList(context.get_executor(), m_board, settings)
-    , m_connections(context.get_executor(), m_board)
+    , m_connector(context.get_executor(), settings, m_board)
+    , m_connections(context.get_executor(), m_board, m_connector)
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
-    , m_crashWatch(context.get_executor(), settings, m_board)
+    , m_crashWatch(context.get_executor(), settings, m_board, m_connector)
     , m_requestLimits(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_origins(context.get_executor(), m_board, m_peerSocket, m_incarnation)
     , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits,
@@ -60,7 +61,18 @@
               return SimpleHttpAnswer { okStatus, "text/plain; version=0.0.4",
                   m_board.m_metrics.formatForPrometheus() };
           })
-    , m_storeSync(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_schema)
+    , m_cacheExchange(context.get_executor(), m_board.m_objects)
+    , m_tunnels(context.get_executor(), settings, m_board)
+    , m_peerServer(
+          context.get_executor(),
+          [this](std::shared_ptr<tcp_stream> stream, std::string message) {
+              return m_cacheExchange.serve(std::move(stream), std::move(message));
+          },
+          [this](std::shared_ptr<tcp_stream> stream, std::string message) {
+              return m_tunnels.serve(std::move(stream), std::move(message));
+          })
+    , m_storeSync(
+          context.get_executor(), settings, m_board, deployment.m_store, deployment.m_schema, m_cacheExchange)
     , m_peers(context.get_executor(), settings, m_board, deployment.m_store, m_peerSocket, m_incarnation)
     , m_digests(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_orders(context.get_executor(), settings, m_board, deployment.m_store, deployment.m_engines, m_peers)
@@ -73,6 +85,7 @@
         m_peers.scheduleSendToAll();
         m_board.m_adapterWanted();
     };
+    m_board.m_strandedChanged = [this] { m_peers.scheduleSendToAll(); };
     m_board.m_requestLimitChanged = [this](const Upstream& upstream) {
         const auto& limit = upstream.m_requestLimit.m_limit.m_requestsPerSecond;
         logChange("request_limit_changed",
@@ -151,6 +164,7 @@
         co_return;
     }
     logChange("started", { { "vm", m_settings.m_vm.value() } });
+    m_storeSync.start();
     const auto executor = m_context.get_executor();
     const auto ready = [this] { return isReady(); };
     m_peers.start(ready);
@@ -183,7 +197,7 @@
         [this] { return m_readiness.listen(m_settings.m_readinessAddress, m_board.m_metrics); },
         [this] { return m_directory.listen(m_settings.m_directoryAddress, m_board.m_metrics); },
         [this, handle] { return m_peerSocket.open(m_settings.m_peerAddress, m_board.m_metrics, handle); },
-        [this] { return m_storeSync.start(); },
+        [this] { return m_peerServer.listen(m_settings.m_peerAddress, m_board.m_metrics); },
     };
     for (const auto& open : opens) {
         const auto opened = co_await openWithin(portWaitTime, open);
@@ -246,6 +260,7 @@
     for (;;) {
         co_await sleepFor(connectionExpiryInterval);
         m_connections.closeExpired(Clock::now());
+        m_connector.tryBlockedPaths();
     }
 }
 
@@ -281,7 +296,7 @@
         m_board.m_acceptsStreams = false;
         m_board.m_acceptsRequests = Clock::now() < exitsAt - usualRequestTime;
         m_callerServer.closeIdle();
-        if (m_board.m_requestsInFlight == 0 && m_callerServer.connections() == 0)
+        if (m_board.m_requestsInFlight == 0 && m_callerServer.connections() == 0 && m_board.m_tunnels == 0)
             break;
     }
     m_context.stop();
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -5,8 +5,10 @@
 #include "relay/caller_server.h"
 #include "relay/digest_exchange.h"
 #include "relay/order_controller.h"
+#include "relay/peer_server.h"
 #include "relay/simple_http_server.h"
 #include "relay/store_sync.h"
+#include "relay/tunnel_server.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -59,6 +61,7 @@
     PeerSocket m_peerSocket;
     AllowanceExchange m_allowances;
     WaitList m_waitList;
+    UpstreamConnector m_connector;
     UpstreamConnectionPool m_connections;
     UpstreamCaller m_upstreamCaller;
     CrashWatch m_crashWatch;
@@ -69,6 +72,9 @@
     SimpleHttpServer m_readiness;
     SimpleHttpServer m_directory;
     SimpleHttpServer m_metrics;
+    CacheExchange m_cacheExchange;
+    TunnelServer m_tunnels;
+    PeerServer m_peerServer;
     StoreSync m_storeSync;
     PeerExchange m_peers;
     DigestExchange m_digests;
--- a/src/relay/request_log_lines.cc
+++ b/src/relay/request_log_lines.cc
@@ -57,7 +57,7 @@
         = state.m_timeToFirstPart ? std::to_string(state.m_timeToFirstPart->count()) : "";
     log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
-            { "adapter", state.m_request.m_adapter },
+            { "through", state.m_via ? state.m_via->value() : "" }, { "adapter", state.m_request.m_adapter },
             { "held_version", formatVersion(state.m_versions.m_held) },
             { "stated_version", formatVersion(state.m_versions.m_stated) },
             { "sent_ms", millisecondsBetween(state.m_arrivedAt, state.m_versions.m_sentAt) },
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -35,7 +35,8 @@
     const CallState& state, Upstream& upstream, std::optional<AttemptsEnd> stayReason) -> void
 {
     const auto now = Clock::now();
-    recordCallEnd(upstream.m_health, state.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
+    if (state.m_via || !isPathBlocked(m_board, upstream))
+        recordCallEnd(upstream.m_health, state.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
     logSilence(m_log, state, upstream, stayReason, now);
 }
 
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -51,30 +51,27 @@
 } // namespace
 
 StoreSync::StoreSync(Executor executor, const RelaySettings& settings, RelayBoard& board,
-    const ObjectStore& store, const ObjectSchema& schema)
+    const ObjectStore& store, const ObjectSchema& schema, CacheExchange& exchange)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_board(board)
     , m_store(store)
     , m_schema(withRecordedExceptions(schema, board.m_metrics))
-    , m_exchange(m_executor, board.m_objects)
+    , m_exchange(exchange)
     , m_random(std::random_device()())
 {
     for (const auto kind : objectKinds)
         m_rules[kind] = rulesOf(m_schema, kind);
 }
 
-auto StoreSync::start() -> bool
+auto StoreSync::start() -> void
 {
-    if (!m_exchange.listen(m_settings.m_peerAddress, m_board.m_metrics))
-        return false;
     m_startedAt = Clock::now();
     for (const auto kind : objectKinds) {
         const auto name = kindName(m_schema, kind);
         runLoop(m_executor, "store " + name, m_board.m_metrics, [this, kind] { return follow(kind); });
         runLoop(m_executor, "peers' " + name, m_board.m_metrics, [this, kind] { return followPeers(kind); });
     }
-    return true;
 }
 
 auto StoreSync::hasAllKinds() const -> bool
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -14,11 +14,11 @@
 
 class StoreSync {
 public:
-    StoreSync(Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, const ObjectSchema&);
+    StoreSync(
+        Executor, const RelaySettings&, RelayBoard&, const ObjectStore&, const ObjectSchema&, CacheExchange&);
 
-    // Starts to follow the store and the peers. Returns false if the port for peers can't be opened, which is
-    // logged.
-    auto start() -> bool;
+    // Starts to follow the store and the peers.
+    auto start() -> void;
 
     // Returns whether the objects of every kind have been received.
     auto hasAllKinds() const -> bool;
@@ -69,7 +69,7 @@
     const ObjectStore& m_store;
     ObjectSchema m_schema;
     std::map<ObjectKind, KindRules> m_rules;
-    CacheExchange m_exchange;
+    CacheExchange& m_exchange;
     MonotonicTime m_startedAt {};
     MonotonicTime m_nextProbeAt {}; // Earliest probe while other nodes should watch.
     MonotonicTime m_nextVersionFetchAt {}; // Earliest fetch of a newer configuration at no later revision.
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -108,7 +108,9 @@
             pending.erase(0, length);
         }
         // Without framing, an end before the first event or inside an event shows that the stream broke.
-        const auto broke = error || (atEnd && !isFramed && (!pending.empty() || !state.m_answerBegan));
+        // The end of a tunnel may be the end of the peer that carries it.
+        const auto mayBeCut = connection.m_via || !pending.empty() || !state.m_answerBegan;
+        const auto broke = error || (atEnd && !isFramed && mayBeCut);
         if (atEnd && !broke) {
             if (!isResumed)
                 recordAnswerEnded(state, board);
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -82,9 +82,16 @@
 
 auto connectTo(tcp_stream& stream, const Address& address, std::chrono::milliseconds timeout,
     ErrorCode& error) -> Awaitable<void>
+{
+    co_await connectFrom(stream, std::string(), address, timeout, error);
+}
+
+auto connectFrom(tcp_stream& stream, const std::string& localHost, const Address& address,
+    std::chrono::milliseconds timeout, ErrorCode& error) -> Awaitable<void>
 {
     const auto endpoint = endpointOf(address);
-    if (!endpoint) {
+    const auto local = localHost.empty() ? std::nullopt : endpointOf({ localHost, 0 });
+    if (!endpoint || (!local && !localHost.empty())) {
         error = net::error::make_error_code(net::error::invalid_argument);
         co_return;
     }
@@ -92,6 +99,8 @@
     // Else the closed connection would keep its port from a listener for a minute.
     if (!error)
         stream.socket().set_option(net::socket_base::reuse_address(true), error);
+    if (!error && local)
+        stream.socket().bind(*local, error);
     if (error)
         co_return;
     stream.expires_after(timeout);
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -45,4 +45,8 @@
 // Opens a connection within the timeout; sets the error on failure.
 auto connectTo(tcp_stream&, const Address&, std::chrono::milliseconds timeout, ErrorCode&) -> Awaitable<void>;
 
+// The same from this machine's address `localHost`, by which the other end recognises it.
+auto connectFrom(tcp_stream&, const std::string& localHost, const Address&, std::chrono::milliseconds timeout,
+    ErrorCode&) -> Awaitable<void>;
+
 } // namespace marigoldladder::relay
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -86,6 +86,9 @@
     MonotonicTime m_pausedUntil {}; // It asked this node for no requests until then.
     UpstreamHealth m_health;
     UpstreamReachability m_reachability;
+    bool m_pathBlocked = false; // This node failed to connect to it while another node did.
+    MonotonicTime m_nextPathTryAt {}; // While blocked: of the next direct connection.
+    MonotonicTime m_noTunnelUntil {}; // No peer reached it either, so none is asked until then.
     bool m_removed = false; // Has no entry; unless that returns, only running requests refer to it.
     MonotonicTime m_removedAt {};
 };
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -211,6 +211,9 @@
         auto error = ErrorCode();
         if (!parser.is_done())
             co_await http::async_read(connection.m_stream, connection.m_buffer, parser, errorTo(error));
+        // The end of a tunnel may be the end of the peer that carries it.
+        if (!error && connection.m_via && parser.need_eof())
+            error = http::make_error_code(http::error::partial_message);
         if (error)
             co_return error;
         keepAlive = parser.get().keep_alive() && !parser.need_eof();
@@ -292,6 +295,13 @@
         m_board.m_upstreamUnreachable(upstream);
 }
 
+// Whether the end of a call says something of the upstream, and not of this node's own path or of the peer
+// that carried the call.
+auto UpstreamCaller::saysOfUpstream(const CallState& state, const Upstream& upstream) const -> bool
+{
+    return state.m_via ? m_connections.isCarrier(*state.m_via) : !isPathBlocked(m_board, upstream);
+}
+
 auto UpstreamCaller::obstacleToSend(const CallState& state, const Upstream& upstream) const
     -> std::optional<UpstreamCallOutcome>
 {
@@ -308,6 +318,7 @@
     const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
 {
     state.m_answerBegan = false;
+    state.m_via.reset();
     state.m_versions = { std::nullopt, std::nullopt, Clock::now() };
     if (const auto obstacle = obstacleToSend(state, *upstream))
         co_return *obstacle;
@@ -319,10 +330,12 @@
         if (const auto obstacle = obstacleToSend(state, *upstream))
             co_return *obstacle;
         state.m_usedConnections.push_back(connection->m_number);
+        state.m_via = connection->m_via;
         outcome = co_await exchange(state, answer, upstream, std::move(connection), handling);
     }
     recordReachability(*upstream, outcome, refused);
-    if (const auto callEnd = healthOutcomeOf(outcome))
+    const auto callEnd = healthOutcomeOf(outcome);
+    if (callEnd && saysOfUpstream(state, *upstream))
         recordCallEnd(upstream->m_health, *callEnd, Clock::now());
     co_return outcome;
 }
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -77,6 +77,7 @@
     bool m_answerBegan = false; // The upstream called last sent an event, or a whole answer.
     SentVersions m_versions; // Of the call made last.
     SoftwareId m_software = 0; // Of the upstream called last.
+    std::optional<VmName> m_via; // The peer that carried the last call; empty: it was direct.
     std::optional<SoftwareId> m_origin; // The software that began the stream; empty: it hasn't begun.
     std::string m_lastEventId; // Of the last event sent to the caller by this node.
     std::optional<WholeAnswer> m_upstreamFailure; // Sent to the caller if no retry succeeds.
@@ -94,6 +95,7 @@
 private:
     // Returns why the request must not be sent to the upstream now, although the upstream was chosen for it.
     auto obstacleToSend(const CallState&, const Upstream&) const -> std::optional<UpstreamCallOutcome>;
+    auto saysOfUpstream(const CallState&, const Upstream&) const -> bool;
     auto exchange(CallState&, CallerAnswer&, const UpstreamPointer&, UpstreamConnectionPointer,
         const SilenceHandling&) -> Awaitable<UpstreamCallOutcome>;
     auto recordReachability(Upstream&, UpstreamCallOutcome, bool refused) -> void;
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -10,8 +10,6 @@
 namespace {
 
     constexpr auto connectTimeout = Milliseconds(700);
-    constexpr auto deadPeerTimeout
-        = Milliseconds(2'000); // For upstreams that became unreachable without closing.
     constexpr auto closeMargin = Milliseconds(300); // Before the upstream closes an idle connection.
 
 } // namespace
@@ -21,26 +19,33 @@
 {
 }
 
-UpstreamConnectionPool::UpstreamConnectionPool(Executor executor, RelayBoard& board)
+UpstreamConnectionPool::UpstreamConnectionPool(
+    Executor executor, RelayBoard& board, UpstreamConnector& connector)
     : m_executor(std::move(executor))
     , m_board(board)
+    , m_connector(connector)
 {
 }
 
+auto UpstreamConnectionPool::isUsable(const Upstream& upstream, UpstreamConnection& connection) const -> bool
+{
+    return connection.m_usableUntil > std::chrono::steady_clock::now() && isIdle(connection.m_stream.socket())
+        && m_connector.mayUse(upstream, connection.m_via);
+}
+
 auto UpstreamConnectionPool::takeIdle(const Upstream& upstream, const std::vector<std::uint64_t>& excluded)
     -> UpstreamConnectionPointer
 {
     const auto found = m_idle.find(&upstream);
     if (found == m_idle.end())
         return nullptr;
-    const auto now = std::chrono::steady_clock::now();
     auto& connections = found->second.m_connections;
     for (auto at = connections.size(); at-- > 0;) {
         if (std::find(excluded.begin(), excluded.end(), connections[at]->m_number) != excluded.end())
             continue;
         auto connection = std::move(connections[at]);
         connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(at));
-        if (connection->m_usableUntil > now && isIdle(connection->m_stream.socket()))
+        if (isUsable(upstream, *connection))
             return connection;
     }
     return nullptr;
@@ -53,16 +58,14 @@
         co_return idle;
     auto connection = std::make_unique<UpstreamConnection>(m_executor);
     connection->m_number = ++m_opened;
-    auto error = ErrorCode();
-    m_board.m_metrics.add(Counter::UpstreamConnects);
-    co_await connectTo(connection->m_stream, upstream->m_record.m_address, connectTimeout, error);
-    refused = error == net::error::connection_refused || error == net::error::connection_reset;
-    if (error == net::error::connection_refused)
+    auto result = co_await m_connector.connect(connection->m_stream, upstream, connectTimeout);
+    refused = result.m_outcome == ConnectOutcome::Refused;
+    if (result.m_nobodyListens)
         recordNobodyListens(*upstream);
-    if (error)
+    if (result.m_outcome != ConnectOutcome::Connected)
         co_return nullptr;
+    connection->m_via = std::move(result.m_via);
     noteAccepted(*upstream);
-    setDeadPeerTimeout(connection->m_stream.socket(), deadPeerTimeout);
     co_return connection;
 }
 
@@ -94,7 +97,10 @@
 {
     for (auto at = m_idle.begin(); at != m_idle.end();) {
         auto& connections = at->second.m_connections;
-        std::erase_if(connections, [&](const auto& connection) { return connection->m_usableUntil <= now; });
+        std::erase_if(connections, [&](const auto& connection) {
+            return connection->m_usableUntil <= now
+                || !m_connector.mayUse(*at->second.m_upstream, connection->m_via);
+        });
         if (at->second.m_upstream->m_removed || connections.empty())
             at = m_idle.erase(at);
         else
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -1,8 +1,7 @@
 // Pools connections to upstreams, so that requests reuse them.
 #pragma once
 
-#include "relay/relay_board.h"
-#include "relay/tcp.h"
+#include "relay/upstream_connector.h"
 
 #include <memory>
 #include <unordered_map>
@@ -17,24 +16,29 @@
     MonotonicTime m_usableUntil {}; // While idle: before the upstream is expected to close it.
     bool m_reused = false; // Has served a request before.
     std::uint64_t m_number = 0; // Of the connections that the pool opened.
+    std::optional<VmName> m_via; // The peer that carries it; empty: it is direct.
 };
 
 using UpstreamConnectionPointer = std::unique_ptr<UpstreamConnection>;
 
 class UpstreamConnectionPool {
 public:
-    UpstreamConnectionPool(Executor, RelayBoard&);
+    UpstreamConnectionPool(Executor, RelayBoard&, UpstreamConnector&);
 
     // Returns an idle connection that is still open, or opens one; null on failure. It is none of `excluded`,
-    // which are numbers of connections. `refused` is set to whether a new connection was refused or reset, as
-    // when no process listens at the address.
+    // which are numbers of connections. `refused` is set to whether a new connection was refused, as when no
+    // process listens at the address.
     auto acquire(const UpstreamPointer&, const std::vector<std::uint64_t>& excluded, bool& refused)
         -> Awaitable<UpstreamConnectionPointer>;
 
     // Returns a connection to the pool. `idleTime`: how long the upstream keeps it open while idle.
     auto release(const UpstreamPointer&, UpstreamConnectionPointer, Milliseconds idleTime) -> void;
 
-    // Closes connections that were idle for too long, and those to upstreams that left the list.
+    // Whether this peer carries connections for this node.
+    auto isCarrier(const VmName& peer) const -> bool { return m_connector.isCarrier(peer); }
+
+    // Closes connections that were idle for too long, those through a peer that needn't or can't carry them
+    // any more, and those to upstreams that left the list.
     auto closeExpired(MonotonicTime now) -> void;
 
 private:
@@ -46,8 +50,11 @@
 
     auto takeIdle(const Upstream&, const std::vector<std::uint64_t>& excluded) -> UpstreamConnectionPointer;
 
+    auto isUsable(const Upstream&, UpstreamConnection&) const -> bool;
+
     Executor m_executor;
     RelayBoard& m_board;
+    UpstreamConnector& m_connector;
     std::unordered_map<const Upstream*, Idle> m_idle;
     std::uint64_t m_opened = 0;
 };
--- a/test/platform/stepped_runner.h
+++ b/test/platform/stepped_runner.h
@@ -26,9 +26,10 @@
         , m_socket(m_context.get_executor())
         , m_allowances(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
         , m_waitList(m_context.get_executor(), m_board, m_settings)
-        , m_connections(m_context.get_executor(), m_board)
+        , m_connector(m_context.get_executor(), m_settings, m_board)
+        , m_connections(m_context.get_executor(), m_board, m_connector)
         , m_upstreamCaller(m_connections, m_dialect, m_board)
-        , m_crashWatch(m_context.get_executor(), m_settings, m_board)
+        , m_crashWatch(m_context.get_executor(), m_settings, m_board, m_connector)
         , m_requestLimits(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
         , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
         , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList, m_requestLimits,
@@ -55,6 +56,7 @@
     relay::PeerSocket m_socket;
     relay::AllowanceExchange m_allowances;
     relay::WaitList m_waitList;
+    relay::UpstreamConnector m_connector;
     relay::UpstreamConnectionPool m_connections;
     relay::UpstreamCaller m_upstreamCaller;
     relay::CrashWatch m_crashWatch;
--- a/test/relay/cache_exchange_test.cc
+++ b/test/relay/cache_exchange_test.cc
@@ -2,7 +2,7 @@
 #include "relay/cache_exchange.h"
 
 #include "relay/generated/peer_messages_generated.h"
-#include "relay/listener.h"
+#include "relay/peer_server.h"
 #include "relay/relay_fixtures.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -44,7 +44,7 @@
 
         auto listen() -> void
         {
-            while (!m_exchange.listen(address(), m_metrics))
+            while (!m_server.listen(address(), m_metrics))
                 ++m_port; // Another test process of the same number may have it.
         }
 
@@ -93,6 +93,11 @@
         ObjectCache m_objects;
         Metrics m_metrics;
         CacheExchange m_exchange { m_context.get_executor(), m_objects };
+        PeerServer m_server { m_context.get_executor(),
+            [this](std::shared_ptr<tcp_stream> stream, std::string message) {
+                return m_exchange.serve(std::move(stream), std::move(message));
+            },
+            {} };
         std::optional<net::ip::tcp::acceptor> m_acceptor;
         int m_port = 7'100;
     };
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -30,9 +30,10 @@
             , m_socket(m_context.get_executor())
             , m_allowances(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
             , m_waitList(m_context.get_executor(), m_board, m_settings)
-            , m_connections(m_context.get_executor(), m_board)
+            , m_connector(m_context.get_executor(), m_settings, m_board)
+            , m_connections(m_context.get_executor(), m_board, m_connector)
             , m_upstreamCaller(m_connections, m_dialect, m_board)
-            , m_crashWatch(m_context.get_executor(), m_settings, m_board)
+            , m_crashWatch(m_context.get_executor(), m_settings, m_board, m_connector)
             , m_requestLimits(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
             , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
             , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList,
@@ -48,6 +49,7 @@
         PeerSocket m_socket;
         AllowanceExchange m_allowances;
         WaitList m_waitList;
+        UpstreamConnector m_connector;
         UpstreamConnectionPool m_connections;
         UpstreamCaller m_upstreamCaller;
         CrashWatch m_crashWatch;
--- a/test/relay/returned_upstream_test.cc
+++ b/test/relay/returned_upstream_test.cc
@@ -2,6 +2,7 @@
 #include "relay/peer_loads.h"
 #include "relay/relay_fixtures.h"
 #include "relay/upstream_connection_pool.h"
+#include "relay/upstream_health.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -55,7 +56,9 @@
         static constexpr auto hostNumber = 202;
         net::io_context m_context { 1 };
         RelayBoard m_board;
-        UpstreamConnectionPool m_pool { m_context.get_executor(), m_board };
+        RelaySettings m_settings;
+        UpstreamConnector m_connector { m_context.get_executor(), m_settings, m_board };
+        UpstreamConnectionPool m_pool { m_context.get_executor(), m_board, m_connector };
         std::optional<net::ip::tcp::acceptor> m_acceptor;
         std::vector<UpstreamConnectionPointer> m_connections;
         UpstreamPointer m_upstream;
@@ -88,6 +91,18 @@
         EXPECT_FALSE(isColdNow());
     }
 
+    // Issue 47: nodes that had lost their own links made all others take upstreams for down.
+    TEST_F(ReturnedUpstreamTest, TakesBackReportsOfNodesThatTurnOutToBeStranded)
+    {
+        const auto now = MonotonicTime::clock::now();
+        const auto id = shortId(m_upstream->m_record.m_name.value());
+        for (const auto* name : { "one", "two" })
+            applyUnreachableReports(m_board, VmName(name), { id }, now);
+        EXPECT_TRUE(isUnreachable(m_upstream->m_reachability, now));
+        dropUnreachableReports(m_board, VmName("one"));
+        EXPECT_FALSE(isUnreachable(m_upstream->m_reachability, now));
+    }
+
     TEST_F(ReturnedUpstreamTest, CountsAsColdIfOtherNodesFoundNobodyListening)
     {
         const auto now = MonotonicTime::clock::now();
--- a/test/relay/store_sync_test.cc
+++ b/test/relay/store_sync_test.cc
@@ -24,20 +24,12 @@
     // A node and a store of upstreams.
     struct Node {
         Node()
-            : m_sync(m_context.get_executor(), m_settings, m_board, m_store, m_schema)
+            : m_sync(m_context.get_executor(), m_settings, m_board, m_store, m_schema, m_exchange)
         {
             m_store.m_list = [this](std::string kind, ListingAge) { return list(std::move(kind)); };
             m_store.m_watch
                 = [](const std::string&, StoreRevision, Milliseconds wait) { return watch(wait); };
-            while (!m_sync.start())
-                ++m_settings.m_peerAddress.m_port; // Another test process of the same number may have it.
-        }
-
-        static auto settings() -> RelaySettings
-        {
-            auto settings = RelaySettings();
-            settings.m_peerAddress = { loopbackHost(206), 7'100 };
-            return settings;
+            m_sync.start();
         }
 
         auto schema() -> ObjectSchema
@@ -78,13 +70,14 @@
         }
 
         net::io_context m_context { 1 };
-        RelaySettings m_settings = settings();
+        RelaySettings m_settings;
         RelayBoard m_board;
         ObjectStore m_store;
         std::string m_brokenName;
         int m_lists = 0;
         int m_failingLists = 0;
         ObjectSchema m_schema = schema();
+        CacheExchange m_exchange { m_context.get_executor(), m_board.m_objects };
         StoreSync m_sync;
     };
 
