Let a node's stop keep its time and a failing log line end nothing

A stop that began again after an exception counted its seconds anew and could be killed in the middle of answers; the line about an exception out of an event could itself throw, for want of memory, and end the process; a signal could cut the writing of the embedded library short. Ruled out: nothing else on these paths allocates before it is caught. Mend: the time of the exit is kept, the line's own failure is only counted, the write goes on. No test fails before: none of the three was provoked.

--- a/daemons/marigoldladder_relay.cc
+++ b/daemons/marigoldladder_relay.cc
@@ -6,6 +6,7 @@
 #include "daemons/marigoldladder_relay_main.h"
 
 #include <array>
+#include <cerrno>
 #include <climits>
 #include <csignal>
 #include <cstdio>
@@ -66,6 +67,8 @@
 {
     while (!bytes.empty()) {
         const auto written = ::write(file, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR)
+            continue;
         if (written <= 0)
             return false;
         bytes.remove_prefix(static_cast<std::size_t>(written));
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -141,6 +141,15 @@
     return m_exitCode;
 }
 
+auto RelayNode::noteThrownEvent() noexcept -> void
+{
+    try {
+        recordFailure("event", m_board.m_metrics, std::current_exception());
+    } catch (...) {
+        m_board.m_metrics.add(Counter::InternalFailures); // There is no memory for a line.
+    }
+}
+
 // An exception that leaves a handler costs what that handler was to do, not the requests of all others.
 auto RelayNode::runEvents() -> void
 {
@@ -149,7 +158,7 @@
             m_context.run();
             return;
         } catch (...) {
-            recordFailure("event", m_board.m_metrics, std::current_exception());
+            noteThrownEvent();
         }
     }
 }
@@ -285,10 +294,11 @@
     logChange("stopping");
     m_board.m_leaving = true;
     m_peers.sendToAll();
-    const auto begun = Clock::now();
-    const auto closesAt = begun + addressLifetime;
-    const auto exitsAt = begun + m_settings.m_bounds.m_stopTime - exitMargin;
-    m_board.m_exitsAt = exitsAt;
+    // Kept when this task begins again.
+    if (m_board.m_exitsAt == MonotonicTime())
+        m_board.m_exitsAt = Clock::now() + m_settings.m_bounds.m_stopTime - exitMargin;
+    const auto exitsAt = m_board.m_exitsAt;
+    const auto closesAt = exitsAt + exitMargin - m_settings.m_bounds.m_stopTime + addressLifetime;
     while (Clock::now() < exitsAt) {
         co_await sleepFor(stopPollInterval);
         if (Clock::now() < closesAt)
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -51,6 +51,7 @@
     auto closeExpiredConnections() -> Awaitable<void>;
     auto awaitSignals() -> void;
     auto runEvents() -> void;
+    auto noteThrownEvent() noexcept -> void;
     auto stopWhenIdle() -> Awaitable<void>;
 
     net::io_context& m_context;
