--- a/src/relay/peer_server.cc
+++ b/src/relay/peer_server.cc
@@ -11,10 +11,10 @@
 
 } // namespace
 
-PeerServer::PeerServer(Executor executor, PeerCallHandler serveChanges, PeerCallHandler serveTunnel)
+PeerServer::PeerServer(const Executor& executor, PeerCallHandler serveChanges, PeerCallHandler serveTunnel)
     : m_serveChanges(std::move(serveChanges))
     , m_serveTunnel(std::move(serveTunnel))
-    , m_acceptor(std::move(executor))
+    , m_acceptor(executor)
 {
 }
 
--- a/src/relay/peer_server.h
+++ b/src/relay/peer_server.h
@@ -16,7 +16,7 @@
 
 class PeerServer {
 public:
-    PeerServer(Executor, PeerCallHandler serveChanges, PeerCallHandler serveTunnel);
+    PeerServer(const Executor&, PeerCallHandler serveChanges, PeerCallHandler serveTunnel);
 
     // Returns false if the port can't be opened, which is logged.
     auto listen(const Address&, Metrics&) -> bool;
