Find the settings where the platform says they are

A platform hands a process the path of its settings in an environment variable; the deploy file ran the node with one fixed path, so that where the file lies elsewhere each start waits 5 s and ends with 2.

The node takes the name of such a variable beside the path (--settings-from); the path holds where it isn't set. RelayStartTest.StartsWithTheSettingsThatThePlatformNames runs the program with the deploy file's arguments and failed before (not ready within 10 s); passes now.

Whether the users' machines keep the file elsewhere isn't known: suspected only.

--- a/daemons/marigoldladder_relay_main.cc
+++ b/daemons/marigoldladder_relay_main.cc
@@ -7,30 +7,41 @@
 #include <cstdlib>
 #include <docopt.h>
 #include <iostream>
+#include <map>
+#include <string>
 
 namespace {
 
 constexpr auto usage = R"(Serves callers' requests from the upstreams of a deployment.
 
 Usage:
-  marigoldladder-relay --settings FILE [--check-settings]
+  marigoldladder-relay --settings FILE [--settings-from VARIABLE] [--check-settings]
   marigoldladder-relay --help
 
 Options:
-  --settings FILE   The node's settings, as JSON.
-  --check-settings  Only check the settings: prints every fault with its path.
-  --help            Shows this text.
+  --settings FILE           The node's settings, as JSON.
+  --settings-from VARIABLE  The environment variable that names the settings' file, if it is set.
+  --check-settings          Only check the settings: prints every fault with its path.
+  --help                    Shows this text.
 )";
 
 constexpr auto settingsExitCode = 2;
 
+// Returns the path of the settings that the arguments name.
+auto settingsPath(std::map<std::string, docopt::value>& arguments) -> std::string
+{
+    const auto& variable = arguments["--settings-from"];
+    const auto* path = variable ? std::getenv(variable.asString().c_str()) : nullptr;
+    return path && *path ? path : arguments["--settings"].asString();
+}
+
 } // namespace
 
 extern "C" auto marigoldladderRelayMain(int argc, char** argv) -> int
 {
     using namespace marigoldladder::relay;
     auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
-    const auto path = arguments["--settings"].asString();
+    const auto path = settingsPath(arguments);
     const auto onlyChecks = arguments["--check-settings"].asBool();
     const auto settings = onlyChecks ? readSettingsFile(path) : awaitSettingsFile(path);
     if (!settings) {
--- a/test/soak/relay_start_test.cc
+++ b/test/soak/relay_start_test.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <iterator>
 #include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -23,6 +24,17 @@
         return { std::istreambuf_iterator<char>(file), {} };
     }
 
+    // Returns the arguments with which the deploy file runs the program.
+    auto deployedArguments() -> std::vector<std::string>
+    {
+        const auto text = readFile(std::string(MARIGOLDLADDER_SOURCE) + "/deploy/system.toml");
+        const auto begin = text.find("run = \"") + std::string_view("run = \"").size();
+        auto words = std::istringstream(text.substr(begin, text.find('"', begin) - begin));
+        auto program = std::string();
+        words >> program;
+        return { std::istream_iterator<std::string>(words), {} };
+    }
+
     class RelayStartTest : public testing::Test {
     protected:
         auto SetUp() -> void override
@@ -119,6 +131,16 @@
         std::filesystem::remove_all(build / folder);
     }
 
+    // Issue 47: a node looked for its settings at one fixed path, though the platform says where they are.
+    TEST_F(RelayStartTest, StartsWithTheSettingsThatThePlatformNames)
+    {
+        ::setenv("MARIGOLDLADDER_SETTINGS", relay().m_settingsFile.c_str(), 1);
+        relay().m_relay = harness::ChildProcess(
+            "marigoldladder-relay", deployedArguments(), harness::ReadyLine::NotAwaited);
+        ::unsetenv("MARIGOLDLADDER_SETTINGS");
+        EXPECT_TRUE(m_site.allReady(startTime)) << relay().m_relay.end();
+    }
+
     TEST_F(RelayStartTest, IsNotEndedBySignalsWhileItServes)
     {
         m_site.restart(relay());
