--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -61,6 +63,29 @@
         return line;
     }
 
+    // Keeps a program's further output in a file of the folder that LOG_FOLDER names, if it is set.
+    auto keepOutput(const std::string& program, const StartedProgram& started) -> void
+    {
+        const auto* folder = std::getenv("LOG_FOLDER");
+        if (!folder)
+            return;
+        const auto name
+            = program.substr(program.rfind('/') + 1) + "-" + std::to_string(started.m_pid) + ".log";
+        const auto file = open((std::string(folder) + "/" + name).c_str(),
+            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+        const auto output = fcntl(started.m_output, F_DUPFD_CLOEXEC, 0);
+        std::thread([file, output] {
+            auto bytes = std::array<char, 4096> {};
+            for (auto size = read(output, bytes.data(), bytes.size()); size > 0;
+                 size = read(output, bytes.data(), bytes.size())) {
+                if (write(file, bytes.data(), static_cast<std::size_t>(size)) != size)
+                    break;
+            }
+            close(output);
+            close(file);
+        }).detach();
+    }
+
 } // namespace
 
 ChildProcess::ChildProcess(
@@ -69,8 +94,10 @@
     const auto started = start(program, arguments);
     m_pid = started.m_pid;
     m_output = started.m_output;
-    if (readyLine == ReadyLine::NotAwaited)
+    if (readyLine == ReadyLine::NotAwaited) {
+        keepOutput(program, started);
         return;
+    }
     // Some programs print the JSON behind the time and level of a log line.
     const auto line = readLine(m_output);
     const auto begin = std::min(line.find('{'), line.size());
@@ -82,6 +109,7 @@
         kill();
         throw std::runtime_error(program + " did not become ready: " + end());
     }
+    keepOutput(program, started);
 }
 
 ChildProcess::ChildProcess(ChildProcess&& other) noexcept
--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -67,6 +67,12 @@
     WithEngines,
 };
 
+// What answers requests for streams.
+enum class StreamService {
+    Plain,
+    Engines,
+};
+
 class RelaySite {
 public:
     RelaySite(std::size_t relays, std::size_t upstreams, SoakRecord&, SiteKind = SiteKind::Quick);
@@ -77,6 +83,11 @@
     auto relays() -> std::vector<RelayProcess>& { return m_relays; }
     auto upstreams() -> std::vector<ProxiedUpstream>& { return m_upstreams; }
 
+    auto streamService() const -> StreamService
+    {
+        return m_kind == SiteKind::WithEngines ? StreamService::Engines : StreamService::Plain;
+    }
+
     // Of relays that weren't removed; from any thread.
     auto callerAddresses() -> std::vector<Address>;
 
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -43,8 +43,24 @@
         return client;
     }
 
+    auto isStream(RouteKind kind) -> bool
+    {
+        return kind == RouteKind::Resumable || kind == RouteKind::StreamOnce;
+    }
+
+    // What a request to a model engine states, in place of a plain one's deadline.
+    auto setEngineHeaders(httplib::Request& request, const std::string& operation) -> void
+    {
+        const auto adapter = std::hash<std::string>()(operation) % adapters;
+        request.headers.erase("X-Marigoldladder-Deadline-Ms");
+        request.headers.emplace("X-Marigoldladder-Deadline-Ms", streamDeadlineMilliseconds);
+        request.headers.emplace("X-Marigoldladder-Model", "m/a" + std::to_string(adapter));
+        request.headers.emplace("X-Marigoldladder-Token-Count", "120,60");
+        request.headers.emplace("X-Marigoldladder-Prompt-Prefix", "5c1e:80,91bd:20,e440:20");
+    }
+
     auto callOver(httplib::Client& client, RouteKind kind, const std::string& requestId,
-        const std::string& operation) -> Attempt
+        const std::string& operation, StreamService service) -> Attempt
     {
         auto attempt = Attempt();
         attempt.m_id = requestId;
@@ -56,14 +72,8 @@
         request.body = operation;
         request.headers = { { "Host", "h.example" }, { "X-Marigoldladder-Request-Id", requestId },
             { "X-Marigoldladder-Deadline-Ms", "3000" }, { "Api-Key", "key-1" } };
-        if (kind == RouteKind::Resumable || kind == RouteKind::StreamOnce) {
-            const auto adapter = std::hash<std::string>()(operation) % adapters;
-            request.headers.erase("X-Marigoldladder-Deadline-Ms");
-            request.headers.emplace("X-Marigoldladder-Deadline-Ms", streamDeadlineMilliseconds);
-            request.headers.emplace("X-Marigoldladder-Model", "m/a" + std::to_string(adapter));
-            request.headers.emplace("X-Marigoldladder-Token-Count", "120,60");
-            request.headers.emplace("X-Marigoldladder-Prompt-Prefix", "5c1e:80,91bd:20,e440:20");
-        }
+        if (isStream(kind) && service == StreamService::Engines)
+            setEngineHeaders(request, operation);
         request.response_handler = [&](const httplib::Response& response) {
             attempt.m_status = response.status;
             attempt.m_signed = response.has_header("X-Marigoldladder-Server-Stamp");
@@ -132,7 +142,7 @@
         for (auto sent = 0; sent < requestsOfAConnection && !m_ending; ++sent) {
             const auto kind = paths[random() % paths.size()].first;
             const auto operation = "c" + std::to_string(seed) + "-" + std::to_string(++number);
-            auto attempt = callOver(client, kind, operation + "-0", operation);
+            auto attempt = callOver(client, kind, operation + "-0", operation, m_site.streamService());
             attempt.m_relay = formatAddress(relay);
             const auto lost = !attempt.m_complete;
             m_record.noteAttempt(attempt);
@@ -151,16 +161,16 @@
         std::this_thread::sleep_for(returnDelay);
         const auto relay = anyRelay(random);
         const auto id = refused.m_operation + "-" + std::to_string(attempts);
-        refused = callOnce(relay, refused.m_kind, id, refused.m_operation);
+        refused = callOnce(relay, refused.m_kind, id, refused.m_operation, m_site.streamService());
         m_record.noteAttempt(refused);
     }
 }
 
 auto callOnce(const Address& relay, RouteKind kind, const std::string& requestId,
-    const std::string& operation) -> Attempt
+    const std::string& operation, StreamService service) -> Attempt
 {
     auto client = clientFor(relay);
-    auto attempt = callOver(client, kind, requestId, operation);
+    auto attempt = callOver(client, kind, requestId, operation, service);
     attempt.m_relay = formatAddress(relay);
     return attempt;
 }
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -32,8 +32,8 @@
 };
 
 // Sends one request over a connection of its own and returns what came back.
-auto callOnce(const Address& relay, RouteKind, const std::string& requestId, const std::string& operation)
-    -> Attempt;
+auto callOnce(const Address& relay, RouteKind, const std::string& requestId, const std::string& operation,
+    StreamService = StreamService::Plain) -> Attempt;
 
 // Sends a request or a part of it in percent, and resets the connection after the time given.
 auto resetAfter(const Address& relay, const std::string& requestId, std::size_t percent,
