Keep brittle upstreams below the refusals that they bear

Nodes didn't read it: a plain service got 1.5 times its slots by figures a tenth of a second old, and a refused request went there again after 40 ms.

Seen to fail before: BrittleUpstreamTest, one node before a stand-in with room for 2 requests or 1: 193 and 208 refusals in a second where 2 are borne; now at most 2.

Now, while a pool is brittle, each node owns a part of the slots, less a quarter: the slots of the pool's upstreams are counted through by name and go to the nodes in turn by name. Beyond its own a node sends only where there is room if every other node sent three more since it was last heard; more than was taken before is tried once in nodes / N seconds, which is also how long a node leaves an upstream alone that refused. The state begins with any answer that says so and ends with one to a later request that doesn't.

--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -53,6 +53,9 @@
     std::optional<Milliseconds> m_coldLeft; // Remaining time of its cold start.
     // Requests a second that it takes from all nodes together while its answers say so.
     std::optional<double> m_requestLimit;
+    // While its answers say so, it and the others of its pool fall over when they refuse more requests in a
+    // second.
+    std::optional<double> m_refusalsPerSecond;
     // It refused this request, and wants none from this node for so long.
     std::optional<Milliseconds> m_retryAfter;
 };
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -66,6 +66,12 @@
     std::map<VmName, MonotonicTime> m_refusedPeers; // Peers that were refused, and when they reported it.
 };
 
+// How many requests of this node an upstream has been seen to take at a time.
+struct SeenRoom {
+    std::size_t m_taken = 0;
+    MonotonicTime m_triedAt {}; // When it was last sent one more than that.
+};
+
 struct Upstream : std::enable_shared_from_this<Upstream> {
     UpstreamRecord m_record;
     std::unordered_map<std::string, AdapterPresence> m_adapters; // By `model/adapter`.
@@ -82,6 +88,7 @@
     std::size_t m_peersInFlight = 0; // Requests of the other nodes, by their latest summaries.
     double m_peersTokensInFlight = 0;
     LimitState m_requestLimit;
+    SeenRoom m_room;
     MonotonicTime m_fullUntil {}; // It refused requests because of its load.
     MonotonicTime m_pausedUntil {}; // It asked this node for no requests until then.
     UpstreamHealth m_health;
@@ -101,6 +108,12 @@
     MonotonicTime m_goneAt {}; // The last of them.
 };
 
+// What the upstreams of a pool say while they are brittle.
+struct Brittleness {
+    double m_refusalsPerSecond = 0; // One that refuses more requests for want of room falls over.
+    MonotonicTime m_saidAt {};
+};
+
 // All upstreams, by name.
 struct UpstreamTable {
     std::map<UpstreamName, UpstreamPointer> m_upstreams;
@@ -110,6 +123,7 @@
     std::map<UpstreamName, UpstreamPointer> m_removedLately;
     std::map<SoftwareId, FormerSoftware> m_formerSoftware; // Also of upstreams replaced under their name.
     std::map<DataCentreName, bool> m_evacuated; // Data centres that get no new requests.
+    std::map<PoolName, Brittleness> m_brittle; // Pools whose upstreams are.
     AdapterVersions m_versions;
     bool m_known = false;
 };
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -1,6 +1,7 @@
 #include "relay/upstream_call.h"
 
 #include "relay/blackboard_updates.h"
+#include "relay/brittle_pools.h"
 #include "relay/stream_forwarding.h"
 #include "relay/upstream_choice.h"
 #include "relay/upstream_notices.h"
@@ -263,12 +264,22 @@
         m_board.m_missingAdapters.push_back({ upstream.m_record.m_name, adapter, now });
 }
 
+auto UpstreamCaller::recordNoRoom(Upstream& upstream, MonotonicTime now) -> void
+{
+    upstream.m_fullUntil = now + fullRetryDelay;
+    recordRoomRefused(upstream);
+    if (const auto* brittleness = brittlenessOf(m_board.m_upstreams, upstream.m_record.m_pool)) {
+        const auto pausedUntil = now + pauseAfterRefusal(*brittleness, m_board.m_nodes);
+        upstream.m_pausedUntil = std::max(upstream.m_pausedUntil, pausedUntil);
+    }
+}
+
 auto UpstreamCaller::recordRefusal(const CallState& state, Upstream& upstream, const UpstreamAnswer& answer)
     -> void
 {
     const auto now = Clock::now();
     if (!answer.m_instanceMismatch) {
-        upstream.m_fullUntil = now + fullRetryDelay;
+        recordNoRoom(upstream, now);
         return;
     }
     const auto replaced = !answer.m_instance.empty() && answer.m_instance != upstream.m_record.m_name.value();
@@ -357,6 +368,8 @@
     state.m_versions = { held, dispatch.m_adapterVersion, sentAt };
     state.m_lastHeardAt = sentAt;
     state.m_software = upstream->m_record.m_software;
+    const auto inFlight = upstream->m_inFlight;
+    recordRoomTried(*upstream, sentAt);
     auto silence = SilenceWatch(connection->m_stream, handling);
     connection->m_stream.expires_at(state.m_deadline);
     silence.begin(answerPause(*state.m_route));
@@ -370,6 +383,8 @@
     const auto status = head.m_parser->get().result_int();
     const auto idleTime = keepAliveTimeout(head.m_parser->get());
     applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, sentAt, Clock::now());
+    if (!head.m_answer.m_notRun)
+        recordRoomTaken(*upstream, inFlight);
     if (isSuccess(status) && !head.m_answer.m_notRun && state.m_route->m_kind == CallKind::Stream) {
         const auto stream
             = co_await forwardStream(state, answer, *connection, *head.m_parser, silence, m_board);
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -100,6 +100,7 @@
         const SilenceHandling&) -> Awaitable<UpstreamCallOutcome>;
     auto recordReachability(Upstream&, UpstreamCallOutcome, bool refused) -> void;
     auto recordMissingAdapter(const std::string& adapter, Upstream&, MonotonicTime now) -> void;
+    auto recordNoRoom(Upstream&, MonotonicTime now) -> void;
     auto recordRefusal(const CallState&, Upstream&, const UpstreamAnswer&) -> void;
 
     UpstreamConnectionPool& m_connections;
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -1,5 +1,6 @@
 #include "relay/upstream_choice.h"
 
+#include "relay/brittle_pools.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -97,17 +98,35 @@
         return lowestVersionToSend(table.m_versions, needs.m_adapter, now);
     }
 
+    // What is known of the pool of a request.
+    struct PoolState {
+        const Pool* m_pool = nullptr; // Null: the configuration doesn't list it.
+        const Brittleness* m_brittleness = nullptr; // Null: it isn't brittle.
+        std::size_t m_firstSlot = 0; // The slots of its upstreams before the one that is looked at.
+    };
+
     auto slotLimit(const Upstream& upstream, const Pool* pool) -> double
     {
         const auto slots = static_cast<double>(std::max<std::size_t>(upstream.m_record.m_slots, 1));
         return pool && pool->m_engine ? slots : slots * plainServiceOvercommit;
     }
 
-    auto hasCapacity(const Upstream& upstream, const Pool* pool, double tokens) -> bool
+    auto hasFreeSlot(const Upstream& upstream, const PoolState& state, const ChoiceContext& context) -> bool
     {
+        if (state.m_brittleness)
+            return hasBrittleRoom(
+                upstream, *state.m_brittleness, context.m_place, state.m_firstSlot, context.m_now);
         const auto requests = static_cast<double>(upstream.m_inFlight + upstream.m_peersInFlight);
-        if (requests >= slotLimit(upstream, pool))
+        return requests < slotLimit(upstream, state.m_pool);
+    }
+
+    auto hasCapacity(
+        const Upstream& upstream, const PoolState& state, double tokens, const ChoiceContext& context) -> bool
+    {
+        if (!hasFreeSlot(upstream, state, context))
             return false;
+        const auto* pool = state.m_pool;
+        const auto requests = upstream.m_inFlight + upstream.m_peersInFlight;
         if (!pool || !pool->m_engine || pool->m_engine->m_memoryTokens <= 0 || requests == 0)
             return true;
         const auto tokensInFlight = upstream.m_tokensInFlight + upstream.m_peersTokensInFlight;
@@ -151,7 +170,7 @@
         auto copy = Upstream();
         copy.m_coldAllowance = upstream.m_coldAllowance;
         copy.m_coldRefilledAt = upstream.m_coldRefilledAt;
-        return acquireColdAllowance(copy, *pool, context.m_nodes, context.m_now);
+        return acquireColdAllowance(copy, *pool, context.m_place.m_nodes, context.m_now);
     }
 
     auto earliest(MonotonicTime left, MonotonicTime right) -> MonotonicTime
@@ -168,9 +187,10 @@
         double m_cost = 0;
     };
 
-    auto assess(const Upstream& upstream, const Pool* pool, const UpstreamNeeds& needs,
+    auto assess(const Upstream& upstream, const PoolState& state, const UpstreamNeeds& needs,
         std::optional<std::uint64_t> version, const ChoiceContext& context) -> Assessment
     {
+        const auto* pool = state.m_pool;
         const auto now = context.m_now;
         if (isUnreachable(upstream.m_reachability, now)) {
             // An adapter that the request needs has to be loaded at another upstream.
@@ -185,7 +205,8 @@
                 adapter.m_readyAt };
         if (upstream.m_fullUntil > now)
             return { ChoiceOutcome::Full, upstream.m_fullUntil };
-        if (!hasCapacity(upstream, pool, needs.m_tokens) || !hasColdAllowance(upstream, pool, context))
+        if (!hasCapacity(upstream, state, needs.m_tokens, context)
+            || !hasColdAllowance(upstream, pool, context))
             return { ChoiceOutcome::Full };
         return { ChoiceOutcome::Chosen, {}, costOf(upstream, pool, needs, context) };
     }
@@ -258,13 +279,18 @@
     auto choice = UpstreamChoice();
     const auto& pools = context.m_configuration->m_pools;
     const auto found = pools.find(needs.m_pool);
-    const auto* pool = found == pools.end() ? nullptr : &found->second;
+    auto pool
+        = PoolState { found == pools.end() ? nullptr : &found->second, brittlenessOf(table, needs.m_pool) };
     const auto version = wantedVersion(table, needs, context.m_now);
     auto lowest = std::numeric_limits<double>::infinity();
     for (const auto& [name, upstream] : table.m_upstreams) {
+        if (upstream->m_record.m_pool != needs.m_pool)
+            continue;
+        const auto state = pool;
+        pool.m_firstSlot += usedSlots(*upstream);
         if (!isEligible(table, *upstream, needs) || !isInAllowedRegions(*upstream, needs, context))
             continue;
-        const auto assessment = assess(*upstream, pool, needs, version, context);
+        const auto assessment = assess(*upstream, state, needs, version, context);
         if (assessment.m_outcome != ChoiceOutcome::Chosen) {
             raiseOutcome(choice, assessment.m_outcome, assessment.m_retryAt);
         } else if (assessment.m_cost < lowest) {
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -1,6 +1,7 @@
 // Chooses the upstream for a request: a function of the known state and the time, without I/O.
 #pragma once
 
+#include "relay/brittle_pools.h"
 #include "relay/upstream.h"
 
 #include <optional>
@@ -51,7 +52,7 @@
 struct ChoiceContext {
     const RoutingConfiguration* m_configuration = nullptr;
     const std::map<DataCentreName, std::string>* m_regions = nullptr; // By data centre; null: unknown.
-    std::size_t m_nodes = 1; // Among which a cold upstream's request rate is divided.
+    FleetPlace m_place; // Of this node among those that share cold and brittle upstreams.
     MonotonicTime m_now {};
     bool m_smallFleet = true; // Peers' in-flight counts are recent.
     std::uint64_t m_jitterSeed = 0; // New for each choice, so that nodes choose differently.
--- a/src/relay/upstream_notices.cc
+++ b/src/relay/upstream_notices.cc
@@ -1,6 +1,7 @@
 #include "relay/upstream_notices.h"
 
 #include "core/log.h"
+#include "relay/brittle_pools.h"
 
 #include <algorithm>
 
@@ -14,6 +15,17 @@
             board.m_requestLimitChanged(upstream);
     }
 
+    auto applyBrittleness(RelayBoard& board, const Upstream& upstream,
+        std::optional<double> refusalsPerSecond, MonotonicTime saidAt) -> void
+    {
+        const auto& pool = upstream.m_record.m_pool;
+        if (!recordBrittleness(board.m_upstreams, pool, refusalsPerSecond, saidAt))
+            return;
+        logChange(refusalsPerSecond ? "pool_brittle" : "pool_no_longer_brittle",
+            { { "pool", pool.value() }, { "upstream", upstream.m_record.m_name.value() },
+                { "refusals_per_second", refusalsPerSecond ? std::to_string(*refusalsPerSecond) : "any" } });
+    }
+
 } // namespace
 
 auto applyNotices(RelayBoard& board, Upstream& upstream, const UpstreamNotices& notices, MonotonicTime now)
@@ -29,6 +41,8 @@
         upstream.m_pausedUntil = std::max(upstream.m_pausedUntil, now + *notices.m_retryAfter);
     if (notices.m_requestLimit)
         applyLimit(board, upstream, NamedLimit { notices.m_requestLimit, now });
+    if (notices.m_refusalsPerSecond)
+        applyBrittleness(board, upstream, notices.m_refusalsPerSecond, now);
 }
 
 auto applyRequestAnswerNotices(RelayBoard& board, Upstream& upstream, const UpstreamNotices& notices,
@@ -37,6 +51,8 @@
     applyNotices(board, upstream, notices, now);
     if (!notices.m_requestLimit)
         applyLimit(board, upstream, NamedLimit { std::nullopt, sentAt });
+    if (!notices.m_refusalsPerSecond)
+        applyBrittleness(board, upstream, std::nullopt, sentAt);
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/upstream_notices.h
+++ b/src/relay/upstream_notices.h
@@ -11,7 +11,7 @@
 
 // Applies the notices of an answer to a caller's request that was sent at `sentAt`. Unlike those of other
 // answers, one without a limit shows that the upstream no longer names one, or did so when the request was
-// sent.
+// sent; so it is with brittle upstreams.
 auto applyRequestAnswerNotices(
     RelayBoard&, Upstream&, const UpstreamNotices&, MonotonicTime sentAt, MonotonicTime now) -> void;
 
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -73,7 +73,7 @@
     auto context = ChoiceContext();
     context.m_configuration = m_board.m_configuration.get();
     context.m_regions = &m_settings.m_regions;
-    context.m_nodes = m_board.m_nodes;
+    context.m_place = { m_board.m_nodes, m_board.m_rank };
     context.m_now = Clock::now();
     context.m_smallFleet = isSmallFleet(m_board.m_fleet);
     context.m_jitterSeed = m_random();
