--- a/test/platform/header_dialect_test.cc
+++ b/test/platform/header_dialect_test.cc
@@ -96,6 +96,33 @@
         EXPECT_EQ(makeDialect().m_readAnswer(503, fields).m_notices.m_retryAfter, std::chrono::hours(24));
     }
 
+    // Times near the greatest number overflowed when they were added to the time of day.
+    TEST(HeaderDialectTest, TakesTimesBeyondADayAsADayAndNegativeOnesAsNone)
+    {
+        constexpr auto greatest = "9223372036854775807";
+        constexpr auto least = "-9223372036854775808";
+        const auto timeoutOf = [](const char* text) {
+            auto fields = callerHeaders();
+            fields.set("X-Marigoldladder-Deadline-Ms", text);
+            return makeDialect().m_readRequest(fields).m_timeout;
+        };
+        EXPECT_EQ(timeoutOf(greatest), std::chrono::hours(24));
+        EXPECT_EQ(timeoutOf(least), Milliseconds(0));
+        auto fields = HeaderFields();
+        fields.set("X-Marigoldladder-Cold-Ms", greatest);
+        EXPECT_EQ(readNotices(200, fields).m_coldLeft, std::chrono::hours(24));
+    }
+
+    TEST(HeaderDialectTest, ReadsHowManyRefusalsABrittleUpstreamBears)
+    {
+        auto fields = HeaderFields();
+        EXPECT_EQ(readNotices(200, fields).m_refusalsPerSecond, std::nullopt);
+        fields.set("Server-Brittle", "4");
+        EXPECT_EQ(readNotices(503, fields).m_refusalsPerSecond, 4);
+        fields.set("Server-Brittle", "many");
+        EXPECT_EQ(readNotices(200, fields).m_refusalsPerSecond, std::nullopt);
+    }
+
     TEST(HeaderDialectTest, InvalidNumbersCountAsMissing)
     {
         auto fields = callerHeaders();
