--- /dev/null
+++ b/src/relay/upstream_answer.h
@@ -0,0 +1,28 @@
+// Reads the answer to one request from a connection to an upstream, past answers to other requests.
+#pragma once
+
+#include "relay/stream_forwarding.h"
+#include "relay/upstream_call.h"
+
+#include <memory>
+
+namespace marigoldladder::relay {
+
+// The head of an answer.
+struct AnswerHead {
+    UpstreamAnswer m_answer;
+    std::unique_ptr<HeadParser> m_parser; // Null if the connection broke or timed out.
+    bool m_timedOut = false;
+};
+
+// Reads the head of the answer to a request. Answers to others are discarded and counted.
+auto readHead(UpstreamConnection&, const CallState&, const Dialect&, RelayBoard&) -> Awaitable<AnswerHead>;
+
+// Reads the rest of an answer, and whether its connection may be used again; returns the error if the answer
+// is incomplete.
+auto readWhole(UpstreamConnection&, HeadParser& head, WholeAnswer&, bool& keepAlive) -> Awaitable<ErrorCode>;
+
+// Returns how long the upstream keeps an idle connection open.
+auto keepAliveTimeout(const HeaderFields&) -> Milliseconds;
+
+} // namespace marigoldladder::relay
