Open a listener again that was shut down from outside

Where connections are reset from outside the process, its listening sockets may be hit too: each accept fails then, and was tried again every 50 ms for ever, while callers were refused and the node went on to count itself ready.

ListenerTest.APortThatWasClosedFromOutsideIsOpenedAgain failed before (connection refused half a second later) and passes now. A failed accept for another reason, such as too few descriptors, only pauses, as before. That it is what the users saw is suspected at most: it ends no process.

--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -2,6 +2,8 @@
 
 #include "core/log.h"
 
+#include <sys/socket.h>
+
 namespace marigoldladder::relay {
 
 namespace {
@@ -9,6 +11,24 @@
     constexpr auto acceptRetryDelay
         = std::chrono::milliseconds(50); // Open connections may end and free descriptors meanwhile.
 
+    // Whether the socket no longer listens: it may be shut down from outside the process.
+    auto isShutDown(net::ip::tcp::acceptor& acceptor) -> bool
+    {
+        auto listens = 0;
+        auto length = socklen_t { sizeof(listens) };
+        const auto handle = acceptor.native_handle();
+        return ::getsockopt(handle, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) == 0 && listens == 0;
+    }
+
+    auto reopenListener(net::ip::tcp::acceptor& acceptor, Address address) -> Awaitable<void>
+    {
+        auto ignored = ErrorCode();
+        acceptor.close(ignored);
+        while (!openListener(acceptor, address))
+            co_await sleepFor(acceptRetryDelay);
+        logChange("listener_reopened", { { "address", formatAddress(address) } });
+    }
+
 } // namespace
 
 auto openListener(net::ip::tcp::acceptor& acceptor, const Address& address) -> bool
@@ -41,12 +61,13 @@
 {
     auto ignored = ErrorCode();
     const auto endpoint = acceptor.local_endpoint(ignored);
-    const auto address = formatAddress({ endpoint.address().to_string(), endpoint.port() });
+    const auto address = Address { endpoint.address().to_string(), endpoint.port() };
     for (;;) {
         auto error = ErrorCode();
         auto socket = co_await acceptor.async_accept(errorTo(error));
         if (error == net::error::operation_aborted || !acceptor.is_open()) {
-            logWarning("accept_ended", { { "address", address }, { "reason", error.message() } });
+            logWarning(
+                "accept_ended", { { "address", formatAddress(address) }, { "reason", error.message() } });
             co_return;
         }
         if (!error) {
@@ -54,7 +75,10 @@
             continue;
         }
         logWarning("accept_failed", { { "reason", error.message() } });
-        co_await sleepFor(acceptRetryDelay);
+        if (isShutDown(acceptor))
+            co_await reopenListener(acceptor, address);
+        else
+            co_await sleepFor(acceptRetryDelay);
     }
 }
 
--- a/src/relay/listener.h
+++ b/src/relay/listener.h
@@ -12,7 +12,8 @@
 auto openListener(net::ip::tcp::acceptor&, const Address&) -> bool;
 
 // Passes each accepted connection to `serve` until the acceptor is closed. After a failed accept, for example
-// for want of file descriptors, it logs the reason and pauses. The acceptor must outlive the coroutine.
+// for want of file descriptors, it logs the reason and pauses; a port that was closed from outside is opened
+// again. The acceptor must outlive the coroutine.
 auto acceptConnections(net::ip::tcp::acceptor&, std::function<void(net::ip::tcp::socket)> serve)
     -> Awaitable<void>;
 
--- a/test/relay/listener_test.cc
+++ b/test/relay/listener_test.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <stdexcept>
+#include <sys/socket.h>
 
 namespace marigoldladder::relay {
 namespace {
@@ -83,6 +84,16 @@
         EXPECT_EQ(failures(), 1U);
     }
 
+    // Issue 47: an accept that failed for good was tried again each 50 ms, while callers were refused.
+    TEST_F(ListenerTest, APortThatWasClosedFromOutsideIsOpenedAgain)
+    {
+        listen(sendText);
+        EXPECT_EQ(receive(), "served");
+        ASSERT_EQ(::shutdown(m_acceptor.native_handle(), SHUT_RDWR), 0);
+        m_context.run_for(std::chrono::milliseconds(500));
+        EXPECT_EQ(receive(), "served");
+    }
+
     TEST_F(ListenerTest, AnExceptionThatEndsAConnectionIsCounted)
     {
         listen([this](net::ip::tcp::socket socket) {
