Let every node serve where a brittle pool has fewer slots than nodes

There each node sends one request at a time to an upstream that has room by its figures; how that holds under heavy load wasn't played.

--- a/src/relay/brittle_pools.cc
+++ b/src/relay/brittle_pools.cc
@@ -64,16 +64,18 @@
 }
 
 auto hasBrittleRoom(const Upstream& upstream, const Brittleness& brittleness, const FleetPlace& place,
-    std::size_t firstSlot, MonotonicTime now) -> bool
+    const PoolSlots& slots, MonotonicTime now) -> bool
 {
     const auto used = usedSlots(upstream);
     const auto mayTryMore = now >= upstream.m_room.m_triedAt + refusalInterval(brittleness, place.m_nodes);
     if (upstream.m_inFlight >= upstream.m_room.m_taken + (mayTryMore ? 1 : 0))
         return false;
-    if (upstream.m_inFlight < ownedSlots(firstSlot, used, place))
+    const auto known = upstream.m_inFlight + upstream.m_peersInFlight;
+    if (slots.m_all < place.m_nodes)
+        return upstream.m_inFlight == 0 && known < used;
+    if (upstream.m_inFlight < ownedSlots(slots.m_first, used, place))
         return true;
-    const auto unknown = unknownRequests * (place.m_nodes - 1);
-    return upstream.m_inFlight + upstream.m_peersInFlight + unknown < used;
+    return known + unknownRequests * (place.m_nodes - 1) < used;
 }
 
 auto recordRoomTried(Upstream& upstream, MonotonicTime now) -> void
--- a/src/relay/brittle_pools.h
+++ b/src/relay/brittle_pools.h
@@ -2,7 +2,8 @@
 //
 // Nodes learn each other's requests late, so while a pool is brittle its slots, less a reserve, are divided
 // among the nodes: each counts the slots of all of the pool's upstreams through and owns those whose number
-// leaves its rank. Beyond these a node sends only where there would be room if all others did the same. What
+// leaves its rank. Beyond these a node sends only where there would be room if all others did the same. Where
+// there are more nodes than slots, each sends one request at a time where it knows of room. What
 // an upstream has not been seen to take is tried at a bounded rate, and an upstream that refused a request
 // is left alone for a while, so that all nodes together stay below the refusals that it bears.
 #pragma once
@@ -30,10 +31,15 @@
 // Returns how many slots of an upstream may be in use while its pool is brittle.
 auto usedSlots(const Upstream&) -> std::size_t;
 
-// Whether this node may send one more request to an upstream of a brittle pool. `firstSlot` is the number of
-// slots in use of the pool's upstreams before it, by name.
+// The slots that may be in use at the upstreams of a brittle pool, counted through by the upstreams' names.
+struct PoolSlots {
+    std::size_t m_first = 0; // Those of the upstreams before the one that is looked at.
+    std::size_t m_all = 0;
+};
+
+// Whether this node may send one more request to an upstream of a brittle pool.
 auto hasBrittleRoom(
-    const Upstream&, const Brittleness&, const FleetPlace&, std::size_t firstSlot, MonotonicTime now) -> bool;
+    const Upstream&, const Brittleness&, const FleetPlace&, const PoolSlots&, MonotonicTime now) -> bool;
 
 // Records that a request, which counts as in flight, is sent.
 auto recordRoomTried(Upstream&, MonotonicTime now) -> void;
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -102,9 +102,17 @@
     struct PoolState {
         const Pool* m_pool = nullptr; // Null: the configuration doesn't list it.
         const Brittleness* m_brittleness = nullptr; // Null: it isn't brittle.
-        std::size_t m_firstSlot = 0; // The slots of its upstreams before the one that is looked at.
+        PoolSlots m_slots; // While it is brittle.
     };
 
+    auto usedSlotsOf(const UpstreamTable& table, const PoolName& pool) -> std::size_t
+    {
+        auto all = std::size_t { 0 };
+        for (const auto& [name, upstream] : table.m_upstreams)
+            all += upstream->m_record.m_pool == pool ? usedSlots(*upstream) : 0;
+        return all;
+    }
+
     auto slotLimit(const Upstream& upstream, const Pool* pool) -> double
     {
         const auto slots = static_cast<double>(std::max<std::size_t>(upstream.m_record.m_slots, 1));
@@ -115,7 +123,7 @@
     {
         if (state.m_brittleness)
             return hasBrittleRoom(
-                upstream, *state.m_brittleness, context.m_place, state.m_firstSlot, context.m_now);
+                upstream, *state.m_brittleness, context.m_place, state.m_slots, context.m_now);
         const auto requests = static_cast<double>(upstream.m_inFlight + upstream.m_peersInFlight);
         return requests < slotLimit(upstream, state.m_pool);
     }
@@ -279,15 +287,17 @@
     auto choice = UpstreamChoice();
     const auto& pools = context.m_configuration->m_pools;
     const auto found = pools.find(needs.m_pool);
-    auto pool
-        = PoolState { found == pools.end() ? nullptr : &found->second, brittlenessOf(table, needs.m_pool) };
+    const auto* brittleness = brittlenessOf(table, needs.m_pool);
+    auto pool = PoolState { found == pools.end() ? nullptr : &found->second, brittleness, {} };
+    if (brittleness)
+        pool.m_slots.m_all = usedSlotsOf(table, needs.m_pool);
     const auto version = wantedVersion(table, needs, context.m_now);
     auto lowest = std::numeric_limits<double>::infinity();
     for (const auto& [name, upstream] : table.m_upstreams) {
         if (upstream->m_record.m_pool != needs.m_pool)
             continue;
         const auto state = pool;
-        pool.m_firstSlot += usedSlots(*upstream);
+        pool.m_slots.m_first += usedSlots(*upstream);
         if (!isEligible(table, *upstream, needs) || !isInAllowedRegions(*upstream, needs, context))
             continue;
         const auto assessment = assess(*upstream, state, needs, version, context);
--- a/test/relay/brittle_pools_test.cc
+++ b/test/relay/brittle_pools_test.cc
@@ -13,11 +13,13 @@
 namespace marigoldladder::relay {
 namespace {
 
-    constexpr auto nodes = std::size_t { 9 };
+    constexpr auto fewNodes = std::size_t { 9 };
+    constexpr auto manyNodes = std::size_t { 61 }; // More than there are slots.
     constexpr auto upstreams = std::size_t { 4 };
     constexpr auto slots = std::size_t { 6 };
     constexpr auto refusalsBorne = 5.0; // In any second.
-    constexpr auto summaryInterval = Milliseconds(100);
+    constexpr auto summaryInterval = Milliseconds(100); // Among few nodes.
+    constexpr auto digestInterval = Milliseconds(600); // Among many.
     constexpr auto travelTime = Milliseconds(1);
     constexpr auto workTime = Milliseconds(60);
 
@@ -55,8 +57,9 @@
 
     class Fleet {
     public:
-        explicit Fleet(std::uint32_t seed)
-            : m_configuration(configurationWith(plainPool()))
+        explicit Fleet(std::uint32_t seed, std::size_t nodes = fewNodes)
+            : m_nodes(nodes)
+            , m_configuration(configurationWith(plainPool()))
             , m_tables(nodes)
             , m_servers(upstreams)
             , m_waiting(nodes)
@@ -81,8 +84,10 @@
             for (const auto until = m_now + time; m_now < until; m_now += Milliseconds(1)) {
                 if (m_now >= m_nextSummary)
                     exchangeSummaries();
-                for (auto node = std::size_t { 0 }; node < nodes; ++node) {
-                    m_waiting[node] += arrivals(m_random);
+                for (auto node = std::size_t { 0 }; node < m_nodes; ++node) {
+                    const auto arrived = arrivals(m_random);
+                    m_asked += arrived;
+                    m_waiting[node] += arrived;
                     send(node);
                 }
                 step();
@@ -91,6 +96,7 @@
 
         auto servers() -> std::vector<Server>& { return m_servers; }
         auto served() const -> std::size_t { return m_served; }
+        auto asked() const -> std::size_t { return m_asked; }
 
     private:
         static auto plainPool() -> Pool
@@ -112,12 +118,12 @@
 
         auto exchangeSummaries() -> void
         {
-            m_nextSummary = m_now + summaryInterval;
+            m_nextSummary = m_now + (m_nodes > fewNodes ? digestInterval : summaryInterval);
             for (auto number = std::size_t { 0 }; number < upstreams; ++number) {
                 auto all = std::size_t { 0 };
-                for (auto node = std::size_t { 0 }; node < nodes; ++node)
+                for (auto node = std::size_t { 0 }; node < m_nodes; ++node)
                     all += upstreamOf(node, number).m_inFlight;
-                for (auto node = std::size_t { 0 }; node < nodes; ++node)
+                for (auto node = std::size_t { 0 }; node < m_nodes; ++node)
                     upstreamOf(node, number).m_peersInFlight = all - upstreamOf(node, number).m_inFlight;
             }
         }
@@ -129,7 +135,7 @@
             for (; m_waiting[node] > 0; --m_waiting[node]) {
                 auto context = ChoiceContext();
                 context.m_configuration = &m_configuration;
-                context.m_place = { nodes, node };
+                context.m_place = { m_nodes, node };
                 context.m_now = m_now;
                 context.m_jitterSeed = m_random();
                 const auto choice = chooseUpstream(m_tables[node], needs, context);
@@ -169,13 +175,14 @@
             } else {
                 recordRoomRefused(upstream);
                 const auto* brittleness = brittlenessOf(m_tables[call.m_node], plainPool().m_name);
-                upstream.m_pausedUntil = m_now + pauseAfterRefusal(*brittleness, nodes);
+                upstream.m_pausedUntil = m_now + pauseAfterRefusal(*brittleness, m_nodes);
                 ++m_waiting[call.m_node];
             }
             --upstream.m_inFlight;
             call.m_upstream = nullptr;
         }
 
+        std::size_t m_nodes;
         RoutingConfiguration m_configuration;
         std::vector<UpstreamTable> m_tables; // Of each node.
         std::vector<Server> m_servers;
@@ -185,6 +192,7 @@
         MonotonicTime m_nextSummary {};
         std::vector<Call> m_calls;
         std::size_t m_served = 0;
+        std::size_t m_asked = 0;
     };
 
     auto mostRefusals(Fleet& fleet) -> std::size_t
@@ -220,5 +228,17 @@
         }
     }
 
+    // Where slots were divided among more nodes than there are slots, most nodes refused all their callers.
+    TEST(BrittlePoolsTest, EveryOneOfMoreNodesThanSlotsServesItsCallers)
+    {
+        for (auto seed = std::uint32_t { 1 }; seed <= 20; ++seed) {
+            SCOPED_TRACE("seed " + std::to_string(seed));
+            auto fleet = Fleet(seed, manyNodes);
+            fleet.play(Milliseconds(10'000), 1);
+            EXPECT_GT(fleet.served() * 10, fleet.asked() * 9);
+            EXPECT_LE(mostRefusals(fleet), refusalsBorne);
+        }
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
