--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -143,8 +143,8 @@
 
     auto jitter(const Upstream& upstream, const ChoiceContext& context) -> double
     {
-        const auto key = reinterpret_cast<std::uintptr_t>(&upstream);
-        const auto draw = XXH3_64bits_withSeed(&key, sizeof(key), context.m_jitterSeed);
+        const auto& name = upstream.m_record.m_name.value();
+        const auto draw = XXH3_64bits_withSeed(name.data(), name.size(), context.m_jitterSeed);
         constexpr auto drawRange = 18'446'744'073'709'551'616.0; // 2 to the 64th.
         const auto weight = context.m_smallFleet ? jitterInSmallFleet : jitterInLargeFleet;
         return weight * static_cast<double>(draw) / drawRange;
