Grant room at brittle upstreams by one owner each

Cause: where there are more nodes than slots, each sent one request at a time where its figures, up to 0.6 s old, showed room; nothing bounded how many found the same room at once. With slots divided among few nodes, a node had none at the one upstream that may hold its adapter. Class: a bound for the fleet kept by nodes that each look at old figures. Now one node, by the nodes' names, counts the requests at an upstream and grants each its room; ends are reported to it. Gone: the nodes' ranks, slots counted through, room learnt by each node.

--- a/src/relay/brittle_pools.h
+++ b/src/relay/brittle_pools.h
@@ -1,11 +1,6 @@
 // Pools whose upstreams say that they fall over when they refuse too many requests in a second.
 //
-// Nodes learn each other's requests late, so while a pool is brittle its slots, less a reserve, are divided
-// among the nodes: each counts the slots of all of the pool's upstreams through and owns those whose number
-// leaves its rank. Beyond these a node sends only where there would be room if all others did the same. Where
-// there are more nodes than slots, each sends one request at a time where it knows of room. What
-// an upstream has not been seen to take is tried at a bounded rate, and an upstream that refused a request
-// is left alone for a while, so that all nodes together stay below the refusals that it bears.
+// While a pool is brittle, each request to one of its upstreams needs a grant of room: see `room_grants.h`.
 #pragma once
 
 #include "relay/upstream.h"
@@ -22,36 +17,11 @@
 // Returns what the upstreams of a pool said last; null if they aren't brittle, as far as is known.
 auto brittlenessOf(const UpstreamTable&, const PoolName&) -> const Brittleness*;
 
-// A node's place among all nodes, by name.
-struct FleetPlace {
-    std::size_t m_nodes = 1;
-    std::size_t m_rank = 0;
-};
+// Returns how many slots of an upstream may be in use while its pool is brittle, by the nodes that see
+// `fleetShare` of the fleet: the two sides of a network partition share its room.
+auto usedSlots(const Upstream&, double fleetShare) -> std::size_t;
 
-// Returns how many slots of an upstream may be in use while its pool is brittle.
-auto usedSlots(const Upstream&) -> std::size_t;
-
-// The slots that may be in use at the upstreams of a brittle pool, counted through by the upstreams' names.
-struct PoolSlots {
-    std::size_t m_first = 0; // Those of the upstreams before the one that is looked at.
-    std::size_t m_all = 0;
-};
-
-// Whether this node may send one more request to an upstream of a brittle pool.
-auto hasBrittleRoom(
-    const Upstream&, const Brittleness&, const FleetPlace&, const PoolSlots&, MonotonicTime now) -> bool;
-
-// Records that a request, which counts as in flight, is sent.
-auto recordRoomTried(Upstream&, MonotonicTime now) -> void;
-
-// Records that the upstream took a request that was sent as one of `inFlight` of this node. Some of the
-// others may have been refused meanwhile.
-auto recordRoomTaken(Upstream&, std::size_t inFlight) -> void;
-
-// Records that the upstream refused a request, which still counts as in flight, for want of room.
-auto recordRoomRefused(Upstream&) -> void;
-
-// Returns how long a node sends nothing to an upstream of a brittle pool that refused a request.
-auto pauseAfterRefusal(const Brittleness&, std::size_t nodes) -> Milliseconds;
+// Returns the time between two requests that an upstream may refuse, at least, over all nodes.
+auto refusalInterval(const Brittleness&) -> Milliseconds;
 
 } // namespace marigoldladder::relay
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -172,12 +172,6 @@
     return fleet.m_peers.size() + 1;
 }
 
-auto fleetRank(const FleetView& fleet, const VmName& self) -> std::size_t
-{
-    const auto after = fleet.m_peers.lower_bound(self);
-    return static_cast<std::size_t>(std::distance(fleet.m_peers.begin(), after));
-}
-
 auto removeLostPeers(FleetView& fleet, MonotonicTime now) -> void
 {
     std::erase_if(fleet.m_peers, [&](const auto& entry) {
--- a/src/relay/fleet_view.h
+++ b/src/relay/fleet_view.h
@@ -102,9 +102,6 @@
 // Returns the number of known nodes, this one included. Limits of the whole fleet are divided by it.
 auto fleetSize(const FleetView&) -> std::size_t;
 
-// Returns how many of the other nodes come before this one by name.
-auto fleetRank(const FleetView&, const VmName& self) -> std::size_t;
-
 // Whether the fleet has so few nodes that each sends every summary to all others.
 auto isSmallFleet(const FleetView&) -> bool;
 
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -71,7 +71,6 @@
         std::erase_if(m_board.m_missingAdapters,
             [&](const MissingAdapter& missing) { return missing.m_noticedAt + missingRetention <= now; });
         m_board.m_nodes = fleetSize(m_board.m_fleet);
-        m_board.m_rank = fleetRank(m_board.m_fleet, m_settings.m_vm);
         recomputePeerLoads(m_board, now);
         if (isSmallFleet(m_board.m_fleet)) {
             sendToSmallFleet();
--- a/src/relay/relay_board.h
+++ b/src/relay/relay_board.h
@@ -62,7 +62,6 @@
     OrderState m_orders; // By the order controller.
     Metrics m_metrics; // By all.
     std::size_t m_nodes = 1; // Among which the fleet's bounds are divided. By the peer exchange.
-    std::size_t m_rank = 0; // Of this node among them, by name. By the peer exchange.
     std::size_t m_requestsInFlight = 0; // By the runner.
     std::size_t m_tunnels = 0; // That this node carries for others. By the tunnel server.
     bool m_storeReachable = false; // By the store's sync.
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -46,8 +46,9 @@
     , m_upstreamCaller(m_connections, deployment.m_dialect, m_board)
     , m_crashWatch(context.get_executor(), settings, m_board, m_connector)
     , m_requestLimits(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
+    , m_rooms(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_origins(context.get_executor(), m_board, m_peerSocket, m_incarnation)
-    , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits,
+    , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits, m_rooms,
           m_origins, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
     , m_callerServer(context.get_executor(), m_board, m_runner, m_waitList)
     , m_readiness(context.get_executor(),
@@ -180,6 +181,7 @@
     m_digests.start(ready);
     m_allowances.start(ready);
     m_requestLimits.start(ready);
+    m_rooms.start(ready);
     m_origins.start();
     m_orders.start(ready);
     runLoop(executor, "open_metrics_port", m_board.m_metrics, [this] { return openMetricsPort(); });
@@ -240,6 +242,14 @@
         m_requestLimits.handle(*permitRequest, from);
     else if (const auto* permitAnswer = datagram.message_as_PermitAnswer())
         m_requestLimits.handle(*permitAnswer);
+    else if (const auto* roomRequest = datagram.message_as_RoomRequest())
+        m_rooms.handle(*roomRequest, from);
+    else if (const auto* roomAnswer = datagram.message_as_RoomAnswer())
+        m_rooms.handle(*roomAnswer);
+    else if (const auto* roomReport = datagram.message_as_RoomReport())
+        m_rooms.handle(*roomReport, from);
+    else if (const auto* roomReceipt = datagram.message_as_RoomReceipt())
+        m_rooms.handle(*roomReceipt);
     else if (const auto* notice = datagram.message_as_OriginNotice())
         m_origins.handle(*notice);
     else if (const auto* question = datagram.message_as_OriginQuestion())
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -67,6 +67,7 @@
     UpstreamCaller m_upstreamCaller;
     CrashWatch m_crashWatch;
     RequestLimitExchange m_requestLimits;
+    RoomExchange m_rooms;
     StreamOriginExchange m_origins;
     RequestRunner m_runner;
     CallerServer m_callerServer;
--- a/src/relay/request_attempts.h
+++ b/src/relay/request_attempts.h
@@ -21,7 +21,7 @@
 // A slot at another upstream, acquired while the current one is silent.
 struct PreparedMove {
     UpstreamSlot m_slot;
-    bool m_asksForPermit = false; // Of the upstream's request limit; the permit is pending.
+    bool m_asksForPermit = false; // Of the upstream's request limit or room; the permit is pending.
     bool m_isPermitted = true;
 };
 
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -67,14 +67,15 @@
 
 RequestRunner::RequestRunner(Executor executor, const RelaySettings& settings, RelayBoard& board,
     AllowanceExchange& allowances, WaitList& waitList, RequestLimitExchange& requestLimits,
-    StreamOriginExchange& origins, UpstreamCaller& upstreamCaller, CrashWatch& crashWatch,
-    const Dialect& dialect)
+    RoomExchange& rooms, StreamOriginExchange& origins, UpstreamCaller& upstreamCaller,
+    CrashWatch& crashWatch, const Dialect& dialect)
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_board(board)
     , m_allowances(allowances)
     , m_waitList(waitList)
     , m_requestLimits(requestLimits)
+    , m_rooms(rooms)
     , m_origins(origins)
     , m_upstreamCaller(upstreamCaller)
     , m_crashWatch(crashWatch)
@@ -181,6 +182,8 @@
     const auto testsLoad = isAtExpectedLoadEnd(*upstream, attempts.m_needs.m_adapter, Clock::now());
     const auto handling = handleSilence(state, attempts, upstream);
     const auto outcome = co_await m_upstreamCaller.call(state, answer, upstream, handling);
+    if (auto* room = place.m_slot.room())
+        room->setEnd(state.m_roomEnd);
     if (outcome != UpstreamCallOutcome::Moved)
         attempts.m_move = nullptr;
     if (testsLoad)
@@ -210,7 +213,7 @@
     }
     auto isPermitted = false;
     if (!state.m_callerDisconnected)
-        isPermitted = co_await m_requestLimits.acquire(found.m_slot.upstream());
+        isPermitted = co_await acquirePermits(found.m_slot);
     if (isPermitted && !state.m_callerDisconnected)
         place.m_end = obstacleToSend(state, attempts);
     if (state.m_callerDisconnected)
@@ -220,6 +223,16 @@
     co_return place;
 }
 
+auto RequestRunner::acquirePermits(UpstreamSlot& slot) -> Awaitable<bool>
+{
+    const auto upstream = slot.upstream();
+    auto room = co_await m_rooms.acquire(upstream);
+    if (!room.m_isGranted)
+        co_return false;
+    slot.setRoom(std::move(room.m_permit));
+    co_return co_await m_requestLimits.acquire(upstream);
+}
+
 auto RequestRunner::obstacleToSend(const CallState& state, RequestAttempts& attempts)
     -> std::optional<AttemptsEnd>
 {
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -7,6 +7,7 @@
 #include "relay/request_attempts.h"
 #include "relay/request_limit_exchange.h"
 #include "relay/request_log.h"
+#include "relay/room_exchange.h"
 #include "relay/stream_origin_exchange.h"
 
 namespace marigoldladder::relay {
@@ -14,7 +15,8 @@
 class RequestRunner {
 public:
     RequestRunner(Executor, const RelaySettings&, RelayBoard&, AllowanceExchange&, WaitList&,
-        RequestLimitExchange&, StreamOriginExchange&, UpstreamCaller&, CrashWatch&, const Dialect&);
+        RequestLimitExchange&, RoomExchange&, StreamOriginExchange&, UpstreamCaller&, CrashWatch&,
+        const Dialect&);
 
     // Answers the request in the call state. If the answer is incomplete then, the connection must be closed.
     auto run(CallState&, CallerAnswer&) -> Awaitable<void>;
@@ -37,6 +39,9 @@
     // Sends the request to one upstream. Returns why it isn't sent to another, or nothing if it may be.
     auto attempt(CallState&, CallerAnswer&, RequestAttempts&) -> Awaitable<std::optional<AttemptsEnd>>;
     auto acquirePlace(const CallState&, RequestAttempts&) -> Awaitable<Place>;
+    // Acquires what the owners of the upstream's room and of its limit have to grant. Returns false if they
+    // don't.
+    auto acquirePermits(UpstreamSlot&) -> Awaitable<bool>;
     // Acquires what sending the request to a further upstream needs besides a slot. Returns why it must not
     // be sent.
     auto obstacleToSend(const CallState&, RequestAttempts&) -> std::optional<AttemptsEnd>;
@@ -67,6 +72,7 @@
     AllowanceExchange& m_allowances;
     WaitList& m_waitList;
     RequestLimitExchange& m_requestLimits;
+    RoomExchange& m_rooms;
     StreamOriginExchange& m_origins;
     UpstreamCaller& m_upstreamCaller;
     CrashWatch& m_crashWatch;
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -1,4 +1,5 @@
 // The part of the request runner that decides what a request does while its upstream is silent.
+#include "relay/brittle_pools.h"
 #include "relay/request_log_lines.h"
 #include "relay/request_runner.h"
 #include "relay/upstream_health.h"
@@ -76,7 +77,8 @@
     if (!slot)
         return nullptr;
     auto move = std::make_shared<PreparedMove>(PreparedMove { std::move(slot) });
-    if (isLimited(move->m_slot.upstream()->m_requestLimit)) {
+    const auto& upstream = *move->m_slot.upstream();
+    if (isLimited(upstream.m_requestLimit) || brittlenessOf(m_board.m_upstreams, upstream.m_record.m_pool)) {
         move->m_asksForPermit = true; // Until the task, which begins later, has ended.
         runTask(m_executor, "permit", m_board.m_metrics, acquirePermit(move));
     }
@@ -87,7 +89,7 @@
 auto RequestRunner::acquirePermit(std::shared_ptr<PreparedMove> move) -> Awaitable<void>
 {
     const auto asking = RaisedFlag(move->m_asksForPermit);
-    move->m_isPermitted = co_await m_requestLimits.acquire(move->m_slot.upstream());
+    move->m_isPermitted = co_await acquirePermits(move->m_slot);
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -6,6 +6,7 @@
 #include "marigoldladder/settings.h"
 #include "relay/adapter_versions.h"
 #include "relay/request_limit.h"
+#include "relay/room_grants.h"
 #include "relay/routing_configuration.h"
 
 #include <cstdint>
@@ -66,10 +67,13 @@
     std::map<VmName, MonotonicTime> m_refusedPeers; // Peers that were refused, and when they reported it.
 };
 
-// How many requests of this node an upstream has been seen to take at a time.
-struct SeenRoom {
-    std::size_t m_taken = 0;
-    MonotonicTime m_triedAt {}; // When it was last sent one more than that.
+// This node's part in the room of an upstream whose pool is brittle.
+struct RoomUse {
+    RoomLedger m_ledger; // If this node owns the room.
+    bool m_isAsking = false; // This node has asked for room.
+    MonotonicTime m_closedUntil {}; // It gets none before.
+    // While the owner doesn't answer, the next request goes without a grant then. Zero: it answers.
+    MonotonicTime m_ungrantedSendAt {};
 };
 
 struct Upstream : std::enable_shared_from_this<Upstream> {
@@ -88,7 +92,7 @@
     std::size_t m_peersInFlight = 0; // Requests of the other nodes, by their latest summaries.
     double m_peersTokensInFlight = 0;
     LimitState m_requestLimit;
-    SeenRoom m_room;
+    RoomUse m_room;
     MonotonicTime m_fullUntil {}; // It refused requests because of its load.
     MonotonicTime m_pausedUntil {}; // It asked this node for no requests until then.
     UpstreamHealth m_health;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -1,7 +1,6 @@
 #include "relay/upstream_call.h"
 
 #include "relay/blackboard_updates.h"
-#include "relay/brittle_pools.h"
 #include "relay/stream_forwarding.h"
 #include "relay/upstream_answer.h"
 #include "relay/upstream_choice.h"
@@ -162,22 +161,17 @@
         m_board.m_missingAdapters.push_back({ upstream.m_record.m_name, adapter, now });
 }
 
-auto UpstreamCaller::recordNoRoom(Upstream& upstream, MonotonicTime now) -> void
+auto UpstreamCaller::recordNoRoom(CallState& state, Upstream& upstream, MonotonicTime now) -> void
 {
     upstream.m_fullUntil = now + fullRetryDelay;
-    recordRoomRefused(upstream);
-    if (const auto* brittleness = brittlenessOf(m_board.m_upstreams, upstream.m_record.m_pool)) {
-        const auto pausedUntil = now + pauseAfterRefusal(*brittleness, m_board.m_nodes);
-        upstream.m_pausedUntil = std::max(upstream.m_pausedUntil, pausedUntil);
-    }
+    state.m_roomEnd = RoomEnd::Refused;
 }
 
-auto UpstreamCaller::recordRefusal(const CallState& state, Upstream& upstream, const UpstreamAnswer& answer)
-    -> void
+auto UpstreamCaller::recordRefusal(CallState& state, Upstream& upstream, const UpstreamAnswer& answer) -> void
 {
     const auto now = Clock::now();
     if (!answer.m_instanceMismatch) {
-        recordNoRoom(upstream, now);
+        recordNoRoom(state, upstream, now);
         return;
     }
     const auto replaced = !answer.m_instance.empty() && answer.m_instance != upstream.m_record.m_name.value();
@@ -228,6 +222,7 @@
 {
     state.m_answerBegan = false;
     state.m_via.reset();
+    state.m_roomEnd = RoomEnd::Unknown;
     state.m_versions = { std::nullopt, std::nullopt, Clock::now() };
     if (const auto obstacle = obstacleToSend(state, *upstream))
         co_return *obstacle;
@@ -266,8 +261,6 @@
     state.m_versions = { held, dispatch.m_adapterVersion, sentAt };
     state.m_lastHeardAt = sentAt;
     state.m_software = upstream->m_record.m_software;
-    const auto inFlight = upstream->m_inFlight;
-    recordRoomTried(*upstream, sentAt);
     auto silence = SilenceWatch(connection->m_stream, handling);
     connection->m_stream.expires_at(state.m_deadline);
     silence.begin(answerPause(*state.m_route));
@@ -282,7 +275,7 @@
     const auto idleTime = keepAliveTimeout(head.m_parser->get());
     applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, sentAt, Clock::now());
     if (!head.m_answer.m_notRun)
-        recordRoomTaken(*upstream, inFlight);
+        state.m_roomEnd = RoomEnd::Taken;
     if (isSuccess(status) && !head.m_answer.m_notRun && state.m_route->m_kind == CallKind::Stream) {
         const auto stream
             = co_await forwardStream(state, answer, *connection, *head.m_parser, silence, m_board);
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -78,6 +78,7 @@
     SentVersions m_versions; // Of the call made last.
     SoftwareId m_software = 0; // Of the upstream called last.
     std::optional<VmName> m_via; // The peer that carried the last call; empty: it was direct.
+    RoomEnd m_roomEnd = RoomEnd::Unknown; // What the last call showed of the upstream's room.
     std::optional<SoftwareId> m_origin; // The software that began the stream; empty: it hasn't begun.
     std::string m_lastEventId; // Of the last event sent to the caller by this node.
     std::optional<WholeAnswer> m_upstreamFailure; // Sent to the caller if no retry succeeds.
@@ -100,8 +101,8 @@
         const SilenceHandling&) -> Awaitable<UpstreamCallOutcome>;
     auto recordReachability(Upstream&, UpstreamCallOutcome, bool refused) -> void;
     auto recordMissingAdapter(const std::string& adapter, Upstream&, MonotonicTime now) -> void;
-    auto recordNoRoom(Upstream&, MonotonicTime now) -> void;
-    auto recordRefusal(const CallState&, Upstream&, const UpstreamAnswer&) -> void;
+    static auto recordNoRoom(CallState&, Upstream&, MonotonicTime now) -> void;
+    auto recordRefusal(CallState&, Upstream&, const UpstreamAnswer&) -> void;
 
     UpstreamConnectionPool& m_connections;
     const Dialect& m_dialect;
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -1,6 +1,5 @@
 #include "relay/upstream_choice.h"
 
-#include "relay/brittle_pools.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -98,43 +97,17 @@
         return lowestVersionToSend(table.m_versions, needs.m_adapter, now);
     }
 
-    // What is known of the pool of a request.
-    struct PoolState {
-        const Pool* m_pool = nullptr; // Null: the configuration doesn't list it.
-        const Brittleness* m_brittleness = nullptr; // Null: it isn't brittle.
-        PoolSlots m_slots; // While it is brittle.
-    };
-
-    auto usedSlotsOf(const UpstreamTable& table, const PoolName& pool) -> std::size_t
-    {
-        auto all = std::size_t { 0 };
-        for (const auto& [name, upstream] : table.m_upstreams)
-            all += upstream->m_record.m_pool == pool ? usedSlots(*upstream) : 0;
-        return all;
-    }
-
     auto slotLimit(const Upstream& upstream, const Pool* pool) -> double
     {
         const auto slots = static_cast<double>(std::max<std::size_t>(upstream.m_record.m_slots, 1));
         return pool && pool->m_engine ? slots : slots * plainServiceOvercommit;
     }
 
-    auto hasFreeSlot(const Upstream& upstream, const PoolState& state, const ChoiceContext& context) -> bool
-    {
-        if (state.m_brittleness)
-            return hasBrittleRoom(
-                upstream, *state.m_brittleness, context.m_place, state.m_slots, context.m_now);
-        const auto requests = static_cast<double>(upstream.m_inFlight + upstream.m_peersInFlight);
-        return requests < slotLimit(upstream, state.m_pool);
-    }
-
-    auto hasCapacity(
-        const Upstream& upstream, const PoolState& state, double tokens, const ChoiceContext& context) -> bool
+    auto hasCapacity(const Upstream& upstream, const Pool* pool, double tokens) -> bool
     {
-        if (!hasFreeSlot(upstream, state, context))
-            return false;
-        const auto* pool = state.m_pool;
         const auto requests = upstream.m_inFlight + upstream.m_peersInFlight;
+        if (static_cast<double>(requests) >= slotLimit(upstream, pool))
+            return false;
         if (!pool || !pool->m_engine || pool->m_engine->m_memoryTokens <= 0 || requests == 0)
             return true;
         const auto tokensInFlight = upstream.m_tokensInFlight + upstream.m_peersTokensInFlight;
@@ -178,7 +151,7 @@
         auto copy = Upstream();
         copy.m_coldAllowance = upstream.m_coldAllowance;
         copy.m_coldRefilledAt = upstream.m_coldRefilledAt;
-        return acquireColdAllowance(copy, *pool, context.m_place.m_nodes, context.m_now);
+        return acquireColdAllowance(copy, *pool, context.m_nodes, context.m_now);
     }
 
     auto earliest(MonotonicTime left, MonotonicTime right) -> MonotonicTime
@@ -195,10 +168,9 @@
         double m_cost = 0;
     };
 
-    auto assess(const Upstream& upstream, const PoolState& state, const UpstreamNeeds& needs,
+    auto assess(const Upstream& upstream, const Pool* pool, const UpstreamNeeds& needs,
         std::optional<std::uint64_t> version, const ChoiceContext& context) -> Assessment
     {
-        const auto* pool = state.m_pool;
         const auto now = context.m_now;
         if (isUnreachable(upstream.m_reachability, now)) {
             // An adapter that the request needs has to be loaded at another upstream.
@@ -213,8 +185,7 @@
                 adapter.m_readyAt };
         if (upstream.m_fullUntil > now)
             return { ChoiceOutcome::Full, upstream.m_fullUntil };
-        if (!hasCapacity(upstream, state, needs.m_tokens, context)
-            || !hasColdAllowance(upstream, pool, context))
+        if (!hasCapacity(upstream, pool, needs.m_tokens) || !hasColdAllowance(upstream, pool, context))
             return { ChoiceOutcome::Full };
         return { ChoiceOutcome::Chosen, {}, costOf(upstream, pool, needs, context) };
     }
@@ -258,11 +229,14 @@
 
 auto wantsRequestsAt(const Upstream& upstream, MonotonicTime now) -> MonotonicTime
 {
+    const auto& room = upstream.m_room;
+    const auto roomAt = room.m_isAsking ? now + permitWait : room.m_closedUntil;
+    const auto wantedAt = std::max(upstream.m_pausedUntil, roomAt);
     const auto& limit = upstream.m_requestLimit;
     if (!isLimited(limit))
-        return upstream.m_pausedUntil;
+        return wantedAt;
     const auto closedUntil = limit.m_isAsking ? now + permitWait : limit.m_closedUntil;
-    return std::max(upstream.m_pausedUntil, closedUntil);
+    return std::max(wantedAt, closedUntil);
 }
 
 auto acquireColdAllowance(Upstream& upstream, const Pool& pool, std::size_t nodes, MonotonicTime now) -> bool
@@ -287,20 +261,13 @@
     auto choice = UpstreamChoice();
     const auto& pools = context.m_configuration->m_pools;
     const auto found = pools.find(needs.m_pool);
-    const auto* brittleness = brittlenessOf(table, needs.m_pool);
-    auto pool = PoolState { found == pools.end() ? nullptr : &found->second, brittleness, {} };
-    if (brittleness)
-        pool.m_slots.m_all = usedSlotsOf(table, needs.m_pool);
+    const auto* pool = found == pools.end() ? nullptr : &found->second;
     const auto version = wantedVersion(table, needs, context.m_now);
     auto lowest = std::numeric_limits<double>::infinity();
     for (const auto& [name, upstream] : table.m_upstreams) {
-        if (upstream->m_record.m_pool != needs.m_pool)
-            continue;
-        const auto state = pool;
-        pool.m_slots.m_first += usedSlots(*upstream);
         if (!isEligible(table, *upstream, needs) || !isInAllowedRegions(*upstream, needs, context))
             continue;
-        const auto assessment = assess(*upstream, state, needs, version, context);
+        const auto assessment = assess(*upstream, pool, needs, version, context);
         if (assessment.m_outcome != ChoiceOutcome::Chosen) {
             raiseOutcome(choice, assessment.m_outcome, assessment.m_retryAt);
         } else if (assessment.m_cost < lowest) {
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -1,7 +1,6 @@
 // Chooses the upstream for a request: a function of the known state and the time, without I/O.
 #pragma once
 
-#include "relay/brittle_pools.h"
 #include "relay/upstream.h"
 
 #include <optional>
@@ -52,7 +51,7 @@
 struct ChoiceContext {
     const RoutingConfiguration* m_configuration = nullptr;
     const std::map<DataCentreName, std::string>* m_regions = nullptr; // By data centre; null: unknown.
-    FleetPlace m_place; // Of this node among those that share cold and brittle upstreams.
+    std::size_t m_nodes = 1; // That share cold upstreams.
     MonotonicTime m_now {};
     bool m_smallFleet = true; // Peers' in-flight counts are recent.
     std::uint64_t m_jitterSeed = 0; // New for each choice, so that nodes choose differently.
--- a/src/relay/wait_list.cc
+++ b/src/relay/wait_list.cc
@@ -28,6 +28,7 @@
     : m_board(other.m_board)
     , m_upstream(std::move(other.m_upstream))
     , m_tokens(other.m_tokens)
+    , m_room(std::move(other.m_room))
 {
     other.m_upstream = nullptr;
 }
@@ -40,6 +41,7 @@
     m_board = other.m_board;
     m_upstream = std::move(other.m_upstream);
     m_tokens = other.m_tokens;
+    m_room = std::move(other.m_room);
     other.m_upstream = nullptr;
     return *this;
 }
@@ -56,6 +58,7 @@
     --m_upstream->m_inFlight;
     m_upstream->m_tokensInFlight -= m_tokens;
     m_upstream = nullptr;
+    m_room = nullptr;
     m_board->m_capacityChanged();
 }
 
@@ -73,7 +76,7 @@
     auto context = ChoiceContext();
     context.m_configuration = m_board.m_configuration.get();
     context.m_regions = &m_settings.m_regions;
-    context.m_place = { m_board.m_nodes, m_board.m_rank };
+    context.m_nodes = m_board.m_nodes;
     context.m_now = Clock::now();
     context.m_smallFleet = isSmallFleet(m_board.m_fleet);
     context.m_jitterSeed = m_random();
--- a/src/relay/wait_list.h
+++ b/src/relay/wait_list.h
@@ -3,6 +3,7 @@
 
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
+#include "relay/room_permit.h"
 #include "relay/tcp.h"
 #include "relay/upstream_choice.h"
 
@@ -32,6 +33,9 @@
     ~UpstreamSlot();
 
     auto upstream() const -> const UpstreamPointer& { return m_upstream; }
+    // The room that was granted for the request; null: none was needed.
+    auto room() const -> RoomPermit* { return m_room.get(); }
+    auto setRoom(std::unique_ptr<RoomPermit> room) -> void { m_room = std::move(room); }
     explicit operator bool() const { return m_upstream != nullptr; }
 
 private:
@@ -40,6 +44,7 @@
     RelayBoard* m_board = nullptr;
     UpstreamPointer m_upstream;
     double m_tokens = 0;
+    std::unique_ptr<RoomPermit> m_room;
 };
 
 struct SlotResult {
--- a/test/platform/stepped_runner.h
+++ b/test/platform/stepped_runner.h
@@ -31,9 +31,10 @@
         , m_upstreamCaller(m_connections, m_dialect, m_board)
         , m_crashWatch(m_context.get_executor(), m_settings, m_board, m_connector)
         , m_requestLimits(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
+        , m_rooms(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
         , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
         , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList, m_requestLimits,
-              m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
+              m_rooms, m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
     {
         m_board.m_fleet.m_membersRead = true;
         m_board.m_capacityChanged = [this] { m_waitList.scheduleRecheck(); };
@@ -61,6 +62,7 @@
     relay::UpstreamCaller m_upstreamCaller;
     relay::CrashWatch m_crashWatch;
     relay::RequestLimitExchange m_requestLimits;
+    relay::RoomExchange m_rooms;
     relay::StreamOriginExchange m_origins;
     relay::RequestRunner m_runner;
     std::map<std::string, std::unique_ptr<FakeUpstream>> m_upstreams;
--- a/test/relay/brittle_pools_test.cc
+++ b/test/relay/brittle_pools_test.cc
@@ -1,4 +1,4 @@
-// Many nodes that know each other's requests late, before brittle upstreams, under a clock of the test.
+// Many nodes before brittle upstreams, with the room that its owners grant, under a clock of the test.
 #include "relay/brittle_pools.h"
 
 #include "relay/blackboard_updates.h"
@@ -13,6 +13,7 @@
 namespace marigoldladder::relay {
 namespace {
 
+    constexpr auto seeds = std::uint32_t { 100 };
     constexpr auto fewNodes = std::size_t { 9 };
     constexpr auto manyNodes = std::size_t { 61 }; // More than there are slots.
     constexpr auto upstreams = std::size_t { 4 };
@@ -45,13 +46,21 @@
         }
     };
 
+    enum class Step {
+        Asks, // The node has asked the owner for room.
+        Learns, // The owner's answer is on its way.
+        Arrives, // The request is on its way to the upstream.
+        Ends, // The upstream's answer is on its way.
+        Reports, // The report of the end is on its way to the owner.
+    };
+
     struct Call {
-        std::size_t m_node = 0;
+        RoomRequestId m_id; // The node is the asker.
         std::size_t m_server = 0;
         UpstreamPointer m_upstream;
-        std::size_t m_inFlight = 0;
-        MonotonicTime m_at {}; // Of its next step.
-        bool m_arrived = false;
+        Step m_step = Step::Asks;
+        MonotonicTime m_at {}; // When that step is done.
+        RoomAnswer m_answer;
         bool m_taken = false;
     };
 
@@ -62,6 +71,8 @@
             , m_configuration(configurationWith(plainPool()))
             , m_tables(nodes)
             , m_servers(upstreams)
+            , m_ledgers(upstreams)
+            , m_reported(upstreams)
             , m_waiting(nodes)
             , m_random(seed)
         {
@@ -75,6 +86,8 @@
                 }
                 recordBrittleness(table, plainPool().m_name, refusalsBorne, m_now);
             }
+            for (auto& ledger : m_ledgers)
+                setRoomOwned(ledger, true, summaryInterval() * 2, m_now);
         }
 
         // Plays a time in which callers send so many requests a second to each node.
@@ -118,16 +131,22 @@
 
         auto exchangeSummaries() -> void
         {
-            m_nextSummary = m_now + (m_nodes > fewNodes ? digestInterval : summaryInterval);
+            m_nextSummary = m_now + summaryInterval();
             for (auto number = std::size_t { 0 }; number < upstreams; ++number) {
                 auto all = std::size_t { 0 };
                 for (auto node = std::size_t { 0 }; node < m_nodes; ++node)
                     all += upstreamOf(node, number).m_inFlight;
                 for (auto node = std::size_t { 0 }; node < m_nodes; ++node)
                     upstreamOf(node, number).m_peersInFlight = all - upstreamOf(node, number).m_inFlight;
+                m_reported.at(number) = all;
             }
         }
 
+        auto summaryInterval() const -> Milliseconds
+        {
+            return m_nodes > fewNodes ? digestInterval : marigoldladder::relay::summaryInterval;
+        }
+
         auto send(std::size_t node) -> void
         {
             auto needs = UpstreamNeeds();
@@ -135,62 +154,96 @@
             for (; m_waiting[node] > 0; --m_waiting[node]) {
                 auto context = ChoiceContext();
                 context.m_configuration = &m_configuration;
-                context.m_place = { m_nodes, node };
+                context.m_nodes = m_nodes;
                 context.m_now = m_now;
+                context.m_smallFleet = m_nodes <= fewNodes;
                 context.m_jitterSeed = m_random();
                 const auto choice = chooseUpstream(m_tables[node], needs, context);
                 if (!choice.m_upstream)
                     return;
                 auto& upstream = *choice.m_upstream;
                 ++upstream.m_inFlight;
-                recordRoomTried(upstream, m_now);
+                upstream.m_room.m_isAsking = true;
                 const auto server = static_cast<std::size_t>(upstream.m_record.m_name.value()[1] - '0');
+                const auto id = RoomRequestId { node, ++m_lastNumber };
                 m_calls.push_back(
-                    { node, server, choice.m_upstream, upstream.m_inFlight, m_now + travelTime });
+                    { id, server, choice.m_upstream, Step::Asks, m_now + travelTime, {}, false });
             }
         }
 
         auto step() -> void
         {
             for (auto& call : m_calls) {
-                if (call.m_at > m_now)
-                    continue;
-                if (call.m_arrived) {
-                    end(call);
-                    continue;
-                }
-                call.m_arrived = true;
-                call.m_taken = m_servers[call.m_server].accepts(m_now);
-                call.m_at = m_now + travelTime + (call.m_taken ? workTime : Milliseconds(0));
+                if (call.m_at <= m_now)
+                    step(call);
             }
             std::erase_if(m_calls, [](const Call& call) { return !call.m_upstream; });
         }
 
-        auto end(Call& call) -> void
+        auto step(Call& call) -> void
+        {
+            auto wait = travelTime;
+            switch (call.m_step) {
+            case Step::Asks:
+                call.m_answer
+                    = grantRoom(m_ledgers.at(call.m_server), roomOf(call.m_server), call.m_id, m_now);
+                call.m_step = Step::Learns;
+                break;
+            case Step::Learns:
+                learn(call);
+                break;
+            case Step::Arrives:
+                call.m_taken = m_servers[call.m_server].accepts(m_now);
+                wait += call.m_taken ? workTime : Milliseconds(0);
+                call.m_step = Step::Ends;
+                break;
+            case Step::Ends:
+                --call.m_upstream->m_inFlight;
+                ++(call.m_taken ? m_served : m_waiting[call.m_id.m_asker]);
+                call.m_step = Step::Reports;
+                break;
+            case Step::Reports:
+                endGrant(m_ledgers.at(call.m_server), call.m_id,
+                    call.m_taken ? RoomEnd::Taken : RoomEnd::Refused, m_now);
+                call.m_upstream = nullptr;
+                break;
+            }
+            call.m_at = m_now + wait;
+        }
+
+        auto learn(Call& call) -> void
         {
             auto& upstream = *call.m_upstream;
-            if (call.m_taken) {
-                recordRoomTaken(upstream, call.m_inFlight);
-                ++m_served;
-            } else {
-                recordRoomRefused(upstream);
-                const auto* brittleness = brittlenessOf(m_tables[call.m_node], plainPool().m_name);
-                upstream.m_pausedUntil = m_now + pauseAfterRefusal(*brittleness, m_nodes);
-                ++m_waiting[call.m_node];
+            upstream.m_room.m_isAsking = false;
+            if (call.m_answer.m_outcome == RoomOutcome::Granted) {
+                call.m_step = Step::Arrives;
+                return;
             }
+            upstream.m_room.m_closedUntil = m_now + call.m_answer.m_retryAfter;
             --upstream.m_inFlight;
+            ++m_waiting[call.m_id.m_asker];
             call.m_upstream = nullptr;
         }
 
+        auto roomOf(std::size_t server) -> RoomState
+        {
+            const auto interval = refusalInterval(Brittleness { refusalsBorne, {} });
+            return { usedSlots(upstreamOf(0, server), 1), m_reported.at(server), summaryInterval() * 2,
+                interval };
+        }
+
         std::size_t m_nodes;
         RoutingConfiguration m_configuration;
         std::vector<UpstreamTable> m_tables; // Of each node.
         std::vector<Server> m_servers;
+        std::vector<RoomLedger> m_ledgers; // Of each server, at the owner of its room.
+        std::vector<std::size_t> m_reported; // Requests at each server, as the nodes last reported.
         std::vector<std::size_t> m_waiting; // Requests at each node.
         std::mt19937 m_random;
         MonotonicTime m_now { std::chrono::hours(1) };
         MonotonicTime m_nextSummary {};
         std::vector<Call> m_calls;
+        std::uint64_t m_lastNumber = 0;
         std::size_t m_served = 0;
         std::size_t m_asked = 0;
     };
@@ -205,7 +258,7 @@
 
     TEST(BrittlePoolsTest, ManyNodesTogetherStayBelowTheRefusalsThatAnUpstreamBears)
     {
-        for (auto seed = std::uint32_t { 1 }; seed <= 20; ++seed) {
+        for (auto seed = std::uint32_t { 1 }; seed <= seeds; ++seed) {
             SCOPED_TRACE("seed " + std::to_string(seed));
             auto fleet = Fleet(seed);
             fleet.play(Milliseconds(5'000), 10);
@@ -217,7 +270,7 @@
 
     TEST(BrittlePoolsTest, ManyNodesStayBelowThemWhenUpstreamsLoseRoom)
     {
-        for (auto seed = std::uint32_t { 1 }; seed <= 20; ++seed) {
+        for (auto seed = std::uint32_t { 1 }; seed <= seeds; ++seed) {
             SCOPED_TRACE("seed " + std::to_string(seed));
             auto fleet = Fleet(seed);
             fleet.play(Milliseconds(5'000), 20);
@@ -228,10 +281,10 @@
         }
     }
 
-    // Where slots were divided among more nodes than there are slots, most nodes refused all their callers.
+    // Issue 47: nodes that knew of each other's requests late sent an upstream more than it had room for.
     TEST(BrittlePoolsTest, EveryOneOfMoreNodesThanSlotsServesItsCallers)
     {
-        for (auto seed = std::uint32_t { 1 }; seed <= 20; ++seed) {
+        for (auto seed = std::uint32_t { 1 }; seed <= seeds; ++seed) {
             SCOPED_TRACE("seed " + std::to_string(seed));
             auto fleet = Fleet(seed, manyNodes);
             fleet.play(Milliseconds(10'000), 1);
@@ -240,5 +293,17 @@
         }
     }
 
+    TEST(BrittlePoolsTest, MoreNodesThanSlotsStayBelowThemUnderMoreLoadThanThereIsRoom)
+    {
+        for (auto seed = std::uint32_t { 1 }; seed <= seeds; ++seed) {
+            SCOPED_TRACE("seed " + std::to_string(seed));
+            auto fleet = Fleet(seed, manyNodes);
+            fleet.play(Milliseconds(2'000), 1);
+            fleet.play(Milliseconds(8'000), 10);
+            EXPECT_LE(mostRefusals(fleet), refusalsBorne);
+            EXPECT_GT(fleet.served(), 1'000U);
+        }
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -35,9 +35,10 @@
             , m_upstreamCaller(m_connections, m_dialect, m_board)
             , m_crashWatch(m_context.get_executor(), m_settings, m_board, m_connector)
             , m_requestLimits(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
+            , m_rooms(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
             , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
             , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList,
-                  m_requestLimits, m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
+                  m_requestLimits, m_rooms, m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
             , m_server(m_context.get_executor(), m_board, m_runner, m_waitList)
         {
         }
@@ -54,6 +55,7 @@
         UpstreamCaller m_upstreamCaller;
         CrashWatch m_crashWatch;
         RequestLimitExchange m_requestLimits;
+        RoomExchange m_rooms;
         StreamOriginExchange m_origins;
         RequestRunner m_runner;
         CallerServer m_server;
