--- a/src/relay/room_exchange.cc
+++ b/src/relay/room_exchange.cc
@@ -198,7 +198,7 @@
 auto RoomExchange::goWithoutOwner(Upstream& upstream) -> RoomAcquisition
 {
     const auto now = Clock::now();
-    const auto interval = refusalIntervalOf(upstream) * m_board.m_nodes;
+    const auto interval = refusalIntervalOf(upstream) * static_cast<Milliseconds::rep>(m_board.m_nodes);
     auto& room = upstream.m_room;
     if (room.m_ungrantedSendAt == MonotonicTime()) {
         auto draw = std::uniform_int_distribution<Milliseconds::rep>(0, interval.count());
