Keep a pool brittle while any of its upstreams says so

What callers would see: none seen; by reading. Where only some upstreams of a pool name the refusals that they bear, each answer began or ended the pool's state, with a line in the log each time, and in between requests went out without a grant. Cause: one upstream's silence on the matter counted against another's word. Now the state ends once no answer has said so for a second.

--- a/src/relay/brittle_pools.cc
+++ b/src/relay/brittle_pools.cc
@@ -12,6 +12,8 @@
     constexpr auto usedShareOfRefusals = 0.8; // The rest is for the same nodes.
     constexpr auto minRefusalInterval = Milliseconds(40);
     constexpr auto maxRefusalInterval = Milliseconds(5'000);
+    // Not all upstreams of a pool begin to say so at once.
+    constexpr auto endDelay = Milliseconds(1'000);
 
 } // namespace
 
@@ -20,7 +22,7 @@
 {
     const auto found = table.m_brittle.find(pool);
     if (!refusalsPerSecond) {
-        if (found == table.m_brittle.end() || saidAt <= found->second.m_saidAt)
+        if (found == table.m_brittle.end() || saidAt <= found->second.m_saidAt + endDelay)
             return false;
         table.m_brittle.erase(found);
         return true;
--- a/src/relay/brittle_pools.h
+++ b/src/relay/brittle_pools.h
@@ -10,7 +10,8 @@
 namespace marigoldladder::relay {
 
 // Records what an answer said of its pool, as of `saidAt`: the refusals a second that its upstreams bear, or
-// that they bear any number. Returns whether the pool's brittle time begins or ends.
+// that they bear any number. The brittle time ends once none has said so for a second. Returns whether it
+// begins or ends.
 auto recordBrittleness(
     UpstreamTable&, const PoolName&, std::optional<double> refusalsPerSecond, MonotonicTime saidAt) -> bool;
 
--- a/test/relay/brittle_pools_test.cc
+++ b/test/relay/brittle_pools_test.cc
@@ -305,5 +305,19 @@
         }
     }
 
+    // Issue 47: a pool of which only some upstreams said so was brittle and not brittle by turns.
+    TEST(BrittlePoolsTest, APoolIsBrittleWhileAnyOfItsUpstreamsSaysSo)
+    {
+        const auto pool = PoolName("plain");
+        auto table = UpstreamTable();
+        EXPECT_TRUE(recordBrittleness(table, pool, refusalsBorne, at(0)));
+        EXPECT_FALSE(recordBrittleness(table, pool, std::nullopt, at(0.5)));
+        EXPECT_FALSE(recordBrittleness(table, pool, refusalsBorne, at(0.6)));
+        EXPECT_FALSE(recordBrittleness(table, pool, std::nullopt, at(1.5)));
+        EXPECT_TRUE(brittlenessOf(table, pool));
+        EXPECT_TRUE(recordBrittleness(table, pool, std::nullopt, at(1.7)));
+        EXPECT_FALSE(brittlenessOf(table, pool));
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
