End connections to upstreams by a reset, and only by ourselves

Cause: a call that a node gave up was closed plainly, or ended by the kernel's timeouts; what a cut of the network held up of it was delivered when the cut had healed.

--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -63,6 +63,12 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(bound.count()));
 }
 
+auto resetOnClose(net::ip::tcp::socket& socket) -> void
+{
+    auto ignored = ErrorCode(); // Fails only on a closed socket.
+    socket.set_option(net::socket_base::linger(true, 0), ignored);
+}
+
 auto isIdle(net::ip::tcp::socket& socket) -> bool
 {
     return nextArrival(socket) == Arrival::Nothing;
@@ -106,7 +112,7 @@
     stream.expires_after(timeout);
     co_await stream.async_connect(*endpoint, errorTo(error));
     if (!error && isToItself(stream.socket(), error)) {
-        stream.socket().set_option(net::socket_base::linger(true, 0), error); // The port is free at once.
+        resetOnClose(stream.socket()); // The port is free at once.
         stream.close();
         error = net::error::make_error_code(net::error::connection_refused);
     }
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -33,6 +33,10 @@
 // probes.
 auto setDeadPeerTimeout(net::ip::tcp::socket&, std::chrono::milliseconds) -> void;
 
+// Has the connection end by a reset when it is closed, so that its peer gets nothing of what wasn't delivered
+// by then.
+auto resetOnClose(net::ip::tcp::socket&) -> void;
+
 // Whether a connection is open and no data has arrived on it.
 auto isIdle(net::ip::tcp::socket&) -> bool;
 
--- a/src/relay/tunnel_server.cc
+++ b/src/relay/tunnel_server.cc
@@ -19,7 +19,7 @@
         = Milliseconds(250); // Below the time in which the other node wants an answer.
     constexpr auto answerTimeout = Milliseconds(500);
     constexpr auto deadPeerTimeout
-        = Milliseconds(2'000); // Of either end that became unreachable without closing.
+        = Milliseconds(2'000); // Of a node that became unreachable without closing.
     constexpr auto bufferBytes = std::size_t { 8 } << 10; // Of one direction.
     constexpr auto smallestIdentifiedMessage = std::size_t { 8 };
 
@@ -46,8 +46,7 @@
     // Ends a connection so that its other end can't take what it got for whole.
     auto reset(tcp_stream& stream) -> void
     {
-        auto ignored = ErrorCode(); // Fails only on a closed socket.
-        stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
+        resetOnClose(stream.socket());
         stream.close();
     }
 
@@ -168,7 +167,7 @@
     upstream->expires_never();
     node->socket().set_option(net::ip::tcp::no_delay(true), error); // Events must not wait for each other.
     setDeadPeerTimeout(node->socket(), deadPeerTimeout);
-    setDeadPeerTimeout(upstream->socket(), deadPeerTimeout);
+    resetOnClose(upstream->socket());
     m_board.m_metrics.add(Counter::TunnelsCarried);
     runTask(m_executor, "tunnel_answers", m_board.m_metrics, carryAnswers(upstream, node));
     co_await carryRequests(node, upstream);
--- a/src/relay/upstream_connector.cc
+++ b/src/relay/upstream_connector.cc
@@ -18,9 +18,6 @@
     constexpr auto maxTries = 4; // Of blocked paths at once.
     constexpr auto retryTimeout = Milliseconds(700); // Of a direct attempt beside the requests.
     constexpr auto noTunnelTime = Milliseconds(1'000); // After peers didn't reach an upstream.
-    constexpr auto deadPeerTimeout
-        = Milliseconds(2'000); // Of a peer that became unreachable without closing.
-
     // What this node saw of the upstream, it saw of its own link.
     auto forgetFailures(Upstream& upstream) -> void
     {
@@ -100,7 +97,7 @@
     m_board.m_metrics.add(Counter::UpstreamConnects);
     co_await connectTo(stream, upstream->m_record.m_address, timeout, error);
     if (!error) {
-        setDeadPeerTimeout(stream.socket(), deadPeerTimeout);
+        resetOnClose(stream.socket());
         noteReached(*upstream);
     }
     co_return error;
@@ -150,7 +147,7 @@
         co_return ConnectOutcome::NotReached;
     const auto message = co_await readFrame(stream, peerAnswerTimeout);
     stream.expires_never();
-    setDeadPeerTimeout(stream.socket(), deadPeerTimeout);
+    resetOnClose(stream.socket());
     co_return connectOutcomeOf(message);
 }
 
--- a/src/relay/upstream_connector.h
+++ b/src/relay/upstream_connector.h
@@ -30,6 +30,8 @@
     UpstreamConnector(Executor, const RelaySettings&, RelayBoard&);
 
     // Connects the stream. `timeout` is for the direct attempt; asking peers may take a second more.
+    // The connection ends by a reset, and only when this node closes it: what the kernel holds of a request
+    // that was given up must not reach the upstream once a cut of the network has healed.
     auto connect(tcp_stream&, UpstreamPointer, Milliseconds timeout) -> Awaitable<ConnectResult>;
 
     // Tries paths again that count as blocked and are due; to be called from time to time.
