Count no begun answer that was cut at its deadline as lost

Trace, by the relay's log: the stream's upstream fell silent 42 ms in, after the first part; at 1,242 ms the stream moved on with 727 ms left to an upstream whose second part takes up to 1 s, and was cut at its deadline. The users' page doesn't count it: "Not counted: ... the deadline or the route's timeout was reached". The check knows the deadline now, and passes over an answer that had begun and ended within 50 ms of it or later; one that hadn't begun, or ends earlier, counts as before (the new test shows both).

--- a/test/soak/soak_record.h
+++ b/test/soak/soak_record.h
@@ -33,6 +33,7 @@
     std::string m_body;
     std::string m_relay; // Its address.
     bool m_sent = true; // False when the relay didn't take the connection.
+    std::chrono::milliseconds m_deadline { 0 }; // After which a begun answer may be cut; zero: none.
     std::chrono::steady_clock::time_point m_begun;
     std::chrono::steady_clock::time_point m_ended;
 };
@@ -59,7 +60,8 @@
     // any more.
     auto brokenPromises() const -> std::vector<std::string>;
 
-    // Returns a line for each request that a running relay took and didn't answer. Upstreams must be sound.
+    // Returns a line for each request that a running relay took and didn't answer, unless it had begun to
+    // answer and the deadline was reached. Upstreams must be sound.
     auto lostAnswers() const -> std::vector<std::string>;
 
     auto attempts() const -> std::size_t;
@@ -73,6 +75,7 @@
     // Attempts of one operation together: callers come back only after an answer that promises "not run".
     auto brokenByOperation() const -> std::vector<std::string>;
     auto wasOut(const Attempt&) const -> bool;
+    static auto wasCutAtItsDeadline(const Attempt&) -> bool;
     // Whether the relay had been told to stop, and the attempt is one of those that a stop may end.
     auto mayEndByStop(const Attempt&) const -> bool;
 
--- a/test/soak/soak_record_test.cc
+++ b/test/soak/soak_record_test.cc
@@ -41,5 +41,24 @@
         EXPECT_TRUE(record.lostAnswers().empty());
     }
 
+    // Seed 403: a stream that moved off a silent upstream was cut at its deadline, and counted as lost.
+    TEST(SoakRecordTest, CountsNoBegunAnswerThatWasCutAtItsDeadline)
+    {
+        auto record = SoakRecord();
+        auto attempt = Attempt();
+        attempt.m_deadline = milliseconds(2'000);
+        attempt.m_ended = attempt.m_begun + milliseconds(1'971);
+        attempt.m_status = 200;
+        record.noteAttempt(attempt);
+        EXPECT_TRUE(record.lostAnswers().empty());
+        auto notBegun = attempt;
+        notBegun.m_status = 0;
+        record.noteAttempt(notBegun);
+        auto early = attempt;
+        early.m_ended = early.m_begun + milliseconds(1'900);
+        record.noteAttempt(early);
+        EXPECT_EQ(record.lostAnswers().size(), 2U);
+    }
+
 } // namespace
 } // namespace marigoldladder::soak
