Determine the owners of shards in one place

What stood twice: the exchanges of limits and of room each kept the candidates, the reachable share and the time of the last update, and each told a pause by the same gap. Cause: the second was written after the first. Behaviour unchanged; ruled out that of the allowances' shards, which take their clock as an argument and stay apart.

--- a/src/relay/request_limit_exchange.cc
+++ b/src/relay/request_limit_exchange.cc
@@ -1,6 +1,5 @@
 #include "relay/request_limit_exchange.h"
 
-#include "relay/allowance_shards.h"
 #include "relay/peer_message.h"
 
 #include <algorithm>
@@ -13,9 +12,6 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr auto updateInterval = Milliseconds(200);
-    // A longer gap between two updates means that this process was paused, and that other nodes may have
-    // owned its shards.
-    constexpr auto maxUpdateGap = Milliseconds(1'200);
     constexpr auto answerTimeout = Milliseconds(80);
     constexpr auto unansweredRetryAfter = Milliseconds(250);
     constexpr auto minRetryAfter = Milliseconds(10);
@@ -56,13 +52,11 @@
 auto RequestLimitExchange::update() -> void
 {
     const auto now = Clock::now();
-    const auto wasPaused = m_updatedAt + maxUpdateGap < bootClockNow();
-    m_updatedAt = bootClockNow();
+    const auto paused = wasPaused(m_ownership);
     const auto self = ShardCandidate { m_settings.m_vm, m_settings.m_processorShare, m_isReady() };
-    m_candidates = shardCandidates(m_board.m_fleet, self, now);
-    m_fleetShare = reachableShare(m_board.m_fleet, now);
+    updateOwnership(m_ownership, m_board.m_fleet, self, now);
     for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
-        if (wasPaused)
+        if (paused)
             upstream->m_requestLimit.m_shards = {};
         updateShards(*upstream, now);
     }
@@ -74,7 +68,7 @@
     const auto count = isLimited(state) ? limitShardCount(*state.m_limit.m_requestsPerSecond) : 0;
     for (auto shard = std::size_t { 0 }; shard < state.m_shards.size(); ++shard) {
         const auto isOwned = shard < count
-            && limitShardOwner(m_candidates, upstream.m_record.m_name, shard) == m_settings.m_vm;
+            && limitShardOwner(m_ownership.m_candidates, upstream.m_record.m_name, shard) == m_settings.m_vm;
         setShardOwned(state.m_shards.at(shard), isOwned, now);
     }
 }
@@ -103,11 +97,11 @@
 
 auto RequestLimitExchange::ask(Upstream& upstream, std::size_t shard) -> Awaitable<LimitPermit>
 {
-    const auto owner = limitShardOwner(m_candidates, upstream.m_record.m_name, shard);
+    const auto owner = limitShardOwner(m_ownership.m_candidates, upstream.m_record.m_name, shard);
     if (!owner)
         co_return LimitPermit { false, unansweredRetryAfter };
     if (*owner == m_settings.m_vm)
-        co_return grantPermit(upstream.m_requestLimit, shard, m_fleetShare, Clock::now());
+        co_return grantPermit(upstream.m_requestLimit, shard, m_ownership.m_fleetShare, Clock::now());
     const auto peer = m_board.m_fleet.m_peers.find(*owner);
     if (peer == m_board.m_fleet.m_peers.end())
         co_return LimitPermit { false, unansweredRetryAfter };
@@ -144,7 +138,7 @@
         if (recordLimit(upstream.m_requestLimit, NamedLimit { rate, namedAt, ReportSource::RemotePeer }))
             m_board.m_requestLimitChanged(upstream);
     }
-    return grantPermit(upstream.m_requestLimit, request.shard(), m_fleetShare, now);
+    return grantPermit(upstream.m_requestLimit, request.shard(), m_ownership.m_fleetShare, now);
 }
 
 auto RequestLimitExchange::handle(const messages::PermitRequest& request, const Address& from) -> void
--- a/src/relay/request_limit_exchange.h
+++ b/src/relay/request_limit_exchange.h
@@ -6,6 +6,7 @@
 #include "relay/pending_answers.h"
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
+#include "relay/shard_ownership.h"
 
 #include <random>
 
@@ -46,9 +47,7 @@
     RelayBoard& m_board;
     PeerSocket& m_socket;
     std::function<bool()> m_isReady;
-    std::vector<VmName> m_candidates; // For shards.
-    double m_fleetShare = 0; // That this node reaches.
-    BootClockTime m_updatedAt {};
+    ShardOwnership m_ownership;
     PendingAnswers<LimitPermit> m_pendingPermits; // Numbered from one that no earlier process has used.
     std::mt19937 m_random;
 };
--- a/src/relay/room_exchange.cc
+++ b/src/relay/room_exchange.cc
@@ -1,6 +1,5 @@
 #include "relay/room_exchange.h"
 
-#include "relay/allowance_shards.h"
 #include "relay/brittle_pools.h"
 #include "relay/peer_message.h"
 
@@ -13,9 +12,6 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr auto updateInterval = Milliseconds(200);
-    // A longer gap between two updates means that this process was paused, and that other nodes may have
-    // owned its upstreams' room.
-    constexpr auto maxUpdateGap = Milliseconds(1'200);
     constexpr auto answerTimeout = Milliseconds(80);
     constexpr auto receiptTimeout = Milliseconds(100);
     constexpr auto maxReports = 3; // Of the end of one request.
@@ -60,14 +56,12 @@
 auto RoomExchange::update() -> void
 {
     const auto now = Clock::now();
-    const auto wasPaused = m_updatedAt + maxUpdateGap < bootClockNow();
-    m_updatedAt = bootClockNow();
+    const auto paused = wasPaused(m_ownership);
     const auto self = ShardCandidate { m_settings.m_vm, m_settings.m_processorShare, m_isReady() };
-    m_candidates = shardCandidates(m_board.m_fleet, self, now);
-    m_fleetShare = reachableShare(m_board.m_fleet, now);
+    updateOwnership(m_ownership, m_board.m_fleet, self, now);
     const auto alive = incarnationsAlive(now);
     for (const auto& [name, upstream] : m_board.m_upstreams.m_upstreams) {
-        if (wasPaused)
+        if (paused)
             upstream->m_room.m_ledger = {};
         updateLedger(*upstream, alive, now);
     }
@@ -76,7 +70,7 @@
 // A datagram may be handled before the periodic update that notices the pause.
 auto RoomExchange::updateAfterPause() -> void
 {
-    if (m_updatedAt + maxUpdateGap < bootClockNow())
+    if (wasPaused(m_ownership))
         update();
 }
 
@@ -103,7 +97,7 @@
 
 auto RoomExchange::ownerOf(const Upstream& upstream) const -> std::optional<VmName>
 {
-    return limitShardOwner(m_candidates, upstream.m_record.m_name, firstOwner);
+    return limitShardOwner(m_ownership.m_candidates, upstream.m_record.m_name, firstOwner);
 }
 
 auto RoomExchange::addressOf(const VmName& vm) const -> std::optional<Address>
@@ -116,8 +110,8 @@
 {
     const auto reportDelay
         = isSmallFleet(m_board.m_fleet) ? reportDelayInSmallFleet : reportDelayInLargeFleet;
-    return { usedSlots(upstream, m_fleetShare), upstream.m_inFlight + upstream.m_peersInFlight, reportDelay,
-        refusalInterval };
+    return { usedSlots(upstream, m_ownership.m_fleetShare), upstream.m_inFlight + upstream.m_peersInFlight,
+        reportDelay, refusalInterval };
 }
 
 auto RoomExchange::refusalIntervalOf(const Upstream& upstream) const -> Milliseconds
--- a/src/relay/room_exchange.h
+++ b/src/relay/room_exchange.h
@@ -7,6 +7,7 @@
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
 #include "relay/room_permit.h"
+#include "relay/shard_ownership.h"
 
 #include <random>
 
@@ -66,9 +67,7 @@
     PeerSocket& m_socket;
     Incarnation m_incarnation;
     std::function<bool()> m_isReady = [] { return false; };
-    std::vector<VmName> m_candidates; // For owners.
-    double m_fleetShare = 0; // That this node reaches.
-    BootClockTime m_updatedAt {};
+    ShardOwnership m_ownership;
     PendingAnswers<RoomAnswer> m_pendingAnswers;
     PendingAnswers<bool> m_pendingReceipts; // By the number of the request.
     std::mt19937 m_random;
--- a/src/relay/room_grants.h
+++ b/src/relay/room_grants.h
@@ -42,7 +42,7 @@
 // What the owner of an upstream's room has granted, and has learnt of that room.
 struct RoomLedger {
     bool m_isOwned = false;
-    MonotonicTime m_askedAt {};
+    MonotonicTime m_askedAt {}; // When a node last requested room.
     MonotonicTime m_grantsFrom {}; // No grants before, as a former owner's aren't known yet.
     std::vector<RoomGrant> m_grants; // Oldest first; of requests whose end hasn't been reported.
     std::size_t m_otherRequests = 0; // That it didn't grant, at most.
