Bound what a parser keeps of a request behind its head

What callers saw: a process ended by its memory while clients sent trailers without end; all requests on it were lost.

Cause: Beast bounds a request's head and the sum of its chunks, but takes a chunk's line with its extension, and the last chunk with all trailers, for a unit that stays in the read buffer until it is whole. The buffer had no bound of its own, so only the 10 s for a body ended it.

Evidence: on four connections that sent 40 MB of trailers each, one trailer line or one chunk extension without end came to 177 MB in a process told of 64 MB. Ruled out: the head, whose bound holds, and announced lengths.

Now the buffer holds a head's bound and one read, and a client beyond it gets 431 as not run. Trailers may be as long as a head may be, so no client within the limits meets it.

--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -35,8 +35,9 @@
                 notRun(FailureType::BadRequest, "the request came too slowly") };
         if (error == http::error::body_limit)
             return LocalAnswer { tooLargeStatus, notRun(FailureType::BadRequest, "the body is too large") };
-        if (error == http::error::header_limit)
-            return LocalAnswer { headerStatus, notRun(FailureType::BadRequest, "the headers are too large") };
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return LocalAnswer { headerStatus,
+                notRun(FailureType::BadRequest, "the headers, trailers or chunk extensions are too large") };
         if (error == http::error::end_of_stream || error == http::error::partial_message
             || error.category() != http::make_error_code(http::error::bad_method).category())
             return std::nullopt;
@@ -137,6 +138,9 @@
         const auto limits = bounds();
         parser.header_limit(static_cast<std::uint32_t>(limits.m_headerBytes));
         parser.body_limit(limits.m_bodyBytes);
+        // The parser bounds the head; what it takes for a unit behind the head stays in the buffer until
+        // whole.
+        m_buffer.max_size(limits.m_headerBytes + readBufferBytes);
         const auto error = co_await readHead(parser, limits.m_headerTimeout);
         arrivedAt = Clock::now();
         if (error || parser.is_done() || hasAmbiguousFraming(parser.get()))
