Account for the memory of requests, for the whole process

What callers saw: a process ended by its memory while many clients sent bodies that stop just short of their end and stayed; every request on it was lost.

Cause: memory was bounded for each request and never for the process. A body of the largest size on each of a hundred connections is within every bound of its own, and was read into a string that nobody counted; a stated length was reserved before a byte of it had come. The settings didn't know the machine's memory.

Ruled out: the sum of chunks beyond the bound, which the parser refuses.

Now one account has a quarter of memory_megabytes (from limits.memory_mb; 256 where it isn't stated). What a request holds beyond 16 kB is taken from it before it is read, in pieces, and kept until its answer is sent. When it is spent, the request that has been arriving for longest is refused as not run: it was passed on to nobody, and what is sent within the limits arrives soon. Small requests always find room. Bodies are read piece by piece, trailers are no longer added to the head, the buffer of an idle connection shrinks, and freed blocks go back to the system. A grower lets those that yielded free theirs first: without that, one round of events could hold both.

--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -73,6 +73,10 @@
         EnumName<Counter> { Counter::ObjectsUnreadable, "objects_unreadable_total" },
         EnumName<Counter> { Counter::TunnelsOpened, "tunnels_opened_total" },
         EnumName<Counter> { Counter::TunnelsCarried, "tunnels_carried_total" },
+        EnumName<Counter> { Counter::RequestsWithoutMemory, "requests_without_memory_total" },
+        EnumName<Counter> { Counter::AnswersWithoutMemory, "answers_without_memory_total" },
+        EnumName<Counter> { Counter::ConnectionsWithoutRoom, "connections_without_room_total" },
+        EnumName<Counter> { Counter::InvalidStatuses, "invalid_statuses_total" },
     };
     static_assert(counterNames.size() == static_cast<std::size_t>(Counter::Last));
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -60,6 +60,10 @@
     ObjectsUnreadable,
     TunnelsOpened,
     TunnelsCarried,
+    RequestsWithoutMemory,
+    AnswersWithoutMemory,
+    ConnectionsWithoutRoom,
+    InvalidStatuses,
     Last, // Counts the values above.
 };
 
--- /dev/null
+++ b/src/relay/caller_room.h
@@ -0,0 +1,64 @@
+// What callers' connections take of the node's memory, and which of them yields when it is spent.
+//
+// A request that hasn't arrived whole was passed on to nobody, so a node that ends it can promise that it
+// didn't run. The one that has been arriving for longest goes first: what callers send within the limits
+// arrives soon, and what stops short of its end stays.
+#pragma once
+
+#include "relay/memory_budget.h"
+#include "relay/node_capacity.h"
+
+#include <functional>
+#include <set>
+
+namespace marigoldladder::relay {
+
+enum class SessionPhase {
+    Idle, // Between two requests, or before the first.
+    Reading, // A request arrives.
+    Running, // The request was read and is being served.
+    Closing, // The last answer was sent.
+};
+
+// A caller's connection, as far as what it takes is concerned.
+struct CallerPlace {
+    explicit CallerPlace(MemoryBudget& budget)
+        : m_memory(budget)
+    {
+    }
+
+    SessionPhase m_phase = SessionPhase::Idle;
+    MonotonicTime m_since {}; // When the phase began.
+    MemoryShare m_memory; // Of what all connections have together.
+    std::function<void()> m_refuse; // Ends the request that is being read; its caller gets a refusal.
+    std::function<void()> m_closeIfIdle; // Closes the connection if no request has begun to arrive.
+};
+
+auto enterPhase(CallerPlace&, SessionPhase) -> void;
+
+// The places of all connections.
+class CallerRoom {
+public:
+    explicit CallerRoom(const NodeCapacity&);
+
+    auto budget() -> MemoryBudget& { return m_budget; }
+    auto add(CallerPlace& place) -> void { m_places.insert(&place); }
+    auto remove(CallerPlace& place) -> void { m_places.erase(&place); }
+    auto connections() const -> std::size_t { return m_places.size(); }
+
+    // Closes connections on which no request runs.
+    auto closeIdle() -> void;
+
+    // Has a connection hold so many bytes in all. Requests that have been arriving for longer yield to it.
+    // Returns false if too little can be had.
+    auto reserve(CallerPlace&, std::size_t bytes) -> bool;
+
+private:
+    // Returns the place that yields its memory first; null if none can.
+    auto nextToYield() const -> CallerPlace*;
+
+    MemoryBudget m_budget;
+    std::set<CallerPlace*> m_places;
+};
+
+} // namespace marigoldladder::relay
--- /dev/null
+++ b/src/relay/caller_session.h
@@ -0,0 +1,46 @@
+// One connection of a caller: its requests are read and answered one after the other.
+#pragma once
+
+#include "relay/caller_room.h"
+#include "relay/request_reader.h"
+#include "relay/request_runner.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+namespace marigoldladder::relay {
+
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+public:
+    CallerSession(net::ip::tcp::socket, CallerRoom&, RelayBoard&, RequestRunner&, WaitList&);
+    ~CallerSession();
+    CallerSession(const CallerSession&) = delete;
+    auto operator=(const CallerSession&) -> CallerSession& = delete;
+
+    // Serves the connection until it ends.
+    auto run() -> Awaitable<void>;
+
+private:
+    auto bounds() const -> CallerBounds;
+    auto awaitRequest() -> Awaitable<bool>;
+    auto closeIfIdle() -> void;
+    auto readRequest(CallState&) -> Awaitable<ErrorCode>;
+    auto refuse(ErrorCode) -> Awaitable<void>;
+    auto serveOne() -> Awaitable<bool>;
+    auto answerRequest(CallState&, CallerAnswer&) -> Awaitable<void>;
+    auto watchForDisconnect(const std::shared_ptr<CallState>&) -> void;
+    auto stopWatching() -> void;
+    auto lingeringClose() -> Awaitable<void>;
+
+    tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    CallerRoom& m_room;
+    RelayBoard& m_board;
+    RequestRunner& m_runner;
+    WaitList& m_waitList;
+    CallerPlace m_place;
+    Milliseconds m_idleTimeout { 0 };
+    bool m_isRefused = false; // The request being read had to yield its memory.
+};
+
+} // namespace marigoldladder::relay
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -50,7 +50,7 @@
     , m_origins(context.get_executor(), m_board, m_peerSocket, m_incarnation)
     , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits, m_rooms,
           m_origins, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
-    , m_callerServer(context.get_executor(), m_board, m_runner, m_waitList)
+    , m_callerServer(context.get_executor(), capacityOf(settings), m_board, m_runner, m_waitList)
     , m_readiness(context.get_executor(),
           [this](const std::string& target) { return m_deployment.m_answerReadiness(target, isReady()); })
     , m_directory(context.get_executor(),
--- a/src/relay/relay_settings.cc
+++ b/src/relay/relay_settings.cc
@@ -10,6 +10,9 @@
     constexpr auto maxTimeSeconds = 3'600.0;
     constexpr auto maxDescriptors = 1'048'576.0;
     constexpr auto maxCores = 4'096.0;
+    constexpr auto minMemoryMegabytes = 16.0;
+    constexpr auto maxMemoryMegabytes = 16'777'216.0;
+    constexpr auto bytesPerMegabyte = double { 1 << 20 };
 
     auto milliseconds(double value) -> Milliseconds
     {
@@ -100,6 +103,10 @@
     settings.m_firstStart = reader.optionalBool("first_start", false);
     settings.m_maxDescriptors
         = static_cast<std::size_t>(reader.optionalNumber("max_descriptors", 1024, { 64, maxDescriptors }));
+    const auto defaultMemoryMegabytes = static_cast<double>(settings.m_memoryBytes) / bytesPerMegabyte;
+    const auto memoryMegabytes = reader.optionalNumber(
+        "memory_megabytes", defaultMemoryMegabytes, { minMemoryMegabytes, maxMemoryMegabytes });
+    settings.m_memoryBytes = static_cast<std::size_t>(memoryMegabytes * bytesPerMegabyte);
     const auto cores = reader.optionalNumber("processor_cores", 1, { 0.001, maxCores });
     settings.m_processorShare = cores * reader.optionalNumber("processor_share", 1, { 0.001, 1 });
     settings.m_logLevel = reader.optionalText("log_level", "info");
--- a/src/relay/relay_settings.h
+++ b/src/relay/relay_settings.h
@@ -39,6 +39,7 @@
     Address m_storeAddress;
     bool m_firstStart = false; // This is the first start of the whole system.
     std::size_t m_maxDescriptors = 1024;
+    std::size_t m_memoryBytes = std::size_t { 256 } << 20; // That the process may use.
     double m_processorShare = 1; // Cores that this node may use.
     FleetBounds m_bounds;
     std::string m_logLevel = "info";
--- /dev/null
+++ b/test/relay/caller_room_test.cc
@@ -0,0 +1,102 @@
+#include "relay/caller_room.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldladder::relay {
+namespace {
+
+    constexpr auto freeBytes = freeBytesOfConnection;
+    constexpr auto budgetBytes = std::size_t { 1'000 };
+
+    auto smallCapacity() -> NodeCapacity
+    {
+        auto capacity = NodeCapacity();
+        capacity.m_callerBytes = budgetBytes;
+        return capacity;
+    }
+
+    class CallerRoomTest : public testing::Test {
+    protected:
+        // A connection whose phase began so many seconds after the start.
+        struct Caller {
+            Caller(CallerRoom& room, SessionPhase phase, int since)
+                : m_room(room)
+                , m_place(room.budget())
+            {
+                m_place.m_phase = phase;
+                m_place.m_since = MonotonicTime(std::chrono::seconds(since));
+                m_place.m_refuse = [this] { ++m_refusals; };
+                m_room.add(m_place);
+            }
+            ~Caller() { m_room.remove(m_place); }
+            Caller(const Caller&) = delete;
+            auto operator=(const Caller&) -> Caller& = delete;
+
+            auto reserve(std::size_t beyondFree) -> bool
+            {
+                return m_room.reserve(m_place, freeBytes + beyondFree);
+            }
+
+            CallerRoom& m_room;
+            CallerPlace m_place;
+            int m_refusals = 0;
+        };
+
+        CallerRoom m_room { smallCapacity() };
+    };
+
+    TEST_F(CallerRoomTest, ASmallRequestFindsRoomHoweverMuchOthersHold)
+    {
+        auto large = Caller(m_room, SessionPhase::Running, 1);
+        auto small = Caller(m_room, SessionPhase::Reading, 2);
+        EXPECT_TRUE(large.reserve(budgetBytes));
+        EXPECT_TRUE(m_room.reserve(small.m_place, freeBytes));
+        EXPECT_FALSE(small.reserve(1));
+    }
+
+    TEST_F(CallerRoomTest, TheRequestThatHasBeenArrivingForLongestYields)
+    {
+        auto older = Caller(m_room, SessionPhase::Reading, 2);
+        auto oldest = Caller(m_room, SessionPhase::Reading, 1);
+        auto newest = Caller(m_room, SessionPhase::Reading, 3);
+        EXPECT_TRUE(older.reserve(500));
+        EXPECT_TRUE(oldest.reserve(500));
+        EXPECT_TRUE(newest.reserve(300));
+        EXPECT_EQ(oldest.m_refusals, 1);
+        EXPECT_EQ(older.m_refusals, 0);
+        EXPECT_EQ(oldest.m_place.m_memory.bytes(), 0U);
+    }
+
+    TEST_F(CallerRoomTest, TheOldestRequestGetsNothingOfNewerOnes)
+    {
+        auto oldest = Caller(m_room, SessionPhase::Reading, 1);
+        auto newer = Caller(m_room, SessionPhase::Reading, 2);
+        EXPECT_TRUE(oldest.reserve(100));
+        EXPECT_TRUE(newer.reserve(900));
+        EXPECT_FALSE(oldest.reserve(101));
+        EXPECT_EQ(newer.m_refusals, 0);
+        EXPECT_EQ(oldest.m_place.m_memory.bytes(), 100U);
+    }
+
+    // It was passed on, so that it can't be refused as not run.
+    TEST_F(CallerRoomTest, ARunningRequestYieldsToNobody)
+    {
+        auto running = Caller(m_room, SessionPhase::Running, 1);
+        auto newer = Caller(m_room, SessionPhase::Reading, 2);
+        EXPECT_TRUE(running.reserve(budgetBytes));
+        EXPECT_FALSE(newer.reserve(1));
+        EXPECT_EQ(running.m_refusals, 0);
+    }
+
+    TEST_F(CallerRoomTest, WhatAConnectionHeldIsGivenBackAtItsEnd)
+    {
+        {
+            auto gone = Caller(m_room, SessionPhase::Running, 1);
+            EXPECT_TRUE(gone.reserve(budgetBytes));
+        }
+        auto next = Caller(m_room, SessionPhase::Reading, 2);
+        EXPECT_TRUE(next.reserve(budgetBytes));
+    }
+
+} // namespace
+} // namespace marigoldladder::relay
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -39,7 +39,7 @@
             , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
             , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList,
                   m_requestLimits, m_rooms, m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
-            , m_server(m_context.get_executor(), m_board, m_runner, m_waitList)
+            , m_server(m_context.get_executor(), capacityOf(m_settings), m_board, m_runner, m_waitList)
         {
         }
 
