Keep descriptors for upstreams, peers and the store

What callers saw: with more connections than descriptors no ordinary caller got in, and the node couldn't reach upstreams either.

Cause: accepted connections had no bound but the descriptors themselves.

Evidence: on 400 idle or half-begun connections had the process open 424 of 256 descriptors. Ruled out: the accept loop, which survives EMFILE.

At the bound, the one that is needed least is closed for a new one: one that never brought a request first, then the one idle for longest, none whose request runs.

--- a/src/relay/caller_room.h
+++ b/src/relay/caller_room.h
@@ -1,4 +1,4 @@
-// What callers' connections take of the node's memory, and which of them yields when it is spent.
+// What callers' connections take of the node, and which of them yields when it is spent.
 //
 // A request that hasn't arrived whole was passed on to nobody, so a node that ends it can promise that it
 // didn't run. The one that has been arriving for longest goes first: what callers send within the limits
@@ -29,9 +29,11 @@
 
     SessionPhase m_phase = SessionPhase::Idle;
     MonotonicTime m_since {}; // When the phase began.
+    bool m_hasServed = false; // A request came whole.
     MemoryShare m_memory; // Of what all connections have together.
     std::function<void()> m_refuse; // Ends the request that is being read; its caller gets a refusal.
     std::function<void()> m_closeIfIdle; // Closes the connection if no request has begun to arrive.
+    std::function<void()> m_close; // Closes the connection at once.
 };
 
 auto enterPhase(CallerPlace&, SessionPhase) -> void;
@@ -46,6 +48,12 @@
     auto remove(CallerPlace& place) -> void { m_places.erase(&place); }
     auto connections() const -> std::size_t { return m_places.size(); }
 
+    auto hasRoomForConnection() const -> bool { return m_places.size() < m_maxConnections; }
+
+    // Returns whether one more connection may come. At the bound, the one that is needed least is closed for
+    // it; none is while all have requests that run.
+    auto makeRoomForConnection() -> bool;
+
     // Closes connections on which no request runs.
     auto closeIdle() -> void;
 
@@ -57,7 +65,10 @@
     // Returns the place that yields its memory first; null if none can.
     auto nextToYield() const -> CallerPlace*;
 
+    auto nextToClose() const -> CallerPlace*;
+
     MemoryBudget m_budget;
+    std::size_t m_maxConnections;
     std::set<CallerPlace*> m_places;
 };
 
--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -31,6 +31,10 @@
     if (!openListener(m_acceptor, address))
         return false;
     auto startSession = [this](net::ip::tcp::socket socket) {
+        if (!m_room.hasRoomForConnection())
+            m_board.m_metrics.add(Counter::ConnectionsWithoutRoom);
+        if (!m_room.makeRoomForConnection())
+            return; // The socket closes itself.
         auto session
             = std::make_shared<CallerSession>(std::move(socket), m_room, m_board, m_runner, m_waitList);
         runTask(m_executor, "session", m_board.m_metrics, runSession(std::move(session)));
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -74,6 +74,7 @@
         m_stream.cancel();
     };
     m_place.m_closeIfIdle = [this] { closeIfIdle(); };
+    m_place.m_close = [this] { m_stream.close(); };
     enterPhase(m_place, SessionPhase::Idle);
     m_room.add(m_place);
 }
@@ -172,6 +173,7 @@
         co_await refuse(error);
         co_return false;
     }
+    m_place.m_hasServed = true;
     enterPhase(m_place, SessionPhase::Running);
     watchForDisconnect(state);
     auto answer = CallerAnswer(m_stream, state->m_message.keep_alive() && !m_board.m_leaving);
--- a/test/relay/caller_room_test.cc
+++ b/test/relay/caller_room_test.cc
@@ -7,11 +7,13 @@
 
     constexpr auto freeBytes = freeBytesOfConnection;
     constexpr auto budgetBytes = std::size_t { 1'000 };
+    constexpr auto maxConnections = std::size_t { 2 };
 
     auto smallCapacity() -> NodeCapacity
     {
         auto capacity = NodeCapacity();
         capacity.m_callerBytes = budgetBytes;
+        capacity.m_callerConnections = maxConnections;
         return capacity;
     }
 
@@ -26,6 +28,7 @@
                 m_place.m_phase = phase;
                 m_place.m_since = MonotonicTime(std::chrono::seconds(since));
                 m_place.m_refuse = [this] { ++m_refusals; };
+                m_place.m_close = [this] { m_isClosed = true; };
                 m_room.add(m_place);
             }
             ~Caller() { m_room.remove(m_place); }
@@ -40,6 +43,7 @@
             CallerRoom& m_room;
             CallerPlace m_place;
             int m_refusals = 0;
+            bool m_isClosed = false;
         };
 
         CallerRoom m_room { smallCapacity() };
@@ -98,5 +102,40 @@
         EXPECT_TRUE(next.reserve(budgetBytes));
     }
 
+    TEST_F(CallerRoomTest, AConnectionIsClosedForAnotherOnlyAtTheBound)
+    {
+        auto first = Caller(m_room, SessionPhase::Idle, 1);
+        EXPECT_TRUE(m_room.makeRoomForConnection());
+        EXPECT_FALSE(first.m_isClosed);
+    }
+
+    TEST_F(CallerRoomTest, AConnectionThatNeverBroughtARequestIsClosedBeforeOneThatDid)
+    {
+        auto known = Caller(m_room, SessionPhase::Idle, 1);
+        known.m_place.m_hasServed = true;
+        auto unknown = Caller(m_room, SessionPhase::Reading, 2);
+        EXPECT_TRUE(m_room.makeRoomForConnection());
+        EXPECT_TRUE(unknown.m_isClosed);
+        EXPECT_FALSE(known.m_isClosed);
+        EXPECT_EQ(m_room.connections(), 1U);
+    }
+
+    TEST_F(CallerRoomTest, TheConnectionThatHasWaitedForLongestIsClosedFirst)
+    {
+        auto newer = Caller(m_room, SessionPhase::Idle, 2);
+        auto older = Caller(m_room, SessionPhase::Idle, 1);
+        EXPECT_TRUE(m_room.makeRoomForConnection());
+        EXPECT_TRUE(older.m_isClosed);
+        EXPECT_FALSE(newer.m_isClosed);
+    }
+
+    TEST_F(CallerRoomTest, NoConnectionIsClosedWhileItsRequestRuns)
+    {
+        auto first = Caller(m_room, SessionPhase::Running, 1);
+        auto second = Caller(m_room, SessionPhase::Running, 2);
+        EXPECT_FALSE(m_room.makeRoomForConnection());
+        EXPECT_FALSE(first.m_isClosed || second.m_isClosed);
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
