--- a/test/hostile_clients/relay_test.cc
+++ b/test/hostile_clients/relay_test.cc
@@ -7,9 +7,6 @@
 #include "hostile_clients/process_usage.h"
 #include "hostile_clients/relay_under_test.h"
 #include "platform/relay_harness.h"
-#include "relay/generated/peer_messages_generated.h"
-#include "relay/message_frames.h"
-#include "relay/object_cache.h"
 
 #include <gtest/gtest.h>
 
@@ -202,6 +199,28 @@
         meetAtCallerPort(moreThanDescriptors, { "POST /plain/x HT", "", 0 });
     }
 
+    // Upstreams in trouble send without end, too.
+    auto answerWithTrailers(const platform::UpstreamRequest& request) -> platform::UpstreamReply
+    {
+        static const auto trailers = [] {
+            auto bytes = std::string();
+            while (bytes.size() < endlessBytes)
+                bytes += "x: 1\r\n";
+            return bytes;
+        }();
+        if (request.target() == "/plain/ordinary")
+            return answerAtOnce(request);
+        return { "HTTP/1.1 200 OK\r\nX-Marigoldladder-Request-Id: "
+            + std::string(request["X-Marigoldladder-Request-Id"])
+            + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + trailers };
+    }
+
+    TEST_F(RelayHostileClientsTest, OutlivesAnswersWithTrailersWithoutEnd)
+    {
+        start(answerWithTrailers);
+        meetAtCallerPort(fewConnections, { requestHead("Content-Length: 0"), "", 0 });
+    }
+
     // The ports besides the callers': anyone who reaches the machine can send there, too.
     struct OtherPort {
         const char* m_name;
@@ -276,17 +295,7 @@
         [](const testing::TestParamInfo<OtherPort>& port) { return port.param.m_name; });
 
     // The port for peers takes messages of a stated length.
-    class RelayPeerPortTest : public RelayHostileClientsTest {
-    protected:
-        // Returns a node's call for all objects of a kind of which there may be many.
-        static auto callForAllObjects() -> std::string
-        {
-            const auto kind = static_cast<std::uint8_t>(relay::ObjectKind::Evacuations);
-            auto builder = flatbuffers::FlatBufferBuilder();
-            builder.Finish(relay::messages::CreateChangesRequest(builder, kind, 0, 0, false));
-            return relay::frameOf(builder);
-        }
-    };
+    class RelayPeerPortTest : public RelayHostileClientsTest { };
 
     TEST_F(RelayPeerPortTest, OutlivesMessagesThatStopShortOfAGreatLength)
     {
@@ -301,12 +310,5 @@
         meet(m_relay->peerAddress(), moreThanDescriptors, {});
     }
 
-    TEST_F(RelayPeerPortTest, OutlivesManyCallsForAllObjectsWhoseAnswersNobodyReads)
-    {
-        start();
-        m_relay->writeLargeObjects();
-        meet(m_relay->peerAddress(), manyConnections, { callForAllObjects(), "", 0 });
-    }
-
 } // namespace
 } // namespace marigoldladder::hostile
--- a/test/hostile_clients/relay_under_test.cc
+++ b/test/hostile_clients/relay_under_test.cc
@@ -101,19 +101,6 @@
     return false;
 }
 
-auto RelayUnderTest::writeLargeObjects() -> void
-{
-    constexpr auto objects = 8;
-    constexpr auto objectBytes = std::size_t { 500'000 };
-    constexpr auto fetchTime = std::chrono::seconds(3);
-    onLoop([&] {
-        for (auto number = 0; number < objects; ++number)
-            m_store.put("evacuations", "zone-" + std::to_string(number),
-                { { "note", std::string(objectBytes, 'x') } });
-    });
-    std::this_thread::sleep_for(fetchTime);
-}
-
 auto RelayUnderTest::statusOfOrdinaryRequest(const std::string& body) const -> int
 {
     static auto number = 0;
--- a/test/hostile_clients/relay_under_test.h
+++ b/test/hostile_clients/relay_under_test.h
@@ -42,9 +42,6 @@
     auto metricsAddress() const -> const Address& { return m_metricsAddress; }
     auto peerAddress() const -> const Address& { return m_peerAddress; }
 
-    // Writes objects to the store that come to some megabytes, and waits until the relay has them.
-    auto writeLargeObjects() -> void;
-
     // Returns the status that one ordinary caller's request with this body gets; 0: no answer.
     auto statusOfOrdinaryRequest(const std::string& body = "5 francs") const -> int;
 
