Bound what the readiness, directory and metrics ports take

Cause: the read buffer had no bound, so trailers without end stayed in it for 20 s; connections had none either.

Evidence: on four connections came to 177 to 186 MB of 64 at each of the three ports, and 400 idle ones had 424 of 256 descriptors open.

Now heads are read by the reader of callers' requests, out of a small account for each port, a body ends the connection, and of too many connections the one that was silent for longest is closed. Six tests failed before and hold.

--- a/src/relay/caller_room.cc
+++ b/src/relay/caller_room.cc
@@ -96,8 +96,7 @@
 
 auto CallerRoom::reserve(CallerPlace& place, std::size_t bytes) -> bool
 {
-    const auto charged = bytes > freeBytesOfConnection ? bytes - freeBytesOfConnection : 0;
-    while (!place.m_memory.tryResize(charged)) {
+    while (!place.m_memory.tryResize(beyondFree(bytes))) {
         auto* yielding = nextToYield();
         if (!yielding || yielding == &place)
             return false;
--- a/src/relay/node_capacity.cc
+++ b/src/relay/node_capacity.cc
@@ -14,6 +14,7 @@
     // Shares of the memory. The rest is for the program, the objects of the store and the state of peers.
     constexpr auto connectionMemoryShare = 1.0 / 6;
     constexpr auto callerMemoryShare = 1.0 / 4;
+    constexpr auto otherPortMemoryShare = 1.0 / 64;
     constexpr auto peerAnswerMemoryShare = 1.0 / 16;
 
     constexpr auto sessionBytes = std::size_t { 8 } << 10; // Of a connection without what it has read.
@@ -33,6 +34,7 @@
     capacity.m_callerConnections
         = std::min(shareOf(settings.m_maxDescriptors, callerDescriptorShare), byMemory);
     capacity.m_callerBytes = shareOf(settings.m_memoryBytes, callerMemoryShare);
+    capacity.m_otherPortBytes = shareOf(settings.m_memoryBytes, otherPortMemoryShare);
     capacity.m_otherConnections = shareOf(settings.m_maxDescriptors, otherDescriptorShare);
     capacity.m_peerAnswerBytes = shareOf(settings.m_memoryBytes, peerAnswerMemoryShare);
     return capacity;
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -51,13 +51,13 @@
     , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits, m_rooms,
           m_origins, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
     , m_callerServer(context.get_executor(), capacityOf(settings), m_board, m_runner, m_waitList)
-    , m_readiness(context.get_executor(),
+    , m_readiness(context.get_executor(), capacityOf(settings), m_board.m_metrics,
           [this](const std::string& target) { return m_deployment.m_answerReadiness(target, isReady()); })
-    , m_directory(context.get_executor(),
+    , m_directory(context.get_executor(), capacityOf(settings), m_board.m_metrics,
           [this](const std::string& target) {
               return m_deployment.m_answerAddresses(target, callerAddresses());
           })
-    , m_metrics(context.get_executor(),
+    , m_metrics(context.get_executor(), capacityOf(settings), m_board.m_metrics,
           [this](const std::string&) {
               return SimpleHttpAnswer { okStatus, "text/plain; version=0.0.4",
                   m_board.m_metrics.formatForPrometheus() };
@@ -205,8 +205,8 @@
                             const Address& from) { handleDatagram(datagram, bytes, from); };
     const auto opens = std::vector<std::function<bool()>> {
         [this] { return m_callerServer.listen(m_settings.m_callerAddress); },
-        [this] { return m_readiness.listen(m_settings.m_readinessAddress, m_board.m_metrics); },
-        [this] { return m_directory.listen(m_settings.m_directoryAddress, m_board.m_metrics); },
+        [this] { return m_readiness.listen(m_settings.m_readinessAddress); },
+        [this] { return m_directory.listen(m_settings.m_directoryAddress); },
         [this, handle] { return m_peerSocket.open(m_settings.m_peerAddress, m_board.m_metrics, handle); },
         [this] { return m_peerServer.listen(m_settings.m_peerAddress, m_board.m_metrics); },
     };
@@ -221,8 +221,7 @@
 // A node without metrics still serves, so it doesn't end for want of their port.
 auto RelayNode::openMetricsPort() -> Awaitable<void>
 {
-    (void)co_await openWithin(
-        portWaitTime, [this] { return m_metrics.listen(m_settings.m_metricsAddress, m_board.m_metrics); });
+    (void)co_await openWithin(portWaitTime, [this] { return m_metrics.listen(m_settings.m_metricsAddress); });
 }
 
 auto RelayNode::handleDatagram(
--- a/src/relay/simple_http_server.h
+++ b/src/relay/simple_http_server.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include "core/metrics.h"
+#include "relay/memory_budget.h"
+#include "relay/node_capacity.h"
+#include "relay/open_connections.h"
 #include "relay/tcp.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,15 +24,18 @@
 
 class SimpleHttpServer {
 public:
-    SimpleHttpServer(const Executor&, SimpleHttpHandler);
+    SimpleHttpServer(const Executor&, const NodeCapacity&, Metrics&, SimpleHttpHandler);
 
     // Listens at the address; false when that fails, which is logged.
-    auto listen(const Address&, Metrics&) -> bool;
+    auto listen(const Address&) -> bool;
 
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
 
+    Metrics& m_metrics;
     SimpleHttpHandler m_handler;
+    MemoryBudget m_budget; // Of heads that arrive.
+    OpenConnections m_connections;
     net::ip::tcp::acceptor m_acceptor;
 };
 
