Bound what the port for peers takes of anyone

What callers saw: nothing yet; found by looking for the same cause elsewhere.

Cause: a connection's first message could have 64 MB, the bound of an answer with all objects, though a call has a few names; connections had no bound.

Now a call has 16 kB at most, connections that haven't brought one are bounded, and answers that are being sent share a sixteenth of the memory. The bound on answers has no test on processes: the kernel's buffers take what a node has to send in a test.

--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -80,9 +80,10 @@
 
 } // namespace
 
-CacheExchange::CacheExchange(Executor executor, ObjectCache& cache)
+CacheExchange::CacheExchange(Executor executor, const NodeCapacity& capacity, ObjectCache& cache)
     : m_executor(std::move(executor))
     , m_cache(cache)
+    , m_budget { capacity.m_peerAnswerBytes }
 {
 }
 
@@ -99,6 +100,10 @@
     const auto answer = request->accepts_compressed()
         ? encode(changesSince(m_cache[kind], after), setCompressed)
         : encode(changesSince(m_cache[kind], after), setPlainContent);
+    // One answer is sent however large it is.
+    auto memory = MemoryShare(m_budget);
+    if (!memory.tryResize(answer.size()) && m_budget.m_held > 0)
+        co_return;
     auto error = ErrorCode();
     stream->expires_after(answerTimeout);
     co_await net::async_write(*stream, net::buffer(answer), errorTo(error));
@@ -138,7 +143,7 @@
     co_await net::async_write(stream, net::buffer(request), errorTo(error));
     if (error)
         co_return std::nullopt;
-    const auto message = co_await readFrame(stream, silenceTimeout);
+    const auto message = co_await readFrame(stream, silenceTimeout, maxFrameBytes);
     if (message.empty())
         co_return std::nullopt;
     co_return decode(message);
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -1,6 +1,8 @@
 // Fetches changes of the store's objects from peers, and serves them to peers, over TCP.
 #pragma once
 
+#include "relay/memory_budget.h"
+#include "relay/node_capacity.h"
 #include "relay/object_cache.h"
 #include "relay/tcp.h"
 
@@ -16,7 +18,7 @@
 
 class CacheExchange {
 public:
-    CacheExchange(Executor, ObjectCache&);
+    CacheExchange(Executor, const NodeCapacity&, ObjectCache&);
 
     // Answers a peer's request for changes; passes over a message that is none.
     auto serve(std::shared_ptr<tcp_stream>, std::string message) -> Awaitable<void>;
@@ -36,6 +38,7 @@
 
     Executor m_executor;
     ObjectCache& m_cache;
+    MemoryBudget m_budget; // Of answers that are being sent.
     std::map<std::string, CompressedContent> m_compressed; // Of configurations, by name.
 };
 
--- a/src/relay/message_frames.cc
+++ b/src/relay/message_frames.cc
@@ -30,14 +30,15 @@
     return bytes;
 }
 
-auto readFrame(tcp_stream& stream, std::chrono::milliseconds silenceTimeout) -> Awaitable<std::string>
+auto readFrame(tcp_stream& stream, std::chrono::milliseconds silenceTimeout, std::uint32_t maxBytes)
+    -> Awaitable<std::string>
 {
     auto error = ErrorCode();
     auto header = std::array<unsigned char, lengthBytes>();
     stream.expires_after(silenceTimeout);
     co_await net::async_read(stream, net::buffer(header), errorTo(error));
     const auto length = readLength(header);
-    if (error || length > maxFrameBytes)
+    if (error || length > maxBytes)
         co_return std::string();
     auto message = std::string();
     while (message.size() < length) {
--- a/src/relay/peer_server.cc
+++ b/src/relay/peer_server.cc
@@ -11,23 +11,28 @@
 
 } // namespace
 
-PeerServer::PeerServer(const Executor& executor, PeerCallHandler serveChanges, PeerCallHandler serveTunnel)
-    : m_serveChanges(std::move(serveChanges))
+PeerServer::PeerServer(const Executor& executor, const NodeCapacity& capacity, Metrics& metrics,
+    PeerCallHandler serveChanges, PeerCallHandler serveTunnel)
+    : m_metrics(metrics)
+    , m_waiting(capacity.m_otherConnections, metrics)
+    , m_serveChanges(std::move(serveChanges))
     , m_serveTunnel(std::move(serveTunnel))
     , m_acceptor(executor)
 {
 }
 
-auto PeerServer::listen(const Address& address, Metrics& metrics) -> bool
+auto PeerServer::listen(const Address& address) -> bool
 {
-    return serveConnections(m_acceptor, address, metrics,
+    return serveConnections(m_acceptor, address, m_metrics,
         [this](net::ip::tcp::socket socket) { return serve(std::move(socket)); });
 }
 
 auto PeerServer::serve(net::ip::tcp::socket socket) -> Awaitable<void>
 {
     auto stream = std::make_shared<tcp_stream>(std::move(socket));
-    auto message = co_await readFrame(*stream, firstMessageTimeout);
+    m_waiting.touch(stream);
+    auto message = co_await readFrame(*stream, firstMessageTimeout, maxCallBytes);
+    m_waiting.remove(stream);
     if (message.empty())
         co_return;
     auto call = isTunnelRequest(message) ? m_serveTunnel(stream, std::move(message))
--- a/src/relay/peer_server.h
+++ b/src/relay/peer_server.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "relay/listener.h"
+#include "relay/node_capacity.h"
+#include "relay/open_connections.h"
 #include "relay/tcp.h"
 
 #include <functional>
@@ -16,14 +18,17 @@
 
 class PeerServer {
 public:
-    PeerServer(const Executor&, PeerCallHandler serveChanges, PeerCallHandler serveTunnel);
+    PeerServer(const Executor&, const NodeCapacity&, Metrics&, PeerCallHandler serveChanges,
+        PeerCallHandler serveTunnel);
 
     // Returns false if the port can't be opened, which is logged.
-    auto listen(const Address&, Metrics&) -> bool;
+    auto listen(const Address&) -> bool;
 
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
 
+    Metrics& m_metrics;
+    OpenConnections m_waiting; // For their first message.
     PeerCallHandler m_serveChanges;
     PeerCallHandler m_serveTunnel;
     net::ip::tcp::acceptor m_acceptor;
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -62,10 +62,10 @@
               return SimpleHttpAnswer { okStatus, "text/plain; version=0.0.4",
                   m_board.m_metrics.formatForPrometheus() };
           })
-    , m_cacheExchange(context.get_executor(), m_board.m_objects)
+    , m_cacheExchange(context.get_executor(), capacityOf(settings), m_board.m_objects)
     , m_tunnels(context.get_executor(), settings, m_board)
     , m_peerServer(
-          context.get_executor(),
+          context.get_executor(), capacityOf(settings), m_board.m_metrics,
           [this](std::shared_ptr<tcp_stream> stream, std::string message) {
               return m_cacheExchange.serve(std::move(stream), std::move(message));
           },
@@ -208,7 +208,7 @@
         [this] { return m_readiness.listen(m_settings.m_readinessAddress); },
         [this] { return m_directory.listen(m_settings.m_directoryAddress); },
         [this, handle] { return m_peerSocket.open(m_settings.m_peerAddress, m_board.m_metrics, handle); },
-        [this] { return m_peerServer.listen(m_settings.m_peerAddress, m_board.m_metrics); },
+        [this] { return m_peerServer.listen(m_settings.m_peerAddress); },
     };
     for (const auto& open : opens) {
         const auto opened = co_await openWithin(portWaitTime, open);
--- a/src/relay/upstream_connector.cc
+++ b/src/relay/upstream_connector.cc
@@ -145,7 +145,7 @@
     co_await net::async_write(stream, net::buffer(request), errorTo(error));
     if (error)
         co_return ConnectOutcome::NotReached;
-    const auto message = co_await readFrame(stream, peerAnswerTimeout);
+    const auto message = co_await readFrame(stream, peerAnswerTimeout, maxCallBytes);
     stream.expires_never();
     resetOnClose(stream.socket());
     co_return connectOutcomeOf(message);
--- a/test/relay/cache_exchange_test.cc
+++ b/test/relay/cache_exchange_test.cc
@@ -44,7 +44,7 @@
 
         auto listen() -> void
         {
-            while (!m_server.listen(address(), m_metrics))
+            while (!m_server.listen(address()))
                 ++m_port; // Another test process of the same number may have it.
         }
 
@@ -92,8 +92,8 @@
         net::io_context m_context { 1 };
         ObjectCache m_objects;
         Metrics m_metrics;
-        CacheExchange m_exchange { m_context.get_executor(), m_objects };
-        PeerServer m_server { m_context.get_executor(),
+        CacheExchange m_exchange { m_context.get_executor(), capacityOf(RelaySettings()), m_objects };
+        PeerServer m_server { m_context.get_executor(), capacityOf(RelaySettings()), m_metrics,
             [this](std::shared_ptr<tcp_stream> stream, std::string message) {
                 return m_exchange.serve(std::move(stream), std::move(message));
             },
--- a/test/relay/store_sync_test.cc
+++ b/test/relay/store_sync_test.cc
@@ -77,7 +77,7 @@
         int m_lists = 0;
         int m_failingLists = 0;
         ObjectSchema m_schema = schema();
-        CacheExchange m_exchange { m_context.get_executor(), m_board.m_objects };
+        CacheExchange m_exchange { m_context.get_executor(), capacityOf(RelaySettings()), m_board.m_objects };
         StoreSync m_sync;
     };
 
--- a/test/relay/upstream_connector_test.cc
+++ b/test/relay/upstream_connector_test.cc
@@ -59,7 +59,7 @@
             peer.m_lastReceivedAt = Clock::now();
             peer.m_livenessTimeout = Milliseconds(60'000);
             peer.m_peerAddress = { loopbackHost(peerHost), 7'100 };
-            while (!m_peerServer.listen(peer.m_peerAddress, m_metrics))
+            while (!m_peerServer.listen(peer.m_peerAddress))
                 ++peer.m_peerAddress.m_port; // Another test process of the same number may have it.
         }
 
@@ -144,7 +144,7 @@
         RelayBoard m_board;
         RelayBoard m_peerBoard;
         TunnelServer m_tunnels { m_context.get_executor(), m_settings, m_peerBoard };
-        PeerServer m_peerServer { m_context.get_executor(), {},
+        PeerServer m_peerServer { m_context.get_executor(), capacityOf(RelaySettings()), m_metrics, {},
             [this](std::shared_ptr<tcp_stream> stream, std::string message) {
                 return m_tunnels.serve(std::move(stream), std::move(message));
             } };
@@ -185,15 +185,15 @@
         record.m_address = deadAddress(m_context);
         applyUpstreamRecord(cutBoard.m_upstreams, record, Clock::now());
         auto cutTunnels = TunnelServer(m_context.get_executor(), m_settings, cutBoard);
-        auto cutServer = PeerServer(
-            m_context.get_executor(), {}, [&](std::shared_ptr<tcp_stream> stream, std::string message) {
+        auto cutServer = PeerServer(m_context.get_executor(), capacityOf(m_settings), m_metrics, {},
+            [&](std::shared_ptr<tcp_stream> stream, std::string message) {
                 return cutTunnels.serve(std::move(stream), std::move(message));
             });
         auto& cut = m_board.m_fleet.m_peers[VmName("cut")];
         cut = m_board.m_fleet.m_peers.at(VmName("peer"));
         cut.m_vm = VmName("cut");
         cut.m_dataCentre = upstream->m_record.m_dataCentre; // So that it is asked first.
-        while (!cutServer.listen(cut.m_peerAddress, m_metrics))
+        while (!cutServer.listen(cut.m_peerAddress))
             ++cut.m_peerAddress.m_port;
         const auto result = connect(upstream);
         EXPECT_EQ(result.m_outcome, ConnectOutcome::Connected);
