Bound what a parser keeps of an upstream's or the store's answer

What callers saw: nothing yet; the cause of endless trailers, at the other end.

Cause: the buffers of connections to upstreams and to the store had no bound either, so an answer's trailers without end stayed in them.

--- a/src/relay/http_client.cc
+++ b/src/relay/http_client.cc
@@ -22,6 +22,7 @@
 
 HttpClient::Connection::Connection(const Executor& executor)
     : m_stream(executor)
+    , m_buffer(answerBufferBytes)
 {
 }
 
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -20,6 +20,9 @@
 using ErrorCode = boost::system::error_code;
 using Executor = net::any_io_executor;
 
+// Bound of a buffer for answers: more than any unit of one that a parser takes at once, such as its head.
+inline constexpr auto answerBufferBytes = std::size_t { 128 } << 10;
+
 // Completion token of coroutines that check the error themselves instead of catching an exception.
 inline auto errorTo(ErrorCode& error)
 {
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -16,6 +16,7 @@
 
 UpstreamConnection::UpstreamConnection(const Executor& executor)
     : m_stream(executor)
+    , m_buffer(answerBufferBytes)
 {
 }
 
