Take a status that is none for no answer

What callers saw (MIXED): an answer with status 600 or 999 as it came; and for a status 000 or 099 whatever stood in its body or behind it, as a 200.

Cause: every status below 200 counted as an interim answer that is passed over, so what followed it was read as the final one; and nothing looked at statuses above 599. The client for reports, orders and the store took an interim answer for the final one, and left that to the next call.

Ruled out: statuses that aren't three digits, which the parser refuses, and an answer's length.

Now a status outside 100 to 599 is no answer (RFC 9110, 15), nor is 101, which nobody asks for: the connection ends, nothing behind it is read, and the request may have run; one that may run twice goes to another upstream. The daemon's own path isn't mended by this.

--- a/src/relay/http_client.cc
+++ b/src/relay/http_client.cc
@@ -1,5 +1,7 @@
 #include "relay/http_client.h"
 
+#include "core/http_status.h"
+
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -18,6 +20,15 @@
     constexpr auto maxIdle = std::size_t { 4 }; // Idle connections; more calls rarely overlap.
     constexpr auto maxReplyBytes = std::uint64_t { 16 } << 20; // Larger than any page of a listing.
 
+    auto replyOf(http::response<http::string_body> response) -> HttpReply
+    {
+        auto reply = HttpReply();
+        reply.m_status = response.result_int();
+        reply.m_body = std::move(response.body());
+        reply.m_fields = std::move(response.base());
+        return reply;
+    }
+
 } // namespace
 
 HttpClient::Connection::Connection(const Executor& executor)
@@ -80,18 +91,22 @@
     co_await http::async_write(connection.m_stream, request, errorTo(error));
     if (error)
         co_return HttpCallFailure::Unknown;
-    auto parser = http::response_parser<http::string_body>();
-    parser.body_limit(maxReplyBytes);
-    co_await http::async_read(connection.m_stream, connection.m_buffer, parser, errorTo(error));
-    if (error)
-        co_return HttpCallFailure::Unknown;
-    connection.m_stream.expires_never();
-    reusable = parser.get().keep_alive() && connection.m_buffer.size() == 0;
-    auto reply = HttpReply();
-    reply.m_status = parser.get().result_int();
-    reply.m_body = std::move(parser.get().body());
-    reply.m_fields = std::move(parser.get().base());
-    co_return reply;
+    for (auto interimAnswers = 0; interimAnswers <= maxInterimAnswers; ++interimAnswers) {
+        auto parser = http::response_parser<http::string_body>();
+        parser.body_limit(maxReplyBytes);
+        co_await http::async_read(connection.m_stream, connection.m_buffer, parser, errorTo(error));
+        if (error)
+            co_return HttpCallFailure::Unknown;
+        const auto kind = kindOfStatus(parser.get().result_int());
+        if (kind == StatusKind::Interim)
+            continue;
+        if (kind == StatusKind::Invalid)
+            co_return HttpCallFailure::Unknown;
+        connection.m_stream.expires_never();
+        reusable = parser.get().keep_alive() && connection.m_buffer.size() == 0;
+        co_return replyOf(std::move(parser.get()));
+    }
+    co_return HttpCallFailure::Unknown;
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/upstream_answer.cc
+++ b/src/relay/upstream_answer.cc
@@ -1,5 +1,7 @@
 #include "relay/upstream_answer.h"
 
+#include "core/http_status.h"
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <charconv>
@@ -10,7 +12,6 @@
 
 namespace {
 
-    constexpr auto successStatus = 200U;
     constexpr auto maxStrayAnswers = 3; // Discarded on one connection before it is closed.
     constexpr auto maxWholeBody = std::uint64_t { 8 } << 20; // Larger than answers of plain services.
     // For upstreams that state no idle timeout: it is stated in whole seconds, so theirs may be below one.
@@ -43,7 +44,8 @@
     RelayBoard& board) -> Awaitable<AnswerHead>
 {
     auto head = AnswerHead();
-    for (auto strayAnswers = 0; strayAnswers <= maxStrayAnswers;) {
+    auto interimAnswers = 0;
+    for (auto strayAnswers = 0; strayAnswers <= maxStrayAnswers && interimAnswers <= maxInterimAnswers;) {
         auto parser = std::make_unique<HeadParser>();
         parser->skip(state.m_message.method() == http::verb::head);
         auto error = ErrorCode();
@@ -53,8 +55,15 @@
             co_return head;
         }
         const auto status = parser->get().result_int();
-        if (status < successStatus)
+        const auto kind = kindOfStatus(status);
+        if (kind == StatusKind::Invalid) {
+            board.m_metrics.add(Counter::InvalidStatuses);
+            co_return head;
+        }
+        if (kind == StatusKind::Interim) {
+            ++interimAnswers;
             continue;
+        }
         head.m_answer = dialect.m_readAnswer(status, parser->get());
         const auto isFirstAnswer = !connection.m_reused && strayAnswers == 0;
         if (belongsTo(state, head.m_answer, isFirstAnswer)) {
