Bound what clients take of the daemon's HTTP ports

What callers saw: nothing yet; the same cause at the callers' and the operators' port of the node daemon, found by tests of its own.

Cause: bounds that were set on the HTTP library aren't the bounds that it keeps.

Evidence: on four connections came to 409 to 517 MB of 128 by chunked bodies, a chunk extension or a head line, to 5,019 MB by head lines, to 261 MB by four bodies that were 64 MB decompressed; forty bodies that stop short came to 268 MB, and two hundred silent connections shut every other caller out. Ruled out: trailers and announced bodies, which it refuses, and the port for peers, whose handshakes have bounds.

Now each connection's bytes are followed before the library gets them, and what exceeds a bound, is compressed or has no certain end ends the connection. Requests draw on an account, and connections yield, by the same rules as at the relay, whose room for connections moves to core for that; the server moves from serving to objects, where operators' port finds it.

--- a/daemons/marigoldladder_relay_main.cc
+++ b/daemons/marigoldladder_relay_main.cc
@@ -1,5 +1,6 @@
 #include "daemons/marigoldladder_relay_main.h"
 
+#include "core/large_blocks.h"
 #include "core/log.h"
 #include "platform/deployment.h"
 #include "relay/settings_file.h"
@@ -7,7 +8,6 @@
 #include <cstdlib>
 #include <docopt.h>
 #include <iostream>
-#include <malloc.h>
 #include <map>
 #include <string>
 
@@ -28,16 +28,6 @@
 
 constexpr auto settingsExitCode = 2;
 
-constexpr auto mappedAllocationBytes = 64 << 10; // From this size on, what is freed goes back to the system.
-
-// The allocator would keep large blocks that were freed, and a process is bounded by what it has, not by what
-// it uses.
-auto returnLargeBlocks() -> void
-{
-    (void)mallopt(M_MMAP_THRESHOLD, mappedAllocationBytes);
-    (void)mallopt(M_TRIM_THRESHOLD, mappedAllocationBytes);
-}
-
 // Returns the path of the settings that the arguments name.
 auto settingsPath(std::map<std::string, docopt::value>& arguments) -> std::string
 {
@@ -51,7 +41,7 @@
 extern "C" auto marigoldladderRelayMain(int argc, char** argv) -> int
 {
     using namespace marigoldladder::relay;
-    returnLargeBlocks();
+    marigoldladder::returnLargeBlocks();
     auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
     const auto path = settingsPath(arguments);
     const auto onlyChecks = arguments["--check-settings"].asBool();
--- a/daemons/marigoldladderd.cc
+++ b/daemons/marigoldladderd.cc
@@ -1,4 +1,5 @@
 // The node daemon: reads its settings, serves until told to stop, and drains before it ends.
+#include "core/large_blocks.h"
 #include "core/log.h"
 #include "marigoldladder/node.h"
 
@@ -97,6 +98,7 @@
 
 auto main(int argc, char** argv) -> int
 {
+    returnLargeBlocks();
     const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
     const auto settings = readSettings(arguments.at("--settings").asString());
     if (!settings)
--- a/fakes/engine_completions.cc
+++ b/fakes/engine_completions.cc
@@ -1,7 +1,7 @@
 #include "engine_completions.h"
 
 #include "expected_text.h"
-#include "serving/stream_server.h"
+#include "objects/bounded_server.h"
 
 #include <algorithm>
 #include <thread>
--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -7,7 +7,7 @@
 #include "fake_server.h"
 
 #include "core/random_bytes.h"
-#include "serving/stream_server.h"
+#include "objects/bounded_server.h"
 
 #include <chrono>
 #include <condition_variable>
@@ -84,7 +84,7 @@
     completions.m_slots = static_cast<std::size_t>(arguments.at("--running").asLong());
     completions.m_coldSlots = static_cast<std::size_t>(arguments.at("--cold").asLong());
     completions.m_bootId = randomHex(8);
-    auto server = StreamServer();
+    auto server = BoundedServer(ServerBounds());
     fakes::configureFakeServer(server);
     auto engine = fakes::FakeEngine(adapters, completions);
     engine.addRoutes(server);
--- a/include/marigoldladder/settings.h
+++ b/include/marigoldladder/settings.h
@@ -39,6 +39,7 @@
 struct IntakeLimits {
     std::size_t m_maxRequestBytes = std::size_t { 1 } << 20;
     std::size_t m_maxConnections = 512;
+    std::size_t m_maxHeldBytes = std::size_t { 64 } << 20; // Of all requests at once, beyond 16 kB each.
     std::chrono::milliseconds m_requestDeadline { 60'000 };
     std::chrono::milliseconds m_readTimeout { 5'000 };
 };
--- a/src/relay/caller_room.cc
+++ b/src/core/connection_room.cc
@@ -1,15 +1,16 @@
-#include "relay/caller_room.h"
+#include "core/connection_room.h"
 
 #include <optional>
 #include <utility>
 
-namespace marigoldladder::relay {
+namespace marigoldladder {
 
 namespace {
 
-    auto mayYieldMemory(const CallerPlace& place) -> bool
+    auto mayYieldMemory(const ConnectionPlace& place) -> bool
     {
-        const auto waits = place.m_phase == SessionPhase::Reading || place.m_phase == SessionPhase::Answering;
+        const auto waits
+            = place.m_phase == ConnectionPhase::Reading || place.m_phase == ConnectionPhase::Answering;
         return waits && place.m_memory.bytes() > 0;
     }
 
@@ -23,46 +24,46 @@
     };
 
     // Returns nothing while a request runs, which its caller is owed an answer to.
-    auto needOf(const CallerPlace& place) -> std::optional<Need>
+    auto needOf(const ConnectionPlace& place) -> std::optional<Need>
     {
         switch (place.m_phase) {
-        case SessionPhase::Closing:
+        case ConnectionPhase::Closing:
             return Need::Closing;
-        case SessionPhase::Idle:
+        case ConnectionPhase::Idle:
             return place.m_hasServed ? Need::Idle : Need::NeverServed;
-        case SessionPhase::Reading:
+        case ConnectionPhase::Reading:
             return place.m_hasServed ? Need::Reading : Need::NeverServed;
-        case SessionPhase::Answering:
+        case ConnectionPhase::Answering:
             return Need::Answering;
-        case SessionPhase::Running:
+        case ConnectionPhase::Running:
             return std::nullopt;
         }
         return std::nullopt;
     }
 
     // Of equal need, the one that has waited for its caller for longest goes first.
-    auto isNeededLess(const CallerPlace& left, const CallerPlace& right) -> bool
+    auto isNeededLess(const ConnectionPlace& left, const ConnectionPlace& right) -> bool
     {
         return std::pair(needOf(left), left.m_since) < std::pair(needOf(right), right.m_since);
     }
 
 } // namespace
 
-auto enterPhase(CallerPlace& place, SessionPhase phase) -> void
+auto enterPhase(ConnectionPlace& place, ConnectionPhase phase) -> void
 {
     place.m_phase = phase;
     place.m_since = std::chrono::steady_clock::now();
 }
 
-CallerRoom::CallerRoom(const NodeCapacity& capacity)
-    : m_budget { capacity.m_callerBytes }
-    , m_maxConnections(capacity.m_callerConnections)
+ConnectionRoom::ConnectionRoom(const ConnectionBounds& bounds)
+    : m_budget { bounds.m_heldBytes }
+    , m_maxConnections(bounds.m_connections)
 {
 }
 
-auto CallerRoom::nextToClose() const -> CallerPlace*
+auto ConnectionRoom::nextToClose() const -> ConnectionPlace*
 {
-    auto* next = static_cast<CallerPlace*>(nullptr);
+    auto* next = static_cast<ConnectionPlace*>(nullptr);
     for (auto* place : m_places) {
         if (needOf(*place) && (!next || isNeededLess(*place, *next)))
             next = place;
@@ -70,27 +71,34 @@
     return next;
 }
 
-auto CallerRoom::makeRoomForConnection() -> bool
+auto ConnectionRoom::closeOne() -> bool
+{
+    auto* closed = nextToClose();
+    if (!closed)
+        return false;
+    remove(*closed); // It takes nothing any more, though whoever serves it ends a little later.
+    closed->m_close();
+    return true;
+}
+
+auto ConnectionRoom::makeRoomForConnection() -> bool
 {
     while (m_places.size() >= m_maxConnections) {
-        auto* closed = nextToClose();
-        if (!closed)
+        if (!closeOne())
             return false;
-        remove(*closed); // Its descriptor is free at once, though its session ends a little later.
-        closed->m_close();
     }
     return true;
 }
 
-auto CallerRoom::closeIdle() -> void
+auto ConnectionRoom::closeIdle() -> void
 {
     for (auto* place : m_places)
         place->m_closeIfIdle();
 }
 
-auto CallerRoom::nextToYield() const -> CallerPlace*
+auto ConnectionRoom::nextToYield() const -> ConnectionPlace*
 {
-    auto* next = static_cast<CallerPlace*>(nullptr);
+    auto* next = static_cast<ConnectionPlace*>(nullptr);
     for (auto* place : m_places) {
         if (mayYieldMemory(*place) && (!next || place->m_since < next->m_since))
             next = place;
@@ -98,7 +106,7 @@
     return next;
 }
 
-auto CallerRoom::reserve(CallerPlace& place, std::size_t bytes) -> bool
+auto ConnectionRoom::reserve(ConnectionPlace& place, std::size_t bytes) -> bool
 {
     while (!place.m_memory.tryResize(beyondFree(bytes))) {
         auto* yielding = nextToYield();
@@ -110,4 +118,4 @@
     return true;
 }
 
-} // namespace marigoldladder::relay
+} // namespace marigoldladder
--- a/src/relay/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 
-namespace marigoldladder::relay {
+namespace marigoldladder {
 
 // Must outlive the shares that are taken from it.
 struct MemoryBudget {
@@ -41,4 +41,4 @@
     std::size_t m_bytes = 0;
 };
 
-} // namespace marigoldladder::relay
+} // namespace marigoldladder
--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -10,6 +10,7 @@
 
     constexpr auto minFleetSecretLength = std::size_t { 16 };
     constexpr auto requestBytesRange = NumberRange { 1024, 64.0 * 1024 * 1024 };
+    constexpr auto heldBytesRange = NumberRange { 64.0 * 1024, 64.0 * 1024 * 1024 * 1024 };
     constexpr auto connectionsRange = NumberRange { 8, 10000 };
     constexpr auto loadRateRange = NumberRange { 0.01, 100'000 };
     constexpr auto loadsInFlightRange = NumberRange { 1, 100'000 };
@@ -70,6 +71,8 @@
             "max_request_bytes", static_cast<double>(limits.m_maxRequestBytes), requestBytesRange));
         limits.m_maxConnections = static_cast<std::size_t>(item.optionalNumber(
             "max_connections", static_cast<double>(limits.m_maxConnections), connectionsRange));
+        limits.m_maxHeldBytes = static_cast<std::size_t>(item.optionalNumber(
+            "max_held_bytes", static_cast<double>(limits.m_maxHeldBytes), heldBytesRange));
         limits.m_requestDeadline = milliseconds("request_deadline_ms", limits.m_requestDeadline);
         limits.m_readTimeout = milliseconds("read_timeout_ms", limits.m_readTimeout);
         item.rejectUnknownFields();
--- a/src/ops/operator_server.cc
+++ b/src/ops/operator_server.cc
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/posix_thread.h"
+#include "objects/bounded_server.h"
 #include "objects/http_port.h"
 #include "ops/operator_auth.h"
 
@@ -23,6 +24,14 @@
     constexpr auto statusAccepted = 202;
     constexpr auto mostLogEntries = std::uint64_t { 1000 };
 
+    auto operatorBounds() -> ServerBounds
+    {
+        auto bounds = ServerBounds();
+        bounds.m_connections = operatorThreads;
+        bounds.m_request.m_bodyBytes = maxNoteBytes;
+        return bounds;
+    }
+
     // Returns a time in UTC as ISO 8601.
     auto timeAsText(std::time_t now) -> std::string
     {
@@ -134,7 +143,7 @@
     ReleaseLog& m_log;
     OperatorAuthenticator m_authenticator;
     NoteAcceptance m_acceptance;
-    httplib::Server m_server;
+    BoundedServer m_server { operatorBounds() };
     int m_port = 0;
     PosixThread m_thread;
 };
@@ -157,9 +166,7 @@
 
 auto OperatorServer::Implementation::listen() -> void
 {
-    m_server.new_task_queue = [] { return new httplib::ThreadPool(operatorThreads); };
     m_server.set_tcp_nodelay(true);
-    m_server.set_payload_max_length(maxNoteBytes);
     m_server.set_read_timeout(readTimeout);
     m_server.Get("/v1/challenge",
         [this](const auto& request, auto& response) { answerChallengeRequest(request, response); });
--- a/src/relay/cache_exchange.h
+++ b/src/relay/cache_exchange.h
@@ -1,7 +1,7 @@
 // Fetches changes of the store's objects from peers, and serves them to peers, over TCP.
 #pragma once
 
-#include "relay/memory_budget.h"
+#include "core/memory_budget.h"
 #include "relay/node_capacity.h"
 #include "relay/object_cache.h"
 #include "relay/tcp.h"
--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -21,7 +21,7 @@
     , m_board(board)
     , m_runner(runner)
     , m_waitList(waitList)
-    , m_room(capacity)
+    , m_room(capacity.m_callers)
     , m_acceptor(m_executor)
 {
 }
--- a/src/relay/caller_server.h
+++ b/src/relay/caller_server.h
@@ -1,7 +1,8 @@
 // Accepts callers' connections.
 #pragma once
 
-#include "relay/caller_room.h"
+#include "core/connection_room.h"
+#include "relay/node_capacity.h"
 #include "relay/request_runner.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -26,7 +27,7 @@
     RelayBoard& m_board;
     RequestRunner& m_runner;
     WaitList& m_waitList;
-    CallerRoom m_room;
+    ConnectionRoom m_room;
     net::ip::tcp::acceptor m_acceptor;
 };
 
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -60,7 +60,7 @@
 
 } // namespace
 
-CallerSession::CallerSession(net::ip::tcp::socket socket, CallerRoom& room, RelayBoard& board,
+CallerSession::CallerSession(net::ip::tcp::socket socket, ConnectionRoom& room, RelayBoard& board,
     RequestRunner& runner, WaitList& waitList)
     : m_stream(std::move(socket))
     , m_room(room)
@@ -72,7 +72,7 @@
     m_place.m_giveUp = [this] { giveUp(); };
     m_place.m_closeIfIdle = [this] { closeIfIdle(); };
     m_place.m_close = [this] { m_stream.close(); };
-    enterPhase(m_place, SessionPhase::Idle);
+    enterPhase(m_place, ConnectionPhase::Idle);
     m_room.add(m_place);
 }
 
@@ -83,7 +83,7 @@
 
 auto CallerSession::giveUp() -> void
 {
-    if (m_place.m_phase == SessionPhase::Answering) {
+    if (m_place.m_phase == ConnectionPhase::Answering) {
         m_board.m_metrics.add(Counter::AnswersWithoutMemory);
         m_stream.close();
         return;
@@ -96,7 +96,7 @@
 // is still served.
 auto CallerSession::closeIfIdle() -> void
 {
-    if (m_place.m_phase == SessionPhase::Idle)
+    if (m_place.m_phase == ConnectionPhase::Idle)
         m_stream.cancel();
 }
 
@@ -131,7 +131,7 @@
         m_buffer.shrink_to_fit();
     (void)m_room.reserve(m_place, m_buffer.capacity()); // Less than before, which can't fail.
     m_idleTimeout = std::max(m_idleTimeout, bounds().m_idleTimeout);
-    enterPhase(m_place, SessionPhase::Idle);
+    enterPhase(m_place, ConnectionPhase::Idle);
     const auto timeout = ReadTimeout(m_stream, m_idleTimeout + idleTimeoutMargin);
     auto error = ErrorCode();
     do {
@@ -144,7 +144,7 @@
 
 auto CallerSession::readRequest(CallState& state) -> Awaitable<ErrorCode>
 {
-    enterPhase(m_place, SessionPhase::Reading);
+    enterPhase(m_place, ConnectionPhase::Reading);
     const auto mayHold = [this](std::size_t bytes) {
         m_requestBytes = bytes;
         return !m_isRefused && m_room.reserve(m_place, bytes);
@@ -185,13 +185,13 @@
         co_return false;
     }
     m_place.m_hasServed = true;
-    enterPhase(m_place, SessionPhase::Running);
+    enterPhase(m_place, ConnectionPhase::Running);
     watchForDisconnect(state);
     state->m_mayHoldAnswer
         = [this](std::size_t bytes) { return m_room.reserve(m_place, m_requestBytes + bytes); };
     auto answer
         = CallerAnswer(m_stream, state->m_message.keep_alive() && !m_board.m_leaving, [this](bool writes) {
-              enterPhase(m_place, writes ? SessionPhase::Answering : SessionPhase::Running);
+              enterPhase(m_place, writes ? ConnectionPhase::Answering : ConnectionPhase::Running);
           });
     co_await answerRequest(*state, answer);
     state->m_cancelUpstream = nullptr;
@@ -251,7 +251,7 @@
 // Leaves the caller time to read the last answer: a close with unread bytes would reset the connection.
 auto CallerSession::lingeringClose() -> Awaitable<void>
 {
-    enterPhase(m_place, SessionPhase::Closing);
+    enterPhase(m_place, ConnectionPhase::Closing);
     m_buffer = beast::flat_buffer();
     m_place.m_memory.release();
     auto error = ErrorCode();
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -1,7 +1,7 @@
 // One connection of a caller: its requests are read and answered one after the other.
 #pragma once
 
-#include "relay/caller_room.h"
+#include "core/connection_room.h"
 #include "relay/request_reader.h"
 #include "relay/request_runner.h"
 
@@ -12,7 +12,7 @@
 
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
 public:
-    CallerSession(net::ip::tcp::socket, CallerRoom&, RelayBoard&, RequestRunner&, WaitList&);
+    CallerSession(net::ip::tcp::socket, ConnectionRoom&, RelayBoard&, RequestRunner&, WaitList&);
     ~CallerSession();
     CallerSession(const CallerSession&) = delete;
     auto operator=(const CallerSession&) -> CallerSession& = delete;
@@ -35,11 +35,11 @@
 
     tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    CallerRoom& m_room;
+    ConnectionRoom& m_room;
     RelayBoard& m_board;
     RequestRunner& m_runner;
     WaitList& m_waitList;
-    CallerPlace m_place;
+    ConnectionPlace m_place;
     Milliseconds m_idleTimeout { 0 };
     std::size_t m_requestBytes = 0; // That the request takes.
     bool m_isRefused = false; // The request being read had to yield its memory.
--- a/src/relay/node_capacity.cc
+++ b/src/relay/node_capacity.cc
@@ -31,9 +31,9 @@
     const auto byMemory
         = shareOf(settings.m_memoryBytes, connectionMemoryShare) / (freeBytesOfConnection + sessionBytes);
     auto capacity = NodeCapacity();
-    capacity.m_callerConnections
+    capacity.m_callers.m_connections
         = std::min(shareOf(settings.m_maxDescriptors, callerDescriptorShare), byMemory);
-    capacity.m_callerBytes = shareOf(settings.m_memoryBytes, callerMemoryShare);
+    capacity.m_callers.m_heldBytes = shareOf(settings.m_memoryBytes, callerMemoryShare);
     capacity.m_otherPortBytes = shareOf(settings.m_memoryBytes, otherPortMemoryShare);
     capacity.m_otherConnections = shareOf(settings.m_maxDescriptors, otherDescriptorShare);
     capacity.m_peerAnswerBytes = shareOf(settings.m_memoryBytes, peerAnswerMemoryShare);
--- a/src/relay/simple_http_server.h
+++ b/src/relay/simple_http_server.h
@@ -1,8 +1,8 @@
 // A minimal HTTP server for GET requests that are answered from memory: readiness, addresses, metrics.
 #pragma once
 
+#include "core/memory_budget.h"
 #include "core/metrics.h"
-#include "relay/memory_budget.h"
 #include "relay/node_capacity.h"
 #include "relay/open_connections.h"
 #include "relay/tcp.h"
--- a/src/serving/caller_server.cc
+++ b/src/serving/caller_server.cc
@@ -1,12 +1,12 @@
 #include "serving/caller_server.h"
 
 #include "core/posix_thread.h"
+#include "objects/bounded_server.h"
 #include "objects/http_port.h"
 #include "serving/address_answer.h"
 #include "serving/admission.h"
 #include "serving/caller_request.h"
 #include "serving/http_answer.h"
-#include "serving/stream_server.h"
 
 #include <algorithm>
 #include <atomic>
@@ -31,6 +31,16 @@
             request.body };
     }
 
+    // A single request at its limit always finds room.
+    auto serverBounds(const IntakeLimits& limits) -> ServerBounds
+    {
+        auto bounds = ServerBounds();
+        bounds.m_connections = limits.m_maxConnections;
+        bounds.m_request.m_bodyBytes = limits.m_maxRequestBytes;
+        bounds.m_heldBytes = std::max(limits.m_maxHeldBytes, 2 * limits.m_maxRequestBytes);
+        return bounds;
+    }
+
     auto recordOf(const ServeCall& call) -> RequestRecord
     {
         const auto target = call.m_adapter.m_name.empty() ? call.m_path : formatAdapterRef(call.m_adapter);
@@ -47,6 +57,7 @@
         , m_admission(blackboard, allowance)
         , m_runner(runner)
         , m_keyed(keyed)
+        , m_server(serverBounds(settings.m_limits))
     {
     }
 
@@ -73,7 +84,7 @@
     Admission m_admission;
     RequestRunner& m_runner;
     KeyedService& m_keyed;
-    StreamServer m_server;
+    BoundedServer m_server;
     int m_port = 0;
     std::atomic<std::size_t> m_openRequests { 0 };
     PosixThread m_thread;
@@ -81,14 +92,11 @@
 
 auto CallerServer::Implementation::configureServer() -> void
 {
-    const auto threads = m_settings.m_limits.m_maxConnections;
-    m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(keepAliveRequests);
     m_server.set_keep_alive_timeout(keepAliveTimeout.count());
     m_server.set_read_timeout(m_settings.m_limits.m_readTimeout);
     m_server.set_write_timeout(m_settings.m_limits.m_readTimeout);
-    m_server.set_payload_max_length(m_settings.m_limits.m_maxRequestBytes);
 }
 
 // Counts requests from their first handler to the last byte of their answer. While the node leaves, each
--- a/src/serving/http_answer.cc
+++ b/src/serving/http_answer.cc
@@ -1,6 +1,6 @@
 #include "serving/http_answer.h"
 
-#include "serving/stream_server.h"
+#include "objects/bounded_server.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/serving/request_runner.cc
+++ b/src/serving/request_runner.cc
@@ -1,6 +1,6 @@
 #include "serving/request_runner.h"
 
-#include "serving/stream_server.h"
+#include "objects/bounded_server.h"
 
 #include <utility>
 
--- a/test/relay/node_capacity_test.cc
+++ b/test/relay/node_capacity_test.cc
@@ -21,15 +21,15 @@
     TEST(NodeCapacityTest, ASingleRequestAtTheLimitHasRoomOnTheSmallestMachine)
     {
         constexpr auto fieldsOfSmallestSize = std::size_t { 4'096 } * 128;
-        EXPECT_GE(capacityOf(smallestMachine()).m_callerBytes, largestRequest + fieldsOfSmallestSize);
+        EXPECT_GE(capacityOf(smallestMachine()).m_callers.m_heldBytes, largestRequest + fieldsOfSmallestSize);
     }
 
     TEST(NodeCapacityTest, WhatClientsMayTakeLeavesAThirdOfTheMemory)
     {
         constexpr auto bytesOfConnection = freeBytesOfConnection + (std::size_t { 8 } << 10);
         const auto capacity = capacityOf(smallestMachine());
-        const auto taken = capacity.m_callerConnections * bytesOfConnection + capacity.m_callerBytes
-            + capacity.m_peerAnswerBytes;
+        const auto taken = capacity.m_callers.m_connections * bytesOfConnection
+            + capacity.m_callers.m_heldBytes + capacity.m_peerAnswerBytes;
         EXPECT_LE(taken, smallestMemory * 2 / 3);
     }
 
@@ -41,7 +41,7 @@
             auto settings = smallestMachine();
             settings.m_maxDescriptors = descriptors;
             const auto capacity = capacityOf(settings);
-            const auto taken = capacity.m_callerConnections + otherPorts * capacity.m_otherConnections;
+            const auto taken = capacity.m_callers.m_connections + otherPorts * capacity.m_otherConnections;
             EXPECT_LE(taken + descriptors / 3 + upstreamsAndStore, descriptors);
         }
     }
