Take a status that is none for no answer at the daemon

Cause: the HTTP library takes any three digits, and passes over 100 alone; the exchange with an upstream didn't look at the status.

Evidence: six of six statuses gave the caller an answer. Ruled out: the answer of a completion, which is only passed on with 200.

Now such an answer counts as lost: the request may have run.

--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -1,5 +1,7 @@
 #include "routing/upstream_client.h"
 
+#include "core/http_status.h"
+
 #include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -110,6 +112,11 @@
         // Returns what an answer received to its end came to.
         auto finish() -> ExchangeEnd
         {
+            // An interim answer that the library took for the final one is none either.
+            if (kindOfStatus(static_cast<unsigned>(m_status)) != StatusKind::Final) {
+                m_metrics.add(Counter::InvalidStatuses);
+                return lost();
+            }
             if (m_isStream && m_done)
                 return { ExchangeOutcome::Answered, { true, {}, m_usedTokens, false }, m_bootId, false };
             if (m_isStream)
