--- a/test/hostile_clients/crowd.cc
+++ b/test/hostile_clients/crowd.cc
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -22,9 +23,10 @@
     constexpr auto patience
         = std::chrono::milliseconds(700); // Until a server that takes nothing is left alone.
 
-    auto connectTo(const Address& address) -> int
+    // `type`: SOCK_STREAM or SOCK_DGRAM.
+    auto connectTo(const Address& address, int type) -> int
     {
-        const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
         auto target = sockaddr_in();
         target.sin_family = AF_INET;
         target.sin_port = htons(static_cast<std::uint16_t>(address.m_port));
@@ -33,7 +35,8 @@
             ::close(socket);
             return closed;
         }
-        (void)::fcntl(socket, F_SETFL, O_NONBLOCK);
+        if (type == SOCK_STREAM)
+            (void)::fcntl(socket, F_SETFL, O_NONBLOCK);
         return socket;
     }
 
@@ -96,7 +99,7 @@
 Crowd::Crowd(const Address& address, std::size_t connections)
 {
     for (auto number = std::size_t { 0 }; number < connections; ++number)
-        m_sockets.push_back(connectTo(address));
+        m_sockets.push_back(connectTo(address, SOCK_STREAM));
 }
 
 Crowd::~Crowd()
@@ -132,4 +135,21 @@
     }
 }
 
+DatagramSocket::DatagramSocket(const Address& address)
+    : m_socket(connectTo(address, SOCK_DGRAM))
+{
+}
+
+DatagramSocket::~DatagramSocket()
+{
+    ::close(m_socket);
+}
+
+auto DatagramSocket::send(const std::string& datagram) const -> void
+{
+    constexpr auto pause = std::chrono::microseconds(100); // So that few are lost.
+    (void)::send(m_socket, datagram.data(), datagram.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(pause);
+}
+
 } // namespace marigoldladder::hostile
--- a/test/hostile_clients/crowd.h
+++ b/test/hostile_clients/crowd.h
@@ -35,4 +35,18 @@
     std::vector<int> m_sockets; // -1: closed.
 };
 
+// Sends datagrams to one address, as fast as they are taken.
+class DatagramSocket {
+public:
+    explicit DatagramSocket(const Address&);
+    ~DatagramSocket();
+    DatagramSocket(const DatagramSocket&) = delete;
+    auto operator=(const DatagramSocket&) -> DatagramSocket& = delete;
+
+    auto send(const std::string& datagram) const -> void;
+
+private:
+    int m_socket;
+};
+
 } // namespace marigoldladder::hostile
--- a/test/hostile_clients/relay_test.cc
+++ b/test/hostile_clients/relay_test.cc
@@ -7,6 +7,7 @@
 #include "hostile_clients/process_usage.h"
 #include "hostile_clients/relay_under_test.h"
 #include "platform/relay_harness.h"
+#include "relay/generated/peer_messages_generated.h"
 
 #include <gtest/gtest.h>
 
@@ -295,7 +296,22 @@
         [](const testing::TestParamInfo<OtherPort>& port) { return port.param.m_name; });
 
     // The port for peers takes messages of a stated length.
-    class RelayPeerPortTest : public RelayHostileClientsTest { };
+    class RelayPeerPortTest : public RelayHostileClientsTest {
+    protected:
+        // Returns the summary of a node that has just started.
+        static auto summaryOf(const std::string& vm) -> std::string
+        {
+            auto datagram = relay::messages::DatagramT();
+            auto summary = relay::messages::SummaryT();
+            summary.vm = vm;
+            summary.incarnation = 1;
+            summary.number = 1;
+            datagram.message.Set(std::move(summary));
+            auto builder = flatbuffers::FlatBufferBuilder();
+            builder.Finish(relay::messages::Datagram::Pack(builder, &datagram));
+            return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+        }
+    };
 
     TEST_F(RelayPeerPortTest, OutlivesMessagesThatStopShortOfAGreatLength)
     {
@@ -310,5 +326,17 @@
         meet(m_relay->peerAddress(), moreThanDescriptors, {});
     }
 
+    // Anyone can say in a datagram that it is a node.
+    TEST_F(RelayPeerPortTest, OutlivesSummariesOfManyNodesThatDoNotExist)
+    {
+        start();
+        constexpr auto nodes = 4'000;
+        constexpr auto nameBytes = std::size_t { 20'000 };
+        const auto socket = DatagramSocket(m_relay->peerAddress());
+        for (auto node = 0; node < nodes; ++node)
+            socket.send(summaryOf(std::to_string(node) + std::string(nameBytes, 'x')));
+        expectUnharmed();
+    }
+
 } // namespace
 } // namespace marigoldladder::hostile
