Send at once what the kernel takes of an answer

Cause: the time given for a part of an answer sets and removes a timer for each event of a stream, and all but a few parts are taken by the kernel at once.

Now a part is sent directly, and only what the kernel doesn't take waits, with its time. The tests of hostile clients at the callers' port hold.

--- a/src/relay/caller_answer.cc
+++ b/src/relay/caller_answer.cc
@@ -1,5 +1,6 @@
 #include "relay/caller_answer.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -70,8 +71,13 @@
 auto CallerAnswer::write(std::string head, std::string_view body) -> Awaitable<SendOutcome>
 {
     m_begun = true;
+    const auto sent = sendNow(m_stream.socket(), head, body);
+    if (sent == head.size() + body.size())
+        co_return SendOutcome::Sent;
+    const auto headSent = std::min(sent, head.size());
+    const auto buffers = std::array<net::const_buffer, 2> { net::buffer(head) + headSent,
+        net::buffer(body) + (sent - headSent) };
     auto error = ErrorCode();
-    const auto buffers = std::array<net::const_buffer, 2> { net::buffer(head), net::buffer(body) };
     m_noteWriting(true);
     m_stream.expires_after(writeTimeout);
     co_await net::async_write(m_stream, buffers, errorTo(error));
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -1,5 +1,6 @@
 #include "relay/tcp.h"
 
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -79,6 +80,19 @@
     return nextArrival(socket) == Arrival::End;
 }
 
+auto sendNow(net::ip::tcp::socket& socket, std::string_view first, std::string_view second) -> std::size_t
+{
+    const auto part = [](std::string_view bytes) {
+        return iovec { const_cast<char*>(bytes.data()), bytes.size() };
+    };
+    auto parts = std::array { part(first), part(second) };
+    auto message = msghdr();
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const auto sent = ::sendmsg(socket.native_handle(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
 auto sleepFor(std::chrono::milliseconds time) -> Awaitable<void>
 {
     auto error = ErrorCode();
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <string_view>
 
 namespace marigoldladder::relay {
 
@@ -46,6 +47,10 @@
 // Whether a connection was closed by its peer, or broke, and all data that arrived before has been read.
 auto isClosed(net::ip::tcp::socket&) -> bool;
 
+// Sends what the kernel takes of the two parts at once, and returns how many bytes; 0 if it takes none now or
+// the connection is broken.
+auto sendNow(net::ip::tcp::socket&, std::string_view first, std::string_view second) -> std::size_t;
+
 // Waits for the time given; returns early only if the event loop stops.
 auto sleepFor(std::chrono::milliseconds) -> Awaitable<void>;
 
