--- a/test/hostile_clients/crowd.cc
+++ b/test/hostile_clients/crowd.cc
@@ -81,6 +81,15 @@
 
 } // namespace
 
+auto floodOf(std::string beginning, const std::string& line, std::size_t length) -> Flood
+{
+    auto flood = Flood { std::move(beginning), {}, 0 };
+    while (flood.m_piece.size() < pieceBytes)
+        flood.m_piece += line;
+    flood.m_repetitions = length / flood.m_piece.size();
+    return flood;
+}
+
 auto floodOfChunks(std::string head, std::size_t chunkBytes, std::size_t length) -> Flood
 {
     auto size = std::array<char, 20>();
--- a/test/hostile_clients/crowd.h
+++ b/test/hostile_clients/crowd.h
@@ -16,6 +16,9 @@
     std::size_t m_repetitions = 0;
 };
 
+// Returns the flood of about `length` bytes that repeats the line behind the beginning.
+auto floodOf(std::string beginning, const std::string& line, std::size_t length) -> Flood;
+
 // Returns the flood of a body in chunks of so many bytes, `length` bytes together, without the last chunk.
 auto floodOfChunks(std::string head, std::size_t chunkBytes, std::size_t length) -> Flood;
 
--- a/test/hostile_clients/daemon_test.cc
+++ b/test/hostile_clients/daemon_test.cc
@@ -48,22 +48,6 @@
         return answer ? answer->status : 0;
     }
 
-    auto pieceOf(const std::string& line) -> std::string
-    {
-        auto piece = std::string();
-        while (piece.size() < largeChunk)
-            piece += line;
-        return piece;
-    }
-
-    auto floodOf(const std::string& beginning, const std::string& line, std::size_t length = endlessBytes)
-        -> Flood
-    {
-        auto piece = pieceOf(line);
-        const auto repetitions = length / piece.size();
-        return { beginning, std::move(piece), repetitions };
-    }
-
     auto headWith(const std::string& framing) -> std::string
     {
         return "POST /v1/notes HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n" + framing
@@ -107,27 +91,27 @@
 
     TEST_P(DaemonHostileClientsTest, OutlivesBodiesAnnouncedFarOverTheLimit)
     {
-        meet(fewConnections, floodOf(headWith("Content-Length: 1000000000000"), "x"));
+        meet(fewConnections, floodOf(headWith("Content-Length: 1000000000000"), "x", endlessBytes));
     }
 
     TEST_P(DaemonHostileClientsTest, OutlivesTrailersWithoutEnd)
     {
-        meet(fewConnections, floodOf(headWith(chunked) + "2\r\n{}\r\n0\r\n", "x: 1\r\n"));
+        meet(fewConnections, floodOf(headWith(chunked) + "2\r\n{}\r\n0\r\n", "x: 1\r\n", endlessBytes));
     }
 
     TEST_P(DaemonHostileClientsTest, OutlivesAChunkExtensionWithoutEnd)
     {
-        meet(fewConnections, floodOf(headWith(chunked) + "2;x=", "x"));
+        meet(fewConnections, floodOf(headWith(chunked) + "2;x=", "x", endlessBytes));
     }
 
     TEST_P(DaemonHostileClientsTest, OutlivesAHeadLineWithoutEnd)
     {
-        meet(fewConnections, floodOf("POST /v1/notes HTTP/1.1\r\nx: ", "x"));
+        meet(fewConnections, floodOf("POST /v1/notes HTTP/1.1\r\nx: ", "x", endlessBytes));
     }
 
     TEST_P(DaemonHostileClientsTest, OutlivesHeadLinesWithoutEnd)
     {
-        meet(fewConnections, floodOf("POST /v1/notes HTTP/1.1\r\n", "x: 1\r\n"));
+        meet(fewConnections, floodOf("POST /v1/notes HTTP/1.1\r\n", "x: 1\r\n", endlessBytes));
     }
 
     // The library takes compressed bodies apart by itself.
--- a/test/hostile_clients/relay_test.cc
+++ b/test/hostile_clients/relay_test.cc
@@ -43,23 +43,6 @@
         return { platform::answerTo(request, okStatus, std::string(answerBytes, 'x')) };
     }
 
-    // Returns a piece of about 64 KB made of the line again and again.
-    auto pieceOf(const std::string& line) -> std::string
-    {
-        auto piece = std::string();
-        while (piece.size() < largeChunk)
-            piece += line;
-        return piece;
-    }
-
-    auto floodOf(const std::string& beginning, const std::string& line, std::size_t length = endlessBytes)
-        -> Flood
-    {
-        auto piece = pieceOf(line);
-        const auto repetitions = length / piece.size();
-        return { beginning, std::move(piece), repetitions };
-    }
-
     class RelayHostileClientsTest : public testing::Test {
     protected:
         auto start(const RelayUnderTest::Answer& answer = answerAtOnce) -> void
@@ -107,31 +90,32 @@
     {
         start();
         const auto head = requestHead(chunked) + "5\r\nhello\r\n0\r\n";
-        meetAtCallerPort(fewConnections, floodOf(head, "x: 1\r\n"));
+        meetAtCallerPort(fewConnections, floodOf(head, "x: 1\r\n", endlessBytes));
     }
 
     TEST_F(RelayHostileClientsTest, OutlivesATrailerLineWithoutEnd)
     {
         start();
-        meetAtCallerPort(fewConnections, floodOf(requestHead(chunked) + "0\r\nx: ", "x"));
+        meetAtCallerPort(fewConnections, floodOf(requestHead(chunked) + "0\r\nx: ", "x", endlessBytes));
     }
 
     TEST_F(RelayHostileClientsTest, OutlivesAChunkExtensionWithoutEnd)
     {
         start();
-        meetAtCallerPort(fewConnections, floodOf(requestHead(chunked) + "5;x=", "x"));
+        meetAtCallerPort(fewConnections, floodOf(requestHead(chunked) + "5;x=", "x", endlessBytes));
     }
 
     TEST_F(RelayHostileClientsTest, OutlivesBodiesAnnouncedFarOverTheLimit)
     {
         start();
-        meetAtCallerPort(fewConnections, floodOf(requestHead("Content-Length: 1000000000000"), "x"));
+        meetAtCallerPort(
+            fewConnections, floodOf(requestHead("Content-Length: 1000000000000"), "x", endlessBytes));
     }
 
     TEST_F(RelayHostileClientsTest, OutlivesOneChunkAnnouncedFarOverTheLimit)
     {
         start();
-        meetAtCallerPort(fewConnections, floodOf(requestHead(chunked) + "ffffffffff\r\n", "x"));
+        meetAtCallerPort(fewConnections, floodOf(requestHead(chunked) + "ffffffffff\r\n", "x", endlessBytes));
     }
 
     TEST_F(RelayHostileClientsTest, OutlivesBodiesSentFarOverTheLimit)
@@ -185,7 +169,7 @@
     TEST_F(RelayHostileClientsTest, OutlivesRequestsInARowWhoseAnswersNobodyReads)
     {
         start();
-        meetAtCallerPort(fewConnections, floodOf("", requestHead("Content-Length: 0")));
+        meetAtCallerPort(fewConnections, floodOf("", requestHead("Content-Length: 0"), endlessBytes));
     }
 
     TEST_F(RelayHostileClientsTest, OutlivesMoreIdleConnectionsThanDescriptors)
@@ -258,7 +242,7 @@
     TEST_P(RelayOtherPortsTest, OutlivesTrailersWithoutEnd)
     {
         start();
-        meetAtPort(fewConnections, floodOf(head(chunked) + "0\r\n", "x: 1\r\n"));
+        meetAtPort(fewConnections, floodOf(head(chunked) + "0\r\n", "x: 1\r\n", endlessBytes));
     }
 
     TEST_P(RelayOtherPortsTest, OutlivesBodiesWithoutEnd)
@@ -270,7 +254,7 @@
     TEST_P(RelayOtherPortsTest, OutlivesHeadsWithoutEnd)
     {
         start();
-        meetAtPort(fewConnections, floodOf("GET / HTTP/1.1\r\n", "x: 1\r\n"));
+        meetAtPort(fewConnections, floodOf("GET / HTTP/1.1\r\n", "x: 1\r\n", endlessBytes));
     }
 
     TEST_P(RelayOtherPortsTest, OutlivesManyHeadsOfShortFieldsThatStopShort)
