Show that a body without room is refused as not run

A test of its own: while bodies of running requests hold all memory for requests, a further large one gets 503 with Retry-After and the verdict not_run, and a small one is served.

--- a/test/hostile_clients/relay_test.cc
+++ b/test/hostile_clients/relay_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr auto okStatus = 200;
+    constexpr auto unavailableStatus = 503;
     constexpr auto largeChunk = std::size_t { 64 } << 10;
     constexpr auto smallChunk = std::size_t { 8 };
     constexpr auto almostWholeBody = std::size_t { 900'000 };
@@ -150,6 +151,21 @@
         meetAtCallerPort(manyConnections, { head, std::string(almostWholeBody, 'x'), 1 });
     }
 
+    // Bodies of requests that run are kept, so a further large one finds no room; a small one does.
+    TEST_F(RelayHostileClientsTest, RefusesABodyThatFindsNoRoomAsNotRun)
+    {
+        start(answerLate);
+        const auto head = requestHead("Content-Length: " + std::to_string(almostWholeBody));
+        auto crowd = Crowd(m_relay->callerAddress(), manyConnections);
+        crowd.send({ head, std::string(almostWholeBody, 'x'), 1 });
+        awaitRest(m_relay->process().pid());
+        const auto refusal = m_relay->answerToOrdinaryRequest(std::string(almostWholeBody, 'x'));
+        EXPECT_EQ(refusal.m_status, unavailableStatus);
+        EXPECT_NE(refusal.m_body.find("not_run"), std::string::npos) << refusal.m_body;
+        EXPECT_FALSE(refusal.m_retryAfter.empty());
+        EXPECT_EQ(m_relay->statusOfOrdinaryRequest(), okStatus);
+    }
+
     TEST_F(RelayHostileClientsTest, OutlivesManyHeadsOfShortFieldsThatStopShort)
     {
         start();
--- a/test/hostile_clients/relay_under_test.cc
+++ b/test/hostile_clients/relay_under_test.cc
@@ -102,6 +102,11 @@
 }
 
 auto RelayUnderTest::statusOfOrdinaryRequest(const std::string& body) const -> int
+{
+    return answerToOrdinaryRequest(body).m_status;
+}
+
+auto RelayUnderTest::answerToOrdinaryRequest(const std::string& body) const -> OrdinaryAnswer
 {
     static auto number = 0;
     auto client = httplib::Client(m_callerAddress.m_host, m_callerAddress.m_port);
@@ -110,7 +115,9 @@
         { "X-Marigoldladder-Request-Id", "ordinary-" + std::to_string(++number) },
         { "X-Marigoldladder-Deadline-Ms", "10000" }, { "Api-Key", "key-1" } };
     const auto answer = client.Post("/plain/ordinary", headers, body, "text/plain");
-    return answer ? answer->status : 0;
+    if (!answer)
+        return {};
+    return { answer->status, answer->get_header_value("Retry-After"), answer->body };
 }
 
 auto RelayUnderTest::statusOf(const Address& address, const std::string& target) -> int
--- a/test/hostile_clients/relay_under_test.h
+++ b/test/hostile_clients/relay_under_test.h
@@ -25,6 +25,12 @@
 inline constexpr auto maxBodyBytes = std::size_t { 1 } << 20;
 inline constexpr auto maxHeaderBytes = std::size_t { 16 } << 10;
 
+struct OrdinaryAnswer {
+    int m_status = 0; // 0: no answer.
+    std::string m_retryAfter;
+    std::string m_body;
+};
+
 class RelayUnderTest {
 public:
     using Answer = std::function<platform::UpstreamReply(const platform::UpstreamRequest&)>;
@@ -42,6 +48,9 @@
     auto metricsAddress() const -> const Address& { return m_metricsAddress; }
     auto peerAddress() const -> const Address& { return m_peerAddress; }
 
+    // Returns what one ordinary caller's request with this body gets.
+    auto answerToOrdinaryRequest(const std::string& body) const -> OrdinaryAnswer;
+
     // Returns the status that one ordinary caller's request with this body gets; 0: no answer.
     auto statusOfOrdinaryRequest(const std::string& body = "5 francs") const -> int;
 
