Bound each exchange by time, also while bytes are always there

Cause: a stream's own timeout ends only an operation that waits. While bytes are always there each read is over before the timer's handler runs, and the timer is armed anew by the next read. Each exchange that is bounded only by its waits has this fault: answers of upstreams, the client for reports, orders and the store, bodies of callers, the last read before a close; calls of peers had a time for each piece and none for the whole. Beside it, an event without an end was kept whole and searched from its beginning after each read.

An event may have 1 MiB; more ends the call, so that the request can go on elsewhere at once. Why it works: the deadline's timer belongs to no read, and the event loop serves timers between reads.

--- a/src/relay/cache_exchange.cc
+++ b/src/relay/cache_exchange.cc
@@ -2,6 +2,7 @@
 
 #include "core/bounded_json.h"
 #include "core/compression.h"
+#include "relay/connection_deadline.h"
 #include "relay/generated/peer_messages_generated.h"
 #include "relay/message_frames.h"
 
@@ -15,6 +16,8 @@
     constexpr auto silenceTimeout = std::chrono::milliseconds(1'000); // Of the other side.
     // For a whole answer. Many nodes may fetch a large configuration over one narrow link.
     constexpr auto answerTimeout = std::chrono::milliseconds(5'000);
+    // For a peer's whole answer, however it spreads its bytes.
+    constexpr auto fetchTimeout = answerTimeout + silenceTimeout;
 
     auto setPlainContent(messages::ChangedObjectT& object, const StoredObject& source) -> void
     {
@@ -136,6 +139,7 @@
     co_await connectTo(stream, peer, silenceTimeout, error);
     if (error)
         co_return std::nullopt;
+    const auto deadline = ConnectionDeadline(stream, std::chrono::steady_clock::now() + fetchTimeout);
     auto builder = flatbuffers::FlatBufferBuilder();
     builder.Finish(messages::CreateChangesRequest(builder, static_cast<std::uint8_t>(kind), after.m_revision,
         static_cast<std::uint32_t>(after.m_era), true));
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -1,6 +1,7 @@
 #include "relay/caller_session.h"
 
 #include "core/log.h"
+#include "relay/connection_deadline.h"
 #include "relay/read_timeout.h"
 #include "relay/request_failure.h"
 #include "relay/task.h"
@@ -256,7 +257,7 @@
     m_place.m_memory.release();
     auto error = ErrorCode();
     m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, error);
-    m_stream.expires_after(lingerTimeout);
+    const auto deadline = ConnectionDeadline(m_stream, Clock::now() + lingerTimeout);
     while (!error) {
         m_buffer.clear();
         const auto space = m_buffer.prepare(readBufferBytes);
--- a/src/relay/event_text.cc
+++ b/src/relay/event_text.cc
@@ -4,14 +4,18 @@
 
 namespace marigoldladder::relay {
 
-auto wholeEventsLength(std::string_view text) -> std::size_t
+auto wholeEventsLength(std::string_view text, std::size_t searched) -> std::size_t
 {
     // An event ends with an empty line, with or without a carriage return.
+    constexpr auto longestEnd = std::size_t { 3 };
+    // The end may have begun within what was searched.
+    const auto begin = searched - std::min(searched, longestEnd - 1);
+    const auto unsearched = text.substr(begin);
     auto length = std::size_t { 0 };
     for (const auto end : { std::string_view("\n\n"), std::string_view("\n\r\n") }) {
-        const auto found = text.rfind(end);
+        const auto found = unsearched.rfind(end);
         if (found != std::string_view::npos)
-            length = std::max(length, found + end.size());
+            length = std::max(length, begin + found + end.size());
     }
     return length;
 }
--- a/src/relay/http_client.cc
+++ b/src/relay/http_client.cc
@@ -1,6 +1,7 @@
 #include "relay/http_client.h"
 
 #include "core/http_status.h"
+#include "relay/connection_deadline.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -87,7 +88,8 @@
     }
     request.prepare_payload();
     auto error = ErrorCode();
-    connection.m_stream.expires_after(call.m_timeout);
+    const auto deadline
+        = ConnectionDeadline(connection.m_stream, std::chrono::steady_clock::now() + call.m_timeout);
     co_await http::async_write(connection.m_stream, request, errorTo(error));
     if (error)
         co_return HttpCallFailure::Unknown;
@@ -102,7 +104,6 @@
             continue;
         if (kind == StatusKind::Invalid)
             co_return HttpCallFailure::Unknown;
-        connection.m_stream.expires_never();
         reusable = parser.get().keep_alive() && connection.m_buffer.size() == 0;
         co_return replyOf(std::move(parser.get()));
     }
--- a/src/relay/peer_server.cc
+++ b/src/relay/peer_server.cc
@@ -1,5 +1,6 @@
 #include "relay/peer_server.h"
 
+#include "relay/connection_deadline.h"
 #include "relay/message_frames.h"
 #include "relay/tunnel_server.h"
 
@@ -9,6 +10,14 @@
 
     constexpr auto firstMessageTimeout = Milliseconds(1'000);
 
+    // Returns the first message, empty if it doesn't arrive in time.
+    auto readFirstMessage(tcp_stream& stream) -> Awaitable<std::string>
+    {
+        const auto deadline
+            = ConnectionDeadline(stream, std::chrono::steady_clock::now() + firstMessageTimeout);
+        co_return co_await readFrame(stream, firstMessageTimeout, maxCallBytes);
+    }
+
 } // namespace
 
 PeerServer::PeerServer(const Executor& executor, const NodeCapacity& capacity, Metrics& metrics,
@@ -31,7 +40,7 @@
 {
     auto stream = std::make_shared<tcp_stream>(std::move(socket));
     m_waiting.touch(stream);
-    auto message = co_await readFrame(*stream, firstMessageTimeout, maxCallBytes);
+    auto message = co_await readFirstMessage(*stream);
     m_waiting.remove(stream);
     if (message.empty())
         co_return;
--- a/src/relay/read_timeout.h
+++ b/src/relay/read_timeout.h
@@ -1,4 +1,5 @@
-// Ends the pending read of a connection after a time, but leaves the connection open.
+// Ends the pending read of a connection after a time, but leaves the connection open. Reads that are over at
+// once, as bytes are always there, aren't ended: their loop has to ask whether the time is up.
 //
 // A stream's own timeout closes its socket: bytes that arrived at that moment are lost, and no refusal can be
 // sent any more.
@@ -19,7 +20,7 @@
     ReadTimeout(const ReadTimeout&) = delete;
     auto operator=(const ReadTimeout&) -> ReadTimeout& = delete;
 
-    // Whether the time is up. Reads end with `operation_aborted` from then on.
+    // Whether the time is up. Reads that wait end with `operation_aborted` from then on.
     auto expired() const -> bool;
 
 private:
--- a/src/relay/request_reader.cc
+++ b/src/relay/request_reader.cc
@@ -10,15 +10,13 @@
 
 namespace {
 
-    constexpr auto bodyTimeout = Milliseconds(10'000); // For the whole body.
     constexpr auto fieldBytes = std::size_t { 128 }; // That a parsed field takes besides its text.
 
-    // Returns `timeout` instead of the error of a read that the timeout ended.
+    // Returns `timeout` instead of the error by which the timeout ended the reading.
     auto readError(ErrorCode error, const ReadTimeout& timeout) -> ErrorCode
     {
-        if (error == net::error::operation_aborted && timeout.expired())
-            return beast::error::timeout;
-        return error;
+        const auto mayBeTimeout = error == net::error::operation_aborted || error == tooLittleMemory();
+        return mayBeTimeout && timeout.expired() ? ErrorCode(beast::error::timeout) : error;
     }
 
     auto contentOf(const beast::flat_buffer& buffer) -> std::string_view
@@ -99,13 +97,15 @@
 {
     // The parser would add trailers to the head.
     m_head = std::move(m_parser.get().base());
-    const auto timeout = ReadTimeout(m_stream, bodyTimeout);
+    const auto timeout = ReadTimeout(m_stream, m_bounds.m_bodyTimeout);
     auto error = ErrorCode();
     if (beast::iequals(m_head[http::field::expect], "100-continue")) {
         static constexpr auto continueLine = std::string_view("HTTP/1.1 100 Continue\r\n\r\n");
         co_await net::async_write(m_stream, net::buffer(continueLine), errorTo(error));
     }
-    const auto mayHold = [this](std::size_t bytes) { return m_mayHold(headBytes() + bytes); };
+    // While bytes are always there, no read waits and none is ended by the timeout.
+    const auto mayHold
+        = [&](std::size_t bytes) { return !timeout.expired() && m_mayHold(headBytes() + bytes); };
     if (!error)
         error = co_await relay::readBody(m_stream, m_buffer, m_parser, m_bounds.m_bodyBytes, m_body, mayHold);
     co_return readError(error, timeout);
--- a/src/relay/routing_configuration.h
+++ b/src/relay/routing_configuration.h
@@ -96,6 +96,7 @@
     std::size_t m_headerBytes = 16'384;
     std::size_t m_bodyBytes = 4'194'304;
     Milliseconds m_headerTimeout { 3'000 };
+    Milliseconds m_bodyTimeout { 10'000 }; // For the whole body.
     Milliseconds m_idleTimeout { 15'000 };
 };
 
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -15,6 +15,8 @@
     using Clock = std::chrono::steady_clock;
 
     constexpr auto readBufferBytes = std::size_t { 16 } << 10; // Largest single read from a stream.
+    // Far larger than any event of an engine. An upstream that sends more without an end is at fault.
+    constexpr auto maxEventBytes = std::size_t { 1 } << 20;
 
     // Pause between two events after which a resumable stream moves to another upstream that has room: longer
     // than the pause that callers count as on time, shorter than the one after which they disconnect.
@@ -42,7 +44,7 @@
     }
 
     auto outcomeOfBreak(const CallState& state, const CallerAnswer& answer, const SilenceWatch& silence,
-        ErrorCode error) -> UpstreamCallOutcome
+        const UpstreamConnection& connection) -> UpstreamCallOutcome
     {
         if (state.m_callerDisconnected)
             return UpstreamCallOutcome::CallerDisconnected;
@@ -50,7 +52,7 @@
             return UpstreamCallOutcome::Moved;
         if (answer.begun())
             return UpstreamCallOutcome::Interrupted;
-        return error == beast::error::timeout ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
+        return connection.m_deadline->expired() ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
     }
 
 } // namespace
@@ -80,8 +82,7 @@
     const auto isResumed = resumesAnswer(state); // What is left then says nothing of the part before.
     const auto isFramed = !parser.need_eof(); // By a length or chunks; else it ends with its connection.
     auto part = std::string(readBufferBytes, '\0');
-    auto pending = std::string();
-    connection.m_stream.expires_at(state.m_deadline);
+    auto pending = std::string(); // An event whose end hasn't arrived.
     for (;;) {
         auto& body = parser.get().body();
         body.data = part.data();
@@ -96,9 +97,10 @@
             error = {};
         if (!error)
             state.m_lastHeardAt = Clock::now();
+        const auto searched = pending.size();
         pending.append(part.data(), part.size() - body.size);
         const auto atEnd = !error && parser.is_done();
-        const auto length = atEnd && isFramed ? pending.size() : wholeEventsLength(pending);
+        const auto length = atEnd && isFramed ? pending.size() : wholeEventsLength(pending, searched);
         if (length > 0) {
             const auto events = std::string_view(pending).substr(0, length);
             recordEvents(state, events, board);
@@ -107,6 +109,12 @@
                 co_return StreamResult { UpstreamCallOutcome::CallerDisconnected, false };
             pending.erase(0, length);
         }
+        if (pending.size() > maxEventBytes)
+            error = http::make_error_code(http::error::body_limit);
+        if (!state.m_mayHoldAnswer(pending.size())) {
+            board.m_metrics.add(Counter::AnswersWithoutMemory);
+            co_return StreamResult { UpstreamCallOutcome::NotKept, false };
+        }
         // Without framing, an end before the first event or inside an event shows that the stream broke.
         // The end of a tunnel may be the end of the peer that carries it.
         const auto mayBeCut = connection.m_via || !pending.empty() || !state.m_answerBegan;
@@ -120,7 +128,7 @@
             co_return StreamResult { outcome, parser.get().keep_alive() && !parser.need_eof() };
         }
         if (broke)
-            co_return StreamResult { outcomeOfBreak(state, answer, silence, error), false };
+            co_return StreamResult { outcomeOfBreak(state, answer, silence, connection), false };
     }
 }
 
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -132,6 +132,7 @@
     }
     if (error)
         co_return;
+    stream.expires_never();
     stream.socket().set_option(net::ip::tcp::no_delay(true), error);
 }
 
--- a/src/relay/tcp.h
+++ b/src/relay/tcp.h
@@ -54,7 +54,7 @@
 // Waits for the time given; returns early only if the event loop stops.
 auto sleepFor(std::chrono::milliseconds) -> Awaitable<void>;
 
-// Opens a connection within the timeout; sets the error on failure.
+// Opens a connection within the timeout, which doesn't bind what follows; sets the error on failure.
 auto connectTo(tcp_stream&, const Address&, std::chrono::milliseconds timeout, ErrorCode&) -> Awaitable<void>;
 
 // The same from this machine's address `localHost`, by which the other end recognises it.
--- a/src/relay/upstream_answer.cc
+++ b/src/relay/upstream_answer.cc
@@ -51,7 +51,7 @@
         auto error = ErrorCode();
         co_await http::async_read_header(connection.m_stream, connection.m_buffer, *parser, errorTo(error));
         if (error) {
-            head.m_timedOut = error == beast::error::timeout;
+            head.m_timedOut = connection.m_deadline->expired();
             co_return head;
         }
         const auto status = parser->get().result_int();
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -263,7 +263,7 @@
     state.m_lastHeardAt = sentAt;
     state.m_software = upstream->m_record.m_software;
     auto silence = SilenceWatch(connection->m_stream, handling);
-    connection->m_stream.expires_at(state.m_deadline);
+    connection->m_deadline.emplace(connection->m_stream, state.m_deadline);
     silence.begin(answerPause(*state.m_route));
     co_await http::async_write(connection->m_stream, request, errorTo(error));
     // An upstream may answer before it reads the whole body, so the answer is read after a failed write too.
@@ -302,7 +302,7 @@
         co_return UpstreamCallOutcome::NotKept;
     }
     if (error)
-        co_return outcomeWithoutAnswer(state, inProgress, silence, error == beast::error::timeout);
+        co_return outcomeWithoutAnswer(state, inProgress, silence, connection->m_deadline->expired());
     recordAnswerBegan(state, m_board);
     if (isSuccess(whole.m_status))
         recordAnswerEnded(state, m_board);
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -86,7 +86,7 @@
 {
     if (upstream->m_removed || idleTime <= closeMargin)
         return;
-    connection->m_stream.expires_never();
+    connection->m_deadline.reset();
     connection->m_usableUntil = std::chrono::steady_clock::now() + idleTime - closeMargin;
     connection->m_reused = true;
     auto& idle = m_idle[upstream.get()];
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -1,6 +1,7 @@
 // Pools connections to upstreams, so that requests reuse them.
 #pragma once
 
+#include "relay/connection_deadline.h"
 #include "relay/upstream_connector.h"
 
 #include <memory>
@@ -13,6 +14,7 @@
     explicit UpstreamConnection(const Executor&);
     tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::optional<ConnectionDeadline> m_deadline; // Of the request that it serves; empty: it is idle.
     MonotonicTime m_usableUntil {}; // While idle: before the upstream is expected to close it.
     bool m_reused = false; // Has served a request before.
     std::uint64_t m_number = 0; // Of the connections that the pool opened.
--- a/src/relay/upstream_connector.cc
+++ b/src/relay/upstream_connector.cc
@@ -1,6 +1,7 @@
 #include "relay/upstream_connector.h"
 
 #include "core/log.h"
+#include "relay/connection_deadline.h"
 #include "relay/task.h"
 #include "relay/tunnel_messages.h"
 
@@ -142,6 +143,7 @@
     co_await connectFrom(stream, m_settings.m_peerAddress.m_host, peer.m_address, peerConnectTimeout, error);
     if (error)
         co_return ConnectOutcome::NotReached;
+    const auto deadline = ConnectionDeadline(stream, Clock::now() + peerAnswerTimeout);
     co_await net::async_write(stream, net::buffer(request), errorTo(error));
     if (error)
         co_return ConnectOutcome::NotReached;
--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -77,6 +77,8 @@
             if (!error)
                 co_await net::async_write(stream, net::buffer(later.m_bytes), errorTo(error));
         }
+        while (!reply.m_endless.empty() && !error)
+            co_await net::async_write(stream, net::buffer(reply.m_endless), errorTo(error));
         if (reply.m_crashesAfterwards) {
             crash();
             co_return;
--- a/test/platform/fake_upstream.h
+++ b/test/platform/fake_upstream.h
@@ -34,6 +34,7 @@
     bool m_crashes = false; // The upstream closes its port and resets all its connections; nothing is sent.
     std::vector<LaterBytes> m_later {}; // Sent after `m_bytes`, before a close.
     bool m_crashesAfterwards = false; // The upstream crashes once all bytes have been sent.
+    std::string m_endless {}; // Sent behind all else, again and again until the connection ends.
 };
 
 class FakeUpstream {
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -332,6 +332,21 @@
     return reply;
 }
 
+auto RelayHarness::timeToEnd(const std::string& bytes) -> std::optional<std::chrono::milliseconds>
+{
+    const auto socket = CallerSocket(m_parts->m_settings.m_callerAddress);
+    const auto begun = std::chrono::steady_clock::now();
+    socket.write(bytes);
+    auto text = std::string();
+    auto closed = false;
+    while (
+        socket.read(text, answerTimeout, closed) && std::chrono::steady_clock::now() < begun + answerTimeout)
+        text.clear();
+    if (!closed)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
+}
+
 auto RelayHarness::readiness() -> int
 {
     const auto socket = CallerSocket(m_parts->m_settings.m_readinessAddress);
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -89,6 +89,10 @@
     // close.
     auto send(const std::string& bytes) -> CallerReply;
 
+    // Sends raw bytes on a new connection and reads without keeping anything until the connection ends.
+    // Returns how long that took, or nothing if it took longer than an answer may.
+    auto timeToEnd(const std::string& bytes) -> std::optional<std::chrono::milliseconds>;
+
     // Returns the HTTP status of a readiness call.
     auto readiness() -> int;
 
--- a/test/relay/cache_exchange_test.cc
+++ b/test/relay/cache_exchange_test.cc
@@ -162,5 +162,38 @@
         EXPECT_LT(std::chrono::steady_clock::now(), begun + std::chrono::seconds(2));
     }
 
+    // Each piece came in time, so that the answer took as long as the peer liked.
+    TEST_F(CacheExchangeTest, APeerThatAnswersPieceByPieceWithoutEndIsGivenUp)
+    {
+        servePieces(longAnswer(), 1'000, std::chrono::milliseconds(100));
+        const auto begun = std::chrono::steady_clock::now();
+        EXPECT_FALSE(fetch());
+        EXPECT_LT(std::chrono::steady_clock::now(), begun + std::chrono::seconds(7));
+    }
+
+    // The same on the side that serves.
+    TEST_F(CacheExchangeTest, ACallThatArrivesPieceByPieceWithoutEndIsGivenUp)
+    {
+        listen();
+        auto ended = false;
+        auto sendPieceByPiece = [&]() -> Awaitable<void> {
+            auto socket = net::ip::tcp::socket(m_context);
+            co_await socket.async_connect(*endpointOf(address()), net::use_awaitable);
+            auto error = ErrorCode();
+            constexpr auto lengthOfCall = std::string_view("\x80\0\0\0", 4);
+            co_await net::async_write(socket, net::buffer(lengthOfCall), errorTo(error));
+            while (!error) {
+                co_await sleepFor(std::chrono::milliseconds(200));
+                co_await net::async_write(socket, net::buffer("x", 1), errorTo(error));
+            }
+            ended = true;
+        };
+        net::co_spawn(m_context, sendPieceByPiece(), net::detached);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+        while (!ended && std::chrono::steady_clock::now() < until)
+            m_context.run_one_for(std::chrono::milliseconds(50));
+        EXPECT_TRUE(ended);
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -1,5 +1,6 @@
 #include "relay/caller_server.h"
 
+#include "relay/endless_sender.h"
 #include "relay/relay_fixtures.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -93,6 +94,16 @@
             return answer;
         }
 
+        // Runs the event loop until the server closes the sender's connection. Returns false if it doesn't
+        // within `bound`.
+        auto runUntilEnded(const EndlessSender& sender, Milliseconds bound) -> bool
+        {
+            const auto until = std::chrono::steady_clock::now() + bound;
+            while (!sender.ended() && std::chrono::steady_clock::now() < until)
+                m_node.m_context.run_one_for(stepTime);
+            return sender.ended();
+        }
+
         // Nodes are never destroyed, so each has an address of its own. No other fixture uses these.
         static auto nextHost() -> int
         {
@@ -142,6 +153,25 @@
         EXPECT_FALSE(replaced.expired());
     }
 
+    // No read waited while bytes were always there, so the time for the body never ended.
+    TEST_F(CallerServerTest, ABodyWithoutEndIsRefusedWhenItsTimeIsUp)
+    {
+        auto configuration = std::make_shared<RoutingConfiguration>();
+        configuration->m_callerBounds.m_bodyTimeout = Milliseconds(200);
+        m_node.m_board.m_configuration = std::move(configuration);
+        const auto sender
+            = EndlessSender(m_address, "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "1;note=" + std::string(3'000, 'x') + "\r\nx\r\n");
+        EXPECT_TRUE(runUntilEnded(sender, Milliseconds(2'000)));
+    }
+
+    // The same for the time in which a caller may read its last answer.
+    TEST_F(CallerServerTest, ACallerThatSendsWithoutEndAfterItsLastAnswerIsClosed)
+    {
+        const auto sender = EndlessSender(m_address, "no request\r\n\r\n", std::string(16'000, 'x'));
+        EXPECT_TRUE(runUntilEnded(sender, Milliseconds(2'000)));
+    }
+
     TEST_F(CallerServerTest, AnIdleConnectionIsClosed)
     {
         for (auto step = 0; step < 100; ++step)
--- a/test/relay/http_client_test.cc
+++ b/test/relay/http_client_test.cc
@@ -23,7 +23,14 @@
             net::co_spawn(m_context, answerCalls(std::move(answers)), net::detached);
         }
 
-        auto call() -> std::optional<HttpReply>
+        // Has the server answer the first call by these bytes, and then by the others again and again.
+        auto serveEndlessly(std::string begin, std::string repeated) -> void
+        {
+            net::co_spawn(m_context, answerEndlessly(std::move(begin), std::move(repeated)), net::detached);
+        }
+
+        auto call(std::chrono::milliseconds timeout = std::chrono::milliseconds(1'000))
+            -> std::optional<HttpReply>
         {
             auto reply = std::optional<HttpReply>();
             auto ended = false;
@@ -31,6 +38,7 @@
                 m_context,
                 [&]() -> Awaitable<void> {
                     auto request = HttpCall();
+                    request.m_timeout = timeout;
                     auto result = co_await m_client.call(std::move(request));
                     if (result)
                         reply = std::move(result.value());
@@ -64,6 +72,15 @@
             }
         }
 
+        auto answerEndlessly(std::string begin, std::string repeated) -> Awaitable<void>
+        {
+            auto socket = co_await m_acceptor.async_accept(net::use_awaitable);
+            auto error = ErrorCode();
+            co_await net::async_write(socket, net::buffer(begin), errorTo(error));
+            while (!error)
+                co_await net::async_write(socket, net::buffer(repeated), errorTo(error));
+        }
+
         net::io_context m_context { 1 };
         net::ip::tcp::acceptor m_acceptor { m_context,
             net::ip::tcp::endpoint(net::ip::make_address(loopbackHost(hostNumber)), 0) };
@@ -92,5 +109,17 @@
         EXPECT_EQ(m_connections, 5) << "expected each call on a connection of its own";
     }
 
+    // Of reports, orders and the store: no read waited while bytes were always there, so none timed out.
+    TEST_F(HttpClientTest, AnAnswerWithoutEndIsNoReplyAtItsTimeout)
+    {
+        constexpr auto timeout = std::chrono::milliseconds(300);
+        constexpr auto slack = std::chrono::milliseconds(500);
+        serveEndlessly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "1;note=" + std::string(3'000, 'x') + "\r\nx\r\n");
+        const auto begun = std::chrono::steady_clock::now();
+        EXPECT_FALSE(call(timeout));
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, timeout + slack);
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
