Bound the time and bytes of an answer at the node daemon's HTTP client

What was seen: an upstream that sends bytes without end in a head, a header line, a body, a chunk line, extensions or an event held the daemon's call past its deadline, with memory that grows; four of the eight calls didn't even end when they were cancelled. The caller itself was answered at its deadline.

Ruled out: the deadline not reaching the call (a silent upstream is given up in time).

Mend: BoundedClient, the library's client over a stream that counts time and bytes, is the one client for upstreams, engine orders, the platform and the operators' client. An event may have 1 MiB, a whole answer 8 MiB, a head 64 KiB.

--- a/src/objects/platform_client.cc
+++ b/src/objects/platform_client.cc
@@ -1,6 +1,7 @@
 #include "objects/platform_client.h"
 
-#include <httplib.h>
+#include "objects/bounded_client.h"
+
 #include <utility>
 
 namespace marigoldladder {
@@ -8,7 +9,9 @@
 namespace {
 
     constexpr auto connectTimeout = std::chrono::milliseconds(500);
-    constexpr auto callTimeout = std::chrono::milliseconds(2000);
+    constexpr auto callTimeout = std::chrono::milliseconds(2000); // Without a byte.
+    constexpr auto answerTimeout = std::chrono::milliseconds(10'000); // For the whole of a large listing.
+    constexpr auto maxAnswerBytes = std::size_t { 64 } << 20; // Larger than any listing.
     constexpr auto maxIdleClients = std::size_t { 4 };
     constexpr auto statusOk = 200;
     constexpr auto statusCreated = 201;
@@ -99,11 +102,11 @@
     auto operator=(const BorrowedClient&) -> BorrowedClient& = delete;
     ~BorrowedClient() { m_owner.giveBack(std::move(m_client)); }
 
-    auto operator->() -> httplib::Client* { return m_client.get(); }
+    auto operator->() -> BoundedClient* { return m_client.get(); }
 
 private:
     PlatformClient& m_owner;
-    std::unique_ptr<httplib::Client> m_client;
+    std::unique_ptr<BoundedClient> m_client;
 };
 
 PlatformClient::PlatformClient(Address address, Metrics& metrics)
@@ -114,7 +117,7 @@
 
 PlatformClient::~PlatformClient() = default;
 
-auto PlatformClient::borrow() -> std::unique_ptr<httplib::Client>
+auto PlatformClient::borrow() -> std::unique_ptr<BoundedClient>
 {
     {
         const auto lock = std::lock_guard(m_mutex);
@@ -124,16 +127,13 @@
             return client;
         }
     }
-    auto client = std::make_unique<httplib::Client>(m_address.m_host, m_address.m_port);
+    const auto bounds = AnswerBounds { connectTimeout, callTimeout, answerTimeout, maxAnswerBytes };
+    auto client = std::make_unique<BoundedClient>(m_address, bounds);
     client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_connection_timeout(connectTimeout);
-    client->set_read_timeout(callTimeout);
-    client->set_write_timeout(callTimeout);
     return client;
 }
 
-auto PlatformClient::giveBack(std::unique_ptr<httplib::Client> client) -> void
+auto PlatformClient::giveBack(std::unique_ptr<BoundedClient> client) -> void
 {
     const auto lock = std::lock_guard(m_mutex);
     if (m_idle.size() < maxIdleClients)
@@ -219,10 +219,8 @@
     const WatchHandler& handler) -> Result<void>
 {
     m_metrics.add(Counter::PlatformReads);
-    auto client = httplib::Client(m_address.m_host, m_address.m_port);
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(connectTimeout);
-    client.set_read_timeout(duration + callTimeout);
+    const auto end = duration + callTimeout;
+    auto client = BoundedClient(m_address, { connectTimeout, end, end, maxAnswerBytes });
     const auto path = pathOf(kind) + "?watch=1&resourceVersion=" + std::to_string(after)
         + "&timeoutMilliseconds=" + std::to_string(duration.count());
     auto pending = std::string();
@@ -244,7 +242,8 @@
                 return false;
             }
         }
-        return true;
+        client.allowBytes(maxAnswerBytes);
+        return pending.size() <= maxAnswerBytes;
     });
     if (ended)
         return boost::outcome_v2::success();
--- a/src/objects/platform_client.h
+++ b/src/objects/platform_client.h
@@ -18,12 +18,10 @@
 #include <string>
 #include <vector>
 
-namespace httplib {
-class Client;
-}
-
 namespace marigoldladder {
 
+class BoundedClient;
+
 // The platform's number for one state of an object; it grows with each write.
 using ObjectVersion = std::uint64_t;
 
@@ -87,13 +85,13 @@
 private:
     class BorrowedClient;
 
-    auto borrow() -> std::unique_ptr<httplib::Client>;
-    auto giveBack(std::unique_ptr<httplib::Client>) -> void;
+    auto borrow() -> std::unique_ptr<BoundedClient>;
+    auto giveBack(std::unique_ptr<BoundedClient>) -> void;
 
     Address m_address;
     Metrics& m_metrics;
     std::mutex m_mutex;
-    std::vector<std::unique_ptr<httplib::Client>> m_idle;
+    std::vector<std::unique_ptr<BoundedClient>> m_idle;
 };
 
 } // namespace marigoldladder
--- a/src/ops/operator_client.cc
+++ b/src/ops/operator_client.cc
@@ -3,10 +3,10 @@
 #include "core/blackboard.h"
 #include "core/random_bytes.h"
 #include "marigoldladder/verdict.h"
+#include "objects/bounded_client.h"
 #include "ops/json_lines.h"
 #include "ops/operator_auth.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <thread>
@@ -18,6 +18,7 @@
 
     constexpr auto connectTimeout = std::chrono::milliseconds(2000);
     constexpr auto answerTimeout = std::chrono::milliseconds(20'000);
+    constexpr auto maxAnswerBytes = std::size_t { 64 } << 20; // Larger than any report.
     constexpr auto coverageTimeout = std::chrono::milliseconds(10'000);
     constexpr auto coveragePoll = std::chrono::milliseconds(100);
     constexpr auto statusOk = 200;
@@ -97,11 +98,9 @@
     auto callNode(const Address& node, const std::string& credential, const OperatorCall& call)
         -> httplib::Result
     {
-        auto client = httplib::Client(node.m_host, node.m_port);
-        client.set_connection_timeout(connectTimeout);
-        client.set_read_timeout(answerTimeout);
+        const auto bounds = AnswerBounds { connectTimeout, answerTimeout, answerTimeout, maxAnswerBytes };
+        auto client = BoundedClient(node, bounds);
         client.set_keep_alive(true);
-        client.set_tcp_nodelay(true);
         const auto name = credential.substr(0, credential.find('.'));
         const auto asked = client.Get("/v1/challenge", httplib::Params { { "name", name } }, {});
         if (!asked || asked->status != statusOk)
--- a/src/routing/engine_orders.cc
+++ b/src/routing/engine_orders.cc
@@ -1,6 +1,7 @@
 #include "routing/engine_orders.h"
 
-#include <httplib.h>
+#include "objects/bounded_client.h"
+
 #include <nlohmann/json.hpp>
 
 namespace marigoldladder {
@@ -20,14 +21,11 @@
     // Adapters carry a version, so no adapter is ever called this.
     constexpr auto noAdapter = "none";
 
-    auto makeClient(const Upstream& upstream, std::chrono::milliseconds timeout) -> httplib::Client
+    constexpr auto maxAnswerBytes = std::size_t { 1 } << 20; // Larger than a list of what an engine holds.
+
+    auto boundsWithin(std::chrono::milliseconds timeout) -> AnswerBounds
     {
-        auto client = httplib::Client(upstream.m_address.m_host, upstream.m_address.m_port);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(connectTimeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-        return client;
+        return { connectTimeout, timeout, timeout, maxAnswerBytes };
     }
 
     auto failureOf(httplib::Error error) -> Failure
@@ -54,7 +52,7 @@
     auto order(const Upstream& upstream, const char* path, const nlohmann::json& json, FencingNumber fencing,
         const OrderGuard& guard) -> Result<void>
     {
-        auto client = makeClient(upstream, orderTimeout);
+        auto client = BoundedClient(upstream.m_address, boundsWithin(orderTimeout));
         const auto headers = httplib::Headers { { "X-Fencing-Number", std::to_string(fencing) } };
         const auto body = json.dump();
         const auto provide = [&](std::size_t offset, std::size_t size, httplib::DataSink& sink) {
@@ -98,7 +96,7 @@
 
 auto listAdapters(const Upstream& upstream) -> Result<std::vector<LoadedAdapter>>
 {
-    const auto answer = makeClient(upstream, listTimeout).Get("/v1/models");
+    const auto answer = BoundedClient(upstream.m_address, boundsWithin(listTimeout)).Get("/v1/models");
     if (!answer)
         return failureOf(answer.error());
     if (answer->status != statusOk)
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -1,9 +1,9 @@
 #include "routing/upstream_client.h"
 
 #include "core/http_status.h"
+#include "objects/bounded_client.h"
 
 #include <algorithm>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -29,15 +29,17 @@
     constexpr auto eventPrefix = std::string_view("data: ");
     constexpr auto eventEnd = std::string_view("\n\n");
     constexpr auto streamDone = std::string_view("[DONE]");
+    // Far larger than what upstreams send. One that sends more is at fault.
+    constexpr auto maxHeadBytes = std::size_t { 64 } << 10;
+    constexpr auto maxEventBytes = std::size_t { 1 } << 20;
+    constexpr auto maxWholeBytes = std::size_t { 8 } << 20;
+    // An answer that ends somewhat late may still be of use: keyed calls are asked for again.
+    constexpr auto lateAnswerTime = std::chrono::milliseconds(1'000);
 
-    auto makeClient(const Upstream& upstream, std::chrono::milliseconds timeout) -> httplib::Client
+    // What an answer may take up to the end of its head.
+    auto boundsOf(const ServeCall& call) -> AnswerBounds
     {
-        auto client = httplib::Client(upstream.m_address.m_host, upstream.m_address.m_port);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(connectTimeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-        return client;
+        return { connectTimeout, silenceBoundOf(call), call.m_deadline + lateAnswerTime, maxHeadBytes };
     }
 
     // Whether no connection came about, so that no byte of the request was sent.
@@ -91,6 +93,9 @@
                 passHead();
         }
 
+        // How many bytes may come before the next piece of the body, framing included.
+        auto nextPieceBytes() const -> std::size_t { return m_isStream ? maxEventBytes : maxWholeBytes; }
+
         // Returns false to break off, because the answer can't go on from here.
         auto takeBytes(const char* data, std::size_t size) -> bool
         {
@@ -104,10 +109,11 @@
                 m_pending.erase(0, end + eventEnd.size());
                 takeEvent(std::move(event));
             }
-            return !m_gap && !m_done;
+            return !m_gap && !m_done && m_pending.size() <= maxEventBytes;
         }
 
         auto done() const -> bool { return m_done; }
+        auto isStream() const -> bool { return m_isStream; }
 
         // Returns what an answer received to its end came to.
         auto finish() -> ExchangeEnd
@@ -277,15 +283,20 @@
     const AnswerSink& sink) -> ExchangeEnd
 {
     const auto bound = silenceBoundOf(call);
-    auto client = makeClient(upstream, bound);
+    auto client = BoundedClient(upstream.m_address, boundsOf(call));
     auto reader = AnswerReader(upstream, call, metrics, sink);
     auto request = makeRequest(call);
     request.response_handler = [&](const httplib::Response& response) {
         reader.takeHead(response);
+        client.allowBytes(reader.nextPieceBytes());
         return !control.cancelled();
     };
     request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return !control.cancelled() && reader.takeBytes(data, size);
+        if (control.cancelled() || !reader.takeBytes(data, size))
+            return false;
+        if (reader.isStream())
+            client.allowBytes(reader.nextPieceBytes());
+        return true;
     };
     control.setBreaker([&client] { client.stop(); });
     const auto answer = client.send(request);
@@ -303,7 +314,8 @@
     auto dropped = 0;
     for (auto probe = 0; probe < probeCount; ++probe) {
         const auto begun = std::chrono::steady_clock::now();
-        const auto answer = makeClient(upstream, probeTimeout).Get("/health");
+        const auto bounds = AnswerBounds { connectTimeout, probeTimeout, probeTimeout, maxHeadBytes };
+        const auto answer = BoundedClient(upstream.m_address, bounds).Get("/health");
         if (answer)
             return { false, answer->get_header_value("X-Engine-Boot") };
         if (answer.error() == httplib::Error::Connection)
