Leave a silent upstream only when another one answers

Cause: after a pause of 1.2 s the node closed its connection to the engine as soon as another one seemed to have a slot, and was then refused by both. A slot is an assumption, and the run that is given up can't be had again. Requests that are no streams had the same fault.

Mend: the request is offered to the other upstream beside the first call, and the first is left once bytes behind the head of the other one's answer have arrived. Why it works: a refusal, a break, silence or a head alone change nothing for the run that goes on. If the silent one breaks meanwhile, the open offer is the next attempt.

CallState, the outcomes and SentCall have headers of their own, and what one call learns (CallProgress) is parted from the request, as two calls may go on.

--- a/src/relay/attempts_end.cc
+++ b/src/relay/attempts_end.cc
@@ -23,6 +23,7 @@
         return Counter::StreamsCutAttemptsSpent;
     case AttemptsEnd::DeadlineReached:
         return Counter::StreamsCutAtDeadline;
+    case AttemptsEnd::AwaitsUpstream:
     case AttemptsEnd::MemorySpent:
     case AttemptsEnd::Answered:
     case AttemptsEnd::CallerDisconnected:
--- a/src/relay/attempts_end.h
+++ b/src/relay/attempts_end.h
@@ -14,6 +14,7 @@
     Answered, // The caller received the whole answer.
     CallerDisconnected,
     NoUpstream, // None had room in time.
+    AwaitsUpstream, // A further one was asked and hasn't answered yet.
     CrashSuspect, // It may crash upstreams.
     RetryBudgetSpent,
     NotRepeatable, // The route allows no second run.
@@ -27,6 +28,7 @@
     EnumName<AttemptsEnd> { AttemptsEnd::Answered, "answered" },
     EnumName<AttemptsEnd> { AttemptsEnd::CallerDisconnected, "caller_gone" },
     EnumName<AttemptsEnd> { AttemptsEnd::NoUpstream, "no_upstream" },
+    EnumName<AttemptsEnd> { AttemptsEnd::AwaitsUpstream, "awaits_upstream" },
     EnumName<AttemptsEnd> { AttemptsEnd::CrashSuspect, "crash_suspect" },
     EnumName<AttemptsEnd> { AttemptsEnd::RetryBudgetSpent, "retry_budget_spent" },
     EnumName<AttemptsEnd> { AttemptsEnd::NotRepeatable, "not_repeatable" },
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -58,11 +58,11 @@
         return std::string(nameOf(suspectKindNames, suspect.m_kind)) + " " + std::string(digits.data(), end);
     }
 
-    // Whether the call made last was at work on an answer of which the caller has a part. A resumed run is,
-    // also before it sends an event: runs got past the request's beginning.
-    auto isInAnswer(const CallState& state) -> bool
+    // Whether the call was at work on an answer of which the caller has a part. A resumed run is, also before
+    // it sends an event: runs got past the request's beginning.
+    auto isInAnswer(const CallState& state, const CallProgress& call) -> bool
     {
-        return state.m_answerBegan || resumesAnswer(state);
+        return call.m_answerBegan || resumesAnswer(state);
     }
 
     // Sorts the requests by how likely they are the cause: those without an answer, and then those that were
@@ -121,15 +121,16 @@
 {
 }
 
-auto CrashWatch::noteBroken(const UpstreamPointer& upstream, const CallState& state) -> void
+auto CrashWatch::noteBroken(const UpstreamPointer& upstream, const CallState& state, const CallProgress& call)
+    -> void
 {
     auto& broken = m_broken[upstream.get()];
     if (++broken.m_requests == 1) {
         broken.m_firstAt = Clock::now();
         runTask(m_executor, "crash_check", m_board.m_metrics, check(upstream));
     }
-    auto suspects = isInAnswer(state) ? suspectsDuringAnswer(state.m_suspects) : state.m_suspects;
-    broken.m_cut.push_back({ std::move(suspects), state.m_answerBegan, state.m_versions.m_sentAt });
+    auto suspects = isInAnswer(state, call) ? suspectsDuringAnswer(state.m_suspects) : state.m_suspects;
+    broken.m_cut.push_back({ std::move(suspects), call.m_answerBegan, call.m_versions.m_sentAt });
 }
 
 // Checks whether connections broke because the upstream crashed: after a crash, new connections are refused.
@@ -248,7 +249,7 @@
 auto CrashWatch::mayRepeat(const CallState& state) -> bool
 {
     judge();
-    return isInAnswer(state) || !isLikelyCause(m_board.m_crashEvidence, state.m_suspects);
+    return isInAnswer(state, state.m_call) || !isLikelyCause(m_board.m_crashEvidence, state.m_suspects);
 }
 
 } // namespace marigoldladder::relay
--- a/src/relay/crash_watch.h
+++ b/src/relay/crash_watch.h
@@ -26,7 +26,7 @@
 
     // Records that the connection to an upstream broke during a request; checks soon after whether the
     // upstream crashed.
-    auto noteBroken(const UpstreamPointer&, const CallState&) -> void;
+    auto noteBroken(const UpstreamPointer&, const CallState&, const CallProgress&) -> void;
 
     // Returns the refusal of a request that must not be sent because it would crash the upstream. It may be
     // sent while a trial is due.
--- a/src/relay/request_attempts.cc
+++ b/src/relay/request_attempts.cc
@@ -44,6 +44,7 @@
     case UpstreamCallOutcome::Broken:
     case UpstreamCallOutcome::Interrupted:
     case UpstreamCallOutcome::Moved:
+    case UpstreamCallOutcome::NotNeeded:
     case UpstreamCallOutcome::NotKept:
     case UpstreamCallOutcome::TakenBack:
     case UpstreamCallOutcome::CallerDisconnected:
@@ -61,6 +62,7 @@
     case UpstreamCallOutcome::CallerDisconnected:
         return AttemptsEnd::CallerDisconnected;
     case UpstreamCallOutcome::Moved:
+    case UpstreamCallOutcome::NotNeeded:
         return std::nullopt;
     case UpstreamCallOutcome::NotKept:
         return AttemptsEnd::MemorySpent;
--- a/src/relay/request_log_lines.cc
+++ b/src/relay/request_log_lines.cc
@@ -46,7 +46,7 @@
             { "burst", formatWhole(organisation.m_burstTokens) } });
 }
 
-auto logAttempt(RequestLog& log, const CallState& state, const Upstream& upstream,
+auto logAttempt(RequestLog& log, const CallState& state, const CallProgress& call, const Upstream& upstream,
     UpstreamCallOutcome outcome, const SlotWait& wait, std::optional<AttemptsEnd> end) -> void
 {
     const auto late = state.m_timeToFirstPart && *state.m_timeToFirstPart > state.m_route->m_targetLatency;
@@ -57,15 +57,15 @@
         = state.m_timeToFirstPart ? std::to_string(state.m_timeToFirstPart->count()) : "";
     log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
-            { "through", state.m_via ? state.m_via->value() : "" }, { "adapter", state.m_request.m_adapter },
-            { "held_version", formatVersion(state.m_versions.m_held) },
-            { "stated_version", formatVersion(state.m_versions.m_stated) },
-            { "sent_ms", millisecondsBetween(state.m_arrivedAt, state.m_versions.m_sentAt) },
+            { "through", call.m_via ? call.m_via->value() : "" }, { "adapter", state.m_request.m_adapter },
+            { "held_version", formatVersion(call.m_versions.m_held) },
+            { "stated_version", formatVersion(call.m_versions.m_stated) },
+            { "sent_ms", millisecondsBetween(state.m_arrivedAt, call.m_versions.m_sentAt) },
             { "end", std::string(nameOf(upstreamCallOutcomeNames, outcome)) },
             { "waited_ms", std::to_string(wait.m_time.count()) },
             { "waited_for", std::string(nameOf(choiceOutcomeNames, wait.m_reason)) },
             { "first_part_ms", firstPartTime }, { "age_ms", millisecondsBetween(state.m_arrivedAt, now) },
-            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
+            { "silent_ms", millisecondsBetween(call.m_lastHeardAt, now) },
             { "left_ms", millisecondsBetween(now, state.m_deadline) },
             { "last_attempt_because", formatEnd(end) },
             { "upstream_in_flight", std::to_string(upstream.m_inFlight) },
@@ -88,7 +88,7 @@
 {
     log.write("upstream_silent", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
-            { "silent_ms", millisecondsBetween(state.m_lastHeardAt, now) },
+            { "silent_ms", millisecondsBetween(state.m_call.m_lastHeardAt, now) },
             { "left_ms", millisecondsBetween(now, state.m_deadline) },
             { "stays_because", formatEnd(stayReason) } });
 }
--- a/src/relay/request_log_lines.h
+++ b/src/relay/request_log_lines.h
@@ -18,8 +18,8 @@
 
 // `request_attempt`, or `request_late` if the first part came later than the route's target: how one call to
 // an upstream ended. Of answers in time only a sample is logged.
-auto logAttempt(RequestLog&, const CallState&, const Upstream&, UpstreamCallOutcome, const SlotWait&,
-    std::optional<AttemptsEnd>) -> void;
+auto logAttempt(RequestLog&, const CallState&, const CallProgress&, const Upstream&, UpstreamCallOutcome,
+    const SlotWait&, std::optional<AttemptsEnd>) -> void;
 
 // `upstream_silent`: the upstream called last is silent. `stayReason`: why the request doesn't move to
 // another one; empty: it moves.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -170,26 +170,29 @@
     -> Awaitable<std::optional<AttemptsEnd>>
 {
     auto place = Place();
-    if (const auto move = std::exchange(attempts.m_move, nullptr))
+    const auto move = co_await awaitMove(state, attempts);
+    if (move) {
         place.m_slot = std::move(move->m_slot);
-    else
+    } else {
         place = co_await acquirePlace(state, attempts);
-    if (!place.m_slot)
-        co_return place.m_end;
-    ++attempts.m_sends;
+        if (!place.m_slot)
+            co_return place.m_end;
+        ++attempts.m_sends;
+    }
     const auto upstream = place.m_slot.upstream();
     const auto use = AdapterUse(m_board.m_adapterRates, attempts.m_needs.m_adapter, &AdapterRate::m_inFlight);
     const auto testsLoad = isAtExpectedLoadEnd(*upstream, attempts.m_needs.m_adapter, Clock::now());
     const auto handling = handleSilence(state, attempts, upstream);
-    const auto outcome = co_await m_upstreamCaller.call(state, answer, upstream, handling);
+    const auto outcome = move ? co_await m_upstreamCaller.take(state, answer, *move->m_offer, handling)
+                              : co_await m_upstreamCaller.call(state, answer, upstream, handling);
     if (auto* room = place.m_slot.room())
-        room->setEnd(state.m_roomEnd);
-    if (outcome != UpstreamCallOutcome::Moved)
-        attempts.m_move = nullptr;
+        room->setEnd(state.m_call.m_roomEnd);
     if (testsLoad)
         recordTestedLoad(m_board.m_loadSpeed, *upstream, attempts.m_needs.m_adapter, outcome);
-    const auto end = recordCall(state, attempts, upstream, outcome);
-    logAttempt(m_log, state, *upstream, outcome, place.m_wait, end);
+    const auto end = recordCall(state, state.m_call, attempts, upstream, outcome);
+    logAttempt(m_log, state, state.m_call, *upstream, outcome, place.m_wait, end);
+    if (end)
+        giveUpMove(state, attempts);
     co_return end;
 }
 
@@ -265,7 +268,7 @@
         returnRetry(m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, *countedAt);
 }
 
-auto RequestRunner::recordCall(const CallState& state, RequestAttempts& attempts,
+auto RequestRunner::recordCall(const CallState& state, const CallProgress& call, RequestAttempts& attempts,
     const UpstreamPointer& upstream, UpstreamCallOutcome outcome) -> std::optional<AttemptsEnd>
 {
     const auto wasSent
@@ -277,8 +280,8 @@
     if (outcome != UpstreamCallOutcome::NotSent)
         attempts.m_needs.m_tried.push_back(upstream);
     if (brokeOff(outcome))
-        m_crashWatch.noteBroken(upstream, state);
-    if (isToResume(outcome, state.m_answerBegan))
+        m_crashWatch.noteBroken(upstream, state, call);
+    if (isToResume(outcome, call.m_answerBegan))
         m_board.m_metrics.add(Counter::StreamsResumed);
     const auto isLate = Clock::now() >= state.m_deadline;
     countCall(attempts, outcome, isLate);
--- a/src/relay/request_runner.h
+++ b/src/relay/request_runner.h
@@ -36,7 +36,8 @@
     auto charge(const CallState&, const Organisation&, RequestAttempts&) -> Awaitable<std::optional<Failure>>;
     // Sends the request to upstreams until one has answered it or no further one may get it.
     auto makeAttempts(CallState&, CallerAnswer&, RequestAttempts&) -> Awaitable<void>;
-    // Sends the request to one upstream. Returns why it isn't sent to another, or nothing if it may be.
+    // Sends the request to one upstream, or goes on at the one that has accepted it. Returns why it isn't
+    // sent to another, or nothing if it may be.
     auto attempt(CallState&, CallerAnswer&, RequestAttempts&) -> Awaitable<std::optional<AttemptsEnd>>;
     auto acquirePlace(const CallState&, RequestAttempts&) -> Awaitable<Place>;
     // Acquires what the owners of the upstream's room and of its limit have to grant. Returns false if they
@@ -50,17 +51,24 @@
     auto giveBackRetry(RequestAttempts&) -> void;
     // Records how a call ended. Returns why the request isn't sent to another upstream, or nothing if it may
     // be.
-    auto recordCall(const CallState&, RequestAttempts&, const UpstreamPointer&, UpstreamCallOutcome)
-        -> std::optional<AttemptsEnd>;
+    auto recordCall(const CallState&, const CallProgress&, RequestAttempts&, const UpstreamPointer&,
+        UpstreamCallOutcome) -> std::optional<AttemptsEnd>;
 
-    auto handleSilence(const CallState&, RequestAttempts&, const UpstreamPointer&) -> SilenceHandling;
+    auto handleSilence(CallState&, RequestAttempts&, const UpstreamPointer&) -> SilenceHandling;
     auto noteSilence(const CallState&, Upstream&, std::optional<AttemptsEnd> stayReason) -> void;
-    // Acquires a place at an upstream other than this silent one. Returns why there is none now, or nothing
-    // if there is one, which the next attempt takes.
-    auto tryMove(const CallState&, RequestAttempts&, const UpstreamPointer& silent)
-        -> std::optional<AttemptsEnd>;
+    // Offers the request to an upstream other than this silent one. Returns why it stays, or nothing once the
+    // other one has accepted it, where the next attempt goes on.
+    auto tryMove(CallState&, RequestAttempts&, const UpstreamPointer& silent) -> std::optional<AttemptsEnd>;
+    auto obstacleToMove(const CallState&, const RequestAttempts&) const -> std::optional<AttemptsEnd>;
     auto beginMove(const RequestAttempts&, const UpstreamPointer& silent) -> std::shared_ptr<PreparedMove>;
     auto acquirePermit(std::shared_ptr<PreparedMove>) -> Awaitable<void>;
+    auto sendOffer(CallState&, RequestAttempts&) -> std::optional<AttemptsEnd>;
+    // Waits for the answer to an offer that is open. Returns the move if it was accepted, else null.
+    auto awaitMove(CallState&, RequestAttempts&) -> Awaitable<std::shared_ptr<PreparedMove>>;
+    // Takes back what was prepared. An upstream to which the request was sent may run it.
+    auto giveUpMove(const CallState&, RequestAttempts&) -> void;
+    // Records how an offer ended that wasn't accepted.
+    auto recordOffer(const CallState&, RequestAttempts&) -> void;
 
     auto refuse(const CallState&, CallerAnswer&, const Failure&, std::optional<AttemptsEnd> = std::nullopt)
         -> Awaitable<void>;
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -16,7 +16,7 @@
 
 // An upstream's silence alone doesn't end a call, since a sound one may be silent for a while.
 auto RequestRunner::handleSilence(
-    const CallState& state, RequestAttempts& attempts, const UpstreamPointer& upstream) -> SilenceHandling
+    CallState& state, RequestAttempts& attempts, const UpstreamPointer& upstream) -> SilenceHandling
 {
     attempts.m_isSilenceNoted = false;
     if (!mayRetry(*state.m_route))
@@ -28,7 +28,7 @@
             noteSilence(state, *upstream, stayReason);
         return !stayReason;
     };
-    handling.m_stay = [&attempts] { attempts.m_move = nullptr; };
+    handling.m_stay = [this, &state, &attempts] { giveUpMove(state, attempts); };
     return handling;
 }
 
@@ -36,22 +36,26 @@
     const CallState& state, Upstream& upstream, std::optional<AttemptsEnd> stayReason) -> void
 {
     const auto now = Clock::now();
-    if (state.m_via || !isPathBlocked(m_board, upstream))
-        recordCallEnd(upstream.m_health, state.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
+    const auto& call = state.m_call;
+    if (call.m_via || !isPathBlocked(m_board, upstream))
+        recordCallEnd(upstream.m_health, call.m_answerBegan ? CallEnd::Broken : CallEnd::TimedOut, now);
     logSilence(m_log, state, upstream, stayReason, now);
 }
 
-auto RequestRunner::tryMove(const CallState& state, RequestAttempts& attempts, const UpstreamPointer& silent)
+auto RequestRunner::tryMove(CallState& state, RequestAttempts& attempts, const UpstreamPointer& silent)
     -> std::optional<AttemptsEnd>
 {
+    if (attempts.m_move && attempts.m_move->m_offer) {
+        const auto& offer = *attempts.m_move->m_offer;
+        if (offer.m_isAccepted)
+            return std::nullopt;
+        if (isOpen(offer))
+            return AttemptsEnd::AwaitsUpstream;
+        recordOffer(state, attempts);
+    }
+    if (const auto obstacle = obstacleToMove(state, attempts))
+        return obstacle;
     const auto now = Clock::now();
-    if (attempts.m_runs + 1 >= state.m_route->m_maxUpstreams)
-        return AttemptsEnd::AttemptsSpent;
-    if (now + state.m_route->m_targetLatency >= state.m_deadline)
-        return AttemptsEnd::DeadlineReached;
-    if (!allowsRetry(
-            m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
-        return AttemptsEnd::RetryBudgetSpent;
     if (attempts.m_move && !maySendTo(m_board.m_upstreams, *attempts.m_move->m_slot.upstream(), now))
         attempts.m_move = nullptr;
     attempts.m_needs.m_software = state.m_origin;
@@ -59,12 +63,23 @@
         attempts.m_move = beginMove(attempts, silent);
     if (!attempts.m_move || attempts.m_move->m_asksForPermit)
         return AttemptsEnd::NoUpstream;
-    auto obstacle = std::optional(AttemptsEnd::NoUpstream);
-    if (attempts.m_move->m_isPermitted)
-        obstacle = obstacleToSend(state, attempts);
-    if (obstacle)
-        attempts.m_move = nullptr;
-    return obstacle;
+    return sendOffer(state, attempts);
+}
+
+auto RequestRunner::obstacleToMove(const CallState& state, const RequestAttempts& attempts) const
+    -> std::optional<AttemptsEnd>
+{
+    const auto now = Clock::now();
+    if (attempts.m_offersEnd)
+        return attempts.m_offersEnd;
+    if (attempts.m_runs + 1 >= state.m_route->m_maxUpstreams)
+        return AttemptsEnd::AttemptsSpent;
+    if (now + state.m_route->m_targetLatency >= state.m_deadline)
+        return AttemptsEnd::DeadlineReached;
+    if (!allowsRetry(
+            m_board.m_retryBudget, attempts.m_needs.m_pool, m_settings.m_bounds, m_board.m_nodes, now))
+        return AttemptsEnd::RetryBudgetSpent;
+    return std::nullopt;
 }
 
 // Returns null if no other upstream has room.
@@ -92,4 +107,67 @@
     move->m_isPermitted = co_await acquirePermits(move->m_slot);
 }
 
+// Returns why the request stays: it does in any case until the offer is accepted.
+auto RequestRunner::sendOffer(CallState& state, RequestAttempts& attempts) -> std::optional<AttemptsEnd>
+{
+    auto& move = *attempts.m_move;
+    auto shared = state.weak_from_this().lock();
+    auto obstacle = std::optional(AttemptsEnd::NoUpstream);
+    if (move.m_isPermitted && shared)
+        obstacle = obstacleToSend(state, attempts);
+    if (obstacle) {
+        attempts.m_move = nullptr;
+        return obstacle;
+    }
+    ++attempts.m_sends;
+    move.m_offer = std::make_shared<OfferedCall>(m_executor, move.m_slot.upstream());
+    runTask(m_executor, "offer", m_board.m_metrics, m_upstreamCaller.offer(std::move(shared), move.m_offer));
+    return AttemptsEnd::AwaitsUpstream;
+}
+
+auto RequestRunner::awaitMove(CallState& state, RequestAttempts& attempts)
+    -> Awaitable<std::shared_ptr<PreparedMove>>
+{
+    if (!attempts.m_move || !attempts.m_move->m_offer) {
+        attempts.m_move = nullptr;
+        co_return nullptr;
+    }
+    const auto offer = attempts.m_move->m_offer;
+    state.m_cancelUpstream = [offer] { offer->m_changed.cancel(); };
+    auto ignored = ErrorCode(); // The timer only ever ends by being cancelled.
+    while (isOpen(*offer) && !state.m_callerDisconnected)
+        co_await offer->m_changed.async_wait(errorTo(ignored));
+    state.m_cancelUpstream = nullptr;
+    if (offer->m_isAccepted && !state.m_callerDisconnected)
+        co_return std::exchange(attempts.m_move, nullptr);
+    giveUpMove(state, attempts);
+    co_return nullptr;
+}
+
+auto RequestRunner::giveUpMove(const CallState& state, RequestAttempts& attempts) -> void
+{
+    if (!attempts.m_move || !attempts.m_move->m_offer) {
+        attempts.m_move = nullptr;
+        return;
+    }
+    auto& offer = *attempts.m_move->m_offer;
+    offer.m_isGivenUp = true;
+    if (!offer.m_outcome && offer.m_call.m_connection)
+        offer.m_call.m_connection->m_stream.close();
+    if (!offer.m_outcome)
+        offer.m_outcome = offer.m_isSent ? UpstreamCallOutcome::NotNeeded : UpstreamCallOutcome::NotSent;
+    recordOffer(state, attempts);
+}
+
+auto RequestRunner::recordOffer(const CallState& state, RequestAttempts& attempts) -> void
+{
+    const auto move = std::exchange(attempts.m_move, nullptr);
+    const auto& offer = *move->m_offer;
+    const auto upstream = move->m_slot.upstream();
+    if (auto* room = move->m_slot.room())
+        room->setEnd(offer.m_progress.m_roomEnd);
+    attempts.m_offersEnd = recordCall(state, offer.m_progress, attempts, upstream, *offer.m_outcome);
+    logAttempt(m_log, state, offer.m_progress, *upstream, *offer.m_outcome, {}, attempts.m_offersEnd);
+}
+
 } // namespace marigoldladder::relay
--- a/src/relay/silence_watch.cc
+++ b/src/relay/silence_watch.cc
@@ -59,7 +59,7 @@
 
 SilenceWatch::~SilenceWatch()
 {
-    end();
+    end(false);
 }
 
 auto SilenceWatch::begin(Milliseconds pause) -> void
@@ -69,11 +69,11 @@
         State::askAfter(m_state, pause);
 }
 
-auto SilenceWatch::end() -> void
+auto SilenceWatch::end(bool heard) -> void
 {
     ++m_state->m_wait;
     m_state->m_timer.cancel();
-    if (std::exchange(m_state->m_asked, false) && !m_state->m_moved)
+    if (std::exchange(m_state->m_asked, false) && heard && !m_state->m_moved)
         m_state->m_handling.m_stay();
 }
 
--- a/src/relay/silence_watch.h
+++ b/src/relay/silence_watch.h
@@ -24,9 +24,10 @@
     SilenceWatch(const SilenceWatch&) = delete;
     auto operator=(const SilenceWatch&) -> SilenceWatch& = delete;
 
-    // To be called before and after each wait for bytes of the upstream.
+    // To be called before and after each wait for bytes of the upstream. `heard`: bytes came, so that the
+    // request stays if it was to move.
     auto begin(Milliseconds pause) -> void;
-    auto end() -> void;
+    auto end(bool heard) -> void;
 
     // Whether the request goes on at another upstream. The connection is closed then.
     auto hasMoved() const -> bool;
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -36,7 +36,7 @@
             state.m_lastEventId = std::move(id);
         if (state.m_timeToFirstPart)
             return;
-        state.m_origin = state.m_software;
+        state.m_origin = state.m_call.m_software;
         board.m_streamBegan(state);
         const auto age = Clock::now() - state.m_arrivedAt;
         state.m_timeToFirstPart = std::chrono::duration_cast<Milliseconds>(age);
@@ -59,7 +59,7 @@
 
 auto recordAnswerBegan(CallState& state, RelayBoard& board) -> void
 {
-    if (std::exchange(state.m_answerBegan, true))
+    if (std::exchange(state.m_call.m_answerBegan, true))
         return;
     (void)recordAnswer(board.m_crashEvidence, state.m_suspects, Clock::now());
 }
@@ -92,11 +92,11 @@
         silence.begin(eventPause(*state.m_route));
         if (!parser.is_done())
             co_await http::async_read_some(connection.m_stream, connection.m_buffer, parser, errorTo(error));
-        silence.end();
+        silence.end(!error || error == http::error::need_buffer);
         if (error == http::error::need_buffer)
             error = {};
         if (!error)
-            state.m_lastHeardAt = Clock::now();
+            state.m_call.m_lastHeardAt = Clock::now();
         const auto searched = pending.size();
         pending.append(part.data(), part.size() - body.size);
         const auto atEnd = !error && parser.is_done();
@@ -117,7 +117,7 @@
         }
         // Without framing, an end before the first event or inside an event shows that the stream broke.
         // The end of a tunnel may be the end of the peer that carries it.
-        const auto mayBeCut = connection.m_via || !pending.empty() || !state.m_answerBegan;
+        const auto mayBeCut = connection.m_via || !pending.empty() || !state.m_call.m_answerBegan;
         const auto broke = error || (atEnd && !isFramed && mayBeCut);
         if (atEnd && !broke) {
             if (!isResumed)
--- a/src/relay/stream_forwarding.h
+++ b/src/relay/stream_forwarding.h
@@ -1,16 +1,12 @@
 // Forwards an upstream's stream of events to the caller.
 #pragma once
 
-#include "relay/upstream_call.h"
-
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/parser.hpp>
+#include "relay/caller_answer.h"
+#include "relay/sent_call.h"
+#include "relay/silence_watch.h"
 
 namespace marigoldladder::relay {
 
-// The parser of an answer, of which the head has been read.
-using HeadParser = boost::beast::http::response_parser<boost::beast::http::empty_body>;
-
 struct StreamResult {
     UpstreamCallOutcome m_outcome = UpstreamCallOutcome::Interrupted;
     bool m_keepAlive = false; // The connection may serve another request.
--- a/src/relay/upstream_answer.h
+++ b/src/relay/upstream_answer.h
@@ -2,20 +2,11 @@
 #pragma once
 
 #include "relay/bounded_body.h"
-#include "relay/stream_forwarding.h"
-#include "relay/upstream_call.h"
-
-#include <memory>
+#include "relay/relay_board.h"
+#include "relay/sent_call.h"
 
 namespace marigoldladder::relay {
 
-// The head of an answer.
-struct AnswerHead {
-    UpstreamAnswer m_answer;
-    std::unique_ptr<HeadParser> m_parser; // Null if the connection broke or timed out.
-    bool m_timedOut = false;
-};
-
 // Reads the head of the answer to a request. Answers to others are discarded and counted.
 auto readHead(UpstreamConnection&, const CallState&, const Dialect&, RelayBoard&) -> Awaitable<AnswerHead>;
 
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -76,13 +76,17 @@
         return std::chrono::duration_cast<Milliseconds>(state.m_deadline - Clock::now());
     }
 
-    // Closes the upstream connection if the caller disconnects during this object's lifetime.
+    // Closes the upstream connection if the caller disconnects during this object's lifetime, unless the
+    // connection may serve other requests by then.
     class DisconnectHook {
     public:
-        DisconnectHook(CallState& state, tcp_stream& stream)
+        DisconnectHook(CallState& state, const SentCall& sent)
             : m_state(state)
         {
-            m_state.m_cancelUpstream = [&stream] { stream.close(); };
+            m_state.m_cancelUpstream = [&sent] {
+                if (sent.m_connection)
+                    sent.m_connection->m_stream.close();
+            };
         }
         ~DisconnectHook() { m_state.m_cancelUpstream = nullptr; }
         DisconnectHook(const DisconnectHook&) = delete;
@@ -92,14 +96,19 @@
         CallState& m_state;
     };
 
-    auto releaseIfReusable(UpstreamConnectionPool& connections, CallState& state,
-        const UpstreamPointer& upstream, UpstreamConnectionPointer connection, bool keepAlive,
-        Milliseconds idleTime) -> void
+    auto releaseIfReusable(
+        UpstreamConnectionPool& connections, SentCall& sent, bool keepAlive, Milliseconds idleTime) -> void
     {
-        // The connection may serve other requests from here on, so this caller must not close it.
-        state.m_cancelUpstream = nullptr;
+        auto connection = std::move(sent.m_connection);
         if (keepAlive && connection->m_buffer.size() == 0)
-            connections.release(upstream, std::move(connection), idleTime);
+            connections.release(sent.m_upstream, std::move(connection), idleTime);
+    }
+
+    auto outcomeWithoutAnswer(const CallInProgress& call, bool timedOut) -> UpstreamCallOutcome
+    {
+        if (call.isTakenBack())
+            return UpstreamCallOutcome::TakenBack;
+        return timedOut ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
     }
 
     auto outcomeWithoutAnswer(const CallState& state, const CallInProgress& call, const SilenceWatch& silence,
@@ -107,13 +116,31 @@
     {
         if (state.m_callerDisconnected)
             return UpstreamCallOutcome::CallerDisconnected;
-        if (call.isTakenBack())
-            return UpstreamCallOutcome::TakenBack;
-        if (silence.hasMoved())
+        if (silence.hasMoved() && !call.isTakenBack())
             return UpstreamCallOutcome::Moved;
-        return timedOut ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
+        return outcomeWithoutAnswer(call, timedOut);
     }
 
+    // Ends an offer that an exception leaves open, so that nobody waits for it.
+    class OfferEnd {
+    public:
+        explicit OfferEnd(OfferedCall& offered)
+            : m_offered(offered)
+        {
+        }
+        ~OfferEnd()
+        {
+            if (isOpen(m_offered))
+                m_offered.m_outcome = UpstreamCallOutcome::Broken;
+            m_offered.m_changed.cancel();
+        }
+        OfferEnd(const OfferEnd&) = delete;
+        auto operator=(const OfferEnd&) -> OfferEnd& = delete;
+
+    private:
+        OfferedCall& m_offered;
+    };
+
     // Whether the upstream's answer ended before its end was forwarded.
     auto isBroken(UpstreamCallOutcome outcome) -> bool
     {
@@ -138,6 +165,7 @@
         case UpstreamCallOutcome::Refused:
         case UpstreamCallOutcome::NotSent:
         case UpstreamCallOutcome::Moved: // Its silence has been recorded.
+        case UpstreamCallOutcome::NotNeeded:
         case UpstreamCallOutcome::NotKept: // For want of this node's memory.
         case UpstreamCallOutcome::TakenBack:
         case UpstreamCallOutcome::CallerDisconnected:
@@ -162,17 +190,18 @@
         m_board.m_missingAdapters.push_back({ upstream.m_record.m_name, adapter, now });
 }
 
-auto UpstreamCaller::recordNoRoom(CallState& state, Upstream& upstream, MonotonicTime now) -> void
+auto UpstreamCaller::recordNoRoom(CallProgress& progress, Upstream& upstream, MonotonicTime now) -> void
 {
     upstream.m_fullUntil = now + fullRetryDelay;
-    state.m_roomEnd = RoomEnd::Refused;
+    progress.m_roomEnd = RoomEnd::Refused;
 }
 
-auto UpstreamCaller::recordRefusal(CallState& state, Upstream& upstream, const UpstreamAnswer& answer) -> void
+auto UpstreamCaller::recordRefusal(
+    const CallState& state, CallProgress& progress, Upstream& upstream, const UpstreamAnswer& answer) -> void
 {
     const auto now = Clock::now();
     if (!answer.m_instanceMismatch) {
-        recordNoRoom(state, upstream, now);
+        recordNoRoom(progress, upstream, now);
         return;
     }
     const auto replaced = !answer.m_instance.empty() && answer.m_instance != upstream.m_record.m_name.value();
@@ -201,9 +230,18 @@
 
 // Whether the end of a call says something of the upstream, and not of this node's own path or of the peer
 // that carried the call.
-auto UpstreamCaller::saysOfUpstream(const CallState& state, const Upstream& upstream) const -> bool
+auto UpstreamCaller::saysOfUpstream(const CallProgress& progress, const Upstream& upstream) const -> bool
 {
-    return state.m_via ? m_connections.isCarrier(*state.m_via) : !isPathBlocked(m_board, upstream);
+    return progress.m_via ? m_connections.isCarrier(*progress.m_via) : !isPathBlocked(m_board, upstream);
+}
+
+auto UpstreamCaller::recordEnd(
+    const CallProgress& progress, Upstream& upstream, UpstreamCallOutcome outcome, bool refused) -> void
+{
+    recordReachability(upstream, outcome, refused);
+    const auto callEnd = healthOutcomeOf(outcome);
+    if (callEnd && saysOfUpstream(progress, upstream))
+        recordCallEnd(upstream.m_health, *callEnd, Clock::now());
 }
 
 auto UpstreamCaller::obstacleToSend(const CallState& state, const Upstream& upstream) const
@@ -218,95 +256,187 @@
     return std::nullopt;
 }
 
-auto UpstreamCaller::call(CallState& state, CallerAnswer& answer, const UpstreamPointer& upstream,
-    const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
+auto UpstreamCaller::connect(CallState& state, CallProgress& progress, SentCall& sent)
+    -> Awaitable<std::optional<UpstreamCallOutcome>>
 {
-    state.m_answerBegan = false;
-    state.m_via.reset();
-    state.m_roomEnd = RoomEnd::Unknown;
-    state.m_versions = { std::nullopt, std::nullopt, Clock::now() };
-    if (const auto obstacle = obstacleToSend(state, *upstream))
-        co_return *obstacle;
+    progress = CallProgress();
+    progress.m_versions.m_sentAt = Clock::now();
+    auto& upstream = *sent.m_upstream;
+    if (const auto obstacle = obstacleToSend(state, upstream))
+        co_return obstacle;
     auto refused = false;
-    auto connection = co_await m_connections.acquire(upstream, state.m_usedConnections, refused);
-    auto outcome = UpstreamCallOutcome::NotReached;
-    if (connection) {
-        // The connect may have taken a while.
-        if (const auto obstacle = obstacleToSend(state, *upstream))
-            co_return *obstacle;
-        state.m_usedConnections.push_back(connection->m_number);
-        state.m_via = connection->m_via;
-        outcome = co_await exchange(state, answer, upstream, std::move(connection), handling);
+    sent.m_connection = co_await m_connections.acquire(sent.m_upstream, state.m_usedConnections, refused);
+    if (!sent.m_connection) {
+        recordEnd(progress, upstream, UpstreamCallOutcome::NotReached, refused);
+        co_return UpstreamCallOutcome::NotReached;
     }
-    recordReachability(*upstream, outcome, refused);
-    const auto callEnd = healthOutcomeOf(outcome);
-    if (callEnd && saysOfUpstream(state, *upstream))
-        recordCallEnd(upstream->m_health, *callEnd, Clock::now());
-    co_return outcome;
+    // The connect may have taken a while.
+    if (const auto obstacle = obstacleToSend(state, upstream))
+        co_return obstacle;
+    state.m_usedConnections.push_back(sent.m_connection->m_number);
+    progress.m_via = sent.m_connection->m_via;
+    co_return std::nullopt;
 }
 
-auto UpstreamCaller::exchange(CallState& state, CallerAnswer& answer, const UpstreamPointer& upstream,
-    UpstreamConnectionPointer connection, const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
+auto UpstreamCaller::send(CallState& state, CallProgress& progress, SentCall& sent) -> Awaitable<void>
 {
-    auto dispatch = Dispatch { upstream->m_record.m_name, state.m_organisation, timeLeft(state),
+    auto& connection = *sent.m_connection;
+    auto& upstream = *sent.m_upstream;
+    auto dispatch = Dispatch { upstream.m_record.m_name, state.m_organisation, timeLeft(state),
         std::clamp(state.m_priority, 0, lowestPriority), std::nullopt, state.m_lastEventId };
-    const auto held = heldVersion(*upstream, state.m_request.m_adapter);
+    const auto held = heldVersion(upstream, state.m_request.m_adapter);
     dispatch.m_adapterVersion
         = versionToState(m_board.m_upstreams.m_versions, state.m_request.m_adapter, held, Clock::now());
     const auto request = requestFor(state, m_dialect, dispatch);
-    const auto disconnectHook = DisconnectHook(state, connection->m_stream);
-    auto inProgress = CallInProgress(m_board.m_callsInProgress, state.m_request.m_adapter,
-        dispatch.m_adapterVersion.value_or(0), connection->m_stream, state.m_answerBegan);
-    auto error = ErrorCode();
+    sent.m_inProgress = std::make_unique<CallInProgress>(m_board.m_callsInProgress, state.m_request.m_adapter,
+        dispatch.m_adapterVersion.value_or(0), connection.m_stream, progress.m_answerBegan);
     const auto sentAt = Clock::now();
-    state.m_versions = { held, dispatch.m_adapterVersion, sentAt };
-    state.m_lastHeardAt = sentAt;
-    state.m_software = upstream->m_record.m_software;
-    auto silence = SilenceWatch(connection->m_stream, handling);
-    connection->m_deadline.emplace(connection->m_stream, state.m_deadline);
-    silence.begin(answerPause(*state.m_route));
-    co_await http::async_write(connection->m_stream, request, errorTo(error));
+    progress.m_versions = { held, dispatch.m_adapterVersion, sentAt };
+    progress.m_lastHeardAt = sentAt;
+    progress.m_software = upstream.m_record.m_software;
+    connection.m_deadline.emplace(connection.m_stream, state.m_deadline);
+    auto error = ErrorCode();
+    co_await http::async_write(connection.m_stream, request, errorTo(error));
     // An upstream may answer before it reads the whole body, so the answer is read after a failed write too.
-    auto head = co_await readHead(*connection, state, m_dialect, m_board);
-    silence.end();
+    sent.m_head = co_await readHead(connection, state, m_dialect, m_board);
+    if (!sent.m_head.m_parser)
+        co_return;
+    const auto& answer = sent.m_head.m_answer;
+    progress.m_lastHeardAt = Clock::now();
+    applyRequestAnswerNotices(m_board, upstream, answer.m_notices, sentAt, Clock::now());
+    if (!answer.m_notRun)
+        progress.m_roomEnd = RoomEnd::Taken;
+}
+
+auto UpstreamCaller::call(CallState& state, CallerAnswer& answer, const UpstreamPointer& upstream,
+    const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
+{
+    auto sent = SentCall { upstream, nullptr, nullptr, {} };
+    if (const auto obstacle = co_await connect(state, state.m_call, sent))
+        co_return *obstacle;
+    const auto disconnectHook = DisconnectHook(state, sent);
+    auto silence = SilenceWatch(sent.m_connection->m_stream, handling);
+    silence.begin(answerPause(*state.m_route));
+    co_await send(state, state.m_call, sent);
+    silence.end(sent.m_head.m_parser != nullptr);
+    const auto outcome = co_await receive(state, answer, sent, silence);
+    recordEnd(state.m_call, *upstream, outcome);
+    co_return outcome;
+}
+
+auto UpstreamCaller::take(CallState& state, CallerAnswer& answer, OfferedCall& offered,
+    const SilenceHandling& handling) -> Awaitable<UpstreamCallOutcome>
+{
+    auto& sent = offered.m_call;
+    state.m_call = offered.m_progress;
+    const auto disconnectHook = DisconnectHook(state, sent);
+    auto silence = SilenceWatch(sent.m_connection->m_stream, handling);
+    const auto outcome = co_await receive(state, answer, sent, silence);
+    recordEnd(state.m_call, *sent.m_upstream, outcome);
+    co_return outcome;
+}
+
+auto UpstreamCaller::offer(std::shared_ptr<CallState> state, std::shared_ptr<OfferedCall> offered)
+    -> Awaitable<void>
+{
+    const auto end = OfferEnd(*offered);
+    auto outcome = co_await connect(*state, offered->m_progress, offered->m_call);
+    if (!outcome && offered->m_isGivenUp)
+        outcome = UpstreamCallOutcome::NotSent;
+    const auto isSent = !outcome;
+    if (isSent) {
+        offered->m_isSent = true;
+        outcome = co_await awaitAnswer(*state, *offered);
+    }
+    offered->m_isAccepted = !outcome;
+    offered->m_outcome = outcome;
+    if (isSent && outcome && !offered->m_isGivenUp)
+        recordEnd(offered->m_progress, *offered->m_call.m_upstream, *outcome);
+}
+
+auto UpstreamCaller::awaitAnswer(CallState& state, OfferedCall& offered)
+    -> Awaitable<std::optional<UpstreamCallOutcome>>
+{
+    auto& sent = offered.m_call;
+    co_await send(state, offered.m_progress, sent);
+    if (!sent.m_head.m_parser)
+        co_return outcomeWithoutAnswer(*sent.m_inProgress, sent.m_head.m_timedOut);
+    if (sent.m_head.m_answer.m_notRun) {
+        co_await receiveRefusal(state, offered.m_progress, sent);
+        co_return UpstreamCallOutcome::Refused;
+    }
+    if (!isSuccess(sent.m_head.m_parser->get().result_int()))
+        co_return UpstreamCallOutcome::Failed;
+    // An upstream may send the head before it begins to run the request.
+    auto& connection = *sent.m_connection;
+    auto& socket = connection.m_stream.socket();
+    const auto hasBytes = connection.m_buffer.size() > 0 || sent.m_head.m_parser->is_done();
+    auto error = ErrorCode();
+    if (!hasBytes)
+        co_await socket.async_wait(net::ip::tcp::socket::wait_read, errorTo(error));
+    if (!hasBytes && (error || isClosed(socket)))
+        co_return outcomeWithoutAnswer(*sent.m_inProgress, connection.m_deadline->expired());
+    sent.m_inProgress->recordAnswer();
+    co_return std::nullopt;
+}
+
+auto UpstreamCaller::receive(CallState& state, CallerAnswer& answer, SentCall& sent, SilenceWatch& silence)
+    -> Awaitable<UpstreamCallOutcome>
+{
+    const auto& head = sent.m_head;
     if (!head.m_parser)
-        co_return outcomeWithoutAnswer(state, inProgress, silence, head.m_timedOut);
-    state.m_lastHeardAt = Clock::now();
-    const auto status = head.m_parser->get().result_int();
-    const auto idleTime = keepAliveTimeout(head.m_parser->get());
-    applyRequestAnswerNotices(m_board, *upstream, head.m_answer.m_notices, sentAt, Clock::now());
-    if (!head.m_answer.m_notRun)
-        state.m_roomEnd = RoomEnd::Taken;
-    if (isSuccess(status) && !head.m_answer.m_notRun && state.m_route->m_kind == CallKind::Stream) {
-        const auto stream
-            = co_await forwardStream(state, answer, *connection, *head.m_parser, silence, m_board);
-        if (stream.m_outcome == UpstreamCallOutcome::Delivered)
-            releaseIfReusable(
-                m_connections, state, upstream, std::move(connection), stream.m_keepAlive, idleTime);
-        const auto isTakenBack = inProgress.isTakenBack() && isBroken(stream.m_outcome);
-        co_return isTakenBack ? UpstreamCallOutcome::TakenBack : stream.m_outcome;
+        co_return outcomeWithoutAnswer(state, *sent.m_inProgress, silence, head.m_timedOut);
+    if (head.m_answer.m_notRun) {
+        co_await receiveRefusal(state, state.m_call, sent);
+        co_return UpstreamCallOutcome::Refused;
     }
+    const auto isStream = state.m_route->m_kind == CallKind::Stream;
+    if (!isStream || !isSuccess(head.m_parser->get().result_int()))
+        co_return co_await receiveWhole(state, answer, sent, silence);
+    const auto idleTime = keepAliveTimeout(head.m_parser->get());
+    const auto stream
+        = co_await forwardStream(state, answer, *sent.m_connection, *head.m_parser, silence, m_board);
+    if (stream.m_outcome == UpstreamCallOutcome::Delivered)
+        releaseIfReusable(m_connections, sent, stream.m_keepAlive, idleTime);
+    const auto isTakenBack = sent.m_inProgress->isTakenBack() && isBroken(stream.m_outcome);
+    co_return isTakenBack ? UpstreamCallOutcome::TakenBack : stream.m_outcome;
+}
+
+auto UpstreamCaller::receiveRefusal(CallState& state, CallProgress& progress, SentCall& sent)
+    -> Awaitable<void>
+{
+    const auto idleTime = keepAliveTimeout(sent.m_head.m_parser->get());
+    auto whole = WholeAnswer();
+    auto keepAlive = false;
+    sent.m_inProgress->recordAnswer();
+    const auto error = co_await readWhole(
+        *sent.m_connection, *sent.m_head.m_parser, whole, keepAlive, state.m_mayHoldAnswer);
+    recordRefusal(state, progress, *sent.m_upstream, sent.m_head.m_answer);
+    if (!error)
+        releaseIfReusable(m_connections, sent, keepAlive, idleTime);
+}
+
+auto UpstreamCaller::receiveWhole(CallState& state, CallerAnswer& answer, SentCall& sent,
+    const SilenceWatch& silence) -> Awaitable<UpstreamCallOutcome>
+{
+    const auto idleTime = keepAliveTimeout(sent.m_head.m_parser->get());
     // Unlike that of a stream, this answer's head shows that the request has begun.
-    inProgress.recordAnswer();
+    sent.m_inProgress->recordAnswer();
     auto whole = WholeAnswer();
     auto keepAlive = false;
-    error = co_await readWhole(*connection, *head.m_parser, whole, keepAlive, state.m_mayHoldAnswer);
-    if (head.m_answer.m_notRun) {
-        recordRefusal(state, *upstream, head.m_answer);
-        if (!error)
-            releaseIfReusable(m_connections, state, upstream, std::move(connection), keepAlive, idleTime);
-        co_return UpstreamCallOutcome::Refused;
-    }
+    const auto error = co_await readWhole(
+        *sent.m_connection, *sent.m_head.m_parser, whole, keepAlive, state.m_mayHoldAnswer);
     if (error == tooLittleMemory()) {
         m_board.m_metrics.add(Counter::AnswersWithoutMemory);
         co_return UpstreamCallOutcome::NotKept;
     }
     if (error)
-        co_return outcomeWithoutAnswer(state, inProgress, silence, connection->m_deadline->expired());
+        co_return outcomeWithoutAnswer(
+            state, *sent.m_inProgress, silence, sent.m_connection->m_deadline->expired());
     recordAnswerBegan(state, m_board);
     if (isSuccess(whole.m_status))
         recordAnswerEnded(state, m_board);
-    releaseIfReusable(m_connections, state, upstream, std::move(connection), keepAlive, idleTime);
+    releaseIfReusable(m_connections, sent, keepAlive, idleTime);
     removeConnectionFields(whole.m_fields);
     if (answer.begun())
         co_return UpstreamCallOutcome::Interrupted;
@@ -317,9 +447,9 @@
         co_return UpstreamCallOutcome::Failed;
     }
     const auto bodyless = state.m_message.method() == http::verb::head;
-    const auto sent = co_await answer.sendWhole(whole.m_status, whole.m_fields, whole.m_body, bodyless);
-    co_return sent == SendOutcome::Sent ? UpstreamCallOutcome::Delivered
-                                        : UpstreamCallOutcome::CallerDisconnected;
+    const auto delivered = co_await answer.sendWhole(whole.m_status, whole.m_fields, whole.m_body, bodyless);
+    co_return delivered == SendOutcome::Sent ? UpstreamCallOutcome::Delivered
+                                             : UpstreamCallOutcome::CallerDisconnected;
 }
 
 } // namespace marigoldladder::relay
--- a/test/platform/silent_upstream_test.cc
+++ b/test/platform/silent_upstream_test.cc
@@ -31,6 +31,24 @@
         return { streamHead(request, "first") + chunk("id: 1\ndata: a\n\n") };
     }
 
+    // Refuses the request as not run.
+    auto refusal(const UpstreamRequest& request) -> UpstreamReply
+    {
+        return { answerTo(request, 503, "", "X-Marigoldladder-Not-Executed: 1\r\n") };
+    }
+
+    using ReplyFunction = std::function<UpstreamReply(const UpstreamRequest&)>;
+
+    // Has all upstreams together answer the first request by the first function, and all later ones by the
+    // other.
+    auto firstAndLater(ReplyFunction first, ReplyFunction later) -> ReplyFunction
+    {
+        auto calls = std::make_shared<int>(0);
+        return [calls, first = std::move(first), later = std::move(later)](const UpstreamRequest& request) {
+            return ++*calls == 1 ? first(request) : later(request);
+        };
+    }
+
     auto lateAnswer(milliseconds pause)
     {
         return [pause](const UpstreamRequest& request) {
@@ -68,6 +86,13 @@
             EXPECT_TRUE(reply.m_complete) << "expected the answer to go on after the pause";
         }
 
+        auto addUpstreams(const ReplyFunction& reply) -> void
+        {
+            addUpstream("i-1", reply);
+            addUpstream("i-2", reply);
+            configurePatiently();
+        }
+
         auto requestsReceived() -> std::size_t
         {
             return m_relay.requestsAt("i-1").size() + m_relay.requestsAt("i-2").size();
@@ -122,6 +147,57 @@
         EXPECT_EQ(m_relay.requestsAt("i-2").size(), 1U);
     }
 
+    // The run at the silent upstream was given up for a place that was only assumed, and the answer was cut.
+    TEST_F(SilentUpstreamTest, AStreamStaysWhileOtherUpstreamsRefuseIt)
+    {
+        addUpstreams(firstAndLater(pausingStream, refusal));
+        expectWholeStream(send("POST", "/stream/x"));
+        EXPECT_EQ(requestsReceived(), 2U);
+    }
+
+    TEST_F(SilentUpstreamTest, AnIdempotentRequestStaysWhileOtherUpstreamsRefuseIt)
+    {
+        addUpstreams(firstAndLater(lateAnswer(milliseconds(1'500)), refusal));
+        const auto reply = send("GET", "/plain/x");
+        EXPECT_EQ(reply.m_status, 200);
+        EXPECT_EQ(reply.m_body, "late");
+    }
+
+    TEST_F(SilentUpstreamTest, AStreamStaysWhileOtherUpstreamsAreSilentToo)
+    {
+        const auto silence = [](const UpstreamRequest&) { return UpstreamReply {}; };
+        addUpstreams(firstAndLater(pausingStream, silence));
+        expectWholeStream(send("POST", "/stream/x"));
+    }
+
+    // An upstream may send a head before it begins to run the request.
+    TEST_F(SilentUpstreamTest, AStreamStaysWhileAnotherUpstreamHasSentOnlyAHead)
+    {
+        const auto head
+            = [](const UpstreamRequest& request) { return UpstreamReply { streamHead(request, "second") }; };
+        addUpstreams(firstAndLater(pausingStream, head));
+        expectWholeStream(send("POST", "/stream/x"));
+    }
+
+    TEST_F(SilentUpstreamTest, AStreamGoesOnAtTheUpstreamThatWasAskedWhenTheSilentOneBreaks)
+    {
+        const auto breaking = [](const UpstreamRequest& request) {
+            auto reply = UpstreamReply { streamHead(request, "first") + chunk("id: 1\ndata: a\n\n") };
+            reply.m_later = { { milliseconds(1'600), ": broken\n" } };
+            reply.m_resets = true;
+            return reply;
+        };
+        const auto late = [](const UpstreamRequest& request) {
+            EXPECT_EQ(request["Last-Event-Id"], "1");
+            const auto rest = chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+            return UpstreamReply { streamHead(request, "second"), false, false, false,
+                { { milliseconds(1'000), rest } } };
+        };
+        addUpstreams(firstAndLater(breaking, late));
+        expectWholeStream(send("POST", "/stream/x"));
+        EXPECT_EQ(requestsReceived(), 2U) << "expected no third run";
+    }
+
     TEST_F(SilentUpstreamTest, AStreamOfASilentUpstreamEndsAtTheDeadline)
     {
         addUpstream("i-1", unfinishedStream);
