--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -19,8 +19,9 @@
 namespace {
 
     constexpr auto deliveryTime = std::chrono::milliseconds(50); // Of an answer over loopback.
-    // For a whole answer. Longer than any pause of an upstream in a test.
-    constexpr auto answerTimeout = std::chrono::milliseconds(7'000);
+    constexpr auto answerTimeout = std::chrono::milliseconds(5'000);
+    // For an answer of `send`: longer than any pause of an upstream in a test.
+    constexpr auto wholeAnswerTimeout = std::chrono::milliseconds(7'000);
     constexpr auto loopTimeout = std::chrono::seconds(20); // For a function to run on the event loop.
     constexpr auto loopPollInterval = std::chrono::milliseconds(100);
     constexpr auto closeTimeout = std::chrono::milliseconds(150); // For a close after the answer.
@@ -321,10 +322,10 @@
     socket.write(bytes);
     auto text = std::string();
     auto closed = false;
-    const auto until = std::chrono::steady_clock::now() + answerTimeout;
+    const auto until = std::chrono::steady_clock::now() + wholeAnswerTimeout;
     auto reply = CallerReply();
     while (!reply.m_complete && !closed && std::chrono::steady_clock::now() < until) {
-        if (socket.read(text, answerTimeout, closed))
+        if (socket.read(text, wholeAnswerTimeout, closed))
             reply = parseReply(text);
     }
     if (!closed)
