Let a stream that breaks late wait for a place

Cause: the longest wait for a slot counts from the request's arrival. A request that hasn't begun is refused after it and can come back; a stream that has begun can't be refused.

Mend: such a stream waits for as long as its caller bears a gap between two events (2 s, four times the target latency or eight times the target gap). Why it works: nobody else can complete the answer, and the caller is still there.

Ruled out: the retry budget (it isn't spent in the test).

Test failed before: SilentUpstreamTest.AnOldStreamThatBreaksWaitsForAPlace (run on the commit before and on this one).

--- a/src/relay/call_state.h
+++ b/src/relay/call_state.h
@@ -59,6 +59,7 @@
     std::function<bool(std::size_t)> m_mayHoldAnswer = [](std::size_t) { return true; };
     std::function<void()> m_cancelUpstream; // Set while a call to an upstream runs.
     std::optional<Milliseconds> m_timeToFirstPart; // From arrival to the first part of a stream.
+    MonotonicTime m_lastPartAt {}; // When the last part of a stream was there; zero: none was.
     CallProgress m_call; // The call made last.
     std::optional<SoftwareId> m_origin; // The software that began the stream; empty: it hasn't begun.
     std::string m_lastEventId; // Of the last event sent to the caller by this node.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -19,6 +19,25 @@
     // milliseconds to load, longer when many load at once.
     constexpr auto maxSlotWait = Milliseconds(3'000);
 
+    // Callers abandon a stream after a longer gap between two events.
+    constexpr auto minGapBorne = Milliseconds(2'000);
+    constexpr auto gapBornePerLatency = 4; // Of the route's target.
+    constexpr auto gapBornePerGap = 8; // Of the route's target.
+
+    // Returns until when the request may wait for a slot. A stream that has begun waits for as long as its
+    // caller does, as it can't be refused any more.
+    auto slotDeadlineOf(const CallState& state) -> MonotonicTime
+    {
+        auto until = state.m_arrivedAt + maxSlotWait;
+        if (state.m_lastPartAt != MonotonicTime()) {
+            const auto& route = *state.m_route;
+            const auto gapBorne = std::max<Milliseconds>({ minGapBorne,
+                route.m_targetLatency * gapBornePerLatency, route.m_targetEventGap * gapBornePerGap });
+            until = std::max(until, state.m_lastPartAt + gapBorne);
+        }
+        return std::min(until, state.m_deadline);
+    }
+
     // Upstreams that crashed are back about then.
     constexpr auto originRetryAfter = Milliseconds(1'000);
 
@@ -199,7 +218,7 @@
 auto RequestRunner::acquirePlace(const CallState& state, RequestAttempts& attempts) -> Awaitable<Place>
 {
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
-    const auto slotDeadline = std::min(state.m_arrivedAt + maxSlotWait, state.m_deadline);
+    const auto slotDeadline = slotDeadlineOf(state);
     attempts.m_refusal.reset();
     attempts.m_needs.m_software = state.m_origin;
     const auto waitStartedAt = Clock::now();
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -32,6 +32,7 @@
     auto recordEvents(CallState& state, std::string_view events, RelayBoard& board) -> void
     {
         recordAnswerBegan(state, board);
+        state.m_lastPartAt = Clock::now();
         if (auto id = lastEventId(events); !id.empty())
             state.m_lastEventId = std::move(id);
         if (state.m_timeToFirstPart)
--- a/test/platform/silent_upstream_test.cc
+++ b/test/platform/silent_upstream_test.cc
@@ -198,6 +198,29 @@
         EXPECT_EQ(requestsReceived(), 2U) << "expected no third run";
     }
 
+    // Streams older than the longest wait for a slot had none at all left, far from their deadline.
+    TEST_F(SilentUpstreamTest, AnOldStreamThatBreaksWaitsForAPlace)
+    {
+        auto calls = std::make_shared<int>(0);
+        addUpstream("i-1", [calls](const UpstreamRequest& request) {
+            constexpr auto pause = milliseconds(800);
+            if (++*calls == 1) {
+                auto reply = UpstreamReply { streamHead(request, "first") };
+                for (auto number = 0; number < 4; ++number)
+                    reply.m_later.push_back({ pause, chunk("id: 1\ndata: a\n\n") });
+                reply.m_resets = true;
+                return reply;
+            }
+            if (*calls == 2)
+                return refusal(request);
+            return UpstreamReply { streamHead(request, "later") + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" };
+        });
+        configurePatiently();
+        const auto reply = send("POST", "/stream/x");
+        EXPECT_TRUE(reply.m_complete);
+        EXPECT_TRUE(reply.m_body.ends_with("id: 2\ndata: b\n\n"));
+    }
+
     TEST_F(SilentUpstreamTest, AStreamOfASilentUpstreamEndsAtTheDeadline)
     {
         addUpstream("i-1", unfinishedStream);
