Take no break of a connection for the end of an answer

Cause: the kernel reports a reset once. The write of the request took it, and the read after it found a plain end, by which an answer without framing is whole. A peek at a connection takes it likewise.

Ruled out: the parser taking any end for the end (a reset without an upload was told from an end before).

Mend: the connection remembers that a write failed, and an unframed answer's end on it counts as a break; looking for bytes polls, and takes nothing. Why it works: the end is judged by all that the connection has reported.

StreamOrderTest plays real relay processes before upstreams of two software versions that break streams off in many ways; callers take them up elsewhere and check the order.

--- a/fakes/fault_proxy.cc
+++ b/fakes/fault_proxy.cc
@@ -5,8 +5,9 @@
 //   refuse        close every connection and each new one at once,
 //   drop_replies  swallow everything that the target sends,
 //   hang          accept connections and forward nothing,
-// and `delay_ms`, which slows each piece forwarded. `POST /cut` closes the connections there are, `POST
-// /reset` resets them; `POST /silence` makes them silent for good without closing them, while new ones work.
+// and `delay_ms`, which slows each piece forwarded. A reset is passed on as a reset. `POST /cut` closes the
+// connections there are, `POST /reset` resets them; `POST /silence` makes them silent for good without
+// closing them, while new ones work.
 #include "fake_server.h"
 
 #include "core/posix_thread.h"
@@ -140,17 +141,22 @@
         const auto& from = isReply ? pair->m_target : pair->m_client;
         const auto& to = isReply ? pair->m_client : pair->m_target;
         auto piece = std::array<std::uint8_t, pieceBytes> {};
-        while (true) {
+        auto broke = false;
+        while (!broke) {
             const auto size = recv(from.descriptor(), piece.data(), piece.size(), 0);
             while (pair->m_silent)
                 std::this_thread::sleep_for(silentStep); // For good: not even an end is told.
-            if (size <= 0)
+            if (size == 0)
                 break;
             std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
-            if (mayForward(*pair, isReply) && !sendAll(to, piece.data(), static_cast<std::size_t>(size)))
-                break;
+            broke = size < 0
+                || (mayForward(*pair, isReply) && !sendAll(to, piece.data(), static_cast<std::size_t>(size)));
         }
-        pair->cut();
+        // An end and a break don't mean the same to the other side.
+        if (broke)
+            pair->reset();
+        else
+            pair->cut();
     }
 
     auto FaultProxy::forEachPair(const std::function<void(Pair&)>& action) -> std::size_t
--- a/src/relay/stream_forwarding.cc
+++ b/src/relay/stream_forwarding.cc
@@ -117,8 +117,7 @@
             co_return StreamResult { UpstreamCallOutcome::NotKept, false };
         }
         // Without framing, an end before the first event or inside an event shows that the stream broke.
-        // The end of a tunnel may be the end of the peer that carries it.
-        const auto mayBeCut = connection.m_via || !pending.empty() || !state.m_call.m_answerBegan;
+        const auto mayBeCut = mayEndByBreak(connection) || !pending.empty() || !state.m_call.m_answerBegan;
         const auto broke = error || (atEnd && !isFramed && mayBeCut);
         if (atEnd && !broke) {
             if (!isResumed)
--- a/src/relay/tcp.cc
+++ b/src/relay/tcp.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace marigoldladder::relay {
@@ -23,9 +24,17 @@
         End, // The peer closed the connection, or it broke.
     };
 
-    // Returns what a read would find now. The data stay in the socket.
+    // Returns what a read would find now. The data stay in the socket, and so does the error of a broken
+    // connection: a read that didn't find it would take the break for an end.
     auto nextArrival(net::ip::tcp::socket& socket) -> Arrival
     {
+        auto entry = pollfd { socket.native_handle(), POLLIN, 0 };
+        if (!socket.is_open())
+            return Arrival::End;
+        if (::poll(&entry, 1, 0) <= 0)
+            return Arrival::Nothing;
+        if ((entry.revents & POLLERR) != 0)
+            return Arrival::End;
         auto byte = char();
         const auto length = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         if (length > 0)
--- a/src/relay/upstream_answer.cc
+++ b/src/relay/upstream_answer.cc
@@ -86,8 +86,7 @@
     parser.body_limit(maxWholeBody);
     auto error = co_await readBody(
         connection.m_stream, connection.m_buffer, parser, maxWholeBody, answer.m_body, mayHold);
-    // The end of a tunnel may be the end of the peer that carries it.
-    if (!error && connection.m_via && parser.need_eof())
+    if (!error && mayEndByBreak(connection) && parser.need_eof())
         error = http::make_error_code(http::error::partial_message);
     if (error)
         co_return error;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -298,6 +298,7 @@
     auto error = ErrorCode();
     co_await http::async_write(connection.m_stream, request, errorTo(error));
     // An upstream may answer before it reads the whole body, so the answer is read after a failed write too.
+    connection.m_writeFailed = error.failed();
     sent.m_head = co_await readHead(connection, state, m_dialect, m_board);
     if (!sent.m_head.m_parser)
         co_return;
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -20,6 +20,11 @@
 {
 }
 
+auto mayEndByBreak(const UpstreamConnection& connection) -> bool
+{
+    return connection.m_via || connection.m_writeFailed;
+}
+
 UpstreamConnectionPool::UpstreamConnectionPool(
     Executor executor, RelayBoard& board, UpstreamConnector& connector)
     : m_executor(std::move(executor))
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -17,10 +17,15 @@
     std::optional<ConnectionDeadline> m_deadline; // Of the request that it serves; empty: it is idle.
     MonotonicTime m_usableUntil {}; // While idle: before the upstream is expected to close it.
     bool m_reused = false; // Has served a request before.
+    // A write failed. It took the connection's error, so that a read tells no break from an end any more.
+    bool m_writeFailed = false;
     std::uint64_t m_number = 0; // Of the connections that the pool opened.
     std::optional<VmName> m_via; // The peer that carries it; empty: it is direct.
 };
 
+// Whether the connection's end may be a break. That of a tunnel may be the end of the peer that carries it.
+auto mayEndByBreak(const UpstreamConnection&) -> bool;
+
 using UpstreamConnectionPointer = std::unique_ptr<UpstreamConnection>;
 
 class UpstreamConnectionPool {
--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <limits>
 
 namespace marigoldladder::platform {
 
@@ -58,12 +59,18 @@
     const auto connectionNumber = std::to_string(m_connections.size());
     auto& stream = *connection;
     auto buffer = beast::flat_buffer();
-    for (;;) {
+    auto goesOn = true;
+    while (goesOn) {
         auto error = ErrorCode();
-        auto request = UpstreamRequest();
-        co_await http::async_read(stream, buffer, request, errorTo(error));
+        auto parser = http::request_parser<http::string_body>();
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        co_await http::async_read_header(stream, buffer, parser, errorTo(error));
+        const auto isEarly = !error && parser.get().count(answersEarlyField) > 0;
+        if (!error && !isEarly)
+            co_await http::async_read(stream, buffer, parser, errorTo(error));
         if (error)
             co_return;
+        auto request = parser.release();
         request.set(connectionNumberField, connectionNumber);
         m_requests.push_back(request);
         const auto reply = m_reply(request);
@@ -71,23 +78,29 @@
             crash();
             co_return;
         }
-        co_await net::async_write(stream, net::buffer(reply.m_bytes), errorTo(error));
-        for (const auto& later : reply.m_later) {
-            co_await sleepFor(later.m_pause);
-            if (!error)
-                co_await net::async_write(stream, net::buffer(later.m_bytes), errorTo(error));
-        }
-        while (!reply.m_endless.empty() && !error)
-            co_await net::async_write(stream, net::buffer(reply.m_endless), errorTo(error));
+        error = co_await answer(stream, reply);
         if (reply.m_crashesAfterwards) {
             crash();
             co_return;
         }
         if (reply.m_resets)
             stream.socket().set_option(net::socket_base::linger(true, 0), error);
-        if (error || reply.m_closes || reply.m_resets)
-            co_return;
+        goesOn = !error && !isEarly && !reply.m_closes && !reply.m_resets;
+    }
+}
+
+auto FakeUpstream::answer(tcp_stream& stream, const UpstreamReply& reply) -> Awaitable<ErrorCode>
+{
+    auto error = ErrorCode();
+    co_await net::async_write(stream, net::buffer(reply.m_bytes), errorTo(error));
+    for (const auto& later : reply.m_later) {
+        co_await sleepFor(later.m_pause);
+        if (!error)
+            co_await net::async_write(stream, net::buffer(later.m_bytes), errorTo(error));
     }
+    while (!reply.m_endless.empty() && !error)
+        co_await net::async_write(stream, net::buffer(reply.m_endless), errorTo(error));
+    co_return error;
 }
 
 } // namespace marigoldladder::platform
--- a/test/platform/fake_upstream.h
+++ b/test/platform/fake_upstream.h
@@ -20,6 +20,9 @@
 // A field that the fake adds to each request: the number of the connection on which it arrived.
 inline constexpr auto connectionNumberField = "Fake-Connection";
 
+// A request with this field is answered before its body is read, and the connection ends then.
+inline constexpr auto answersEarlyField = "Fake-Answers-Early";
+
 // Bytes that are sent after a pause.
 struct LaterBytes {
     std::chrono::milliseconds m_pause { 0 };
@@ -46,6 +49,7 @@
 
 private:
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
+    auto answer(relay::tcp_stream&, const UpstreamReply&) -> relay::Awaitable<relay::ErrorCode>;
     auto crash() -> void;
 
     boost::asio::io_context& m_context;
--- a/test/platform/unframed_answer_test.cc
+++ b/test/platform/unframed_answer_test.cc
@@ -72,6 +72,75 @@
         EXPECT_EQ(reply.m_body, "the answer");
     }
 
+    // The upstream answers before it has read the body and resets the connection meanwhile. The write of the
+    // request took the connection's error, so that the answer seemed to end as it should.
+    class ResetDuringUploadTest : public UnframedAnswerTest {
+    protected:
+        // Sends a request whose body doesn't fit the buffers on the way.
+        auto upload(const std::string& path, const std::string& early = "Fake-Answers-Early: 1\r\n")
+            -> CallerReply
+        {
+            auto configuration = testConfiguration(1);
+            configuration["limits"]["max_body_bytes"] = 20'000'000;
+            m_relay.put("config", "main", configuration);
+            EXPECT_TRUE(m_relay.eventually([&] { return m_relay.readiness() == 200; }));
+            return m_relay.send(callerRequest("POST", path, early, std::string(16'000'000, 'x')));
+        }
+
+        static auto resetWholeAnswer(const UpstreamRequest& request) -> UpstreamReply
+        {
+            return { "HTTP/1.1 200 OK\r\nX-Marigoldladder-Request-Id: "
+                    + std::string(request["X-Marigoldladder-Request-Id"]) + "\r\n\r\nthe ans",
+                false, true };
+        }
+
+        // Two events of three; a resumed stream has the third one and ends as it should.
+        static auto resetStream(const UpstreamRequest& request) -> UpstreamReply
+        {
+            if (!request["Last-Event-Id"].empty())
+                return { streamHead(request, "second") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n" };
+            return { streamHead(request, "first", "") + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, true };
+        }
+    };
+
+    TEST_F(ResetDuringUploadTest, AWholeAnswerIsAFailure)
+    {
+        addUpstream("i-1", resetWholeAnswer);
+        EXPECT_EQ(upload("/charge/x").m_status, 502);
+        EXPECT_EQ(upload("/plain/x").m_status, 502);
+    }
+
+    TEST_F(ResetDuringUploadTest, AStreamIsBrokenOff)
+    {
+        addUpstream("i-1", resetStream);
+        const auto reply = upload("/once/x");
+        EXPECT_FALSE(reply.m_complete);
+        EXPECT_TRUE(reply.m_closed || reply.m_status >= 500);
+    }
+
+    TEST_F(ResetDuringUploadTest, AStreamIsResumedAtAnotherUpstream)
+    {
+        addUpstream("i-1", resetStream);
+        addUpstream("i-2", resetStream);
+        const auto reply = upload("/stream/x");
+        EXPECT_TRUE(reply.m_complete);
+        EXPECT_EQ(reply.m_body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    }
+
+    // The opposite: all of a request that was read may be answered until the connection ends.
+    TEST_F(ResetDuringUploadTest, AnAnswerToARequestThatWasReadIsWhole)
+    {
+        addUpstream("i-1", [](const UpstreamRequest& request) {
+            auto reply = resetWholeAnswer(request);
+            reply.m_resets = false;
+            reply.m_closes = true;
+            return reply;
+        });
+        const auto reply = upload("/charge/x", "");
+        EXPECT_EQ(reply.m_status, 200);
+        EXPECT_EQ(reply.m_body, "the ans");
+    }
+
     TEST_F(UnframedAnswerTest, AWholeAnswerThatIsResetIsAFailure)
     {
         addUpstream("i-1", [](const UpstreamRequest& request) {
--- a/test/relay/tcp_test.cc
+++ b/test/relay/tcp_test.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <thread>
 
 namespace marigoldladder::relay {
 namespace {
@@ -88,6 +89,21 @@
         EXPECT_TRUE(openListener(listener, m_local));
     }
 
+    // A look at what has arrived took the connection's error. The read after it found an end, by which an
+    // answer without framing seemed whole.
+    TEST_F(OutgoingConnectionTest, TellsABreakFromAnEndThoughItWasLookedAtBefore)
+    {
+        resetOnClose(*m_accepted);
+        m_accepted->close();
+        std::this_thread::sleep_for(Milliseconds(20));
+        EXPECT_FALSE(isIdle(m_stream.socket()));
+        EXPECT_TRUE(isClosed(m_stream.socket()));
+        auto error = ErrorCode();
+        auto byte = std::array<char, 1>();
+        (void)m_stream.socket().read_some(net::buffer(byte), error);
+        EXPECT_EQ(error, net::error::connection_reset) << error.message();
+    }
+
     // Returns the first of so many connects that succeeds although nobody listens, or 0.
     auto firstThatSucceeds(tcp_stream& stream, const Address& unused, int connects) -> Awaitable<int>
     {
--- a/test/soak/relay_site.cc
+++ b/test/soak/relay_site.cc
@@ -1,6 +1,7 @@
 #include "soak/relay_site.h"
 
 #include "platform/relay_harness.h"
+#include "soak/breaking_streams.h"
 
 #include <algorithm>
 #include <array>
@@ -26,6 +27,7 @@
     constexpr auto enginePool = "engines";
     constexpr auto eventInterval = std::chrono::milliseconds(150);
     constexpr auto streamTimeMilliseconds = 12'000;
+    constexpr auto longestBody = 4'000'000; // Of requests whose streams are broken off.
     constexpr auto routesOfEnlargement = std::size_t { 230 };
     constexpr auto answerTimes = std::array { std::chrono::milliseconds(0), std::chrono::milliseconds(20),
         std::chrono::milliseconds(200), std::chrono::milliseconds(1'000) };
@@ -124,10 +126,18 @@
     done.get_future().wait();
 }
 
-auto RelaySite::answer(const platform::UpstreamRequest& request, const ProxiedUpstream& upstream,
+auto RelaySite::versionOf(std::size_t upstream) const -> std::string
+{
+    return m_kind == SiteKind::WithBreakingStreams && upstream % 2 != 0 ? "v2" : "v1";
+}
+
+auto RelaySite::answer(const platform::UpstreamRequest& request, std::size_t number,
     const std::string& connection) -> platform::UpstreamReply
 {
+    const auto& upstream = m_upstreams[number];
     const auto target = std::string(request.target());
+    if (m_kind == SiteKind::WithBreakingStreams && target.starts_with("/stream/"))
+        return breakingStream(request, versionOf(number), ++m_answers);
     if (upstream.m_engine)
         return answerAsEngine(request, *upstream.m_engine);
     if (target == "/report" || target == "/order")
@@ -218,15 +228,15 @@
             m_context, [this, number](const platform::UpstreamRequest& request) {
                 const auto connection
                     = std::to_string(number) + "/" + std::string(request[platform::connectionNumberField]);
-                return answer(request, m_upstreams[number], connection);
+                return answer(request, number, connection);
             });
     });
     upstream.m_proxy = startProxy(upstream.m_upstream->address());
     onLoop([&] {
         m_store.put("servers", "i-" + std::to_string(number),
             { { "service", isEngine ? enginePool : "pool" }, { "address", addressOf(upstream.m_proxy) },
-                { "zone", "here" }, { "version", "v1" }, { "slots", slots }, { "state", "ready" },
-                { "cold_left_ms", 0 }, { "sequence", 0 },
+                { "zone", "here" }, { "version", versionOf(number) }, { "slots", slots },
+                { "state", "ready" }, { "cold_left_ms", 0 }, { "sequence", 0 },
                 { "models", isEngine ? upstream.m_engine->models() : nlohmann::json::array() } });
     });
     m_upstreams.push_back(std::move(upstream));
@@ -287,6 +297,8 @@
                     { "loads_per_s", 3 }, { "adapter_slots", engineAdapterSlots }, { "slots", slots },
                     { "kv_capacity", 120'000 } } } });
     }
+    if (m_kind == SiteKind::WithBreakingStreams)
+        configuration["limits"]["max_body_bytes"] = longestBody;
     for (auto number = std::size_t { 0 }; number < m_furtherRoutes; ++number) {
         further["name"] = "further-" + std::to_string(number);
         further["path_prefix"] = "/further-" + std::to_string(number) + "/";
--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -65,6 +65,8 @@
     LikeRealMachines,
     // The same, and half of the upstreams are model engines that send their streams' events one by one.
     WithEngines,
+    // Streams are answered by two versions of the upstreams' software, and broken off in many ways.
+    WithBreakingStreams,
 };
 
 // What answers requests for streams.
@@ -131,8 +133,12 @@
     auto addUpstream(std::size_t number) -> void;
     auto startRelay() -> RelayProcess;
     auto address() -> Address;
-    auto isLikeRealMachines() const -> bool { return m_kind != SiteKind::Quick; }
-    auto answer(const platform::UpstreamRequest&, const ProxiedUpstream&, const std::string& connection)
+    auto isLikeRealMachines() const -> bool
+    {
+        return m_kind == SiteKind::LikeRealMachines || m_kind == SiteKind::WithEngines;
+    }
+    auto versionOf(std::size_t upstream) const -> std::string;
+    auto answer(const platform::UpstreamRequest&, std::size_t upstream, const std::string& connection)
         -> platform::UpstreamReply;
     auto answerAsEngine(const platform::UpstreamRequest&, SoakEngine&) -> platform::UpstreamReply;
     auto run(const platform::UpstreamRequest&) -> std::string;
