Send no body in answer to HEAD, whoever answers

Cause: that an answer to HEAD ends with its head was a parameter of one of four ways to answer; refusals, kept failures and streams didn't have it.

Ruled out: the relay's own answers alone (a stream's end sent a chunk as well).

Mend: CallerAnswer is made with what the request asks of any answer to it, and all ways to answer go through it.

Test failed before, on: HeadRequestTest 3 of 4. After: 4 of 4. StreamOrderTest plays kills of all relays and replacements too.

--- a/src/relay/caller_answer.cc
+++ b/src/relay/caller_answer.cc
@@ -47,9 +47,9 @@
 
 } // namespace
 
-CallerAnswer::CallerAnswer(tcp_stream& stream, bool keepAlive, std::function<void(bool writes)> noteWriting)
+CallerAnswer::CallerAnswer(tcp_stream& stream, AnswerForm form, std::function<void(bool writes)> noteWriting)
     : m_stream(stream)
-    , m_keepAlive(keepAlive)
+    , m_form(form)
     , m_noteWriting(noteWriting ? std::move(noteWriting) : [](bool) {})
 {
 }
@@ -62,7 +62,7 @@
     for (const auto& field : fields)
         appendField(text, std::string_view(field.name_string().data(), field.name_string().size()),
             std::string_view(field.value().data(), field.value().size()));
-    if (!m_keepAlive)
+    if (!m_form.m_keepAlive)
         appendField(text, "Connection", "close");
     return text;
 }
@@ -86,16 +86,16 @@
     co_return error ? SendOutcome::CallerDisconnected : SendOutcome::Sent;
 }
 
-auto CallerAnswer::sendWhole(unsigned status, const HeaderFields& fields, std::string_view body,
-    bool bodyless) -> Awaitable<SendOutcome>
+auto CallerAnswer::sendWhole(unsigned status, const HeaderFields& fields, std::string_view body)
+    -> Awaitable<SendOutcome>
 {
     auto bytes = head(status, fields);
     constexpr auto noContent = 204U;
     constexpr auto notModified = 304U;
-    if (!bodyless && status != noContent && status != notModified)
+    if (!m_form.m_isHeadOnly && status != noContent && status != notModified)
         appendField(bytes, "Content-Length", std::to_string(body.size()));
     bytes.append("\r\n");
-    const auto outcome = co_await write(std::move(bytes), bodyless ? std::string_view() : body);
+    const auto outcome = co_await write(std::move(bytes), m_form.m_isHeadOnly ? std::string_view() : body);
     m_complete = outcome == SendOutcome::Sent;
     co_return outcome;
 }
@@ -107,7 +107,7 @@
     if (answer.m_failure.m_retryAfter.count() > 0)
         fields.set(http::field::retry_after, formatSeconds(answer.m_failure.m_retryAfter));
     const auto body = failureBody(answer.m_failure);
-    co_return co_await sendWhole(answer.m_status, fields, body, false);
+    co_return co_await sendWhole(answer.m_status, fields, body);
 }
 
 auto CallerAnswer::beginStream(unsigned status, const HeaderFields& fields) -> void
@@ -121,7 +121,7 @@
 {
     auto bytes = std::exchange(m_pendingHead, {});
     // An empty chunk would end the answer.
-    if (!data.empty())
+    if (!data.empty() && !m_form.m_isHeadOnly)
         bytes.append(formatHexadecimal(data.size())).append("\r\n").append(data).append("\r\n");
     if (bytes.empty())
         co_return SendOutcome::Sent;
@@ -131,7 +131,8 @@
 auto CallerAnswer::endStream() -> Awaitable<SendOutcome>
 {
     auto bytes = std::exchange(m_pendingHead, {});
-    bytes.append("0\r\n\r\n");
+    if (!m_form.m_isHeadOnly)
+        bytes.append("0\r\n\r\n");
     const auto outcome = co_await write(std::move(bytes));
     m_complete = outcome == SendOutcome::Sent;
     co_return outcome;
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -153,6 +153,7 @@
     auto reader = RequestReader(m_stream, m_buffer, bounds(), mayHold);
     auto error = co_await reader.readHead();
     state.m_arrivedAt = Clock::now();
+    m_asksForHead = reader.asksForHead();
     if (!error && hasAmbiguousFraming(reader.head()))
         error = http::make_error_code(http::error::bad_transfer_encoding);
     if (!error && !reader.isComplete())
@@ -169,7 +170,7 @@
 {
     if (error == tooLittleMemory())
         m_board.m_metrics.add(Counter::RequestsWithoutMemory);
-    auto answer = CallerAnswer(m_stream, false);
+    auto answer = CallerAnswer(m_stream, { false, m_asksForHead });
     if (const auto refused = answerToReadError(error))
         co_await answer.sendLocalAnswer(*refused);
     else
@@ -190,10 +191,10 @@
     watchForDisconnect(state);
     state->m_mayHoldAnswer
         = [this](std::size_t bytes) { return m_room.reserve(m_place, m_requestBytes + bytes); };
-    auto answer
-        = CallerAnswer(m_stream, state->m_message.keep_alive() && !m_board.m_leaving, [this](bool writes) {
-              enterPhase(m_place, writes ? ConnectionPhase::Answering : ConnectionPhase::Running);
-          });
+    const auto form = AnswerForm { state->m_message.keep_alive() && !m_board.m_leaving, m_asksForHead };
+    auto answer = CallerAnswer(m_stream, form, [this](bool writes) {
+        enterPhase(m_place, writes ? ConnectionPhase::Answering : ConnectionPhase::Running);
+    });
     co_await answerRequest(*state, answer);
     state->m_cancelUpstream = nullptr;
     stopWatching();
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -43,6 +43,7 @@
     Milliseconds m_idleTimeout { 0 };
     std::size_t m_requestBytes = 0; // That the request takes.
     bool m_isRefused = false; // The request being read had to yield its memory.
+    bool m_asksForHead = false; // The request read last, as far as it was read.
 };
 
 } // namespace marigoldladder::relay
--- a/src/relay/request_reader.h
+++ b/src/relay/request_reader.h
@@ -27,6 +27,8 @@
     auto readBody() -> Awaitable<ErrorCode>;
 
     auto head() const -> const HeaderFields& { return m_parser.get().base(); }
+    // Whether the request is HEAD, as far as its head was read.
+    auto asksForHead() const -> bool { return m_parser.get().method() == beast::http::verb::head; }
     // Whether nothing follows the head.
     auto isComplete() const -> bool { return m_parser.is_done(); }
 
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -341,7 +341,7 @@
     if (state.m_upstreamFailure) {
         metrics.add(Counter::RequestsRefusedMayHaveRun);
         const auto& received = *state.m_upstreamFailure;
-        co_await answer.sendWhole(received.m_status, received.m_fields, received.m_body, false);
+        co_await answer.sendWhole(received.m_status, received.m_fields, received.m_body);
         co_return;
     }
     const auto failure = failureAfter(attempts, state.m_deadline, Clock::now(), m_random);
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -447,8 +447,7 @@
         state.m_upstreamFailure = std::move(whole);
         co_return UpstreamCallOutcome::Failed;
     }
-    const auto bodyless = state.m_message.method() == http::verb::head;
-    const auto delivered = co_await answer.sendWhole(whole.m_status, whole.m_fields, whole.m_body, bodyless);
+    const auto delivered = co_await answer.sendWhole(whole.m_status, whole.m_fields, whole.m_body);
     co_return delivered == SendOutcome::Sent ? UpstreamCallOutcome::Delivered
                                              : UpstreamCallOutcome::CallerDisconnected;
 }
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -107,6 +107,7 @@
         reply.m_head = text.substr(0, headEnd);
         reply.m_status = std::stoi(reply.m_head.substr(9, 3));
         const auto rest = text.substr(headEnd + 4);
+        reply.m_rest = rest;
         const auto lengthAt = reply.m_head.find("Content-Length: ");
         if (lengthAt != std::string::npos) {
             reply.m_body = rest;
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -19,6 +19,7 @@
     int m_status = 0; // 0: no answer.
     std::string m_head; // Status line and headers.
     std::string m_body; // Without chunk framing.
+    std::string m_rest; // All that came behind the head, as it came.
     bool m_complete = false; // The body is complete by its framing.
     bool m_closed = false; // The connection was closed after the answer.
 };
--- a/test/platform/stepped_runner.h
+++ b/test/platform/stepped_runner.h
@@ -73,7 +73,7 @@
     explicit SteppedRequest(boost::asio::io_context& context)
         : m_caller(context)
         , m_stream(context)
-        , m_answer(m_stream, true)
+        , m_answer(m_stream, { true, false })
     {
         const auto loopback = boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
         auto acceptor = boost::asio::ip::tcp::acceptor(context, loopback);
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -139,7 +139,7 @@
         state.m_message.target("/x");
         state.m_arrivedAt = std::chrono::steady_clock::now();
         auto stream = tcp_stream(m_node.m_context.get_executor());
-        auto answer = CallerAnswer(stream, false);
+        auto answer = CallerAnswer(stream, {});
         auto ended = false;
         net::co_spawn(m_node.m_context, m_node.m_runner.run(state, answer),
             [&](const std::exception_ptr& /*exception*/) { ended = true; });
--- a/test/soak/stream_order_test.cc
+++ b/test/soak/stream_order_test.cc
@@ -26,7 +26,8 @@
     constexpr auto shortStreams = "400";
 
     const auto faultKinds = std::vector { Fault::KillRelay, Fault::FreezeRelay, Fault::RestartOntoHeldPort,
-        Fault::ConfigurationChanges, Fault::UpstreamConnectionsReset, Fault::StoreConnectionsReset };
+        Fault::ConfigurationChanges, Fault::UpstreamConnectionsReset, Fault::StoreConnectionsReset,
+        Fault::KillAll, Fault::ReplaceRelay };
 
     auto environment(const char* name, const char* fallback) -> std::string
     {
