Ask an engine for one report at a time, and bound its answer

Ruled out: the timeout alone (with it each call still keeps up to 16 MB for half a second, several of them for each engine).

Why it works: what reports take is bounded by the number of engines.

Test failed before: OrderControllerTest.AnEngineThatDoesNotAnswerIsAskedForOne- ReportAtATime (8 calls within 1.5 s, 4 at most are due). HttpClientTest.ABody- LargerThanTheCallAllowsIsNoReply came with the bound.

--- a/src/relay/http_client.cc
+++ b/src/relay/http_client.cc
@@ -19,7 +19,6 @@
     constexpr auto deadPeerTimeout
         = std::chrono::milliseconds(2'000); // For a server that became unreachable without closing.
     constexpr auto maxIdle = std::size_t { 4 }; // Idle connections; more calls rarely overlap.
-    constexpr auto maxReplyBytes = std::uint64_t { 16 } << 20; // Larger than any page of a listing.
 
     auto replyOf(http::response<http::string_body> response) -> HttpReply
     {
@@ -95,7 +94,7 @@
         co_return HttpCallFailure::Unknown;
     for (auto interimAnswers = 0; interimAnswers <= maxInterimAnswers; ++interimAnswers) {
         auto parser = http::response_parser<http::string_body>();
-        parser.body_limit(maxReplyBytes);
+        parser.body_limit(call.m_maxReplyBytes);
         co_await http::async_read(connection.m_stream, connection.m_buffer, parser, errorTo(error));
         if (error)
             co_return HttpCallFailure::Unknown;
--- a/src/relay/http_client.h
+++ b/src/relay/http_client.h
@@ -17,7 +17,9 @@
     std::string m_target;
     std::string m_body; // JSON; empty: no body.
     boost::beast::http::fields m_fields; // Additional header fields.
-    std::chrono::milliseconds m_timeout { 1'000 };
+    std::chrono::milliseconds m_timeout { 1'000 }; // From the connect's end to the answer's.
+    std::uint64_t m_maxReplyBytes = std::uint64_t { 16 }
+        << 20; // Of a body; larger than any page of a listing.
     // Asked directly before the call is written, which may be long after it was made; the call isn't sent if
     // it returns false. Empty: it may be sent.
     std::function<bool()> m_maySend;
--- a/src/relay/order_controller.cc
+++ b/src/relay/order_controller.cc
@@ -34,6 +34,24 @@
     constexpr auto maxPlanPause = Milliseconds(60);
     constexpr auto recentOrderRetention = Milliseconds(3'000); // For reports to the other nodes.
 
+    // An engine that is being asked for a report during the object's lifetime.
+    class Reporting {
+    public:
+        Reporting(std::set<UpstreamPointer>& reporting, UpstreamPointer engine)
+            : m_reporting(reporting)
+            , m_engine(std::move(engine))
+        {
+            m_reporting.insert(m_engine);
+        }
+        ~Reporting() { m_reporting.erase(m_engine); }
+        Reporting(const Reporting&) = delete;
+        auto operator=(const Reporting&) -> Reporting& = delete;
+
+    private:
+        std::set<UpstreamPointer>& m_reporting;
+        UpstreamPointer m_engine;
+    };
+
 } // namespace
 
 OrderController::OrderController(Executor executor, const RelaySettings& settings, RelayBoard& board,
@@ -117,6 +135,9 @@
         const auto* pool = findEnginePool(*m_board.m_configuration, upstream->m_record.m_pool);
         if (!pool || upstream->m_record.m_leaving || upstream->m_pausedUntil > now)
             continue;
+        // Answers that come slowly must not pile up.
+        if (m_reporting.contains(upstream))
+            continue;
         auto& orders = ordersOf(m_orderTracker, *upstream);
         const auto pause = orders.m_reportedAt == MonotonicTime() ? requiredReportPause : reportInterval;
         if (orders.m_reportRequestedAt != MonotonicTime() && orders.m_reportRequestedAt + pause > now)
@@ -128,6 +149,7 @@
 
 auto OrderController::fetchReport(UpstreamPointer upstream) -> Awaitable<void>
 {
+    const auto reporting = Reporting(m_reporting, upstream);
     const auto requestedAt = Clock::now();
     const auto answer = co_await m_engines.m_report(upstream);
     applyNotices(m_board, *upstream, answer.m_notices, Clock::now());
--- a/src/relay/order_controller.h
+++ b/src/relay/order_controller.h
@@ -6,6 +6,8 @@
 #include "relay/order_lease.h"
 #include "relay/peer_exchange.h"
 
+#include <set>
+
 namespace marigoldladder::relay {
 
 class OrderController {
@@ -53,6 +55,7 @@
     LeaseState m_lease;
     MonotonicTime m_notStrandedAt {}; // When the lease loop last found that this node isn't stranded.
     EngineOrderTracker m_orderTracker;
+    std::set<UpstreamPointer> m_reporting; // Engines that are being asked for a report.
     bool m_planPending = false;
     Milliseconds m_planPause { 0 }; // Minimum pause before the next plan.
     BootClockTime m_lastPlannedAt {}; // This clock includes the time of a machine's suspension.
--- a/test/platform/order_controller_test.cc
+++ b/test/platform/order_controller_test.cc
@@ -31,7 +31,7 @@
     // A node that may order the load of an adapter that a request waits for, at one engine.
     struct Node {
         Node()
-            : m_engine(m_context, [](const UpstreamRequest& request) { return answer(request); })
+            : m_engine(m_context, [this](const UpstreamRequest& request) { return answer(request); })
             , m_engineCalls(makeEngineCalls(m_context.get_executor()))
             , m_socket(m_context.get_executor())
             , m_peers(m_context.get_executor(), m_settings, m_board, m_store, m_socket, Incarnation { 77 })
@@ -60,10 +60,10 @@
             m_peers.start([] { return true; });
         }
 
-        static auto answer(const UpstreamRequest& request) -> UpstreamReply
+        auto answer(const UpstreamRequest& request) const -> UpstreamReply
         {
             if (request.target() == "/report")
-                return reportReply();
+                return m_report;
             return { "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n" };
         }
 
@@ -99,6 +99,7 @@
         int m_leaseWrites = 0;
         int m_ordersBegun = 0;
         int m_failingOrders = 0;
+        UpstreamReply m_report = reportReply();
         PeerSocket m_socket;
         PeerExchange m_peers;
         OrderController m_orders;
@@ -125,13 +126,15 @@
             return true;
         }
 
-        auto ordersReceived() -> std::ptrdiff_t
+        auto callsReceived(const char* target) -> std::ptrdiff_t
         {
             const auto& requests = m_node.m_engine.requests();
             return std::count_if(requests.begin(), requests.end(),
-                [](const UpstreamRequest& request) { return request.target() == "/order"; });
+                [&](const UpstreamRequest& request) { return request.target() == target; });
         }
 
+        auto ordersReceived() -> std::ptrdiff_t { return callsReceived("/order"); }
+
         Node& m_node; // Never destroyed, as suspended coroutines may refer to its members.
     };
 
@@ -170,5 +173,28 @@
         EXPECT_EQ(m_node.m_board.m_metrics.value(Counter::InternalFailures), 1U);
     }
 
+    // Review 6: an engine that answers without end was asked again and again meanwhile, and all its answers
+    // were kept.
+    TEST_F(OrderControllerTest, AnEngineThatDoesNotAnswerIsAskedForOneReportAtATime)
+    {
+        constexpr auto callTime = Milliseconds(500);
+        m_node.m_report = {};
+        m_node.m_orders.start([] { return true; });
+        ASSERT_TRUE(runUntil([&] { return callsReceived("/report") > 0; }));
+        (void)runUntil([] { return false; }, callTime * 3);
+        EXPECT_LE(callsReceived("/report"), 4);
+        EXPECT_GE(callsReceived("/report"), 2) << "expected it to be asked again after each call's time";
+    }
+
+    TEST_F(OrderControllerTest, AReportWithoutEndIsGivenUp)
+    {
+        m_node.m_report = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" };
+        m_node.m_report.m_endless = "3e80\r\n" + std::string(16'000, 'x') + "\r\n";
+        m_node.m_orders.start([] { return true; });
+        ASSERT_TRUE(runUntil([&] { return callsReceived("/report") > 0; }));
+        const auto asked = callsReceived("/report");
+        EXPECT_TRUE(runUntil([&] { return callsReceived("/report") > asked; }, Milliseconds(1'000)));
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
--- a/test/relay/http_client_test.cc
+++ b/test/relay/http_client_test.cc
@@ -29,16 +29,13 @@
             net::co_spawn(m_context, answerEndlessly(std::move(begin), std::move(repeated)), net::detached);
         }
 
-        auto call(std::chrono::milliseconds timeout = std::chrono::milliseconds(1'000))
-            -> std::optional<HttpReply>
+        auto call(HttpCall request = {}) -> std::optional<HttpReply>
         {
             auto reply = std::optional<HttpReply>();
             auto ended = false;
             net::co_spawn(
                 m_context,
                 [&]() -> Awaitable<void> {
-                    auto request = HttpCall();
-                    request.m_timeout = timeout;
                     auto result = co_await m_client.call(std::move(request));
                     if (result)
                         reply = std::move(result.value());
@@ -109,6 +106,19 @@
         EXPECT_EQ(m_connections, 5) << "expected each call on a connection of its own";
     }
 
+    TEST_F(HttpClientTest, ABodyLargerThanTheCallAllowsIsNoReply)
+    {
+        constexpr auto bodyBytes = std::size_t { 5 }; // Of the sound answer.
+        serve({ soundAnswer });
+        auto request = HttpCall();
+        request.m_maxReplyBytes = bodyBytes - 1;
+        EXPECT_FALSE(call(std::move(request)));
+        serve({ soundAnswer });
+        request = HttpCall();
+        request.m_maxReplyBytes = bodyBytes;
+        EXPECT_TRUE(call(std::move(request)));
+    }
+
     // Of reports, orders and the store: no read waited while bytes were always there, so none timed out.
     TEST_F(HttpClientTest, AnAnswerWithoutEndIsNoReplyAtItsTimeout)
     {
@@ -117,7 +127,9 @@
         serveEndlessly("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
             "1;note=" + std::string(3'000, 'x') + "\r\nx\r\n");
         const auto begun = std::chrono::steady_clock::now();
-        EXPECT_FALSE(call(timeout));
+        auto request = HttpCall();
+        request.m_timeout = timeout;
+        EXPECT_FALSE(call(std::move(request)));
         EXPECT_LT(std::chrono::steady_clock::now() - begun, timeout + slack);
     }
 
