Hold a reply to its bound when its head and body come together

Cause: read with its body in one call, the library's parser passes over the error of a head that states too long a body, if a byte of the body is there already, and bounds the body no more.

Ruled out: the bound not reaching the parser (the parser alone says "body limit exceeded" and goes on when it is given the rest).

Mend: the head is read by itself first.

--- a/src/relay/http_client.cc
+++ b/src/relay/http_client.cc
@@ -95,7 +95,10 @@
     for (auto interimAnswers = 0; interimAnswers <= maxInterimAnswers; ++interimAnswers) {
         auto parser = http::response_parser<http::string_body>();
         parser.body_limit(call.m_maxReplyBytes);
-        co_await http::async_read(connection.m_stream, connection.m_buffer, parser, errorTo(error));
+        // Read at once with its body, a head that states too long a body would be passed over.
+        co_await http::async_read_header(connection.m_stream, connection.m_buffer, parser, errorTo(error));
+        if (!error)
+            co_await http::async_read(connection.m_stream, connection.m_buffer, parser, errorTo(error));
         if (error)
             co_return HttpCallFailure::Unknown;
         const auto kind = kindOfStatus(parser.get().result_int());
