--- a/src/core/http_status.h
+++ b/src/core/http_status.h
@@ -23,6 +23,13 @@
     return StatusKind::Invalid;
 }
 
+constexpr auto isSuccess(unsigned status) -> bool
+{
+    constexpr auto firstSuccess = 200U;
+    constexpr auto endOfSuccess = 300U;
+    return status >= firstSuccess && status < endOfSuccess;
+}
+
 // Interim answers before one final answer that are passed over; a server in trouble may send them without
 // end.
 inline constexpr auto maxInterimAnswers = 8;
--- a/src/relay/sent_call.h
+++ b/src/relay/sent_call.h
@@ -49,9 +49,10 @@
     net::steady_timer m_changed; // Cancelled once it is accepted or not.
 };
 
-inline auto isOpen(const OfferedCall& offered) -> bool
-{
-    return !offered.m_isAccepted && !offered.m_outcome;
-}
+// Whether it isn't known yet if the offer is accepted.
+auto isOpen(const OfferedCall&) -> bool;
+
+// Returns how a call ended whose connection broke, or was ended, before its answer.
+auto outcomeWithoutAnswer(const CallInProgress&, bool timedOut) -> UpstreamCallOutcome;
 
 } // namespace marigoldladder::relay
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -1,5 +1,6 @@
 #include "relay/upstream_call.h"
 
+#include "core/http_status.h"
 #include "relay/blackboard_updates.h"
 #include "relay/stream_forwarding.h"
 #include "relay/upstream_answer.h"
@@ -19,23 +20,15 @@
 
     using Clock = std::chrono::steady_clock;
 
-    constexpr auto successStatus = 200U;
-    constexpr auto redirectStatus = 300U;
     constexpr auto serverErrorStatus = 500U;
     // Pause before an answer after which an idempotent request moves to another upstream that has room.
     constexpr auto answerPauseFactor = 3;
     constexpr auto minAnswerPause = Milliseconds(600);
-    constexpr auto fullRetryDelay = Milliseconds(40); // After an upstream refused a request for load.
     constexpr auto lowestPriority = 9;
 
     // Statuses by which callers are promised that their request has not run and never will.
     constexpr auto refusalStatuses = std::array { 408U, 421U, 429U, 503U };
 
-    auto isSuccess(unsigned status) -> bool
-    {
-        return status >= successStatus && status < redirectStatus;
-    }
-
     // Whether the status of an upstream's answer, which may have run the request, would promise a caller that
     // it has not. That doesn't harm requests that may run more than once.
     auto soundsLikeRefusal(const CallState& state, unsigned status) -> bool
@@ -104,13 +97,6 @@
             connections.release(sent.m_upstream, std::move(connection), idleTime);
     }
 
-    auto outcomeWithoutAnswer(const CallInProgress& call, bool timedOut) -> UpstreamCallOutcome
-    {
-        if (call.isTakenBack())
-            return UpstreamCallOutcome::TakenBack;
-        return timedOut ? UpstreamCallOutcome::TimedOut : UpstreamCallOutcome::Broken;
-    }
-
     auto outcomeWithoutAnswer(const CallState& state, const CallInProgress& call, const SilenceWatch& silence,
         bool timedOut) -> UpstreamCallOutcome
     {
@@ -121,26 +107,6 @@
         return outcomeWithoutAnswer(call, timedOut);
     }
 
-    // Ends an offer that an exception leaves open, so that nobody waits for it.
-    class OfferEnd {
-    public:
-        explicit OfferEnd(OfferedCall& offered)
-            : m_offered(offered)
-        {
-        }
-        ~OfferEnd()
-        {
-            if (isOpen(m_offered))
-                m_offered.m_outcome = UpstreamCallOutcome::Broken;
-            m_offered.m_changed.cancel();
-        }
-        OfferEnd(const OfferEnd&) = delete;
-        auto operator=(const OfferEnd&) -> OfferEnd& = delete;
-
-    private:
-        OfferedCall& m_offered;
-    };
-
     // Whether the upstream's answer ended before its end was forwarded.
     auto isBroken(UpstreamCallOutcome outcome) -> bool
     {
@@ -148,32 +114,6 @@
             || outcome == UpstreamCallOutcome::TimedOut;
     }
 
-    auto healthOutcomeOf(UpstreamCallOutcome outcome) -> std::optional<CallEnd>
-    {
-        switch (outcome) {
-        case UpstreamCallOutcome::Delivered:
-            return CallEnd::Answered;
-        case UpstreamCallOutcome::Failed:
-            return CallEnd::Failed;
-        case UpstreamCallOutcome::NotReached:
-            return CallEnd::NotReached;
-        case UpstreamCallOutcome::Broken:
-        case UpstreamCallOutcome::Interrupted:
-            return CallEnd::Broken;
-        case UpstreamCallOutcome::TimedOut:
-            return CallEnd::TimedOut;
-        case UpstreamCallOutcome::Refused:
-        case UpstreamCallOutcome::NotSent:
-        case UpstreamCallOutcome::Moved: // Its silence has been recorded.
-        case UpstreamCallOutcome::NotNeeded:
-        case UpstreamCallOutcome::NotKept: // For want of this node's memory.
-        case UpstreamCallOutcome::TakenBack:
-        case UpstreamCallOutcome::CallerDisconnected:
-            return std::nullopt;
-        }
-        return std::nullopt;
-    }
-
 } // namespace
 
 UpstreamCaller::UpstreamCaller(UpstreamConnectionPool& connections, const Dialect& dialect, RelayBoard& board)
@@ -183,67 +123,6 @@
 {
 }
 
-auto UpstreamCaller::recordMissingAdapter(const std::string& adapter, Upstream& upstream, MonotonicTime now)
-    -> void
-{
-    if (recordAdapterRefusal(upstream, adapter, now))
-        m_board.m_missingAdapters.push_back({ upstream.m_record.m_name, adapter, now });
-}
-
-auto UpstreamCaller::recordNoRoom(CallProgress& progress, Upstream& upstream, MonotonicTime now) -> void
-{
-    upstream.m_fullUntil = now + fullRetryDelay;
-    progress.m_roomEnd = RoomEnd::Refused;
-}
-
-auto UpstreamCaller::recordRefusal(
-    const CallState& state, CallProgress& progress, Upstream& upstream, const UpstreamAnswer& answer) -> void
-{
-    const auto now = Clock::now();
-    if (!answer.m_instanceMismatch) {
-        recordNoRoom(progress, upstream, now);
-        return;
-    }
-    const auto replaced = !answer.m_instance.empty() && answer.m_instance != upstream.m_record.m_name.value();
-    if (replaced)
-        upstream.m_record.m_leaving = true;
-    else if (!state.m_request.m_adapter.empty())
-        recordMissingAdapter(state.m_request.m_adapter, upstream, now);
-    else
-        upstream.m_fullUntil = now + fullRetryDelay;
-}
-
-auto UpstreamCaller::recordReachability(Upstream& upstream, UpstreamCallOutcome outcome, bool refused) -> void
-{
-    const auto now = Clock::now();
-    if (outcome == UpstreamCallOutcome::Delivered || outcome == UpstreamCallOutcome::Refused) {
-        upstream.m_reachability = {};
-        upstream.m_mayHaveRestarted = false; // A new run would have been found by a new connection.
-    }
-    if (!refused)
-        return;
-    const auto wasKnown = isUnreachable(upstream.m_reachability, now);
-    upstream.m_reachability.m_refusedAt = now;
-    if (!wasKnown)
-        m_board.m_upstreamUnreachable(upstream);
-}
-
-// Whether the end of a call says something of the upstream, and not of this node's own path or of the peer
-// that carried the call.
-auto UpstreamCaller::saysOfUpstream(const CallProgress& progress, const Upstream& upstream) const -> bool
-{
-    return progress.m_via ? m_connections.isCarrier(*progress.m_via) : !isPathBlocked(m_board, upstream);
-}
-
-auto UpstreamCaller::recordEnd(
-    const CallProgress& progress, Upstream& upstream, UpstreamCallOutcome outcome, bool refused) -> void
-{
-    recordReachability(upstream, outcome, refused);
-    const auto callEnd = healthOutcomeOf(outcome);
-    if (callEnd && saysOfUpstream(progress, upstream))
-        recordCallEnd(upstream.m_health, *callEnd, Clock::now());
-}
-
 auto UpstreamCaller::obstacleToSend(const CallState& state, const Upstream& upstream) const
     -> std::optional<UpstreamCallOutcome>
 {
@@ -337,50 +216,6 @@
     co_return outcome;
 }
 
-auto UpstreamCaller::offer(std::shared_ptr<CallState> state, std::shared_ptr<OfferedCall> offered)
-    -> Awaitable<void>
-{
-    const auto end = OfferEnd(*offered);
-    auto outcome = co_await connect(*state, offered->m_progress, offered->m_call);
-    if (!outcome && offered->m_isGivenUp)
-        outcome = UpstreamCallOutcome::NotSent;
-    const auto isSent = !outcome;
-    if (isSent) {
-        offered->m_isSent = true;
-        outcome = co_await awaitAnswer(*state, *offered);
-    }
-    offered->m_isAccepted = !outcome;
-    offered->m_outcome = outcome;
-    if (isSent && outcome && !offered->m_isGivenUp)
-        recordEnd(offered->m_progress, *offered->m_call.m_upstream, *outcome);
-}
-
-auto UpstreamCaller::awaitAnswer(CallState& state, OfferedCall& offered)
-    -> Awaitable<std::optional<UpstreamCallOutcome>>
-{
-    auto& sent = offered.m_call;
-    co_await send(state, offered.m_progress, sent);
-    if (!sent.m_head.m_parser)
-        co_return outcomeWithoutAnswer(*sent.m_inProgress, sent.m_head.m_timedOut);
-    if (sent.m_head.m_answer.m_notRun) {
-        co_await receiveRefusal(state, offered.m_progress, sent);
-        co_return UpstreamCallOutcome::Refused;
-    }
-    if (!isSuccess(sent.m_head.m_parser->get().result_int()))
-        co_return UpstreamCallOutcome::Failed;
-    // An upstream may send the head before it begins to run the request.
-    auto& connection = *sent.m_connection;
-    auto& socket = connection.m_stream.socket();
-    const auto hasBytes = connection.m_buffer.size() > 0 || sent.m_head.m_parser->is_done();
-    auto error = ErrorCode();
-    if (!hasBytes)
-        co_await socket.async_wait(net::ip::tcp::socket::wait_read, errorTo(error));
-    if (!hasBytes && (error || isClosed(socket)))
-        co_return outcomeWithoutAnswer(*sent.m_inProgress, connection.m_deadline->expired());
-    sent.m_inProgress->recordAnswer();
-    co_return std::nullopt;
-}
-
 auto UpstreamCaller::receive(CallState& state, CallerAnswer& answer, SentCall& sent, SilenceWatch& silence)
     -> Awaitable<UpstreamCallOutcome>
 {
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -1,6 +1,7 @@
 // Runs a whole relay node in this process with a fake store, fake upstreams and a caller.
 #pragma once
 
+#include "platform/caller_reply.h"
 #include "platform/deployment.h"
 #include "platform/fake_store.h"
 #include "platform/fake_upstream.h"
@@ -14,16 +15,6 @@
 
 namespace marigoldladder::platform {
 
-// A caller's view of one answer.
-struct CallerReply {
-    int m_status = 0; // 0: no answer.
-    std::string m_head; // Status line and headers.
-    std::string m_body; // Without chunk framing.
-    std::string m_rest; // All that came behind the head, as it came.
-    bool m_complete = false; // The body is complete by its framing.
-    bool m_closed = false; // The connection was closed after the answer.
-};
-
 // The node's members are never destroyed, as suspended coroutines may refer to them.
 class RelayHarness {
 public:
