Have the rig's proxy tell a reset from an end on both of its threads

Cause: the fault of the product's that it was written for, in the rig: the proxy's thread that writes to the upstream took the reset's error, and the other one read a plain end and closed the relay's connection as if it had ended.

Mend: an end on a connection that the kernel says is closed was a reset, and the direction that ends first decides how both end.

--- a/fakes/fault_proxy.cc
+++ b/fakes/fault_proxy.cc
@@ -22,6 +22,8 @@
 #include <iostream>
 #include <list>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <thread>
 
@@ -58,11 +60,22 @@
         EnumName<ProxyMode> { ProxyMode::Hang, "hang" },
     };
 
+    // Whether the connection was reset, also when a write on another thread has taken the error: a read finds
+    // a plain end then.
+    auto wasReset(const Socket& socket) -> bool
+    {
+        auto info = tcp_info();
+        auto length = socklen_t { sizeof(info) };
+        return getsockopt(socket.descriptor(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0
+            && info.tcpi_state == TCP_CLOSE;
+    }
+
     // The two halves of one proxied connection.
     struct Pair {
         Socket m_client;
         Socket m_target;
         std::atomic<bool> m_silent { false };
+        std::atomic<bool> m_isOver { false }; // One direction has ended, and the other one with it.
 
         auto cut() const -> void
         {
@@ -146,12 +159,14 @@
             const auto size = recv(from.descriptor(), piece.data(), piece.size(), 0);
             while (pair->m_silent)
                 std::this_thread::sleep_for(silentStep); // For good: not even an end is told.
-            if (size == 0)
+            if (size == 0 && !wasReset(from))
                 break;
             std::this_thread::sleep_for(std::chrono::milliseconds(m_delayMilliseconds));
-            broke = size < 0
+            broke = size <= 0
                 || (mayForward(*pair, isReply) && !sendAll(to, piece.data(), static_cast<std::size_t>(size)));
         }
+        if (pair->m_isOver.exchange(true))
+            return;
         // An end and a break don't mean the same to the other side.
         if (broke)
             pair->reset();
