--- a/test/platform/unframed_answer_test.cc
+++ b/test/platform/unframed_answer_test.cc
@@ -84,7 +84,9 @@
             configuration["limits"]["max_body_bytes"] = 20'000'000;
             m_relay.put("config", "main", configuration);
             EXPECT_TRUE(m_relay.eventually([&] { return m_relay.readiness() == 200; }));
-            return m_relay.send(callerRequest("POST", path, early, std::string(16'000'000, 'x')));
+            auto body = std::string();
+            body.resize(16'000'000, 'x');
+            return m_relay.send(callerRequest("POST", path, early, body));
         }
 
         static auto resetWholeAnswer(const UpstreamRequest& request) -> UpstreamReply
--- a/test/soak/breaking_streams.cc
+++ b/test/soak/breaking_streams.cc
@@ -119,6 +119,11 @@
     return reply;
 }
 
+static auto changeOf(const std::string& seen, const std::string& next) -> std::string
+{
+    return "an event of " + next + " behind those of " + seen;
+}
+
 auto takeAttempt(OrderedStream& stream, const std::string& requestId, const std::string& body,
     bool isComplete) -> std::optional<std::string>
 {
@@ -136,7 +141,7 @@
         if (number != stream.m_lastEvent + 1)
             return where + "event " + std::to_string(number);
         if (!stream.m_version.empty() && version != stream.m_version)
-            return where + "an event of " + version + " behind those of " + stream.m_version;
+            return where + changeOf(stream.m_version, version);
         if (stream.m_lastEvent == 0)
             stream.m_firstId = requestId;
         stream.m_lastEvent = number;
--- a/test/soak/stream_order_test.cc
+++ b/test/soak/stream_order_test.cc
@@ -47,7 +47,8 @@
         for (auto caller = std::size_t { 0 }; caller < callers; ++caller) {
             threads.emplace_back([&] {
                 for (auto number = next++; number < count; number = next++) {
-                    const auto streamSeed = static_cast<std::uint32_t>(seed * 1'000'000 + number);
+                    const auto streamSeed
+                        = static_cast<std::uint32_t>(std::size_t { seed } * 1'000'000 + number);
                     const auto wrong = followStream(site.callerAddresses(), streamSeed, attempts);
                     const auto lock = std::lock_guard(found.m_mutex);
                     if (wrong)
