Close a stopped relay's ports before its process ends

Callers: up to 12 requests at a time, sent to a relay in the last moments of its stop, got no answer and no end of their connection for 200 to 400 ms; none ran. Cause: the process wrote 'stopped' and ended without closing its ports; the kernel took its time to end it on a busy machine, and completed connections meanwhile that nobody read. Ruled out: a request that was taken and lost (no line of the relay, no run at an upstream), a fault that the rig did not note (its lines show none at those relays). Evidence: at all five relays looked at, the connections ended 210 to 400 ms after 'stopped', and no request was older than that line. The new test failed before: all five ports took a connection.

--- a/src/relay/caller_server.cc
+++ b/src/relay/caller_server.cc
@@ -1,7 +1,6 @@
 #include "relay/caller_server.h"
 
 #include "relay/caller_session.h"
-#include "relay/listener.h"
 #include "relay/task.h"
 
 namespace marigoldladder::relay {
--- a/src/relay/caller_server.h
+++ b/src/relay/caller_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/connection_room.h"
+#include "relay/listener.h"
 #include "relay/node_capacity.h"
 #include "relay/request_runner.h"
 
@@ -17,6 +18,7 @@
 
     // Listens at the address; false when that fails, which is logged.
     auto listen(const Address&) -> bool;
+    auto stopListening() -> void { closeListener(m_acceptor); }
 
     // Closes connections on which no request runs.
     auto closeIdle() -> void { m_room.closeIdle(); }
--- a/src/relay/listener.cc
+++ b/src/relay/listener.cc
@@ -22,8 +22,7 @@
 
     auto reopenListener(net::ip::tcp::acceptor& acceptor, Address address) -> Awaitable<void>
     {
-        auto ignored = ErrorCode();
-        acceptor.close(ignored);
+        closeListener(acceptor);
         while (!openListener(acceptor, address))
             co_await sleepFor(acceptRetryDelay);
         logChange("listener_reopened", { { "address", formatAddress(address) } });
@@ -50,12 +49,17 @@
         acceptor.listen(backlog, error);
     if (!error)
         return true;
-    auto ignored = ErrorCode();
-    acceptor.close(ignored); // So that it can be opened again.
+    closeListener(acceptor); // So that it can be opened again.
     logWarning("listen_failed", { { "address", formatAddress(address) }, { "reason", error.message() } });
     return false;
 }
 
+auto closeListener(net::ip::tcp::acceptor& acceptor) -> void
+{
+    auto ignored = ErrorCode();
+    acceptor.close(ignored);
+}
+
 auto acceptConnections(net::ip::tcp::acceptor& acceptor, std::function<void(net::ip::tcp::socket)> serve)
     -> Awaitable<void>
 {
--- a/src/relay/peer_server.h
+++ b/src/relay/peer_server.h
@@ -23,6 +23,7 @@
 
     // Returns false if the port can't be opened, which is logged.
     auto listen(const Address&) -> bool;
+    auto stopListening() -> void { closeListener(m_acceptor); }
 
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -138,10 +138,22 @@
         m_context.stop();
     });
     runEvents();
+    closePorts();
     logChange("stopped");
     return m_exitCode;
 }
 
+// While the kernel ends the process, which takes it hundreds of milliseconds on a busy machine, connections
+// would wait in queues that nobody reads.
+auto RelayNode::closePorts() -> void
+{
+    m_callerServer.stopListening();
+    m_readiness.stopListening();
+    m_directory.stopListening();
+    m_metrics.stopListening();
+    m_peerServer.stopListening();
+}
+
 auto RelayNode::noteThrownEvent() noexcept -> void
 {
     try {
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -51,6 +51,7 @@
     auto closeExpiredConnections() -> Awaitable<void>;
     auto awaitSignals() -> void;
     auto runEvents() -> void;
+    auto closePorts() -> void;
     auto noteThrownEvent() noexcept -> void;
     auto stopWhenIdle() -> Awaitable<void>;
 
--- a/src/relay/simple_http_server.cc
+++ b/src/relay/simple_http_server.cc
@@ -1,6 +1,5 @@
 #include "relay/simple_http_server.h"
 
-#include "relay/listener.h"
 #include "relay/request_reader.h"
 
 #include <boost/beast/http/message.hpp>
--- a/src/relay/simple_http_server.h
+++ b/src/relay/simple_http_server.h
@@ -3,6 +3,7 @@
 
 #include "core/memory_budget.h"
 #include "core/metrics.h"
+#include "relay/listener.h"
 #include "relay/node_capacity.h"
 #include "relay/open_connections.h"
 #include "relay/tcp.h"
@@ -28,6 +29,7 @@
 
     // Listens at the address; false when that fails, which is logged.
     auto listen(const Address&) -> bool;
+    auto stopListening() -> void { closeListener(m_acceptor); }
 
 private:
     auto serve(net::ip::tcp::socket) -> Awaitable<void>;
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -311,6 +311,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begun);
 }
 
+auto RelayHarness::listeningAddresses() const -> std::vector<Address>
+{
+    const auto& settings = m_parts->m_settings;
+    return { settings.m_callerAddress, settings.m_readinessAddress, settings.m_directoryAddress,
+        settings.m_peerAddress, settings.m_metricsAddress };
+}
+
 auto RelayHarness::readiness() -> int
 {
     const auto socket = CallerSocket(m_parts->m_settings.m_readinessAddress);
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -85,6 +85,9 @@
     // Returns how long that took, or nothing if it took longer than an answer may.
     auto timeToEnd(const std::string& bytes) -> std::optional<std::chrono::milliseconds>;
 
+    // The addresses that the node listens at.
+    auto listeningAddresses() const -> std::vector<Address>;
+
     // Returns the HTTP status of a readiness call.
     auto readiness() -> int;
 
--- a/test/platform/stopping_node_test.cc
+++ b/test/platform/stopping_node_test.cc
@@ -1,6 +1,8 @@
 // A node that stops while requests are under way: each caller gets an answer before the process exits.
 #include "platform/relay_path_fixture.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -17,6 +19,19 @@
     constexpr auto lateArrival = milliseconds(4'000);
     constexpr auto requestTime = milliseconds(4'500);
 
+    // In which a node without requests stops.
+    constexpr auto idleStop = milliseconds(4'000);
+
+    auto takesConnections(const Address& address) -> bool
+    {
+        auto context = boost::asio::io_context(1);
+        auto socket = boost::asio::ip::tcp::socket(context);
+        auto error = boost::system::error_code();
+        const auto host = boost::asio::ip::make_address(address.m_host);
+        socket.connect({ host, static_cast<std::uint16_t>(address.m_port) }, error);
+        return !error;
+    }
+
     class StoppingNodeTest : public RelayPathTest {
     protected:
         auto SetUp() -> void override
@@ -65,5 +80,15 @@
         EXPECT_TRUE(reply.m_complete);
     }
 
+    // The kernel may take hundreds of milliseconds to end a process: meanwhile it took connections for the
+    // node, whose callers waited for nothing.
+    TEST_F(StoppingNodeTest, TakesNoConnectionAnyMoreOnceItHasStopped)
+    {
+        std::raise(SIGTERM);
+        std::this_thread::sleep_for(idleStop);
+        for (const auto& address : m_relay.listeningAddresses())
+            EXPECT_FALSE(takesConnections(address)) << formatAddress(address);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
