Have the soak wait while a connection has a relay's port

Cause, traced: while a relay is down for some milliseconds, the kernel gives its port to a caller's connection; ss shows that port in TIME-WAIT and no process with it, and the relay logs listen_failed until it is free. The relay waits, as it has to; it isn't sound meanwhile. Ruled out: a relay that hangs (all its threads wait for events, and it listens nowhere).

--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -36,6 +36,7 @@
     std::string m_settingsFile;
     Address m_callerAddress;
     Address m_readinessAddress;
+    std::vector<Address> m_otherAddresses; // At which it listens, too.
     harness::ChildProcess m_storeProxy;
     harness::ChildProcess m_relay;
     bool m_toldToStop = false;
@@ -100,6 +101,10 @@
     auto freeze(RelayProcess&) -> void;
     auto thaw(RelayProcess&) -> void;
 
+    // Whether a connection of any process has a port of a relay, as one may get it while the relay is down.
+    // The relay waits for it, up to the 60 s that the kernel keeps a closed connection.
+    auto isAnyPortHeld() const -> bool;
+
     // Whether it has ended; an end by itself breaks a promise.
     auto hasEnded(RelayProcess&) -> bool;
 
--- a/test/soak/relay_site_processes.cc
+++ b/test/soak/relay_site_processes.cc
@@ -1,6 +1,8 @@
 // The part of the site that starts, signals and ends its relay processes.
 #include "soak/relay_site.h"
 
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -9,12 +11,49 @@
 
 namespace marigoldladder::soak {
 
+namespace net = boost::asio;
+
 namespace {
 
     constexpr auto firstInstructionTime = std::chrono::milliseconds(2'000);
 
+    auto endpointOf(const Address& address) -> net::ip::tcp::endpoint
+    {
+        return { net::ip::make_address(address.m_host), static_cast<std::uint16_t>(address.m_port) };
+    }
+
+    auto listens(const Address& address) -> bool
+    {
+        auto context = net::io_context(1);
+        auto error = boost::system::error_code();
+        net::ip::tcp::socket(context).connect(endpointOf(address), error);
+        return !error;
+    }
+
+    // Whether no process could listen there now, though none does.
+    auto isHeldByConnection(const Address& address) -> bool
+    {
+        if (listens(address))
+            return false;
+        auto context = net::io_context(1);
+        auto socket = net::ip::tcp::socket(context, net::ip::tcp::v4());
+        auto error = boost::system::error_code();
+        socket.set_option(net::socket_base::reuse_address(true));
+        socket.bind(endpointOf(address), error);
+        return static_cast<bool>(error);
+    }
+
 } // namespace
 
+auto RelaySite::isAnyPortHeld() const -> bool
+{
+    return std::any_of(m_relays.begin(), m_relays.end(), [](const RelayProcess& relay) {
+        const auto& others = relay.m_otherAddresses;
+        return isHeldByConnection(relay.m_callerAddress) || isHeldByConnection(relay.m_readinessAddress)
+            || std::any_of(others.begin(), others.end(), isHeldByConnection);
+    });
+}
+
 auto RelaySite::callerAddresses() -> std::vector<Address>
 {
     const auto lock = std::lock_guard(m_addressMutex);
