--- a/src/relay/caller_server.h
+++ b/src/relay/caller_server.h
@@ -18,6 +18,7 @@
 
     // Listens at the address; false when that fails, which is logged.
     auto listen(const Address&) -> bool;
+    // Refuses connections from now on, and resets those that nobody has accepted.
     auto stopListening() -> void { closeListener(m_acceptor); }
 
     // Closes connections on which no request runs.
--- a/src/relay/peer_server.h
+++ b/src/relay/peer_server.h
@@ -23,6 +23,7 @@
 
     // Returns false if the port can't be opened, which is logged.
     auto listen(const Address&) -> bool;
+    // Refuses connections from now on, and resets those that nobody has accepted.
     auto stopListening() -> void { closeListener(m_acceptor); }
 
 private:
