Log by what a stream's origin is known and which run an attempt was meant for

stream_taken_up has by what the origin is known, how much software could have begun the stream, how many nodes were asked and answered, and for how long the best of them has watched the upstreams without a gap (nodes tell it with their answers). request_attempt has the start and the software of the run. Streams refused for want of knowledge are counted by themselves. That the list of upstreams has been read was a field that nothing set; it is set now.

No decision changes.

--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -26,6 +26,7 @@
     StreamsResumed,
     StreamsTakenUp,
     StreamsNotTakenUp,
+    StreamsOfUnknownOrigin,
     RequestsRetried,
     PeerConnectionsLost,
     PeerHandshakesRefused,
--- a/src/relay/request_log_lines.cc
+++ b/src/relay/request_log_lines.cc
@@ -57,6 +57,8 @@
         = state.m_timeToFirstPart ? std::to_string(state.m_timeToFirstPart->count()) : "";
     log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
+            { "run", std::to_string(upstream.m_record.m_startedAt) },
+            { "software", std::to_string(call.m_software) },
             { "through", call.m_via ? call.m_via->value() : "" }, { "adapter", state.m_request.m_adapter },
             { "held_version", formatVersion(call.m_versions.m_held) },
             { "stated_version", formatVersion(call.m_versions.m_stated) },
@@ -72,13 +74,18 @@
             { "peers_in_flight", std::to_string(upstream.m_peersInFlight) } });
 }
 
-auto logTakenUp(RequestLog& log, const CallState& state, bool isServed) -> void
+auto logTakenUp(RequestLog& log, const CallState& state, const FoundOrigin& found, bool isServed) -> void
 {
     log.write("stream_taken_up", state.m_request.m_id,
         { { "route", state.m_route->m_name },
             { "began_with", state.m_request.m_resumedId.substr(0, maxIdLength) },
             { "after_event", state.m_request.m_lastEventId.substr(0, maxIdLength) },
-            { "software", state.m_origin ? std::to_string(*state.m_origin) : "" },
+            { "software", formatVersion(found.m_software) },
+            { "known_by", std::string(nameOf(originSourceNames, found.m_source)) },
+            { "candidates", std::to_string(found.m_candidates) },
+            { "nodes_asked", std::to_string(found.m_nodesAsked) },
+            { "nodes_answered", std::to_string(found.m_nodesAnswered) },
+            { "watched_ms", std::to_string(found.m_watchedFor.count()) },
             { "upstream_there", isServed ? "yes" : "no" },
             { "age_ms", millisecondsBetween(state.m_arrivedAt, Clock::now()) } });
 }
--- a/src/relay/request_log_lines.h
+++ b/src/relay/request_log_lines.h
@@ -3,6 +3,7 @@
 
 #include "relay/request_attempts.h"
 #include "relay/request_log.h"
+#include "relay/stream_origins.h"
 
 #include <cstdint>
 
@@ -14,7 +15,7 @@
 
 // `stream_taken_up`: a caller goes on with a stream of an earlier attempt. `isServed`: upstreams of the
 // software that began it are there.
-auto logTakenUp(RequestLog&, const CallState&, bool isServed) -> void;
+auto logTakenUp(RequestLog&, const CallState&, const FoundOrigin&, bool isServed) -> void;
 
 // `request_attempt`, or `request_late` if the first part came later than the route's target: how one call to
 // an upstream ended. Of answers in time only a sample is logged.
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -159,10 +159,13 @@
         co_return std::nullopt;
     m_board.m_metrics.add(Counter::StreamsTakenUp);
     const auto stream = streamKeyOf(state).value_or(0);
-    state.m_origin = co_await m_origins.find(stream, poolNamesOf(*state.m_route));
+    const auto found = co_await m_origins.find(stream, poolNamesOf(*state.m_route));
+    state.m_origin = found.m_software;
+    if (!state.m_origin)
+        m_board.m_metrics.add(Counter::StreamsOfUnknownOrigin);
     const auto isServed
         = state.m_origin && poolOfSoftware(m_board.m_upstreams, *state.m_route, *state.m_origin);
-    logTakenUp(m_log, state, isServed);
+    logTakenUp(m_log, state, found, isServed);
     if (isServed)
         co_return std::nullopt;
     m_board.m_metrics.add(Counter::StreamsNotTakenUp);
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -55,6 +55,8 @@
         else
             applyObject(kind, change.m_object, origin);
     }
+    if (kind == ObjectKind::Upstreams)
+        m_board.m_upstreams.m_known = true;
     if (!changes.empty())
         m_board.m_capacityChanged();
 }
--- a/src/relay/stream_origin_exchange.cc
+++ b/src/relay/stream_origin_exchange.cc
@@ -17,7 +17,10 @@
     constexpr auto answerTimeout = Milliseconds(80);
     constexpr auto secondTimeout = Milliseconds(250); // A datagram may be lost, a node may pause.
     constexpr auto watchInterval = Milliseconds(100);
+    // A node that stood still for longer may have missed upstreams that came and went.
+    constexpr auto longestWatchPause = Milliseconds(1'000);
     constexpr auto maxOriginsInNotice = std::size_t { 64 }; // About a kilobyte.
+    constexpr auto longestStatedWatch = Milliseconds(std::chrono::hours(24));
     constexpr auto maxCandidates = std::size_t { 16 }; // That are read from an answer.
 
     auto poolsOf(const RelayBoard& board) -> std::vector<PoolName>
@@ -50,11 +53,35 @@
 auto StreamOriginExchange::watchPools() -> Awaitable<void>
 {
     for (;;) {
+        updateWatch();
         updateSharingSoftware();
         co_await sleepFor(watchInterval);
     }
 }
 
+auto StreamOriginExchange::updateWatch() -> void
+{
+    const auto now = Clock::now();
+    if (stoodStill(now) || !m_board.m_upstreams.m_known)
+        m_watchedSince.reset();
+    if (!m_watchedSince && m_board.m_upstreams.m_known)
+        m_watchedSince = now;
+    m_lastWatchAt = now;
+}
+
+auto StreamOriginExchange::stoodStill(MonotonicTime now) const -> bool
+{
+    return m_lastWatchAt + longestWatchPause < now;
+}
+
+auto StreamOriginExchange::watchedFor() const -> Milliseconds
+{
+    const auto now = Clock::now();
+    if (!m_watchedSince || stoodStill(now))
+        return Milliseconds(0);
+    return std::chrono::duration_cast<Milliseconds>(now - *m_watchedSince);
+}
+
 // Streams that began while their pool had one version become worth keeping elsewhere as it gets a second one.
 auto StreamOriginExchange::updateSharingSoftware() -> void
 {
@@ -113,26 +140,34 @@
     return candidates;
 }
 
-auto StreamOriginExchange::find(StreamKey stream, std::vector<PoolName> pools)
-    -> Awaitable<std::optional<SoftwareId>>
+auto StreamOriginExchange::find(StreamKey stream, std::vector<PoolName> pools) -> Awaitable<FoundOrigin>
 {
-    if (const auto known = findOrigin(m_origins, stream, Clock::now()))
-        co_return known;
+    auto found = FoundOrigin();
+    found.m_software = findOrigin(m_origins, stream, Clock::now());
+    if (found.m_software) {
+        found.m_source = OriginSource::ThisNode;
+        co_return found;
+    }
     for (const auto timeout : { answerTimeout, secondTimeout }) {
-        const auto others = co_await ask(stream, pools, timeout);
-        if (const auto software = judge(stream, pools, others))
-            co_return software;
+        const auto nodes = originKeepers(m_board.m_fleet, stream, askedNodes, Clock::now());
+        const auto others = co_await ask(stream, pools, nodes, timeout);
+        found = judge(stream, pools, others);
+        found.m_nodesAsked = nodes.size();
+        if (found.m_software)
+            break;
     }
-    co_return std::nullopt;
+    co_return found;
 }
 
 auto StreamOriginExchange::judge(StreamKey stream, const std::vector<PoolName>& pools,
-    const std::vector<OriginKnowledge>& others) const -> std::optional<SoftwareId>
+    const std::vector<OriginKnowledge>& others) const -> FoundOrigin
 {
-    const auto local = OriginKnowledge { findOrigin(m_origins, stream, Clock::now()), candidatesOf(pools) };
+    const auto local
+        = OriginKnowledge { findOrigin(m_origins, stream, Clock::now()), candidatesOf(pools), watchedFor() };
+    auto found = judgeOrigin(local, others);
     if (others.empty() && !local.m_software && !mayJudgeAlone())
-        return std::nullopt;
-    return judgeOrigin(local, others);
+        found.m_software.reset();
+    return found;
 }
 
 auto StreamOriginExchange::mayJudgeAlone() const -> bool
@@ -142,8 +177,8 @@
     return isAlone || m_startedAt + streamLifetime <= Clock::now();
 }
 
-auto StreamOriginExchange::ask(StreamKey stream, const std::vector<PoolName>& pools, Milliseconds timeout)
-    -> Awaitable<std::vector<OriginKnowledge>>
+auto StreamOriginExchange::ask(StreamKey stream, const std::vector<PoolName>& pools,
+    const std::vector<Address>& nodes, Milliseconds timeout) -> Awaitable<std::vector<OriginKnowledge>>
 {
     auto message = messages::OriginQuestionT();
     message.number = ++m_lastNumber;
@@ -151,7 +186,6 @@
     for (const auto& pool : pools)
         message.pools.push_back(shortId(pool.value()));
     const auto datagram = encodeDatagram(message);
-    const auto nodes = originKeepers(m_board.m_fleet, stream, askedNodes, Clock::now());
     for (const auto& node : nodes)
         m_socket.send(node, datagram);
     auto question = Question { net::steady_timer(m_executor, timeout), nodes.size(), {} };
@@ -183,6 +217,7 @@
         return !asked || std::find(asked->begin(), asked->end(), shortId(pool.value())) == asked->end();
     });
     answer.candidates = candidatesOf(pools);
+    answer.watched_ms = static_cast<std::uint32_t>(std::min(watchedFor(), longestStatedWatch).count());
     m_socket.send(from, encodeDatagram(answer));
 }
 
@@ -192,6 +227,7 @@
     if (found == m_questions.end())
         return;
     auto knowledge = OriginKnowledge();
+    knowledge.m_watchedFor = Milliseconds(answer.watched_ms());
     if (answer.software() != 0)
         knowledge.m_software = answer.software();
     if (const auto* candidates = answer.candidates()) {
--- a/src/relay/stream_origin_exchange.h
+++ b/src/relay/stream_origin_exchange.h
@@ -30,9 +30,9 @@
     // other nodes know it when the caller comes back.
     auto noteBegan(StreamKey, SoftwareId) -> void;
 
-    // Finds the software at which a stream of one of these pools may go on; nothing if it isn't known. Takes
-    // no longer than two round trips between nodes, or two short timeouts if some don't answer.
-    auto find(StreamKey, std::vector<PoolName>) -> Awaitable<std::optional<SoftwareId>>;
+    // Finds the software at which a stream of one of these pools may go on. Takes no longer than two round
+    // trips between nodes, or two short timeouts if some don't answer.
+    auto find(StreamKey, std::vector<PoolName>) -> Awaitable<FoundOrigin>;
 
     // Handle messages received from peers.
     auto handle(const messages::OriginNotice&) -> void;
@@ -48,11 +48,16 @@
     };
 
     auto watchPools() -> Awaitable<void>;
+    // Begins the watch again if this node stood still or lost its view of the upstreams since the last call.
+    auto updateWatch() -> void;
+    // Whether the last call of `updateWatch` is too long ago, as after the node was frozen.
+    auto stoodStill(MonotonicTime now) const -> bool;
+    auto watchedFor() const -> Milliseconds;
     auto updateSharingSoftware() -> void;
     auto sendNotices(const std::vector<StreamKey>&, SoftwareId) -> void;
     auto judge(StreamKey, const std::vector<PoolName>&, const std::vector<OriginKnowledge>& others) const
-        -> std::optional<SoftwareId>;
-    auto ask(StreamKey, const std::vector<PoolName>&, Milliseconds timeout)
+        -> FoundOrigin;
+    auto ask(StreamKey, const std::vector<PoolName>&, const std::vector<Address>& nodes, Milliseconds timeout)
         -> Awaitable<std::vector<OriginKnowledge>>;
     // Whether this node knows by itself which software has served, as no other node can have begun a stream,
     // or as it has run for long enough.
@@ -64,6 +69,8 @@
     PeerSocket& m_socket;
     StreamOrigins m_origins;
     MonotonicTime m_startedAt {};
+    std::optional<MonotonicTime> m_watchedSince; // Empty: the list of upstreams hasn't been read.
+    MonotonicTime m_lastWatchAt {};
     std::set<SoftwareId> m_sharing; // Software whose pool has, or lately had, other versions beside it.
     std::uint64_t m_lastNumber; // Of a question; starts at one that no earlier process has used.
     std::map<std::uint64_t, Question*> m_questions; // By number; each lives in its call of `ask`.
--- a/src/relay/stream_origins.cc
+++ b/src/relay/stream_origins.cc
@@ -30,6 +30,12 @@
             software.push_back(added);
     }
 
+    auto setOrigin(FoundOrigin& found, SoftwareId software, OriginSource source) -> void
+    {
+        found.m_software = software;
+        found.m_source = source;
+    }
+
     struct RankedPeer {
         std::size_t m_ahead = 0; // Peers of its data centre that rank higher.
         std::uint64_t m_rank = 0;
@@ -114,21 +120,25 @@
     return software;
 }
 
-auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others)
-    -> std::optional<SoftwareId>
+auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others) -> FoundOrigin
 {
-    if (local.m_software)
-        return local.m_software;
+    auto found = FoundOrigin();
     auto candidates = local.m_candidates;
+    found.m_nodesAnswered = others.size();
+    found.m_watchedFor = local.m_watchedFor;
     for (const auto& other : others) {
-        if (other.m_software)
-            return other.m_software;
+        found.m_watchedFor = std::max(found.m_watchedFor, other.m_watchedFor);
         for (const auto software : other.m_candidates)
             addSoftware(candidates, software);
+        if (other.m_software && !found.m_software)
+            setOrigin(found, *other.m_software, OriginSource::OtherNode);
     }
-    if (candidates.size() != 1)
-        return std::nullopt;
-    return candidates.front();
+    found.m_candidates = candidates.size();
+    if (local.m_software)
+        setOrigin(found, *local.m_software, OriginSource::ThisNode);
+    if (!found.m_software && candidates.size() == 1)
+        setOrigin(found, candidates.front(), OriginSource::Conclusion);
+    return found;
 }
 
 auto originKeepers(const FleetView& fleet, StreamKey stream, std::size_t count, MonotonicTime now)
--- a/src/relay/stream_origins.h
+++ b/src/relay/stream_origins.h
@@ -6,9 +6,11 @@
 // by the stream's key, keep the version too while a pool has several.
 #pragma once
 
+#include "marigoldladder/enum_names.h"
 #include "relay/fleet_view.h"
 #include "relay/upstream.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -56,12 +58,37 @@
 struct OriginKnowledge {
     std::optional<SoftwareId> m_software; // That began it; empty: not known.
     std::vector<SoftwareId> m_candidates; // That could have begun it, as far as the node knows.
+    Milliseconds m_watchedFor { 0 }; // For how long the node's view of the upstreams has no gap.
 };
 
-// Returns the software at which the stream may go on, by what this node and others know; nothing if it may be
-// one of several.
-auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others)
-    -> std::optional<SoftwareId>;
+// By what a stream's origin was found.
+enum class OriginSource {
+    Unknown,
+    ThisNode,
+    OtherNode,
+    Conclusion, // Only one software could have begun it.
+};
+
+inline constexpr auto originSourceNames = std::array {
+    EnumName<OriginSource> { OriginSource::Unknown, "unknown" },
+    EnumName<OriginSource> { OriginSource::ThisNode, "this_node" },
+    EnumName<OriginSource> { OriginSource::OtherNode, "other_node" },
+    EnumName<OriginSource> { OriginSource::Conclusion, "conclusion" },
+};
+
+// The origin of a stream that a caller takes up, and what the search for it met.
+struct FoundOrigin {
+    std::optional<SoftwareId> m_software; // Empty: not known.
+    OriginSource m_source = OriginSource::Unknown;
+    std::size_t m_nodesAsked = 0;
+    std::size_t m_nodesAnswered = 0;
+    std::size_t m_candidates = 0; // By this node's view and the answers.
+    Milliseconds m_watchedFor { 0 }; // The longest that one of these nodes has watched without a gap.
+};
+
+// Returns the software at which the stream may go on, by what this node and others know; not known if it may
+// be one of several.
+auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others) -> FoundOrigin;
 
 // Returns the addresses of up to `count` live nodes that keep the stream's origin, in different data centres
 // as far as there are. Nodes whose views of the fleet differ a little get nearly the same ones.
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -129,7 +129,7 @@
     std::map<DataCentreName, bool> m_evacuated; // Data centres that get no new requests.
     std::map<PoolName, Brittleness> m_brittle; // Pools whose upstreams are.
     AdapterVersions m_versions;
-    bool m_known = false;
+    bool m_known = false; // The store's list of upstreams has been read.
 };
 
 } // namespace marigoldladder::relay
--- a/test/relay/stream_origin_exchange_test.cc
+++ b/test/relay/stream_origin_exchange_test.cc
@@ -102,8 +102,8 @@
             auto found = std::optional<SoftwareId>();
             auto ended = false;
             net::co_spawn(m_context, m_nodes[node]->m_origins.find(stream, { enginePool().m_name }),
-                [&](const std::exception_ptr&, std::optional<SoftwareId> result) {
-                    found = result;
+                [&](const std::exception_ptr&, const FoundOrigin& result) {
+                    found = result.m_software;
                     ended = true;
                 });
             runFor(Milliseconds(500));
--- a/test/relay/stream_origins_test.cc
+++ b/test/relay/stream_origins_test.cc
@@ -23,7 +23,7 @@
 
     TEST_P(OriginJudgementTest, IsByWhatTheNodesKnow)
     {
-        EXPECT_EQ(judgeOrigin(GetParam().m_local, GetParam().m_others), GetParam().m_judgement);
+        EXPECT_EQ(judgeOrigin(GetParam().m_local, GetParam().m_others).m_software, GetParam().m_judgement);
     }
 
     INSTANTIATE_TEST_SUITE_P(AllCases, OriginJudgementTest,
