Reproduce streams of two versions on real processes

Callers check each event and count what went on and what was refused; a site's relays are told of its first start only at its first start.

--- a/test/soak/breaking_streams.cc
+++ b/test/soak/breaking_streams.cc
@@ -1,9 +1,11 @@
 #include "soak/breaking_streams.h"
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <httplib.h>
+#include <mutex>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -16,6 +18,8 @@
     constexpr auto answerTimeout = std::chrono::seconds(4);
     constexpr auto connectTimeout = std::chrono::seconds(1);
     constexpr auto pauseBeforeNextAttempt = std::chrono::milliseconds(20);
+    constexpr auto pauseWithoutRelay = std::chrono::milliseconds(60); // After one that wasn't reached.
+    constexpr auto callers = std::size_t { 12 };
 
     enum class Break {
         None,
@@ -154,24 +158,87 @@
     return std::nullopt;
 }
 
-auto followStream(const std::vector<Address>& relays, std::uint32_t seed, std::size_t attempts)
-    -> std::optional<std::string>
+// Counts what a relay answered to one attempt; one that wasn't reached counts for nothing.
+static auto count(StreamTally& tally, bool takesUp, const StreamAnswer& answer) -> void
 {
+    constexpr auto ok = 200;
+    if (answer.m_status == 0)
+        return;
+    if (takesUp)
+        ++(answer.m_status == ok ? tally.m_goneOn : tally.m_notGoneOn);
+    else
+        ++(answer.m_status == ok ? tally.m_begun : tally.m_notBegun);
+}
+
+auto followStream(const std::function<std::vector<Address>()>& relays, std::uint32_t seed,
+    std::size_t attempts) -> StreamTally
+{
+    constexpr auto ok = 200;
     auto random = std::mt19937(seed);
     auto stream = OrderedStream();
+    auto tally = StreamTally();
     const auto hasLongBody = random() % 4 == 0;
     for (auto attempt = std::size_t { 0 }; attempt < attempts && !stream.m_isWhole; ++attempt) {
         const auto id = "s" + std::to_string(seed) + "-" + std::to_string(attempt);
-        const auto& relay = relays[random() % relays.size()];
-        const auto answer = ask(relay, stream, id, hasLongBody && attempt == 0);
-        if (answer.m_status == 200) {
-            if (auto wrong = takeAttempt(stream, id, answer.m_body, answer.m_isComplete))
-                return wrong;
+        const auto addresses = relays();
+        const auto takesUp = stream.m_lastEvent > 0;
+        const auto answer
+            = ask(addresses[random() % addresses.size()], stream, id, hasLongBody && attempt == 0);
+        count(tally, takesUp, answer);
+        auto wrong = std::optional<std::string>();
+        if (answer.m_status == ok)
+            wrong = takeAttempt(stream, id, answer.m_body, answer.m_isComplete);
+        if (wrong) {
+            tally.m_wrong.push_back(*wrong);
+            return tally;
         }
         if (!stream.m_isWhole)
-            std::this_thread::sleep_for(pauseBeforeNextAttempt);
+            std::this_thread::sleep_for(answer.m_status == 0 ? pauseWithoutRelay : pauseBeforeNextAttempt);
     }
-    return std::nullopt;
+    tally.m_whole = stream.m_isWhole ? 1 : 0;
+    return tally;
+}
+
+auto followStreams(const std::function<std::vector<Address>()>& relays, std::uint32_t seed,
+    std::size_t streams, std::size_t attempts) -> StreamTally
+{
+    auto next = std::atomic<std::size_t> { 0 };
+    auto mutex = std::mutex();
+    auto all = StreamTally();
+    auto threads = std::vector<std::thread>();
+    for (auto caller = std::size_t { 0 }; caller < callers; ++caller) {
+        threads.emplace_back([&] {
+            for (auto number = next++; number < streams; number = next++) {
+                const auto streamSeed = static_cast<std::uint32_t>(std::size_t { seed } * 1'000'000 + number);
+                const auto tally = followStream(relays, streamSeed, attempts);
+                const auto lock = std::lock_guard(mutex);
+                all += tally;
+            }
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    return all;
+}
+
+auto operator+=(StreamTally& all, const StreamTally& tally) -> StreamTally&
+{
+    all.m_whole += tally.m_whole;
+    all.m_begun += tally.m_begun;
+    all.m_notBegun += tally.m_notBegun;
+    all.m_goneOn += tally.m_goneOn;
+    all.m_notGoneOn += tally.m_notGoneOn;
+    all.m_wrong.insert(all.m_wrong.end(), tally.m_wrong.begin(), tally.m_wrong.end());
+    return all;
+}
+
+auto shareGoneOn(const StreamTally& tally) -> double
+{
+    const auto share = [](std::size_t part, std::size_t rest) {
+        return part + rest == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(part + rest);
+    };
+    const auto begun = share(tally.m_begun, tally.m_notBegun);
+    return begun == 0 ? 1.0 : share(tally.m_goneOn, tally.m_notGoneOn) / begun;
 }
 
 } // namespace marigoldladder::soak
--- a/test/soak/breaking_streams.h
+++ b/test/soak/breaking_streams.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,9 +34,28 @@
 auto takeAttempt(OrderedStream&, const std::string& requestId, const std::string& body, bool isComplete)
     -> std::optional<std::string>;
 
-// Sends a request for a stream to relays in turn until it is whole, `attempts` at most. Returns what is
-// wrong.
-auto followStream(const std::vector<Address>& relays, std::uint32_t seed, std::size_t attempts)
-    -> std::optional<std::string>;
+// What became of streams that callers followed.
+struct StreamTally {
+    std::size_t m_whole = 0;
+    std::size_t m_begun = 0; // New streams that brought an event.
+    std::size_t m_notBegun = 0; // Attempts at new ones that a relay refused.
+    std::size_t m_goneOn = 0; // Attempts to take up a stream that a relay didn't refuse.
+    std::size_t m_notGoneOn = 0;
+    std::vector<std::string> m_wrong;
+};
+
+auto operator+=(StreamTally&, const StreamTally&) -> StreamTally&;
+
+// Returns the share of attempts to take up a stream that went on, against that of attempts at new ones that
+// began.
+auto shareGoneOn(const StreamTally&) -> double;
+
+// Sends a request for a stream to relays in turn until it is whole, `attempts` at most.
+auto followStream(const std::function<std::vector<Address>()>& relays, std::uint32_t seed,
+    std::size_t attempts) -> StreamTally;
+
+// Follows streams with several callers at once.
+auto followStreams(const std::function<std::vector<Address>()>& relays, std::uint32_t seed,
+    std::size_t streams, std::size_t attempts) -> StreamTally;
 
 } // namespace marigoldladder::soak
--- a/test/soak/relay_site.cc
+++ b/test/soak/relay_site.cc
@@ -1,7 +1,6 @@
 #include "soak/relay_site.h"
 
 #include "platform/relay_harness.h"
-#include "soak/breaking_streams.h"
 
 #include <algorithm>
 #include <array>
@@ -24,7 +23,6 @@
     constexpr auto orderTimeout = std::chrono::seconds(2);
     constexpr auto readyPoll = std::chrono::milliseconds(50);
     constexpr auto slots = 16;
-    constexpr auto enginePool = "engines";
     constexpr auto eventInterval = std::chrono::milliseconds(150);
     constexpr auto streamTimeMilliseconds = 12'000;
     constexpr auto longestBody = 4'000'000; // Of requests whose streams are broken off.
@@ -104,6 +102,7 @@
         addUpstream(number);
     for (auto number = std::size_t { 0 }; number < relays; ++number)
         m_relays.push_back(startRelay());
+    m_hasStarted = true;
 }
 
 RelaySite::~RelaySite()
@@ -126,18 +125,13 @@
     done.get_future().wait();
 }
 
-auto RelaySite::versionOf(std::size_t upstream) const -> std::string
-{
-    return m_kind == SiteKind::WithBreakingStreams && upstream % 2 != 0 ? "v2" : "v1";
-}
-
 auto RelaySite::answer(const platform::UpstreamRequest& request, std::size_t number,
     const std::string& connection) -> platform::UpstreamReply
 {
     const auto& upstream = m_upstreams[number];
     const auto target = std::string(request.target());
-    if (m_kind == SiteKind::WithBreakingStreams && target.starts_with("/stream/"))
-        return breakingStream(request, versionOf(number), ++m_answers);
+    if (m_kind == SiteKind::WithBreakingStreams && (target.starts_with("/stream/") || target == "/report"))
+        return answerAsRun(request, number);
     if (upstream.m_engine)
         return answerAsEngine(request, *upstream.m_engine);
     if (target == "/report" || target == "/order")
@@ -216,32 +210,6 @@
     return (entry->second == connection ? refusal : "") + run(request);
 }
 
-auto RelaySite::addUpstream(std::size_t number) -> void
-{
-    auto upstream = ProxiedUpstream();
-    upstream.m_mode = std::make_shared<std::atomic<UpstreamMode>>(UpstreamMode::Sound);
-    const auto isEngine = m_kind == SiteKind::WithEngines && number % 2 != 0;
-    if (isEngine)
-        upstream.m_engine = std::make_shared<SoakEngine>();
-    onLoop([&] {
-        upstream.m_upstream = std::make_unique<platform::FakeUpstream>(
-            m_context, [this, number](const platform::UpstreamRequest& request) {
-                const auto connection
-                    = std::to_string(number) + "/" + std::string(request[platform::connectionNumberField]);
-                return answer(request, number, connection);
-            });
-    });
-    upstream.m_proxy = startProxy(upstream.m_upstream->address());
-    onLoop([&] {
-        m_store.put("servers", "i-" + std::to_string(number),
-            { { "service", isEngine ? enginePool : "pool" }, { "address", addressOf(upstream.m_proxy) },
-                { "zone", "here" }, { "version", versionOf(number) }, { "slots", slots },
-                { "state", "ready" }, { "cold_left_ms", 0 }, { "sequence", 0 },
-                { "models", isEngine ? upstream.m_engine->models() : nlohmann::json::array() } });
-    });
-    m_upstreams.push_back(std::move(upstream));
-}
-
 auto RelaySite::address() -> Address
 {
     return isLikeRealMachines() ? addressAmongOutgoingConnections() : platform::freeAddress();
@@ -255,17 +223,19 @@
     relay.m_readinessAddress = address();
     relay.m_otherAddresses = { address(), address(), address() };
     relay.m_storeProxy = startProxy(m_store.address());
-    const auto settings = nlohmann::json { { "vm", relay.m_name }, { "data_centre", "here" },
-        { "region", "r" }, { "data_centre_regions", { { "here", "r" } } },
+    auto settings = nlohmann::json { { "vm", relay.m_name }, { "data_centre", "here" }, { "region", "r" },
+        { "data_centre_regions", { { "here", "r" } } },
         { "caller_address", formatAddress(relay.m_callerAddress) },
         { "readiness_address", formatAddress(relay.m_readinessAddress) },
         { "directory_address", formatAddress(relay.m_otherAddresses[0]) },
         { "peer_address", formatAddress(relay.m_otherAddresses[1]) },
         { "metrics_address", formatAddress(relay.m_otherAddresses[2]) },
-        { "store_address", addressOf(relay.m_storeProxy) }, { "first_start", true } };
+        { "store_address", addressOf(relay.m_storeProxy) }, { "first_start", !m_hasStarted } };
     relay.m_settingsFile = "relay-soak-" + std::to_string(::getpid()) + "-" + relay.m_name + ".json";
     std::ofstream(relay.m_settingsFile) << settings.dump();
     restart(relay);
+    settings["first_start"] = false;
+    std::ofstream(relay.m_settingsFile) << settings.dump();
     return relay;
 }
 
--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -51,8 +51,19 @@
     RepeatsRefusals, // Refuses it, and sends a second copy before its next answer to the same request.
 };
 
+inline constexpr auto enginePool = "engines";
+
+// One run of an upstream: what its process is from its start to its end.
+struct UpstreamRun {
+    std::string m_name;
+    std::uint64_t m_startedAt = 0; // Unix milliseconds.
+    std::string m_software;
+};
+
 // One upstream and the proxy before it; relays know the proxy's address only.
 struct ProxiedUpstream {
+    std::string m_address; // The proxy's.
+    std::shared_ptr<UpstreamRun> m_run; // Changed on the loop.
     std::shared_ptr<std::atomic<UpstreamMode>> m_mode;
     std::unique_ptr<platform::FakeUpstream> m_upstream;
     harness::ChildProcess m_proxy;
@@ -118,6 +129,16 @@
     // Writes a relay's settings anew in place, and calls the function when half of them is written.
     auto rewriteSettings(const RelayProcess&, const std::function<void()>& atHalf) -> void;
 
+    // Ends an upstream's process and starts one of this software under its name. The entry goes on telling of
+    // the former run until `entryDelay` later.
+    auto restartUpstream(
+        std::size_t upstream, const std::string& software, std::chrono::milliseconds entryDelay) -> void;
+    // The same under a name of its own; the former entry is gone and the new one there at once.
+    auto replaceUpstream(std::size_t upstream, const std::string& software) -> void;
+    // Removes the entries of all upstreams of this software for a time, as after they lost touch with the
+    // store.
+    auto hideEntries(const std::string& software, std::chrono::milliseconds time) -> void;
+
     // Sets what a proxy does, such as `{"mode":"hang"}`, or sends it another order, such as `/cut`.
     auto orderProxy(const harness::ChildProcess& proxy, const std::string& path, const nlohmann::json&)
         -> void;
@@ -142,7 +163,14 @@
     {
         return m_kind == SiteKind::LikeRealMachines || m_kind == SiteKind::WithEngines;
     }
-    auto versionOf(std::size_t upstream) const -> std::string;
+    auto isEngine(std::size_t upstream) const -> bool
+    {
+        return m_kind == SiteKind::WithEngines && upstream % 2 != 0;
+    }
+    auto writeEntry(std::size_t upstream) -> void;
+    auto writeEntryAfter(std::chrono::milliseconds, std::size_t upstream) -> void;
+    auto beginRun(std::size_t upstream, const std::string& name, const std::string& software) -> void;
+    auto answerAsRun(const platform::UpstreamRequest&, std::size_t upstream) -> platform::UpstreamReply;
     auto answer(const platform::UpstreamRequest&, std::size_t upstream, const std::string& connection)
         -> platform::UpstreamReply;
     auto answerAsEngine(const platform::UpstreamRequest&, SoakEngine&) -> platform::UpstreamReply;
@@ -159,11 +187,14 @@
     std::size_t m_furtherRoutes = 0;
     std::map<std::string, std::uint64_t> m_adapterVersions;
     std::uint64_t m_answers = 0;
+    std::uint64_t m_runs = 0; // Of upstreams, without their first ones.
     std::set<std::string> m_connections; // On which an upstream has answered.
     std::map<std::string, std::string> m_refusedOn; // The connection of each request that was refused.
     std::vector<ProxiedUpstream> m_upstreams;
     SiteKind m_kind;
     std::size_t m_relaysStarted = 0;
+    bool m_hasStarted
+        = false; // The whole site; relays that start later aren't told that it is its first start.
     std::mutex m_addressMutex;
     std::vector<RelayProcess> m_relays;
     std::thread m_thread;
--- a/test/soak/stream_order_test.cc
+++ b/test/soak/stream_order_test.cc
@@ -6,7 +6,6 @@
 #include "soak/fault_player.h"
 #include "soak/relay_site.h"
 
-#include <atomic>
 #include <cstdlib>
 #include <gtest/gtest.h>
 #include <iostream>
@@ -18,7 +17,6 @@
 
     constexpr auto relays = std::size_t { 3 };
     constexpr auto upstreams = std::size_t { 4 };
-    constexpr auto callers = std::size_t { 12 };
     constexpr auto faults = 6;
     constexpr auto attempts = std::size_t { 6 }; // Of one stream.
     constexpr auto startTime = std::chrono::milliseconds(10'000);
@@ -35,31 +33,6 @@
         return value ? value : fallback;
     }
 
-    struct Found {
-        std::mutex m_mutex;
-        std::vector<std::string> m_wrong;
-    };
-
-    auto followStreams(RelaySite& site, std::uint32_t seed, std::size_t count, Found& found) -> void
-    {
-        auto next = std::atomic<std::size_t> { 0 };
-        auto threads = std::vector<std::thread>();
-        for (auto caller = std::size_t { 0 }; caller < callers; ++caller) {
-            threads.emplace_back([&] {
-                for (auto number = next++; number < count; number = next++) {
-                    const auto streamSeed
-                        = static_cast<std::uint32_t>(std::size_t { seed } * 1'000'000 + number);
-                    const auto wrong = followStream(site.callerAddresses(), streamSeed, attempts);
-                    const auto lock = std::lock_guard(found.m_mutex);
-                    if (wrong)
-                        found.m_wrong.push_back(*wrong);
-                }
-            });
-        }
-        for (auto& thread : threads)
-            thread.join();
-    }
-
     // Streams ended as complete before their last piece: a reset was taken for an end.
     TEST(StreamOrderTest, NoPieceIsMissingOrDoubledOrOfAnotherRun)
     {
@@ -70,14 +43,16 @@
             auto record = SoakRecord();
             auto site = RelaySite(relays, upstreams, record, SiteKind::WithBreakingStreams);
             ASSERT_TRUE(site.allReady(startTime)) << "the site did not start";
-            auto found = Found();
+            auto tally = StreamTally();
             {
-                auto load = std::thread([&] { followStreams(site, seed, count, found); });
+                auto load = std::thread([&] {
+                    tally = followStreams([&] { return site.callerAddresses(); }, seed, count, attempts);
+                });
                 FaultPlayer(site, faultKinds, seed, record).play(faults);
                 load.join();
             }
-            std::cout << "seed " << seed << ": " << found.m_wrong.size() << " of " << count << " streams\n";
-            for (const auto& wrong : found.m_wrong)
+            std::cout << "seed " << seed << ": " << tally.m_wrong.size() << " of " << count << " streams\n";
+            for (const auto& wrong : tally.m_wrong)
                 ADD_FAILURE() << wrong;
         }
     }
