Let only nodes that know what has served conclude where a stream began

What callers saw: after all upstreams had been replaced and all nodes, or all but one of twelve, lost, or while the entries of one version were gone, streams that they took up went on at another version of the upstreams' software.

Cause: a node that didn't know a stream's origin asked five others and concluded it from their lists if one version was left in them. Nodes that had just started answered like nodes that had watched for as long as a stream lives; a node without peers in its list judged alone. Class: a node that knows nothing counted as one that knows.

Ruled out: that keepers were not told in time (their answers named the origin wherever one of them was left); guessing by the age of the node alone, which costs streams on each mass restart with one version.

Now: an answer says whether its node knows all that could have begun the stream. It does if it has watched the upstreams for a stream's lifetime, or has read the store's history of software since it began to; one node writes that at few moments. Nobody else concludes. Where nobody knows, twenty nodes are asked.

--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -81,6 +81,11 @@
         table.m_formerSoftware[record.m_software] = { record.m_pool, now };
     }
 
+    auto servesAlike(const UpstreamRecord& left, const UpstreamRecord& right) -> bool
+    {
+        return left.m_pool == right.m_pool && left.m_software == right.m_software;
+    }
+
     // Returns the upstream of a run whose entry returns; null if it wasn't removed lately.
     auto takeRemoved(UpstreamTable& table, const UpstreamRecord& record) -> UpstreamPointer
     {
@@ -109,9 +114,12 @@
 auto applyUpstreamRecord(UpstreamTable& table, const UpstreamRecord& record, MonotonicTime now) -> void
 {
     auto& upstream = table.m_upstreams[record.m_name];
-    if (!upstream)
+    const auto wasListed = upstream != nullptr;
+    if (!wasListed)
         upstream = takeRemoved(table, record);
     const auto sameRun = upstream && isSameRun(upstream->m_record, record);
+    if (!wasListed || !servesAlike(upstream->m_record, record))
+        ++table.m_softwareChanges;
     if (upstream && upstream->m_record.m_software != record.m_software)
         noteFormerSoftware(table, upstream->m_record, now);
     if (!sameRun) {
@@ -190,6 +198,7 @@
         return;
     found->second->m_removed = true;
     found->second->m_removedAt = now;
+    ++table.m_softwareChanges;
     noteFormerSoftware(table, found->second->m_record, now);
     std::erase_if(table.m_removedLately,
         [&](const auto& entry) { return entry.second->m_removedAt + removedRetention <= now; });
--- a/src/relay/relay_node.cc
+++ b/src/relay/relay_node.cc
@@ -47,7 +47,8 @@
     , m_crashWatch(context.get_executor(), settings, m_board, m_connector)
     , m_requestLimits(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
     , m_rooms(context.get_executor(), settings, m_board, m_peerSocket, m_incarnation)
-    , m_origins(context.get_executor(), m_board, m_peerSocket, m_incarnation)
+    , m_software(context.get_executor(), settings, m_board, deployment.m_store)
+    , m_origins(context.get_executor(), m_board, m_peerSocket, m_software, m_incarnation)
     , m_runner(context.get_executor(), settings, m_board, m_allowances, m_waitList, m_requestLimits, m_rooms,
           m_origins, m_upstreamCaller, m_crashWatch, deployment.m_dialect)
     , m_callerServer(context.get_executor(), capacityOf(settings), m_board, m_runner, m_waitList)
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -69,6 +69,7 @@
     CrashWatch m_crashWatch;
     RequestLimitExchange m_requestLimits;
     RoomExchange m_rooms;
+    SoftwareWatch m_software;
     StreamOriginExchange m_origins;
     RequestRunner m_runner;
     CallerServer m_callerServer;
--- a/src/relay/request_log_lines.cc
+++ b/src/relay/request_log_lines.cc
@@ -85,6 +85,7 @@
             { "candidates", std::to_string(found.m_candidates) },
             { "nodes_asked", std::to_string(found.m_nodesAsked) },
             { "nodes_answered", std::to_string(found.m_nodesAnswered) },
+            { "nodes_that_know_all", std::to_string(found.m_nodesThatKnowAll) },
             { "watched_ms", std::to_string(found.m_watchedFor.count()) },
             { "upstream_there", isServed ? "yes" : "no" },
             { "age_ms", millisecondsBetween(state.m_arrivedAt, Clock::now()) } });
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -159,7 +159,7 @@
         co_return std::nullopt;
     m_board.m_metrics.add(Counter::StreamsTakenUp);
     const auto stream = streamKeyOf(state).value_or(0);
-    const auto found = co_await m_origins.find(stream, poolNamesOf(*state.m_route));
+    const auto found = co_await m_origins.find(stream, poolsOf(*state.m_route));
     state.m_origin = found.m_software;
     if (!state.m_origin)
         m_board.m_metrics.add(Counter::StreamsOfUnknownOrigin);
--- a/src/relay/stream_origin_exchange.cc
+++ b/src/relay/stream_origin_exchange.cc
@@ -4,6 +4,7 @@
 #include "relay/task.h"
 
 #include <algorithm>
+#include <array>
 
 namespace marigoldladder::relay {
 
@@ -14,95 +15,63 @@
     constexpr auto keepers = std::size_t { 3 }; // Of each origin, besides the node where the stream began.
     // More than keep it, since the views of the fleet differ after nodes were lost.
     constexpr auto askedNodes = std::size_t { 5 };
+    // Asked next: the nodes that keep it may have been lost, or started again, and the one where the stream began
+    // needn't be among the first.
+    constexpr auto askedAgain = std::size_t { 20 };
     constexpr auto answerTimeout = Milliseconds(80);
     constexpr auto secondTimeout = Milliseconds(250); // A datagram may be lost, a node may pause.
-    constexpr auto watchInterval = Milliseconds(100);
-    // A node that stood still for longer may have missed upstreams that came and went.
-    constexpr auto longestWatchPause = Milliseconds(1'000);
     constexpr auto maxOriginsInNotice = std::size_t { 64 }; // About a kilobyte.
     constexpr auto longestStatedWatch = Milliseconds(std::chrono::hours(24));
     constexpr auto maxCandidates = std::size_t { 16 }; // That are read from an answer.
 
-    auto poolsOf(const RelayBoard& board) -> std::vector<PoolName>
+    struct Round {
+        std::size_t m_nodes = 0;
+        Milliseconds m_timeout { 0 };
+    };
+
+    constexpr auto rounds = std::array { Round { askedNodes, answerTimeout }, Round { askedAgain, secondTimeout } };
+
+    // Returns the pools of the configuration that a question names.
+    auto askedPools(const RelayBoard& board, const messages::OriginQuestion& question) -> RoutePools
     {
-        auto pools = std::vector<PoolName>();
-        if (!board.m_configuration)
+        auto pools = RoutePools();
+        if (!board.m_configuration || !question.pools())
             return pools;
-        for (const auto& [name, pool] : board.m_configuration->m_pools)
-            pools.push_back(name);
+        const auto& asked = *question.pools();
+        for (const auto& [name, pool] : board.m_configuration->m_pools) {
+            if (std::find(asked.begin(), asked.end(), shortId(name.value())) != asked.end())
+                pools.insert(name);
+        }
         return pools;
     }
 
 } // namespace
 
-StreamOriginExchange::StreamOriginExchange(
-    Executor executor, RelayBoard& board, PeerSocket& socket, Incarnation incarnation)
+StreamOriginExchange::StreamOriginExchange(Executor executor, RelayBoard& board, PeerSocket& socket,
+    SoftwareWatch& software, Incarnation incarnation)
     : m_executor(std::move(executor))
     , m_board(board)
     , m_socket(socket)
+    , m_software(software)
     , m_lastNumber(incarnation)
 {
 }
 
 auto StreamOriginExchange::start() -> void
 {
-    m_startedAt = Clock::now();
-    runLoop(m_executor, "stream_origins", m_board.m_metrics, [this] { return watchPools(); });
-}
-
-auto StreamOriginExchange::watchPools() -> Awaitable<void>
-{
-    for (;;) {
-        updateWatch();
-        updateSharingSoftware();
-        co_await sleepFor(watchInterval);
-    }
-}
-
-auto StreamOriginExchange::updateWatch() -> void
-{
-    const auto now = Clock::now();
-    if (stoodStill(now) || !m_board.m_upstreams.m_known)
-        m_watchedSince.reset();
-    if (!m_watchedSince && m_board.m_upstreams.m_known)
-        m_watchedSince = now;
-    m_lastWatchAt = now;
-}
-
-auto StreamOriginExchange::stoodStill(MonotonicTime now) const -> bool
-{
-    return m_lastWatchAt + longestWatchPause < now;
+    m_software.start([this](SoftwareId software) { tellKeepersOf(software); });
 }
 
-auto StreamOriginExchange::watchedFor() const -> Milliseconds
+// Streams that began while their software was alone become worth keeping elsewhere once it isn't.
+auto StreamOriginExchange::tellKeepersOf(SoftwareId software) -> void
 {
-    const auto now = Clock::now();
-    if (!m_watchedSince || stoodStill(now))
-        return Milliseconds(0);
-    return std::chrono::duration_cast<Milliseconds>(now - *m_watchedSince);
-}
-
-// Streams that began while their pool had one version become worth keeping elsewhere as it gets a second one.
-auto StreamOriginExchange::updateSharingSoftware() -> void
-{
-    const auto now = Clock::now();
-    auto sharing = std::set<SoftwareId>();
-    for (const auto& pool : poolsOf(m_board)) {
-        const auto software = softwareOf(m_board.m_upstreams, pool, now);
-        if (software.size() > 1)
-            sharing.insert(software.begin(), software.end());
-    }
-    for (const auto software : sharing) {
-        if (!m_sharing.contains(software))
-            sendNotices(localStreamsOf(m_origins, software, now), software);
-    }
-    m_sharing = std::move(sharing);
+    sendNotices(localStreamsOf(m_origins, software, Clock::now()), software);
 }
 
 auto StreamOriginExchange::noteBegan(StreamKey stream, SoftwareId software) -> void
 {
     recordOrigin(m_origins, stream, { software, Clock::now(), true });
-    if (m_sharing.contains(software))
+    if (!m_software.isAlone(software))
         sendNotices({ stream }, software);
 }
 
@@ -130,17 +99,7 @@
     }
 }
 
-auto StreamOriginExchange::candidatesOf(const std::vector<PoolName>& pools) const -> std::vector<SoftwareId>
-{
-    auto candidates = std::vector<SoftwareId>();
-    for (const auto& pool : pools) {
-        const auto software = softwareOf(m_board.m_upstreams, pool, Clock::now());
-        candidates.insert(candidates.end(), software.begin(), software.end());
-    }
-    return candidates;
-}
-
-auto StreamOriginExchange::find(StreamKey stream, std::vector<PoolName> pools) -> Awaitable<FoundOrigin>
+auto StreamOriginExchange::find(StreamKey stream, RoutePools pools) -> Awaitable<FoundOrigin>
 {
     auto found = FoundOrigin();
     found.m_software = findOrigin(m_origins, stream, Clock::now());
@@ -148,9 +107,9 @@
         found.m_source = OriginSource::ThisNode;
         co_return found;
     }
-    for (const auto timeout : { answerTimeout, secondTimeout }) {
-        const auto nodes = originKeepers(m_board.m_fleet, stream, askedNodes, Clock::now());
-        const auto others = co_await ask(stream, pools, nodes, timeout);
+    for (const auto& round : rounds) {
+        const auto nodes = originKeepers(m_board.m_fleet, stream, round.m_nodes, Clock::now());
+        const auto others = co_await ask(stream, pools, nodes, round.m_timeout);
         found = judge(stream, pools, others);
         found.m_nodesAsked = nodes.size();
         if (found.m_software)
@@ -159,26 +118,20 @@
     co_return found;
 }
 
-auto StreamOriginExchange::judge(StreamKey stream, const std::vector<PoolName>& pools,
-    const std::vector<OriginKnowledge>& others) const -> FoundOrigin
-{
-    const auto local
-        = OriginKnowledge { findOrigin(m_origins, stream, Clock::now()), candidatesOf(pools), watchedFor() };
-    auto found = judgeOrigin(local, others);
-    if (others.empty() && !local.m_software && !mayJudgeAlone())
-        found.m_software.reset();
-    return found;
-}
-
-auto StreamOriginExchange::mayJudgeAlone() const -> bool
+auto StreamOriginExchange::judge(
+    StreamKey stream, const RoutePools& pools, const std::vector<OriginKnowledge>& others) -> FoundOrigin
 {
-    const auto& fleet = m_board.m_fleet;
-    const auto isAlone = fleet.m_membersRead && fleet.m_peers.empty();
-    return isAlone || m_startedAt + streamLifetime <= Clock::now();
+    auto local = OriginKnowledge { findOrigin(m_origins, stream, Clock::now()),
+        m_software.candidatesFor(pools), m_software.knowsAll(), m_software.watchedFor() };
+    // A node that is cut off from all others and from the store doesn't see what begins to serve.
+    const auto isCutOff = others.empty() && !m_board.m_fleet.m_peers.empty() && !m_board.m_storeReachable;
+    if (isCutOff)
+        local.m_knowsAll = false;
+    return judgeOrigin(local, others);
 }
 
-auto StreamOriginExchange::ask(StreamKey stream, const std::vector<PoolName>& pools,
-    const std::vector<Address>& nodes, Milliseconds timeout) -> Awaitable<std::vector<OriginKnowledge>>
+auto StreamOriginExchange::ask(StreamKey stream, const RoutePools& pools, const std::vector<Address>& nodes,
+    Milliseconds timeout) -> Awaitable<std::vector<OriginKnowledge>>
 {
     auto message = messages::OriginQuestionT();
     message.number = ++m_lastNumber;
@@ -211,13 +164,10 @@
     auto answer = messages::OriginAnswerT();
     answer.number = question.number();
     answer.software = findOrigin(m_origins, question.stream(), Clock::now()).value_or(0);
-    auto pools = poolsOf(m_board);
-    std::erase_if(pools, [&](const PoolName& pool) {
-        const auto* asked = question.pools();
-        return !asked || std::find(asked->begin(), asked->end(), shortId(pool.value())) == asked->end();
-    });
-    answer.candidates = candidatesOf(pools);
-    answer.watched_ms = static_cast<std::uint32_t>(std::min(watchedFor(), longestStatedWatch).count());
+    answer.candidates = m_software.candidatesFor(askedPools(m_board, question));
+    answer.knows_all = m_software.knowsAll();
+    answer.watched_ms
+        = static_cast<std::uint32_t>(std::min(m_software.watchedFor(), longestStatedWatch).count());
     m_socket.send(from, encodeDatagram(answer));
 }
 
@@ -227,6 +177,7 @@
     if (found == m_questions.end())
         return;
     auto knowledge = OriginKnowledge();
+    knowledge.m_knowsAll = answer.knows_all();
     knowledge.m_watchedFor = Milliseconds(answer.watched_ms());
     if (answer.software() != 0)
         knowledge.m_software = answer.software();
--- a/src/relay/stream_origins.cc
+++ b/src/relay/stream_origins.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <xxhash.h>
 
 namespace marigoldladder::relay {
@@ -24,12 +25,6 @@
         origins.m_byKey.erase(stream);
     }
 
-    auto addSoftware(std::vector<SoftwareId>& software, SoftwareId added) -> void
-    {
-        if (std::find(software.begin(), software.end(), added) == software.end())
-            software.push_back(added);
-    }
-
     auto setOrigin(FoundOrigin& found, SoftwareId software, OriginSource source) -> void
     {
         found.m_software = software;
@@ -105,39 +100,41 @@
     return streams;
 }
 
-auto softwareOf(const UpstreamTable& table, const PoolName& pool, MonotonicTime now)
-    -> std::vector<SoftwareId>
+auto softwareInUse(const UpstreamTable& table) -> SoftwareByPool
+{
+    auto software = SoftwareByPool();
+    for (const auto& [name, upstream] : table.m_upstreams)
+        software[upstream->m_record.m_pool].insert(upstream->m_record.m_software);
+    return software;
+}
+
+auto addFormerSoftware(SoftwareByPool& software, const UpstreamTable& table, MonotonicTime now) -> void
 {
-    auto software = std::vector<SoftwareId>();
-    for (const auto& [name, upstream] : table.m_upstreams) {
-        if (upstream->m_record.m_pool == pool)
-            addSoftware(software, upstream->m_record.m_software);
-    }
     for (const auto& [former, gone] : table.m_formerSoftware) {
-        if (gone.m_pool == pool && !isOver(gone.m_goneAt, now))
-            addSoftware(software, former);
+        if (!isOver(gone.m_goneAt, now))
+            software[gone.m_pool].insert(former);
     }
-    return software;
 }
 
 auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others) -> FoundOrigin
 {
     auto found = FoundOrigin();
-    auto candidates = local.m_candidates;
+    auto candidates = std::set<SoftwareId>(local.m_candidates.begin(), local.m_candidates.end());
     found.m_nodesAnswered = others.size();
+    found.m_nodesThatKnowAll = local.m_knowsAll ? 1 : 0;
     found.m_watchedFor = local.m_watchedFor;
     for (const auto& other : others) {
         found.m_watchedFor = std::max(found.m_watchedFor, other.m_watchedFor);
-        for (const auto software : other.m_candidates)
-            addSoftware(candidates, software);
+        found.m_nodesThatKnowAll += other.m_knowsAll ? 1 : 0;
+        candidates.insert(other.m_candidates.begin(), other.m_candidates.end());
         if (other.m_software && !found.m_software)
             setOrigin(found, *other.m_software, OriginSource::OtherNode);
     }
     found.m_candidates = candidates.size();
     if (local.m_software)
         setOrigin(found, *local.m_software, OriginSource::ThisNode);
-    if (!found.m_software && candidates.size() == 1)
-        setOrigin(found, candidates.front(), OriginSource::Conclusion);
+    if (!found.m_software && candidates.size() == 1 && found.m_nodesThatKnowAll > 0)
+        setOrigin(found, *candidates.begin(), OriginSource::Conclusion);
     return found;
 }
 
--- a/src/relay/stream_origins.h
+++ b/src/relay/stream_origins.h
@@ -8,6 +8,7 @@
 
 #include "marigoldladder/enum_names.h"
 #include "relay/fleet_view.h"
+#include "relay/software_history.h"
 #include "relay/upstream.h"
 
 #include <array>
@@ -51,13 +52,17 @@
 // Returns the local streams that this software began.
 auto localStreamsOf(const StreamOrigins&, SoftwareId, MonotonicTime now) -> std::vector<StreamKey>;
 
-// Returns the software that has served in the pool while a stream could have begun that may be taken up now.
-auto softwareOf(const UpstreamTable&, const PoolName&, MonotonicTime now) -> std::vector<SoftwareId>;
+// Returns the software of the upstreams there are.
+auto softwareInUse(const UpstreamTable&) -> SoftwareByPool;
+
+// Adds the software that has gone while a stream could have begun that may be taken up now.
+auto addFormerSoftware(SoftwareByPool&, const UpstreamTable&, MonotonicTime now) -> void;
 
 // What a node knows of a stream's origin.
 struct OriginKnowledge {
     std::optional<SoftwareId> m_software; // That began it; empty: not known.
     std::vector<SoftwareId> m_candidates; // That could have begun it, as far as the node knows.
+    bool m_knowsAll = false; // No other software could have begun it.
     Milliseconds m_watchedFor { 0 }; // For how long the node's view of the upstreams has no gap.
 };
 
@@ -83,11 +88,12 @@
     std::size_t m_nodesAsked = 0;
     std::size_t m_nodesAnswered = 0;
     std::size_t m_candidates = 0; // By this node's view and the answers.
+    std::size_t m_nodesThatKnowAll = 0; // Of the candidates, this node included.
     Milliseconds m_watchedFor { 0 }; // The longest that one of these nodes has watched without a gap.
 };
 
 // Returns the software at which the stream may go on, by what this node and others know; not known if it may
-// be one of several.
+// be one of several, or if none of the nodes knows all that could have begun it.
 auto judgeOrigin(const OriginKnowledge& local, const std::vector<OriginKnowledge>& others) -> FoundOrigin;
 
 // Returns the addresses of up to `count` live nodes that keep the stream's origin, in different data centres
--- a/src/relay/taken_up_stream.cc
+++ b/src/relay/taken_up_stream.cc
@@ -1,5 +1,6 @@
 #include "relay/taken_up_stream.h"
 
+#include "relay/route_history.h"
 #include "relay/upstream_choice.h"
 
 #include <algorithm>
@@ -30,22 +31,14 @@
     return streamKeyOf(state.m_organisation, attempt);
 }
 
-auto poolNamesOf(const Route& route) -> std::vector<PoolName>
-{
-    auto names = std::vector<PoolName>();
-    for (const auto& pool : route.m_pools)
-        names.push_back(pool.m_pool);
-    return names;
-}
-
 auto poolOfSoftware(const UpstreamTable& table, const Route& route, SoftwareId software)
     -> std::optional<PoolName>
 {
-    const auto pools = poolNamesOf(route);
+    const auto pools = poolsOf(route);
     for (const auto& [name, upstream] : table.m_upstreams) {
         const auto& record = upstream->m_record;
         if (record.m_software == software && acceptsNewRequests(table, *upstream)
-            && std::find(pools.begin(), pools.end(), record.m_pool) != pools.end())
+            && pools.contains(record.m_pool))
             return record.m_pool;
     }
     return std::nullopt;
--- a/src/relay/taken_up_stream.h
+++ b/src/relay/taken_up_stream.h
@@ -16,9 +16,6 @@
 // to be known. Nothing if the stream can't be taken up.
 auto streamKeyOf(const CallState&) -> std::optional<StreamKey>;
 
-// Returns the names of the route's pools.
-auto poolNamesOf(const Route&) -> std::vector<PoolName>;
-
 // Returns which of the route's pools has upstreams of this software that take requests; nothing if none has.
 auto poolOfSoftware(const UpstreamTable&, const Route&, SoftwareId) -> std::optional<PoolName>;
 
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -128,6 +128,7 @@
     std::map<SoftwareId, FormerSoftware> m_formerSoftware; // Also of upstreams replaced under their name.
     std::map<DataCentreName, bool> m_evacuated; // Data centres that get no new requests.
     std::map<PoolName, Brittleness> m_brittle; // Pools whose upstreams are.
+    std::uint64_t m_softwareChanges = 0; // Grows whenever the software of the upstreams changes.
     AdapterVersions m_versions;
     bool m_known = false; // The store's list of upstreams has been read.
 };
--- a/test/platform/stepped_runner.h
+++ b/test/platform/stepped_runner.h
@@ -32,7 +32,8 @@
         , m_crashWatch(m_context.get_executor(), m_settings, m_board, m_connector)
         , m_requestLimits(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
         , m_rooms(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
-        , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
+        , m_software(m_context.get_executor(), m_settings, m_board, m_store)
+        , m_origins(m_context.get_executor(), m_board, m_socket, m_software, Incarnation { 77 })
         , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList, m_requestLimits,
               m_rooms, m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
     {
@@ -63,6 +64,8 @@
     relay::CrashWatch m_crashWatch;
     relay::RequestLimitExchange m_requestLimits;
     relay::RoomExchange m_rooms;
+    relay::ObjectStore m_store; // Not called.
+    relay::SoftwareWatch m_software;
     relay::StreamOriginExchange m_origins;
     relay::RequestRunner m_runner;
     std::map<std::string, std::unique_ptr<FakeUpstream>> m_upstreams;
--- a/test/relay/caller_server_test.cc
+++ b/test/relay/caller_server_test.cc
@@ -37,7 +37,8 @@
             , m_crashWatch(m_context.get_executor(), m_settings, m_board, m_connector)
             , m_requestLimits(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
             , m_rooms(m_context.get_executor(), m_settings, m_board, m_socket, Incarnation { 77 })
-            , m_origins(m_context.get_executor(), m_board, m_socket, Incarnation { 77 })
+            , m_software(m_context.get_executor(), m_settings, m_board, m_store)
+            , m_origins(m_context.get_executor(), m_board, m_socket, m_software, Incarnation { 77 })
             , m_runner(m_context.get_executor(), m_settings, m_board, m_allowances, m_waitList,
                   m_requestLimits, m_rooms, m_origins, m_upstreamCaller, m_crashWatch, m_dialect)
             , m_server(m_context.get_executor(), capacityOf(m_settings), m_board, m_runner, m_waitList)
@@ -57,6 +58,8 @@
         CrashWatch m_crashWatch;
         RequestLimitExchange m_requestLimits;
         RoomExchange m_rooms;
+        ObjectStore m_store; // Not called.
+        SoftwareWatch m_software;
         StreamOriginExchange m_origins;
         RequestRunner m_runner;
         CallerServer m_server;
--- a/test/relay/stream_origin_exchange_test.cc
+++ b/test/relay/stream_origin_exchange_test.cc
@@ -1,12 +1,14 @@
 #include "relay/stream_origin_exchange.h"
 
 #include "relay/generated/peer_messages_generated.h"
+#include "relay/memory_store.h"
 #include "relay/relay_fixtures.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 #include <memory>
+#include <set>
 
 namespace marigoldladder::relay {
 namespace {
@@ -16,18 +18,42 @@
     constexpr auto newer = SoftwareId { 2 };
     constexpr auto stream = StreamKey { 7 };
     constexpr auto delivery = Milliseconds(20); // Of a message on the loopback network.
+    constexpr auto historyTime = Milliseconds(450); // In which a node reads what the store says.
+    constexpr auto usualNodes = 5;
+
+    const auto pool = enginePool().m_name;
+
+    auto streamConfiguration() -> RoutingConfiguration
+    {
+        auto configuration = configurationWith(enginePool());
+        auto route = Route();
+        route.m_pathPrefix = "/";
+        route.m_kind = CallKind::Stream;
+        route.m_resumable = true;
+        route.m_pools.push_back({ pool });
+        configuration.m_routesByHost["h"].push_back(route);
+        return configuration;
+    }
+
+    auto settingsOf(const VmName& vm) -> RelaySettings
+    {
+        auto settings = RelaySettings();
+        settings.m_vm = vm;
+        return settings;
+    }
 
     struct Node {
-        Node(net::io_context& context, int number)
+        Node(net::io_context& context, const ObjectStore& store, int number)
             : m_address { loopbackHost(30 + number), port }
-            , m_vm("node-" + std::to_string(number))
+            , m_settings(settingsOf(VmName("node-" + std::to_string(number))))
+            , m_vm(m_settings.m_vm)
             , m_socket(context.get_executor())
-            , m_origins(context.get_executor(), m_board, m_socket, Incarnation { 77 })
+            , m_software(context.get_executor(), m_settings, m_board, store)
+            , m_origins(context.get_executor(), m_board, m_socket, m_software, Incarnation { 77 })
         {
-            auto configuration = RoutingConfiguration();
-            configuration.m_pools.emplace(enginePool().m_name, enginePool());
-            m_board.m_configuration = std::make_shared<const RoutingConfiguration>(configuration);
-            learn("i-1", old);
+            m_board.m_configuration = std::make_shared<const RoutingConfiguration>(streamConfiguration());
+            m_board.m_upstreams.m_known = true;
+            m_board.m_fleet.m_membersRead = true;
         }
 
         auto open() -> bool
@@ -60,18 +86,25 @@
         }
 
         Address m_address;
+        RelaySettings m_settings;
         VmName m_vm;
         RelayBoard m_board;
         PeerSocket m_socket;
+        SoftwareWatch m_software;
         StreamOriginExchange m_origins;
     };
 
     class StreamOriginExchangeTest : public testing::Test {
     protected:
-        auto SetUp() -> void override
+        // Starts nodes that see upstreams of this software; the store says that `served` has served lately.
+        auto startNodes(int count, SoftwareId seen, const std::set<SoftwareId>& served) -> void
         {
-            for (auto number = 0; number < 5; ++number) {
-                m_nodes.push_back(std::make_unique<Node>(m_context, number));
+            if (!served.empty())
+                (void)m_store.write("software",
+                    { "history", {}, false, toJson({ { { pool, served } }, true, firstEra }) }, true);
+            for (auto number = 0; number < count; ++number) {
+                m_nodes.push_back(std::make_unique<Node>(m_context, m_calls, number));
+                m_nodes.back()->learn("i-1", seen);
                 ASSERT_TRUE(m_nodes.back()->open());
             }
             for (auto& node : m_nodes) {
@@ -81,7 +114,7 @@
                 }
                 node->m_origins.start();
             }
-            runFor(delivery);
+            runFor(historyTime);
         }
 
         auto runFor(Milliseconds time) -> void
@@ -101,7 +134,7 @@
         {
             auto found = std::optional<SoftwareId>();
             auto ended = false;
-            net::co_spawn(m_context, m_nodes[node]->m_origins.find(stream, { enginePool().m_name }),
+            net::co_spawn(m_context, m_nodes[node]->m_origins.find(stream, { pool }),
                 [&](const std::exception_ptr&, const FoundOrigin& result) {
                     found = result.m_software;
                     ended = true;
@@ -122,12 +155,15 @@
         }
 
         net::io_context m_context;
+        MemoryStore m_store;
+        ObjectStore m_calls = m_store.calls();
         std::vector<std::unique_ptr<Node>> m_nodes;
     };
 
     // Issue 43: a caller took its stream up at another node than the one that was killed.
     TEST_F(StreamOriginExchangeTest, OtherNodesKnowAStreamOfANodeThatIsGone)
     {
+        startNodes(usualNodes, old, { old });
         beginRelease();
         m_nodes[0]->m_origins.noteBegan(stream, old);
         runFor(delivery);
@@ -138,6 +174,8 @@
 
     TEST_F(StreamOriginExchangeTest, AStreamFromBeforeAReleaseIsKnownOnceItBegins)
     {
+        startNodes(usualNodes, old, { old });
+        EXPECT_TRUE(m_nodes[0]->m_software.isAlone(old));
         m_nodes[0]->m_origins.noteBegan(stream, old);
         beginRelease();
         lose(0);
@@ -147,11 +185,13 @@
 
     TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesOnWhileThereIsOneVersion)
     {
+        startNodes(usualNodes, old, { old });
         EXPECT_EQ(findAt(1), old);
     }
 
     TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesNowhereWhileThereAreTwoVersions)
     {
+        startNodes(usualNodes, old, { old });
         beginRelease();
         EXPECT_EQ(findAt(1), std::nullopt);
     }
@@ -159,6 +199,7 @@
     // A node that has just started can't tell that there was one version only.
     TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesNowhereWhileNobodyAnswersANewNode)
     {
+        startNodes(usualNodes, old, {});
         for (auto node = std::size_t { 0 }; node < m_nodes.size(); ++node) {
             if (node != 1)
                 lose(node);
@@ -169,6 +210,7 @@
     // It doesn't know of the older version's upstreams, which left before it came.
     TEST_F(StreamOriginExchangeTest, ANewNodeIsToldThatThereWereTwoVersions)
     {
+        startNodes(usualNodes, old, { old });
         beginRelease();
         auto& table = m_nodes[1]->m_board.m_upstreams;
         removeUpstream(table, UpstreamName("i-1"), std::chrono::steady_clock::now());
@@ -176,5 +218,62 @@
         EXPECT_EQ(findAt(1), std::nullopt);
     }
 
+    // Issue 61: all nodes had started after the older version left, and took the newer one for the only one.
+    TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesNowhereAfterAllNodesStartedBehindARelease)
+    {
+        startNodes(usualNodes, newer, { old, newer });
+        EXPECT_EQ(findAt(1), std::nullopt);
+    }
+
+    TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesNowhereWhileNoNodeKnowsWhatLeftBefore)
+    {
+        startNodes(usualNodes, newer, {});
+        EXPECT_EQ(findAt(1), std::nullopt);
+    }
+
+    TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesNowhereWhileTheStoreIsDown)
+    {
+        m_store.m_isDown = true;
+        startNodes(usualNodes, newer, {});
+        EXPECT_EQ(findAt(1), std::nullopt);
+        m_store.m_isDown = false;
+    }
+
+    // Of twelve nodes all but one were started anew, and the one that remembers is not among the first asked.
+    TEST_F(StreamOriginExchangeTest, AStreamIsKnownAsLongAsAnyNodeThatKeepsItIsLeft)
+    {
+        constexpr auto nodes = 12;
+        startNodes(nodes, newer, { old, newer });
+        auto notice = messages::OriginNoticeT();
+        notice.origins.emplace_back(stream, old);
+        auto builder = flatbuffers::FlatBufferBuilder();
+        builder.Finish(messages::OriginNotice::Pack(builder, &notice));
+        const auto last = originKeepers(m_nodes[0]->m_board.m_fleet, stream, nodes, std::chrono::steady_clock::now()).back();
+        for (auto& node : m_nodes) {
+            if (node->m_address == last)
+                node->m_origins.handle(*flatbuffers::GetRoot<messages::OriginNotice>(builder.GetBufferPointer()));
+        }
+        EXPECT_EQ(findAt(0), old);
+    }
+
+    TEST_F(StreamOriginExchangeTest, OneNodeWritesWhatBeginsToServe)
+    {
+        startNodes(usualNodes, old, { old });
+        const auto written = m_store.m_writes;
+        beginRelease();
+        runFor(historyTime);
+        EXPECT_EQ(m_store.m_writes, written + 1);
+        const auto& content = m_store.m_objects.at({ "software", "history" }).m_content;
+        EXPECT_EQ(toHistory(content)->m_software.at(pool), (std::set<SoftwareId> { old, newer }));
+    }
+
+    // What an earlier node wrote there may be lost.
+    TEST_F(StreamOriginExchangeTest, AHistoryFromBeforeTheStoreWasRestoredDoesNotTellAll)
+    {
+        m_store.m_era = 2;
+        startNodes(usualNodes, old, { old });
+        EXPECT_EQ(findAt(1), std::nullopt);
+    }
+
 } // namespace
 } // namespace marigoldladder::relay
--- a/test/relay/stream_origins_test.cc
+++ b/test/relay/stream_origins_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 namespace marigoldladder::relay {
 namespace {
@@ -27,14 +28,18 @@
     }
 
     INSTANTIATE_TEST_SUITE_P(AllCases, OriginJudgementTest,
-        testing::Values(JudgementCase { "KnownHere", { old, { old, newer } }, {}, old },
+        testing::Values(JudgementCase { "KnownHere", { old, { old, newer }, true }, {}, old },
             JudgementCase { "KnownElsewhere", { {}, { newer } }, { { {}, { newer } }, { old, {} } }, old },
-            JudgementCase { "OneVersion", { {}, { old } }, { { {}, { old } } }, old },
-            JudgementCase { "OneVersionAndNobodyToAsk", { {}, { old } }, {}, old },
-            JudgementCase { "SeveralVersions", { {}, { old, newer } }, {}, std::nullopt },
-            JudgementCase { "AnotherVersionThatOnlyAnotherNodeSaw", { {}, { newer } },
+            JudgementCase { "OneVersion", { {}, { old }, true }, { { {}, { old }, true } }, old },
+            JudgementCase { "OneVersionAndNobodyToAsk", { {}, { old }, true }, {}, old },
+            JudgementCase { "OneVersionByANodeThatKnowsAll", { {}, {} }, { { {}, { old }, true } }, old },
+            JudgementCase {
+                "OneVersionByNodesThatKnowNothing", { {}, { old } }, { { {}, { old } } }, std::nullopt },
+            JudgementCase { "OneVersionByANewNodeAlone", { {}, { old } }, {}, std::nullopt },
+            JudgementCase { "SeveralVersions", { {}, { old, newer }, true }, {}, std::nullopt },
+            JudgementCase { "AnotherVersionThatOnlyAnotherNodeSaw", { {}, { newer }, true },
                 { { {}, { old, newer } } }, std::nullopt },
-            JudgementCase { "NoVersion", { {}, {} }, {}, std::nullopt }),
+            JudgementCase { "NoVersion", { {}, {}, true }, {}, std::nullopt }),
         [](const auto& info) { return std::string(info.param.m_name); });
 
     TEST(StreamOriginsTest, KeepAStreamForItsLifetime)
@@ -74,6 +79,13 @@
         EXPECT_NE(streamKeyOf(OrganisationName("a"), "r1"), streamKeyOf(OrganisationName("b"), "r1"));
     }
 
+    auto softwareOf(const UpstreamTable& table, MonotonicTime now) -> std::set<SoftwareId>
+    {
+        auto software = softwareInUse(table);
+        addFormerSoftware(software, table, now);
+        return software[PoolName("engines")];
+    }
+
     auto recordOf(const std::string& name, SoftwareId software) -> UpstreamRecord
     {
         auto record = engineRecord(name);
@@ -88,26 +100,44 @@
         applyUpstreamRecord(table, recordOf("i-1", old), at(0));
         applyUpstreamRecord(table, recordOf("i-2", newer), at(0));
         removeUpstream(table, UpstreamName("i-1"), at(10));
-        const auto pool = engineRecord("i-2").m_pool;
-        EXPECT_EQ(softwareOf(table, pool, at(39)).size(), 2U);
-        EXPECT_EQ(softwareOf(table, pool, at(40)), std::vector<SoftwareId> { newer });
+        EXPECT_EQ(softwareOf(table, at(39)).size(), 2U);
+        EXPECT_EQ(softwareOf(table, at(40)), std::set<SoftwareId> { newer });
     }
 
     // Its entry is that of another run, or the same run states other software.
     TEST(StreamOriginsTest, SoftwareThatWasReplacedUnderItsNameCountsUntilItsStreamsHaveEnded)
     {
-        const auto pool = engineRecord("i-1").m_pool;
         for (const auto startedAt : { 0, 5 }) {
             auto table = UpstreamTable();
             applyUpstreamRecord(table, recordOf("i-1", old), at(0));
             auto record = recordOf("i-1", newer);
             record.m_startedAt = startedAt;
             applyUpstreamRecord(table, record, at(10));
-            EXPECT_EQ(softwareOf(table, pool, at(39)).size(), 2U);
-            EXPECT_EQ(softwareOf(table, pool, at(40)), std::vector<SoftwareId> { newer });
+            EXPECT_EQ(softwareOf(table, at(39)).size(), 2U);
+            EXPECT_EQ(softwareOf(table, at(40)), std::set<SoftwareId> { newer });
         }
     }
 
+    // A node looks at the list of upstreams again when the counter grows.
+    TEST(StreamOriginsTest, EachChangeOfTheSoftwareInUseIsCounted)
+    {
+        auto table = UpstreamTable();
+        auto seen = std::vector<std::uint64_t> { table.m_softwareChanges };
+        const auto record = recordOf("i-1", old);
+        applyUpstreamRecord(table, record, at(0));
+        seen.push_back(table.m_softwareChanges);
+        removeUpstream(table, record.m_name, at(1));
+        seen.push_back(table.m_softwareChanges);
+        applyUpstreamRecord(table, record, at(2)); // The same run's entry returns.
+        seen.push_back(table.m_softwareChanges);
+        applyUpstreamRecord(table, recordOf("i-1", newer), at(3));
+        seen.push_back(table.m_softwareChanges);
+        for (auto change = std::size_t { 1 }; change < seen.size(); ++change)
+            EXPECT_GT(seen[change], seen[change - 1]) << "change " << change;
+        applyUpstreamRecord(table, recordOf("i-1", newer), at(4));
+        EXPECT_EQ(table.m_softwareChanges, seen.back());
+    }
+
     auto fleetOf(int nodes) -> FleetView
     {
         auto fleet = FleetView();
