Ask an upstream which run of it answers before a stream goes on there

What callers saw: streams went on at another version of the upstreams' software just after an upstream had started again under its name, within one answer and over their tries.

Cause: the software was that of the upstream's entry in the store when the request was sent; the entry tells of the run before until it is renewed, and the name that the request states is that of both runs. A new stream there was noted under a version that didn't begin it, too. Class: a belief about another process (its entry) used as if it were that process.

Ruled out: waiting for the entry's renewal (unbounded while the store is away, and renewals that change nothing aren't told); taking broken connections for a restart (a reset of all of them is no restart, and a node may have had none).

Now: a report and a request on one connection reach the same process, so a connection is asked once, before a resumable stream is sent on it, for the start of the run that answers. Another run than the listed one has a software of its own until an entry tells of it.

--- a/src/core/metrics.cc
+++ b/src/core/metrics.cc
@@ -40,6 +40,8 @@
         EnumName<Counter> { Counter::StreamsTakenUp, "streams_taken_up_total" },
         EnumName<Counter> { Counter::StreamsNotTakenUp, "streams_not_taken_up_total" },
         EnumName<Counter> { Counter::StreamsOfUnknownOrigin, "streams_of_unknown_origin_total" },
+        EnumName<Counter> { Counter::OutdatedEntries, "outdated_entries_total" },
+        EnumName<Counter> { Counter::RunsAsked, "upstream_runs_asked_total" },
         EnumName<Counter> { Counter::RequestsRetried, "requests_retried_total" },
         EnumName<Counter> { Counter::PeerConnectionsLost, "peer_connections_lost_total" },
         EnumName<Counter> { Counter::PeerHandshakesRefused, "peer_handshakes_refused_total" },
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -27,6 +27,8 @@
     StreamsTakenUp,
     StreamsNotTakenUp,
     StreamsOfUnknownOrigin,
+    OutdatedEntries,
+    RunsAsked,
     RequestsRetried,
     PeerConnectionsLost,
     PeerHandshakesRefused,
--- a/src/relay/blackboard_updates.cc
+++ b/src/relay/blackboard_updates.cc
@@ -13,6 +13,9 @@
     // node.
     constexpr auto maxListingAge = Milliseconds(4'000);
 
+    constexpr auto entryRenewalTime
+        = Milliseconds(5'000); // In which an upstream that started anew renews it.
+
     constexpr auto reportValidity = Milliseconds(4'000); // A few report intervals.
     constexpr auto maxReportAge = Milliseconds(700);
     // Usual upper bound of the time until an adapter that is being loaded is ready.
@@ -157,9 +160,10 @@
     return isOf(table.m_removedLately) ? RunKnowledge::Removed : RunKnowledge::Unknown;
 }
 
-auto recordNobodyListens(Upstream& upstream) -> void
+auto recordNobodyListens(Upstream& upstream, MonotonicTime now) -> void
 {
     upstream.m_mayHaveRestarted = true;
+    upstream.m_inDoubtUntil = now + entryRenewalTime;
 }
 
 auto recordAccepted(Upstream& upstream, const Pool* pool, MonotonicTime now) -> bool
--- a/src/relay/blackboard_updates.h
+++ b/src/relay/blackboard_updates.h
@@ -31,7 +31,7 @@
 auto removeUpstream(UpstreamTable&, const UpstreamName&, MonotonicTime now) -> void;
 
 // Records that nobody listens at the upstream's address, so that its run has ended.
-auto recordNobodyListens(Upstream&) -> void;
+auto recordNobodyListens(Upstream&, MonotonicTime now) -> void;
 
 // Records that the upstream accepts connections. If nobody listened there before, this may be a new run,
 // which counts as cold for its pool's time; its own entry or answers may tell more. Returns whether that is
--- a/src/relay/call_state.h
+++ b/src/relay/call_state.h
@@ -36,6 +36,8 @@
     bool m_answerBegan = false; // The upstream sent an event, or a whole answer.
     SentVersions m_versions;
     SoftwareId m_software = 0; // Of the upstream.
+    std::optional<std::uint64_t>
+        m_runStartedAt; // As the upstream states it; 0: it doesn't. Empty: not asked.
     std::optional<VmName> m_via; // The peer that carries it; empty: it is direct.
     RoomEnd m_roomEnd = RoomEnd::Unknown; // What it showed of the upstream's room.
 };
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -143,7 +143,7 @@
     m_broken.erase(upstream.get());
     const auto refused = result.m_outcome == ConnectOutcome::Refused;
     if (result.m_nobodyListens)
-        recordNobodyListens(*upstream);
+        recordNobodyListens(*upstream, Clock::now());
     // One that said that it would leave has ended as it said.
     if (!refused || upstream->m_record.m_leaving)
         co_return;
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -3,7 +3,9 @@
 
 #include "relay/upstream.h"
 
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 #include <functional>
 #include <optional>
 #include <string>
@@ -69,12 +71,18 @@
     UpstreamNotices m_notices;
 };
 
-// Translates between header fields and the structs above.
+// The question which run of an upstream answers on a connection.
+using RunRequest = boost::beast::http::request<boost::beast::http::empty_body>;
+
+// Translates between messages and the structs above.
 struct Dialect {
     std::function<CallerRequest(const HeaderFields&)> m_readRequest;
     // Removes the fields that upstreams must not receive and adds those of the dispatch.
     std::function<void(HeaderFields&, const Dispatch&)> m_prepareForUpstream;
     std::function<UpstreamAnswer(unsigned status, const HeaderFields&)> m_readAnswer;
+    std::function<RunRequest(const UpstreamName&)> m_askRun;
+    // Returns the start of the run, in Unix milliseconds; nothing if the answer doesn't state it.
+    std::function<std::optional<std::uint64_t>(unsigned status, std::string_view body)> m_readRun;
 };
 
 // Removes the fields that apply to a single connection (hop-by-hop headers) and Content-Length.
--- a/src/relay/peer_loads.cc
+++ b/src/relay/peer_loads.cc
@@ -51,7 +51,7 @@
     const auto wasKnown = isUnreachable(reachability, now);
     reachability.m_refusedPeers[peer] = now;
     if (isUnreachable(reachability, now))
-        recordNobodyListens(*found->second);
+        recordNobodyListens(*found->second, now);
     if (!wasKnown && isUnreachable(reachability, now) && board.m_orders.m_holdsLease)
         board.m_adapterWanted();
 }
--- a/src/relay/request_log_lines.cc
+++ b/src/relay/request_log_lines.cc
@@ -58,6 +58,7 @@
     log.write(late ? "request_late" : "request_attempt", state.m_request.m_id,
         { { "route", state.m_route->m_name }, { "upstream", upstream.m_record.m_name.value() },
             { "run", std::to_string(upstream.m_record.m_startedAt) },
+            { "run_stated", formatVersion(call.m_runStartedAt) },
             { "software", std::to_string(call.m_software) },
             { "through", call.m_via ? call.m_via->value() : "" }, { "adapter", state.m_request.m_adapter },
             { "held_version", formatVersion(call.m_versions.m_held) },
--- a/src/relay/request_runner.cc
+++ b/src/relay/request_runner.cc
@@ -132,8 +132,8 @@
         }
     }
     attempts.m_needs = needsOf(state, organisation, m_random);
-    if (state.m_origin)
-        attempts.m_needs.m_pool = poolOfSoftware(m_board.m_upstreams, *state.m_route, *state.m_origin)
+    if (const auto software = neededSoftware(state, m_board.m_upstreams))
+        attempts.m_needs.m_pool = poolOfSoftware(m_board.m_upstreams, *state.m_route, *software)
                                       .value_or(attempts.m_needs.m_pool);
     co_await makeAttempts(state, answer, attempts);
     if (attempts.m_runs == 0)
@@ -163,8 +163,8 @@
     state.m_origin = found.m_software;
     if (!state.m_origin)
         m_board.m_metrics.add(Counter::StreamsOfUnknownOrigin);
-    const auto isServed
-        = state.m_origin && poolOfSoftware(m_board.m_upstreams, *state.m_route, *state.m_origin);
+    const auto software = neededSoftware(state, m_board.m_upstreams);
+    const auto isServed = software && poolOfSoftware(m_board.m_upstreams, *state.m_route, *software);
     logTakenUp(m_log, state, found, isServed);
     if (isServed)
         co_return std::nullopt;
@@ -223,7 +223,7 @@
     const auto rank = WaitRank { state.m_priority, state.m_arrivedAt };
     const auto slotDeadline = slotDeadlineOf(state);
     attempts.m_refusal.reset();
-    attempts.m_needs.m_software = state.m_origin;
+    attempts.m_needs.m_software = neededSoftware(state, m_board.m_upstreams);
     const auto waitStartedAt = Clock::now();
     auto found
         = co_await m_waitList.acquire(attempts.m_needs, rank, slotDeadline, state.m_callerDisconnected);
--- a/src/relay/request_runner_silence.cc
+++ b/src/relay/request_runner_silence.cc
@@ -2,6 +2,7 @@
 #include "relay/brittle_pools.h"
 #include "relay/request_log_lines.h"
 #include "relay/request_runner.h"
+#include "relay/taken_up_stream.h"
 #include "relay/upstream_health.h"
 
 #include <utility>
@@ -58,7 +59,7 @@
     const auto now = Clock::now();
     if (attempts.m_move && !maySendTo(m_board.m_upstreams, *attempts.m_move->m_slot.upstream(), now))
         attempts.m_move = nullptr;
-    attempts.m_needs.m_software = state.m_origin;
+    attempts.m_needs.m_software = neededSoftware(state, m_board.m_upstreams);
     if (!attempts.m_move)
         attempts.m_move = beginMove(attempts, silent);
     if (!attempts.m_move || attempts.m_move->m_asksForPermit)
--- a/src/relay/route_history.cc
+++ b/src/relay/route_history.cc
@@ -8,11 +8,6 @@
 
 namespace {
 
-    auto mayBeTakenUp(const Route& route) -> bool
-    {
-        return route.m_kind == CallKind::Stream && mayRetry(route);
-    }
-
     auto isOver(const RouteChange& change, MonotonicTime now) -> bool
     {
         return change.m_changedAt + streamLifetime <= now;
--- a/src/relay/routing_configuration.cc
+++ b/src/relay/routing_configuration.cc
@@ -5,6 +5,11 @@
 
 namespace marigoldladder::relay {
 
+auto mayBeTakenUp(const Route& route) -> bool
+{
+    return route.m_kind == CallKind::Stream && mayRetry(route);
+}
+
 auto mayRetry(const Route& route) -> bool
 {
     switch (route.m_kind) {
--- a/src/relay/routing_configuration.h
+++ b/src/relay/routing_configuration.h
@@ -57,6 +57,9 @@
 // Whether a request on this route may run again after it may have run.
 auto mayRetry(const Route&) -> bool;
 
+// Whether a stream of this route may go on at another upstream, also by a further attempt of its caller.
+auto mayBeTakenUp(const Route&) -> bool;
+
 struct Organisation {
     OrganisationName m_name;
     std::optional<int> m_priority; // Overrides the route's.
--- a/src/relay/taken_up_stream.cc
+++ b/src/relay/taken_up_stream.cc
@@ -2,6 +2,7 @@
 
 #include "relay/route_history.h"
 #include "relay/upstream_choice.h"
+#include "relay/upstream_run.h"
 
 #include <algorithm>
 
@@ -9,21 +10,16 @@
 
 namespace {
 
-    auto isResumableStream(const CallState& state) -> bool
-    {
-        return state.m_route->m_kind == CallKind::Stream && mayRetry(*state.m_route);
-    }
-
 } // namespace
 
 auto isTakenUp(const CallState& state) -> bool
 {
-    return isResumableStream(state) && !state.m_request.m_lastEventId.empty();
+    return mayBeTakenUp(*state.m_route) && !state.m_request.m_lastEventId.empty();
 }
 
 auto streamKeyOf(const CallState& state) -> std::optional<StreamKey>
 {
-    if (!isResumableStream(state))
+    if (!mayBeTakenUp(*state.m_route))
         return std::nullopt;
     const auto& attempt = isTakenUp(state) ? state.m_request.m_resumedId : state.m_request.m_id;
     if (attempt.empty())
@@ -31,13 +27,20 @@
     return streamKeyOf(state.m_organisation, attempt);
 }
 
+auto neededSoftware(const CallState& state, const UpstreamTable& table) -> std::optional<SoftwareId>
+{
+    if (!state.m_origin)
+        return std::nullopt;
+    return resolveSoftware(table, *state.m_origin);
+}
+
 auto poolOfSoftware(const UpstreamTable& table, const Route& route, SoftwareId software)
     -> std::optional<PoolName>
 {
     const auto pools = poolsOf(route);
     for (const auto& [name, upstream] : table.m_upstreams) {
         const auto& record = upstream->m_record;
-        if (record.m_software == software && acceptsNewRequests(table, *upstream)
+        if (runsSoftware(*upstream, software) && acceptsNewRequests(table, *upstream)
             && pools.contains(record.m_pool))
             return record.m_pool;
     }
--- a/src/relay/taken_up_stream.h
+++ b/src/relay/taken_up_stream.h
@@ -16,6 +16,10 @@
 // to be known. Nothing if the stream can't be taken up.
 auto streamKeyOf(const CallState&) -> std::optional<StreamKey>;
 
+// Returns the software at which the request's stream has to go on, by the entries there are now; nothing if
+// it hasn't begun.
+auto neededSoftware(const CallState&, const UpstreamTable&) -> std::optional<SoftwareId>;
+
 // Returns which of the route's pools has upstreams of this software that take requests; nothing if none has.
 auto poolOfSoftware(const UpstreamTable&, const Route&, SoftwareId) -> std::optional<PoolName>;
 
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -1,11 +1,14 @@
 #include "relay/upstream_call.h"
 
 #include "core/http_status.h"
+#include "core/log.h"
 #include "relay/blackboard_updates.h"
 #include "relay/stream_forwarding.h"
+#include "relay/taken_up_stream.h"
 #include "relay/upstream_answer.h"
 #include "relay/upstream_choice.h"
 #include "relay/upstream_notices.h"
+#include "relay/upstream_run.h"
 
 #include <algorithm>
 #include <array>
@@ -25,6 +28,7 @@
     constexpr auto answerPauseFactor = 3;
     constexpr auto minAnswerPause = Milliseconds(600);
     constexpr auto lowestPriority = 9;
+    constexpr auto connectionTries = 2; // An upstream may end a connection with any answer.
 
     // Statuses by which callers are promised that their request has not run and never will.
     constexpr auto refusalStatuses = std::array { 408U, 421U, 429U, 503U };
@@ -129,12 +133,45 @@
     const auto now = Clock::now();
     if (now >= state.m_deadline)
         return UpstreamCallOutcome::NotReached;
-    const auto fitsOrigin = !state.m_origin || *state.m_origin == upstream.m_record.m_software;
+    const auto origin = neededSoftware(state, m_board.m_upstreams);
+    const auto fitsOrigin = !origin || runsSoftware(upstream, *origin);
     if (state.m_callerDisconnected || !fitsOrigin || !maySendTo(m_board.m_upstreams, upstream, now))
         return UpstreamCallOutcome::NotSent;
     return std::nullopt;
 }
 
+// A stream goes on, and its origin is noted, by what the process on the connection says of itself.
+auto UpstreamCaller::acquireConnection(const CallState& state, SentCall& sent, bool& refused)
+    -> Awaitable<bool>
+{
+    auto& upstream = *sent.m_upstream;
+    for (auto tries = 0; tries < connectionTries; ++tries) {
+        sent.m_connection = co_await m_connections.acquire(sent.m_upstream, state.m_usedConnections, refused);
+        if (!sent.m_connection || !mayBeTakenUp(*state.m_route))
+            co_return sent.m_connection != nullptr;
+        const auto outcome = co_await askRun(*sent.m_connection, upstream, m_dialect, m_board.m_metrics);
+        if (outcome == RunQuestion::NotAnswered)
+            co_return false;
+        if (outcome == RunQuestion::Answered)
+            co_return fitsOrigin(state, sent);
+    }
+    co_return false;
+}
+
+auto UpstreamCaller::fitsOrigin(const CallState& state, const SentCall& sent) -> bool
+{
+    auto& upstream = *sent.m_upstream;
+    if (isOtherRun(*sent.m_connection, upstream) && !std::exchange(upstream.m_isOutdated, true)) {
+        m_board.m_metrics.add(Counter::OutdatedEntries);
+        logChange("upstream_entry_outdated",
+            { { "upstream", upstream.m_record.m_name.value() },
+                { "listed_run", std::to_string(upstream.m_record.m_startedAt) },
+                { "run", std::to_string(*sent.m_connection->m_runStartedAt) } });
+    }
+    const auto origin = neededSoftware(state, m_board.m_upstreams);
+    return !origin || softwareOn(*sent.m_connection, upstream, Clock::now()) == *origin;
+}
+
 auto UpstreamCaller::connect(CallState& state, CallProgress& progress, SentCall& sent)
     -> Awaitable<std::optional<UpstreamCallOutcome>>
 {
@@ -144,11 +181,11 @@
     if (const auto obstacle = obstacleToSend(state, upstream))
         co_return obstacle;
     auto refused = false;
-    sent.m_connection = co_await m_connections.acquire(sent.m_upstream, state.m_usedConnections, refused);
-    if (!sent.m_connection) {
+    const auto acquired = co_await acquireConnection(state, sent, refused);
+    if (!sent.m_connection)
         recordEnd(progress, upstream, UpstreamCallOutcome::NotReached, refused);
+    if (!acquired)
         co_return UpstreamCallOutcome::NotReached;
-    }
     // The connect may have taken a while.
     if (const auto obstacle = obstacleToSend(state, upstream))
         co_return obstacle;
@@ -172,7 +209,8 @@
     const auto sentAt = Clock::now();
     progress.m_versions = { held, dispatch.m_adapterVersion, sentAt };
     progress.m_lastHeardAt = sentAt;
-    progress.m_software = upstream.m_record.m_software;
+    progress.m_software = softwareOn(connection, upstream, sentAt);
+    progress.m_runStartedAt = connection.m_runStartedAt;
     connection.m_deadline.emplace(connection.m_stream, state.m_deadline);
     auto error = ErrorCode();
     co_await http::async_write(connection.m_stream, request, errorTo(error));
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -31,6 +31,11 @@
     auto saysOfUpstream(const CallProgress&, const Upstream&) const -> bool;
     // Returns why the request can't be sent, or nothing once it may be written to the connection.
     auto connect(CallState&, CallProgress&, SentCall&) -> Awaitable<std::optional<UpstreamCallOutcome>>;
+    // Acquires a connection on which the request may be sent, and returns whether there is one. Sets
+    // `refused` as the pool does.
+    auto acquireConnection(const CallState&, SentCall&, bool& refused) -> Awaitable<bool>;
+    // Whether what answers on the connection may go on with the request's stream.
+    auto fitsOrigin(const CallState&, const SentCall&) -> bool;
     // Writes the request and reads the head of its answer.
     auto send(CallState&, CallProgress&, SentCall&) -> Awaitable<void>;
     // Forwards the answer whose head was read.
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -79,7 +79,7 @@
     auto isEligible(const UpstreamTable& table, const Upstream& upstream, const UpstreamNeeds& needs) -> bool
     {
         return upstream.m_record.m_pool == needs.m_pool && acceptsNewRequests(table, upstream)
-            && (!needs.m_software || *needs.m_software == upstream.m_record.m_software);
+            && (!needs.m_software || runsSoftware(upstream, *needs.m_software));
     }
 
     // Returns the version that requests must run on: the newest announced one, once an engine serves it or
@@ -210,6 +210,11 @@
         [&](const auto& tried) { return tried.get() == &upstream; });
 }
 
+auto runsSoftware(const Upstream& upstream, SoftwareId software) -> bool
+{
+    return upstream.m_record.m_software == software && !upstream.m_isOutdated;
+}
+
 auto acceptsNewRequests(const UpstreamTable& table, const Upstream& upstream) -> bool
 {
     return !upstream.m_removed && !upstream.m_record.m_leaving
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -57,6 +57,9 @@
     std::uint64_t m_jitterSeed = 0; // New for each choice, so that nodes choose differently.
 };
 
+// Whether a stream of this software may go on at the upstream, as far as its entry tells.
+auto runsSoftware(const Upstream&, SoftwareId) -> bool;
+
 // Whether the request was sent to the upstream already.
 auto wasTried(const UpstreamNeeds&, const Upstream&) -> bool;
 
--- a/src/relay/upstream_connection_pool.cc
+++ b/src/relay/upstream_connection_pool.cc
@@ -67,7 +67,7 @@
     auto result = co_await m_connector.connect(connection->m_stream, upstream, connectTimeout);
     refused = result.m_outcome == ConnectOutcome::Refused;
     if (result.m_nobodyListens)
-        recordNobodyListens(*upstream);
+        recordNobodyListens(*upstream, std::chrono::steady_clock::now());
     if (result.m_outcome != ConnectOutcome::Connected)
         co_return nullptr;
     connection->m_via = std::move(result.m_via);
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -20,6 +20,9 @@
     // A write failed. It took the connection's error, so that a read tells no break from an end any more.
     bool m_writeFailed = false;
     std::uint64_t m_number = 0; // Of the connections that the pool opened.
+    // The start of the run that answers on it, in Unix milliseconds, as that run states it; 0: it states
+    // none. Empty: it wasn't asked.
+    std::optional<std::uint64_t> m_runStartedAt;
     std::optional<VmName> m_via; // The peer that carries it; empty: it is direct.
 };
 
--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <limits>
+#include <nlohmann/json.hpp>
 
 namespace marigoldladder::platform {
 
@@ -22,6 +23,22 @@
 
 } // namespace
 
+auto withReport(std::shared_ptr<const std::optional<std::uint64_t>> startedAt,
+    std::function<UpstreamReply(const UpstreamRequest&)> reply)
+    -> std::function<UpstreamReply(const UpstreamRequest&)>
+{
+    return [startedAt = std::move(startedAt), reply = std::move(reply)](const UpstreamRequest& request) {
+        if (request.target() != "/report")
+            return reply(request);
+        if (!*startedAt)
+            return UpstreamReply { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n" };
+        const auto body
+            = nlohmann::json { { "models", nlohmann::json::array() }, { "born", **startedAt } }.dump();
+        return UpstreamReply { "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body };
+    };
+}
+
 FakeUpstream::FakeUpstream(
     boost::asio::io_context& context, std::function<UpstreamReply(const UpstreamRequest&)> reply)
     : m_context(context)
--- a/test/platform/fake_upstream.h
+++ b/test/platform/fake_upstream.h
@@ -8,8 +8,10 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,13 @@
     std::string m_endless {}; // Sent behind all else, again and again until the connection ends.
 };
 
+// Returns a function that answers calls for a report by itself and passes all others on. The report states
+// the start of the upstream's run; without one, the upstream knows no reports. Used on the upstream's event
+// loop.
+auto withReport(std::shared_ptr<const std::optional<std::uint64_t>> startedAt,
+    std::function<UpstreamReply(const UpstreamRequest&)>)
+    -> std::function<UpstreamReply(const UpstreamRequest&)>;
+
 class FakeUpstream {
 public:
     FakeUpstream(boost::asio::io_context&, std::function<UpstreamReply(const UpstreamRequest&)>);
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -37,6 +37,7 @@
         settings.m_peerAddress = freeAddress();
         settings.m_metricsAddress = freeAddress();
         settings.m_storeAddress = store;
+        settings.m_firstStart = true;
         return settings;
     }
 
@@ -116,6 +117,8 @@
     std::atomic<bool> m_startFailed = false;
     std::map<std::string, std::unique_ptr<FakeUpstream>> m_upstreams;
     std::map<std::string, nlohmann::json> m_entries; // Of the upstreams, as written last.
+    // The start of each upstream's run, as it states it; empty: it states none.
+    std::map<std::string, std::shared_ptr<std::optional<std::uint64_t>>> m_runs;
 };
 
 RelayHarness::RelayHarness(const std::function<void(FakeStore&)>& prepare)
@@ -169,7 +172,10 @@
     const std::string& version) -> void
 {
     onLoop([&] {
-        auto upstream = std::make_unique<FakeUpstream>(m_parts->m_context, std::move(reply));
+        auto& startedAt = m_parts->m_runs[name];
+        startedAt = std::make_shared<std::optional<std::uint64_t>>();
+        auto upstream
+            = std::make_unique<FakeUpstream>(m_parts->m_context, withReport(startedAt, std::move(reply)));
         m_parts->m_entries[name] = { { "service", pool }, { "address", formatAddress(upstream->address()) },
             { "zone", "here" }, { "version", version }, { "slots", 8 }, { "state", "ready" },
             { "cold_left_ms", 0 }, { "models", std::move(models) }, { "sequence", 0 } };
@@ -188,6 +194,11 @@
     awaitUpstreamEntries();
 }
 
+auto RelayHarness::stateRun(const std::string& name, std::uint64_t startedAt) -> void
+{
+    onLoop([&] { *m_parts->m_runs.at(name) = startedAt; });
+}
+
 auto RelayHarness::removeUpstream(const std::string& name) -> void
 {
     onLoop([&] { m_parts->m_store.remove("servers", name); });
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -46,6 +46,10 @@
     // received it.
     auto rewriteUpstream(const std::string& name, const nlohmann::json& changes) -> void;
 
+    // From now on the upstream states that its run started then, in Unix milliseconds, whatever its entry
+    // says.
+    auto stateRun(const std::string& name, std::uint64_t startedAt) -> void;
+
     // Removes an upstream's entry, though the upstream goes on answering, and waits until the node knows.
     auto removeUpstream(const std::string& name) -> void;
 
--- a/test/platform/skewed_software_test.cc
+++ b/test/platform/skewed_software_test.cc
@@ -33,6 +33,20 @@
             return m_relay.send(callerRequest("POST", "/stream/x", headers, "go"));
         }
 
+        auto beginStream(const std::string& id) -> CallerReply
+        {
+            return m_relay.send("POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
+                                "X-Marigoldladder-Request-Id: "
+                + id
+                + "\r\nX-Marigoldladder-Deadline-Ms: 3000\r\nApi-Key: key-1\r\n"
+                  "Content-Length: 2\r\n\r\ngo");
+        }
+
+        auto takeUp(const std::string& id) -> CallerReply
+        {
+            return sendStream("Last-Event-Id: 1\r\nResumes: " + id + "\r\n");
+        }
+
         Call m_call = Call::First;
         std::string m_firstVersion; // Of the upstream called first.
     };
@@ -83,13 +97,8 @@
             m_call = Call::First;
             m_relay.forbidRetries();
             const auto id = "began-" + std::to_string(stream);
-            const auto began = m_relay.send("POST /stream/x HTTP/1.1\r\nHost: h.example\r\n"
-                                            "X-Marigoldladder-Request-Id: "
-                + id
-                + "\r\nX-Marigoldladder-Deadline-Ms: 3000\r\nApi-Key: key-1\r\n"
-                  "Content-Length: 2\r\n\r\ngo");
-            ASSERT_FALSE(began.m_complete);
-            const auto goesOn = sendStream("Last-Event-Id: 1\r\nResumes: " + id + "\r\n");
+            ASSERT_FALSE(beginStream(id).m_complete);
+            const auto goesOn = takeUp(id);
             EXPECT_EQ(goesOn.m_status, 200);
             EXPECT_EQ(goesOn.m_body, "id: 2\ndata: " + m_firstVersion + " from 1\n\n");
         }
@@ -116,8 +125,68 @@
         addBreaking("i-1", "v1");
         addBreaking("i-2", "v1");
         configure();
-        EXPECT_EQ(
-            sendStream("Last-Event-Id: 1\r\nResumes: unknown\r\n").m_body, "id: 2\ndata: v1 from 1\n\n");
+        // Once the node knows that nothing else has served before.
+        ASSERT_TRUE(m_relay.eventually([&] { return takeUp("unknown").m_status == 200; }));
+        EXPECT_EQ(takeUp("unknown").m_body, "id: 2\ndata: v1 from 1\n\n");
+    }
+
+    // Issue 61: an upstream had started anew as another version, and its entry told of the run before.
+    TEST_F(SkewedSoftwareTest, AStreamGoesOnNowhereAtARunThatTheEntryDoesNotTellOf)
+    {
+        addBreaking("i-1", "v1");
+        m_relay.stateRun("i-1", 7);
+        m_relay.rewriteUpstream("i-1", { { "born", 7 } });
+        configure();
+        m_relay.forbidRetries();
+        const auto began = beginStream("began");
+        ASSERT_FALSE(began.m_complete);
+        m_relay.removeUpstream("i-1");
+        addBreaking("i-2", "v2");
+        m_relay.stateRun("i-2", 9);
+        m_relay.rewriteUpstream("i-2", { { "version", "v1" }, { "born", 8 } });
+        EXPECT_NE(takeUp("began").m_status, 200);
+        EXPECT_TRUE(m_relay.requestsAt("i-2").empty());
+        EXPECT_EQ(m_relay.counter(Counter::OutdatedEntries), 1U);
+    }
+
+    TEST_F(SkewedSoftwareTest, AStreamOfARunThatNoEntryTellsOfGoesOnOnceOneDoes)
+    {
+        addBreaking("i-1", "v2");
+        m_relay.stateRun("i-1", 9);
+        m_relay.rewriteUpstream("i-1", { { "version", "v1" }, { "born", 8 } });
+        configure();
+        m_relay.forbidRetries();
+        const auto began = beginStream("began");
+        ASSERT_EQ(began.m_status, 200);
+        ASSERT_FALSE(began.m_complete);
+        addBreaking("i-2", "v1");
+        EXPECT_EQ(takeUp("began").m_status, 503);
+        m_relay.rewriteUpstream("i-1", { { "version", "v2" }, { "born", 9 } });
+        EXPECT_EQ(takeUp("began").m_body, "id: 2\ndata: v2 from 1\n\n");
+        EXPECT_TRUE(m_relay.requestsAt("i-2").empty());
+    }
+
+    // A new stream loses nothing by an entry that is late.
+    TEST_F(SkewedSoftwareTest, ANewStreamBeginsAtARunThatTheEntryDoesNotTellOf)
+    {
+        m_call = Call::Later;
+        addBreaking("i-1", "v2");
+        m_relay.stateRun("i-1", 9);
+        m_relay.rewriteUpstream("i-1", { { "version", "v1" }, { "born", 8 } });
+        configure();
+        EXPECT_EQ(sendStream().m_status, 200);
+    }
+
+    TEST_F(SkewedSoftwareTest, AnUpstreamIsAskedForItsRunOnceAConnection)
+    {
+        m_call = Call::Later;
+        addBreaking("i-1", "v1");
+        m_relay.stateRun("i-1", 7);
+        m_relay.rewriteUpstream("i-1", { { "born", 7 } });
+        configure();
+        for (auto stream = 0; stream < 3; ++stream)
+            EXPECT_TRUE(sendStream().m_complete);
+        EXPECT_EQ(m_relay.counter(Counter::RunsAsked), m_relay.counter(Counter::UpstreamConnects));
     }
 
     TEST_F(SkewedSoftwareTest, ANewStreamBeginsAtAnyVersion)
--- a/test/platform/stepped_runner.h
+++ b/test/platform/stepped_runner.h
@@ -115,7 +115,8 @@
     auto addUpstream(const std::string& name, std::function<UpstreamReply(const UpstreamRequest&)> reply,
         const std::string& dataCentre = "here") -> void
     {
-        auto fake = std::make_unique<FakeUpstream>(m_node.m_context, std::move(reply));
+        const auto noRun = std::make_shared<const std::optional<std::uint64_t>>();
+        auto fake = std::make_unique<FakeUpstream>(m_node.m_context, withReport(noRun, std::move(reply)));
         addRecord(name, fake->address(), dataCentre);
         m_node.m_upstreams[name] = std::move(fake);
     }
