--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -74,6 +74,12 @@
 // The question which run of an upstream answers on a connection.
 using RunRequest = boost::beast::http::request<boost::beast::http::empty_body>;
 
+// What an upstream's answer says of the run that gave it.
+struct RunAnswer {
+    bool m_isAnswer = false; // It answers the question; else it may belong to anything.
+    std::optional<std::uint64_t> m_startedAt; // In Unix milliseconds; empty: the upstream states no run.
+};
+
 // Translates between messages and the structs above.
 struct Dialect {
     std::function<CallerRequest(const HeaderFields&)> m_readRequest;
@@ -81,8 +87,7 @@
     std::function<void(HeaderFields&, const Dispatch&)> m_prepareForUpstream;
     std::function<UpstreamAnswer(unsigned status, const HeaderFields&)> m_readAnswer;
     std::function<RunRequest(const UpstreamName&)> m_askRun;
-    // Returns the start of the run, in Unix milliseconds; nothing if the answer doesn't state it.
-    std::function<std::optional<std::uint64_t>(unsigned status, std::string_view body)> m_readRun;
+    std::function<RunAnswer(unsigned status, const HeaderFields&, std::string_view body)> m_readRun;
 };
 
 // Removes the fields that apply to a single connection (hop-by-hop headers) and Content-Length.
--- a/src/relay/route_history.cc
+++ b/src/relay/route_history.cc
@@ -13,16 +13,30 @@
         return change.m_changedAt + streamLifetime <= now;
     }
 
-    // Records where requests on this route went by the configuration before.
-    auto recordChange(RouteHistory& history, const std::string& host, const Route& route, MonotonicTime now)
+    // Records where requests for this path go now, if they went elsewhere before.
+    auto recordChange(RouteHistory& history, const RoutingConfiguration& configuration,
+        const std::string& host, const std::string& path, MonotonicTime now) -> void
+    {
+        const auto* before = findRoute(*history.m_configuration, host, path);
+        const auto* after = findRoute(configuration, host, path);
+        if (before && after && poolsOf(*before) != poolsOf(*after))
+            history.m_changes.push_back({ poolsOf(*after), poolsOf(*before), now });
+    }
+
+    // Records it for all paths at which routes begin, by either configuration.
+    auto recordChanges(RouteHistory& history, const RoutingConfiguration& configuration, MonotonicTime now)
         -> void
     {
         if (!history.m_configuration)
             return;
-        const auto* before = findRoute(*history.m_configuration, host, route.m_pathPrefix);
-        const auto pools = poolsOf(route);
-        if (before && poolsOf(*before) != pools)
-            history.m_changes.push_back({ pools, poolsOf(*before), now });
+        for (const auto* begins : { history.m_configuration.get(), &configuration }) {
+            for (const auto& [host, routes] : begins->m_routesByHost) {
+                for (const auto& route : routes) {
+                    if (mayBeTakenUp(route))
+                        recordChange(history, configuration, host, route.m_pathPrefix, now);
+                }
+            }
+        }
     }
 
     auto shareAPool(const RoutePools& left, const RoutePools& right) -> bool
@@ -49,12 +63,11 @@
     history.m_current.clear();
     for (const auto& [host, routes] : configuration->m_routesByHost) {
         for (const auto& route : routes) {
-            if (!mayBeTakenUp(route))
-                continue;
-            history.m_current.insert(poolsOf(route));
-            recordChange(history, host, route, now);
+            if (mayBeTakenUp(route))
+                history.m_current.insert(poolsOf(route));
         }
     }
+    recordChanges(history, *configuration, now);
     history.m_configuration = configuration;
 }
 
--- a/src/relay/route_history.h
+++ b/src/relay/route_history.h
@@ -1,5 +1,5 @@
-// Which pools routes have led to lately. A stream goes on only in the pool that it began in, though its route may
-// lead to another one by now.
+// Which pools routes have led to lately. A stream goes on only in the pool that it began in, though its route
+// may lead to another one by now.
 #pragma once
 
 #include "relay/routing_configuration.h"
@@ -31,8 +31,8 @@
 };
 
 // Records the configuration in force; null: none is.
-auto recordRoutes(
-    RouteHistory&, const std::shared_ptr<const RoutingConfiguration>&, MonotonicTime now) -> void;
+auto recordRoutes(RouteHistory&, const std::shared_ptr<const RoutingConfiguration>&, MonotonicTime now)
+    -> void;
 
 // Returns the pools in which a stream may have begun that is taken up on a route to these pools.
 auto withFormerPools(const RouteHistory&, RoutePools, MonotonicTime now) -> RoutePools;
--- a/src/relay/software_history.cc
+++ b/src/relay/software_history.cc
@@ -62,7 +62,8 @@
     auto next = SoftwareHistory { view.m_seen, view.m_knowsAll, view.m_era };
     if (!view.m_stored)
         return next;
-    next.m_isComplete = next.m_isComplete || (view.m_stored->m_isComplete && view.m_stored->m_era == view.m_era);
+    next.m_isComplete
+        = next.m_isComplete || (view.m_stored->m_isComplete && view.m_stored->m_era == view.m_era);
     if (std::min(view.m_watchedFor, view.m_readAgo) < streamLifetime)
         addSoftware(next.m_software, view.m_stored->m_software);
     return next;
--- a/src/relay/software_history.h
+++ b/src/relay/software_history.h
@@ -1,9 +1,9 @@
 // The software that could have begun a stream that a caller may still take up, as the store keeps it.
 //
 // A node sees which software serves, and remembers what has left while it ran. A node that has just started
-// can't tell what left before; if all nodes have, nobody can but the store. So one node writes there what is in
-// use, at few moments: at the first start of the system, and when software begins to serve or has been gone for
-// a stream's lifetime.
+// can't tell what left before; if all nodes have, nobody can but the store. So one node writes there what is
+// in use, at few moments: at the first start of the system, and when software begins to serve or has been
+// gone for a stream's lifetime.
 #pragma once
 
 #include "relay/upstream.h"
@@ -21,7 +21,8 @@
 struct SoftwareHistory {
     SoftwareByPool m_software;
     bool m_isComplete = false; // No other software could have begun a stream that may be taken up.
-    std::uint64_t m_era = 0; // Of the store, when it was written. One of an earlier era may lack what came later.
+    std::uint64_t m_era
+        = 0; // Of the store, when it was written. One of an earlier era may lack what came later.
 
     auto operator==(const SoftwareHistory&) const -> bool = default;
 };
--- a/src/relay/software_watch.cc
+++ b/src/relay/software_watch.cc
@@ -20,12 +20,16 @@
     constexpr auto watchInterval = Milliseconds(100);
     // A node that stood still for longer may have missed upstreams that came and went.
     constexpr auto longestWatchPause = Milliseconds(1'000);
+    // Others may learn of new software while this node reaches the store neither by itself nor through a
+    // peer.
+    constexpr auto longestCutOff = Milliseconds(5'000);
     constexpr auto historyInterval = Milliseconds(250);
-    // After the list of upstreams was read at the system's first start: by then nodes know each other, and one of
-    // them has written.
+    // After the list of upstreams was read at the system's first start: by then nodes know each other, and
+    // one of them has written.
     constexpr auto firstWriteTime = Milliseconds(1'000);
     constexpr auto firstReadTime = Milliseconds(2'500);
-    constexpr auto missingHistoryInterval = Milliseconds(1'000); // Between two reads of one that isn't there.
+    constexpr auto readPause
+        = Milliseconds(1'000); // Before it is read again, as it failed or doesn't tell all.
 
     auto rankOf(const VmName& vm) -> std::pair<std::uint64_t, VmName>
     {
@@ -62,12 +66,13 @@
 auto SoftwareWatch::updateWatch() -> void
 {
     const auto now = Clock::now();
-    if (stoodStill(now) || !m_board.m_upstreams.m_known)
+    if (reachesStore(now))
+        m_storeReachedAt = now;
+    if (stoodStill(now) || isCutOff(now) || !m_board.m_upstreams.m_known)
         m_watchedSince.reset();
     if (!m_watchedSince && m_board.m_upstreams.m_known)
         m_watchedSince = now;
     m_lastWatchAt = now;
-    recordRoutes(m_routes, m_board.m_configuration, now);
 }
 
 auto SoftwareWatch::stoodStill(MonotonicTime now) const -> bool
@@ -75,10 +80,20 @@
     return m_lastWatchAt + longestWatchPause < now;
 }
 
+auto SoftwareWatch::reachesStore(MonotonicTime now) const -> bool
+{
+    return m_board.m_storeReachable || anyPeerReachesStore(m_board.m_fleet, now);
+}
+
+auto SoftwareWatch::isCutOff(MonotonicTime now) const -> bool
+{
+    return m_storeReachedAt + longestCutOff < now;
+}
+
 auto SoftwareWatch::watchedFor() const -> Milliseconds
 {
     const auto now = Clock::now();
-    if (!m_watchedSince || stoodStill(now))
+    if (!m_watchedSince || stoodStill(now) || isCutOff(now))
         return Milliseconds(0);
     return std::chrono::duration_cast<Milliseconds>(now - *m_watchedSince);
 }
@@ -104,11 +119,13 @@
 
 auto SoftwareWatch::candidatesFor(const RoutePools& pools) -> std::vector<SoftwareId>
 {
+    const auto now = Clock::now();
+    recordRoutes(m_routes, m_board.m_configuration, now);
     auto software = seenSoftware();
     if (watchedFor() < streamLifetime)
         addSoftware(software, m_everRead);
     auto candidates = std::set<SoftwareId>();
-    for (const auto& pool : withFormerPools(m_routes, pools, Clock::now()))
+    for (const auto& pool : withFormerPools(m_routes, pools, now))
         candidates.insert(software[pool].begin(), software[pool].end());
     return { candidates.begin(), candidates.end() };
 }
@@ -122,9 +139,10 @@
 {
     auto alone = std::set<SoftwareId>();
     auto shared = std::set<SoftwareId>();
+    const auto isCertain = knowsAll() && reachesStore(Clock::now());
     for (const auto& pools : m_routes.m_current) {
         const auto candidates = candidatesFor(pools);
-        auto& all = candidates.size() == 1 && knowsAll() ? alone : shared;
+        auto& all = candidates.size() == 1 && isCertain ? alone : shared;
         all.insert(candidates.begin(), candidates.end());
     }
     std::erase_if(alone, [&](SoftwareId software) { return shared.contains(software); });
@@ -139,22 +157,21 @@
 {
     for (;;) {
         co_await sleepFor(historyInterval);
-        if (!m_watchedSince)
+        if (!m_watchedSince || !reachesStore(Clock::now()))
             continue;
         if (mustReadHistory() && isReadDue())
             co_await readHistory();
-        if (m_readDuring != m_watchedSince)
-            continue;
-        if (isWriter())
+        if (m_readDuring == m_watchedSince && isWriter())
             co_await writeHistory();
-        if (!m_stored)
-            co_await sleepFor(missingHistoryInterval);
+        if (mustReadHistory())
+            co_await sleepFor(readPause);
     }
 }
 
 auto SoftwareWatch::mustReadHistory() const -> bool
 {
-    return m_readDuring != m_watchedSince || (!m_stored && watchedFor() < streamLifetime);
+    const auto isWanting = m_completeDuring != m_watchedSince && watchedFor() < streamLifetime;
+    return m_readDuring != m_watchedSince || isWanting;
 }
 
 auto SoftwareWatch::isReadDue() const -> bool
@@ -179,10 +196,10 @@
     m_stored = isMissing ? std::nullopt : toHistory(found.value().m_content);
     m_storedRevision = isMissing ? StoreRevision() : found.value().m_revision;
     m_readDuring = watchedSince;
+    // Nothing served before the first start of the system.
+    const auto isFirst = isMissing && m_settings.m_firstStart && m_firstReadAt == MonotonicTime();
     if (m_firstReadAt == MonotonicTime())
         m_firstReadAt = Clock::now();
-    // Nothing served before the first start of the system.
-    const auto isFirst = isMissing && m_settings.m_firstStart;
     const auto isComplete = m_stored && m_stored->m_isComplete && m_stored->m_era == m_storedRevision.m_era;
     if (isFirst || isComplete)
         m_completeDuring = watchedSince;
@@ -199,7 +216,8 @@
     const auto& peers = m_board.m_fleet.m_peers;
     const auto self = rankOf(m_settings.m_vm);
     return m_board.m_fleet.m_membersRead && std::none_of(peers.begin(), peers.end(), [&](const auto& entry) {
-        return isAlive(entry.second, now) && !entry.second.m_leaving && rankOf(entry.first) < self;
+        const auto& peer = entry.second;
+        return isAlive(peer, now) && !peer.m_leaving && peer.m_storeReachable && rankOf(peer.m_vm) < self;
     });
 }
 
@@ -228,6 +246,8 @@
     }
     m_stored = next;
     m_storedRevision = written.value().m_revision;
+    if (next.m_isComplete && m_watchedSince)
+        m_completeDuring = *m_watchedSince;
     logChange("software_history_written", { { "content", object.m_content.dump() } });
 }
 
--- a/src/relay/software_watch.h
+++ b/src/relay/software_watch.h
@@ -1,5 +1,5 @@
-// Watches which software serves in which pool, and keeps what a node that starts later has to know of it in the
-// store.
+// Watches which software serves in which pool, and keeps what a node that starts later has to know of it in
+// the store.
 #pragma once
 
 #include "relay/object_store.h"
@@ -25,17 +25,19 @@
 
     auto start(NoLongerAlone) -> void;
 
-    // Returns the software that could have begun a stream which is taken up on a route to these pools, as far as
-    // this node knows.
+    // Returns the software that could have begun a stream which is taken up on a route to these pools, as far
+    // as this node knows.
     auto candidatesFor(const RoutePools&) -> std::vector<SoftwareId>;
 
-    // Whether no other software could have, for all that has happened before this node started or stood still.
+    // Whether no other software could have, for all that has happened before this node started or stood
+    // still.
     auto knowsAll() const -> bool;
 
     // For how long this node has watched the upstreams without a gap.
     auto watchedFor() const -> Milliseconds;
 
-    // Whether every stream that this software begins could have begun at no other, so that nobody has to be told.
+    // Whether every stream that this software begins could have begun at no other, so that nobody has to be
+    // told.
     auto isAlone(SoftwareId) const -> bool;
 
 private:
@@ -46,6 +48,9 @@
     auto updateAlone() -> void;
     // Whether the last call of `updateWatch` is too long ago, as after the node was frozen.
     auto stoodStill(MonotonicTime now) const -> bool;
+    // By itself or through a peer.
+    auto reachesStore(MonotonicTime now) const -> bool;
+    auto isCutOff(MonotonicTime now) const -> bool;
     auto mustReadHistory() const -> bool;
     // Nodes that start together for the first time read only once one of them has written.
     auto isReadDue() const -> bool;
@@ -67,6 +72,7 @@
     std::set<SoftwareId> m_alone;
     std::optional<MonotonicTime> m_watchedSince; // Empty: the list of upstreams hasn't been read.
     MonotonicTime m_lastWatchAt {};
+    MonotonicTime m_storeReachedAt {};
     SoftwareByPool m_inUse; // By the list of upstreams after so many changes:
     std::uint64_t m_changesSeen = 0;
     std::optional<SoftwareHistory> m_stored; // As read or written last; empty: the store has none.
--- a/src/relay/stream_origin_exchange.cc
+++ b/src/relay/stream_origin_exchange.cc
@@ -15,8 +15,8 @@
     constexpr auto keepers = std::size_t { 3 }; // Of each origin, besides the node where the stream began.
     // More than keep it, since the views of the fleet differ after nodes were lost.
     constexpr auto askedNodes = std::size_t { 5 };
-    // Asked next: the nodes that keep it may have been lost, or started again, and the one where the stream began
-    // needn't be among the first.
+    // Asked next: the nodes that keep it may have been lost, or started again, and the one where the stream
+    // began needn't be among the first.
     constexpr auto askedAgain = std::size_t { 20 };
     constexpr auto answerTimeout = Milliseconds(80);
     constexpr auto secondTimeout = Milliseconds(250); // A datagram may be lost, a node may pause.
@@ -29,19 +29,23 @@
         Milliseconds m_timeout { 0 };
     };
 
-    constexpr auto rounds = std::array { Round { askedNodes, answerTimeout }, Round { askedAgain, secondTimeout } };
+    constexpr auto rounds
+        = std::array { Round { askedNodes, answerTimeout }, Round { askedAgain, secondTimeout } };
 
-    // Returns the pools of the configuration that a question names.
-    auto askedPools(const RelayBoard& board, const messages::OriginQuestion& question) -> RoutePools
+    // Returns the pools that a question names; nothing if the configuration lacks one of them.
+    auto askedPools(const RelayBoard& board, const messages::OriginQuestion& question)
+        -> std::optional<RoutePools>
     {
         auto pools = RoutePools();
         if (!board.m_configuration || !question.pools())
-            return pools;
+            return std::nullopt;
         const auto& asked = *question.pools();
         for (const auto& [name, pool] : board.m_configuration->m_pools) {
             if (std::find(asked.begin(), asked.end(), shortId(name.value())) != asked.end())
                 pools.insert(name);
         }
+        if (pools.size() != asked.size())
+            return std::nullopt;
         return pools;
     }
 
@@ -121,12 +125,8 @@
 auto StreamOriginExchange::judge(
     StreamKey stream, const RoutePools& pools, const std::vector<OriginKnowledge>& others) -> FoundOrigin
 {
-    auto local = OriginKnowledge { findOrigin(m_origins, stream, Clock::now()),
+    const auto local = OriginKnowledge { findOrigin(m_origins, stream, Clock::now()),
         m_software.candidatesFor(pools), m_software.knowsAll(), m_software.watchedFor() };
-    // A node that is cut off from all others and from the store doesn't see what begins to serve.
-    const auto isCutOff = others.empty() && !m_board.m_fleet.m_peers.empty() && !m_board.m_storeReachable;
-    if (isCutOff)
-        local.m_knowsAll = false;
     return judgeOrigin(local, others);
 }
 
@@ -164,8 +164,10 @@
     auto answer = messages::OriginAnswerT();
     answer.number = question.number();
     answer.software = findOrigin(m_origins, question.stream(), Clock::now()).value_or(0);
-    answer.candidates = m_software.candidatesFor(askedPools(m_board, question));
-    answer.knows_all = m_software.knowsAll();
+    if (const auto pools = askedPools(m_board, question)) {
+        answer.candidates = m_software.candidatesFor(*pools);
+        answer.knows_all = m_software.knowsAll();
+    }
     answer.watched_ms
         = static_cast<std::uint32_t>(std::min(m_software.watchedFor(), longestStatedWatch).count());
     m_socket.send(from, encodeDatagram(answer));
--- a/src/relay/stream_origin_exchange.h
+++ b/src/relay/stream_origin_exchange.h
@@ -29,8 +29,8 @@
     // other nodes know it when the caller comes back.
     auto noteBegan(StreamKey, SoftwareId) -> void;
 
-    // Finds the software at which a stream may go on that is taken up on a route to these pools. Takes no longer
-    // than two round trips between nodes, or two short timeouts if some don't answer.
+    // Finds the software at which a stream may go on that is taken up on a route to these pools. Takes no
+    // longer than two round trips between nodes, or two short timeouts if some don't answer.
     auto find(StreamKey, RoutePools) -> Awaitable<FoundOrigin>;
 
     // Handle messages received from peers.
--- a/src/relay/stream_origins.cc
+++ b/src/relay/stream_origins.cc
@@ -103,8 +103,12 @@
 auto softwareInUse(const UpstreamTable& table) -> SoftwareByPool
 {
     auto software = SoftwareByPool();
-    for (const auto& [name, upstream] : table.m_upstreams)
-        software[upstream->m_record.m_pool].insert(upstream->m_record.m_software);
+    for (const auto& [name, upstream] : table.m_upstreams) {
+        auto& ofPool = software[upstream->m_record.m_pool];
+        ofPool.insert(upstream->m_record.m_software);
+        if (upstream->m_unlistedSoftware)
+            ofPool.insert(*upstream->m_unlistedSoftware);
+    }
     return software;
 }
 
--- a/src/relay/taken_up_stream.cc
+++ b/src/relay/taken_up_stream.cc
@@ -1,17 +1,13 @@
 #include "relay/taken_up_stream.h"
 
 #include "relay/route_history.h"
+#include "relay/run_software.h"
 #include "relay/upstream_choice.h"
-#include "relay/upstream_run.h"
 
 #include <algorithm>
 
 namespace marigoldladder::relay {
 
-namespace {
-
-} // namespace
-
 auto isTakenUp(const CallState& state) -> bool
 {
     return mayBeTakenUp(*state.m_route) && !state.m_request.m_lastEventId.empty();
--- a/src/relay/upstream.h
+++ b/src/relay/upstream.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -87,10 +88,12 @@
     // Nobody listened at its address since its last connection, so the next one may reach a new run of it, of
     // which its entry doesn't tell yet.
     bool m_mayHaveRestarted = false;
-    MonotonicTime m_inDoubtUntil {}; // Until then the same holds for its software, if it states no run.
-    bool m_hasStatedRun = false; // It has stated on a connection which run of it answers there.
-    bool m_statesNoRun = false; // It was asked, and didn't.
-    bool m_isOutdated = false; // Another run than this one answers at its address.
+    // Until then nobody can tell which software a new connection reaches, if the upstream states no run.
+    MonotonicTime m_inDoubtUntil {};
+    bool m_statesNoRun = false; // It was asked which run of it answers, and knows no such question.
+    // Stands for the software of the run that answers at its address, if that isn't the one that its entry
+    // tells of.
+    std::optional<SoftwareId> m_unlistedSoftware;
     std::size_t m_inFlight = 0; // Requests of this node.
     double m_tokensInFlight = 0; // Their tokens.
     std::size_t m_peersInFlight = 0; // Requests of the other nodes, by their latest summaries.
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -144,16 +144,17 @@
 auto UpstreamCaller::acquireConnection(const CallState& state, SentCall& sent, bool& refused)
     -> Awaitable<bool>
 {
-    auto& upstream = *sent.m_upstream;
-    for (auto tries = 0; tries < connectionTries; ++tries) {
+    for (auto tries = 0; tries < connectionTries && !state.m_callerDisconnected; ++tries) {
         sent.m_connection = co_await m_connections.acquire(sent.m_upstream, state.m_usedConnections, refused);
         if (!sent.m_connection || !mayBeTakenUp(*state.m_route))
             co_return sent.m_connection != nullptr;
-        const auto outcome = co_await askRun(*sent.m_connection, upstream, m_dialect, m_board.m_metrics);
-        if (outcome == RunQuestion::NotAnswered)
-            co_return false;
+        const auto outcome = co_await askRun(
+            *sent.m_connection, *sent.m_upstream, m_dialect, state.m_deadline, m_board.m_metrics);
         if (outcome == RunQuestion::Answered)
             co_return fitsOrigin(state, sent);
+        sent.m_connection = nullptr;
+        if (outcome == RunQuestion::NotAnswered)
+            break;
     }
     co_return false;
 }
@@ -161,15 +162,29 @@
 auto UpstreamCaller::fitsOrigin(const CallState& state, const SentCall& sent) -> bool
 {
     auto& upstream = *sent.m_upstream;
-    if (isOtherRun(*sent.m_connection, upstream) && !std::exchange(upstream.m_isOutdated, true)) {
-        m_board.m_metrics.add(Counter::OutdatedEntries);
-        logChange("upstream_entry_outdated",
-            { { "upstream", upstream.m_record.m_name.value() },
-                { "listed_run", std::to_string(upstream.m_record.m_startedAt) },
-                { "run", std::to_string(*sent.m_connection->m_runStartedAt) } });
-    }
+    const auto software = softwareOn(*sent.m_connection, upstream, Clock::now());
+    if (isOtherRun(*sent.m_connection, upstream))
+        noteUnlistedRun(upstream, software, *sent.m_connection->m_runStartedAt);
     const auto origin = neededSoftware(state, m_board.m_upstreams);
-    return !origin || softwareOn(*sent.m_connection, upstream, Clock::now()) == *origin;
+    return !origin || software == *origin;
+}
+
+auto UpstreamCaller::noteUnlistedRun(Upstream& upstream, SoftwareId software, std::uint64_t startedAt) -> void
+{
+    if (upstream.m_unlistedSoftware == software)
+        return;
+    upstream.m_unlistedSoftware = software;
+    m_board.m_metrics.add(Counter::OutdatedEntries);
+    logChange("upstream_entry_outdated",
+        { { "upstream", upstream.m_record.m_name.value() },
+            { "listed_run", std::to_string(upstream.m_record.m_startedAt) },
+            { "run", std::to_string(startedAt) } });
+    ++m_board.m_upstreams.m_softwareChanges;
+    // It holds nothing of before, and is as cold as one that was refused connections before.
+    upstream.m_adapters.clear();
+    upstream.m_mayHaveRestarted = true;
+    m_connections.noteAccepted(upstream);
+    m_board.m_capacityChanged(); // For streams that wait for this run.
 }
 
 auto UpstreamCaller::connect(CallState& state, CallProgress& progress, SentCall& sent)
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -36,6 +36,8 @@
     auto acquireConnection(const CallState&, SentCall&, bool& refused) -> Awaitable<bool>;
     // Whether what answers on the connection may go on with the request's stream.
     auto fitsOrigin(const CallState&, const SentCall&) -> bool;
+    // Records that another run answers at the upstream's address than its entry tells of.
+    auto noteUnlistedRun(Upstream&, SoftwareId, std::uint64_t startedAt) -> void;
     // Writes the request and reads the head of its answer.
     auto send(CallState&, CallProgress&, SentCall&) -> Awaitable<void>;
     // Forwards the answer whose head was read.
--- a/src/relay/upstream_choice.cc
+++ b/src/relay/upstream_choice.cc
@@ -1,5 +1,6 @@
 #include "relay/upstream_choice.h"
 
+#include "relay/run_software.h"
 #include "relay/upstream_health.h"
 
 #include <algorithm>
@@ -212,7 +213,7 @@
 
 auto runsSoftware(const Upstream& upstream, SoftwareId software) -> bool
 {
-    return upstream.m_record.m_software == software && !upstream.m_isOutdated;
+    return upstream.m_unlistedSoftware.value_or(upstream.m_record.m_software) == software;
 }
 
 auto acceptsNewRequests(const UpstreamTable& table, const Upstream& upstream) -> bool
@@ -260,9 +261,12 @@
     return true;
 }
 
-auto chooseUpstream(const UpstreamTable& table, const UpstreamNeeds& needs, const ChoiceContext& context)
+// Entries may have told meanwhile which software a run has that the stream is bound to.
+auto chooseUpstream(const UpstreamTable& table, UpstreamNeeds needs, const ChoiceContext& context)
     -> UpstreamChoice
 {
+    if (needs.m_software)
+        needs.m_software = resolveSoftware(table, *needs.m_software);
     auto choice = UpstreamChoice();
     const auto& pools = context.m_configuration->m_pools;
     const auto found = pools.find(needs.m_pool);
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -57,13 +57,14 @@
     std::uint64_t m_jitterSeed = 0; // New for each choice, so that nodes choose differently.
 };
 
-// Whether a stream of this software may go on at the upstream, as far as its entry tells.
+// Whether a stream of this software may go on at the upstream, as far as is known before a connection is
+// there.
 auto runsSoftware(const Upstream&, SoftwareId) -> bool;
 
 // Whether the request was sent to the upstream already.
 auto wasTried(const UpstreamNeeds&, const Upstream&) -> bool;
 
-auto chooseUpstream(const UpstreamTable&, const UpstreamNeeds&, const ChoiceContext&) -> UpstreamChoice;
+auto chooseUpstream(const UpstreamTable&, UpstreamNeeds, const ChoiceContext&) -> UpstreamChoice;
 
 // Whether the upstream gets no more than the rate of a cold one: it is cold, or may be.
 auto isCold(const Upstream&, MonotonicTime now) -> bool;
--- a/src/relay/upstream_connection_pool.h
+++ b/src/relay/upstream_connection_pool.h
@@ -51,8 +51,10 @@
     // any more, and those to upstreams that left the list.
     auto closeExpired(MonotonicTime now) -> void;
 
-private:
+    // A process has accepted a connection that may be another run than before: then it counts as cold.
     auto noteAccepted(Upstream&) -> void;
+
+private:
     struct Idle {
         UpstreamPointer m_upstream;
         std::vector<UpstreamConnectionPointer> m_connections;
--- a/src/relay/upstream_run.h
+++ b/src/relay/upstream_run.h
@@ -7,28 +7,24 @@
 #pragma once
 
 #include "relay/dialect.h"
+#include "relay/run_software.h"
 #include "relay/upstream_connection_pool.h"
 
 #include <cstdint>
 
 namespace marigoldladder::relay {
 
-// Stands for the software of a run of this upstream until an entry tells of that run. `startedAt` is in Unix
-// milliseconds.
-auto softwareOfRun(const UpstreamName&, std::uint64_t startedAt) -> SoftwareId;
-
-// Returns the software for which the id stands by the entries there are now; the id itself if they don't say.
-auto resolveSoftware(const UpstreamTable&, SoftwareId) -> SoftwareId;
-
 // What became of the question which run answers on a connection.
 enum class RunQuestion {
-    Answered, // Or the upstream states none.
-    NotAnswered, // In time; the connection can't be used any more.
-    ConnectionEnded, // With the answer, or instead of it; another connection may do.
+    Answered, // Also if the upstream states none.
+    NotAnswered, // In time; the connection is closed.
+    ConnectionEnded, // Or can't be used any more; another connection may do.
 };
 
-// Asks the upstream on an idle connection which run of it answers there, unless that is known.
-auto askRun(UpstreamConnection&, Upstream&, const Dialect&, Metrics&) -> Awaitable<RunQuestion>;
+// Asks the upstream on an idle connection which run of it answers there, unless that is known. Waits no
+// longer than until the time given.
+auto askRun(UpstreamConnection&, Upstream&, const Dialect&, MonotonicTime until, Metrics&)
+    -> Awaitable<RunQuestion>;
 
 // Returns the software that answers on the connection, as far as that is known: that of the upstream's entry,
 // or what stands for another run.
--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -71,6 +71,8 @@
 
 auto FakeUpstream::serve(boost::asio::ip::tcp::socket socket) -> Awaitable<void>
 {
+    auto ignored = ErrorCode(); // The caller may have gone.
+    socket.set_option(net::ip::tcp::no_delay(true), ignored); // Events must not wait for each other.
     const auto connection = std::make_shared<tcp_stream>(std::move(socket));
     m_connections.push_back(connection);
     const auto connectionNumber = std::to_string(m_connections.size());
--- a/test/platform/header_dialect_test.cc
+++ b/test/platform/header_dialect_test.cc
@@ -165,5 +165,25 @@
         EXPECT_TRUE(dialect.m_readAnswer(503, fields).m_notRun);
     }
 
+    // A failure, or what belongs to a request, was taken for the word of an upstream that states no run.
+    TEST(HeaderDialectTest, OnlyAReportOrItsLackTellsOfARun)
+    {
+        const auto dialect = makeDialect();
+        const auto none = HeaderFields();
+        EXPECT_EQ(dialect.m_readRun(200, none, R"({"born":5,"models":[]})").m_startedAt, 5U);
+        for (const auto status : { 400U, 404U, 421U }) {
+            EXPECT_TRUE(dialect.m_readRun(status, none, "").m_isAnswer) << status;
+            EXPECT_EQ(dialect.m_readRun(status, none, "").m_startedAt, std::nullopt) << status;
+        }
+        EXPECT_TRUE(dialect.m_readRun(200, none, "{}").m_isAnswer);
+        for (const auto status : { 429U, 500U, 502U, 503U })
+            EXPECT_FALSE(dialect.m_readRun(status, none, R"({"born":5})").m_isAnswer) << status;
+        for (const auto* body : { "", "x", "[]", R"({"born")" })
+            EXPECT_FALSE(dialect.m_readRun(200, none, body).m_isAnswer) << body;
+        auto ofRequest = HeaderFields();
+        ofRequest.set("X-Marigoldladder-Request-Id", "r-1");
+        EXPECT_FALSE(dialect.m_readRun(200, ofRequest, R"({"born":5})").m_isAnswer);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
--- a/test/platform/skewed_software_test.cc
+++ b/test/platform/skewed_software_test.cc
@@ -149,7 +149,7 @@
         EXPECT_EQ(m_relay.counter(Counter::OutdatedEntries), 1U);
     }
 
-    TEST_F(SkewedSoftwareTest, AStreamOfARunThatNoEntryTellsOfGoesOnOnceOneDoes)
+    TEST_F(SkewedSoftwareTest, AStreamOfARunThatNoEntryTellsOfGoesOnAtThatRunOnly)
     {
         addBreaking("i-1", "v2");
         m_relay.stateRun("i-1", 9);
@@ -160,10 +160,25 @@
         ASSERT_EQ(began.m_status, 200);
         ASSERT_FALSE(began.m_complete);
         addBreaking("i-2", "v1");
+        EXPECT_EQ(takeUp("began").m_body, "id: 2\ndata: v2 from 1\n\n");
+        m_relay.removeUpstream("i-1");
         EXPECT_EQ(takeUp("began").m_status, 503);
+        EXPECT_TRUE(m_relay.requestsAt("i-2").empty());
+    }
+
+    TEST_F(SkewedSoftwareTest, AStreamOfARunThatNoEntryToldOfGoesOnAtItsSoftwareOnceOneDoes)
+    {
+        addBreaking("i-1", "v2");
+        m_relay.stateRun("i-1", 9);
+        m_relay.rewriteUpstream("i-1", { { "version", "v1" }, { "born", 8 } });
+        configure();
+        m_relay.forbidRetries();
+        ASSERT_FALSE(beginStream("began").m_complete);
+        addBreaking("i-2", "v2");
         m_relay.rewriteUpstream("i-1", { { "version", "v2" }, { "born", 9 } });
+        m_relay.removeUpstream("i-1");
         EXPECT_EQ(takeUp("began").m_body, "id: 2\ndata: v2 from 1\n\n");
-        EXPECT_TRUE(m_relay.requestsAt("i-2").empty());
+        EXPECT_EQ(m_relay.requestsAt("i-2").size(), 1U);
     }
 
     // A new stream loses nothing by an entry that is late.
--- a/test/relay/memory_store.h
+++ b/test/relay/memory_store.h
@@ -42,10 +42,12 @@
         store.m_get = [this](std::string kind, std::string name) -> Awaitable<StoreResult<StoredObject>> {
             co_return find(kind, name);
         };
-        store.m_create = [this](std::string kind, StoredObject object) -> Awaitable<StoreResult<StoredObject>> {
+        store.m_create
+            = [this](std::string kind, StoredObject object) -> Awaitable<StoreResult<StoredObject>> {
             co_return write(kind, std::move(object), true);
         };
-        store.m_replace = [this](std::string kind, StoredObject object) -> Awaitable<StoreResult<StoredObject>> {
+        store.m_replace
+            = [this](std::string kind, StoredObject object) -> Awaitable<StoreResult<StoredObject>> {
             co_return write(kind, std::move(object), false);
         };
         return store;
--- a/test/relay/route_history_test.cc
+++ b/test/relay/route_history_test.cc
@@ -63,12 +63,21 @@
     {
         auto history = RouteHistory();
         recordRoutes(history, configured({ streamRoute("/a/", { first }) }), at(0));
-        recordRoutes(history,
-            configured({ streamRoute("/a/", { first }), streamRoute("/a/b/", { second }) }), at(10));
+        recordRoutes(
+            history, configured({ streamRoute("/a/", { first }), streamRoute("/a/b/", { second }) }), at(10));
         EXPECT_EQ(withFormerPools(history, { second }, at(11)), (RoutePools { first, second }));
         EXPECT_EQ(withFormerPools(history, { first }, at(11)), (RoutePools { first }));
     }
 
+    TEST(RouteHistoryTest, AStreamMayHaveBegunOnARouteThatWasRemoved)
+    {
+        auto history = RouteHistory();
+        recordRoutes(
+            history, configured({ streamRoute("/a/", { first }), streamRoute("/a/b/", { second }) }), at(0));
+        recordRoutes(history, configured({ streamRoute("/a/", { first }) }), at(10));
+        EXPECT_EQ(withFormerPools(history, { first }, at(11)), (RoutePools { first, second }));
+    }
+
     TEST(RouteHistoryTest, NothingIsFormerAtTheFirstConfiguration)
     {
         auto history = RouteHistory();
--- a/test/relay/software_history_test.cc
+++ b/test/relay/software_history_test.cc
@@ -41,19 +41,24 @@
     constexpr auto shorter = Milliseconds(29'999);
 
     INSTANTIATE_TEST_SUITE_P(AllCases, NextHistoryTest,
-        testing::Values(
-            HistoryCase { "NoneByANewNode", { {}, serving({ old }), false, shorter, shorter, era }, { old }, false },
-            HistoryCase { "NoneByANodeThatKnowsAll", { {}, serving({ old }), true, {}, {}, era }, { old }, true },
+        testing::Values(HistoryCase { "NoneByANewNode",
+                            { {}, serving({ old }), false, shorter, shorter, era }, { old }, false },
+            HistoryCase {
+                "NoneByANodeThatKnowsAll", { {}, serving({ old }), true, {}, {}, era }, { old }, true },
             HistoryCase { "SoftwareThatBegins",
-                { stored({ old }), serving({ old, newer }), true, lifetime, lifetime, era }, { old, newer }, true },
+                { stored({ old }), serving({ old, newer }), true, lifetime, lifetime, era }, { old, newer },
+                true },
             HistoryCase { "SoftwareThatLeftBeforeANewNodeCame",
                 { stored({ old, newer }), serving({ newer }), false, {}, {}, era }, { old, newer }, true },
             HistoryCase { "SoftwareThatANodeWouldHaveSeen",
-                { stored({ old, newer }), serving({ newer }), true, lifetime, lifetime, era }, { newer }, true },
+                { stored({ old, newer }), serving({ newer }), true, lifetime, lifetime, era }, { newer },
+                true },
             HistoryCase { "SoftwareThatAnotherNodeWroteLately",
-                { stored({ old, newer }), serving({ old }), true, lifetime, shorter, era }, { old, newer }, true },
+                { stored({ old, newer }), serving({ old }), true, lifetime, shorter, era }, { old, newer },
+                true },
             HistoryCase { "SoftwareFromBeforeAGapInTheWatch",
-                { stored({ old, newer }), serving({ old }), true, shorter, lifetime, era }, { old, newer }, true },
+                { stored({ old, newer }), serving({ old }), true, shorter, lifetime, era }, { old, newer },
+                true },
             HistoryCase { "AnIncompleteOneByANewNode",
                 { stored({ old }, false), serving({ old }), false, shorter, shorter, era }, { old }, false },
             HistoryCase { "AnIncompleteOneByANodeThatKnowsAll",
@@ -66,7 +71,8 @@
 
     TEST(SoftwareHistoryTest, IsReadAsItWasWritten)
     {
-        const auto history = SoftwareHistory { { { pool, { old, ~SoftwareId { 0 } } }, { PoolName("b"), {} } }, true, 3 };
+        const auto history
+            = SoftwareHistory { { { pool, { old, ~SoftwareId { 0 } } }, { PoolName("b"), {} } }, true, 3 };
         EXPECT_EQ(toHistory(nlohmann::json::parse(toJson(history).dump())), history);
     }
 
--- a/test/relay/stream_origin_exchange_test.cc
+++ b/test/relay/stream_origin_exchange_test.cc
@@ -53,6 +53,7 @@
         {
             m_board.m_configuration = std::make_shared<const RoutingConfiguration>(streamConfiguration());
             m_board.m_upstreams.m_known = true;
+            m_board.m_storeReachable = true;
             m_board.m_fleet.m_membersRead = true;
         }
 
@@ -105,6 +106,7 @@
             for (auto number = 0; number < count; ++number) {
                 m_nodes.push_back(std::make_unique<Node>(m_context, m_calls, number));
                 m_nodes.back()->learn("i-1", seen);
+                m_nodes.back()->m_board.m_storeReachable = m_storeIsReached;
                 ASSERT_TRUE(m_nodes.back()->open());
             }
             for (auto& node : m_nodes) {
@@ -156,6 +158,7 @@
 
         net::io_context m_context;
         MemoryStore m_store;
+        bool m_storeIsReached = true;
         ObjectStore m_calls = m_store.calls();
         std::vector<std::unique_ptr<Node>> m_nodes;
     };
@@ -239,6 +242,33 @@
         m_store.m_isDown = false;
     }
 
+    TEST_F(StreamOriginExchangeTest, AnUnknownStreamGoesNowhereAmongNodesThatAreCutOffFromTheStore)
+    {
+        m_storeIsReached = false;
+        startNodes(usualNodes, old, { old });
+        EXPECT_EQ(findAt(1), std::nullopt);
+    }
+
+    // Its configuration is older than the asking node's.
+    TEST_F(StreamOriginExchangeTest, ANodeWithoutTheRoutesPoolDoesNotTellThatItKnowsAll)
+    {
+        startNodes(usualNodes, newer, { old, newer });
+        m_nodes[1]->m_board.m_configuration = nullptr;
+        for (auto node = std::size_t { 2 }; node < m_nodes.size(); ++node)
+            m_nodes[node]->m_board.m_configuration = std::make_shared<const RoutingConfiguration>();
+        EXPECT_EQ(findAt(1), std::nullopt);
+        EXPECT_EQ(findAt(0), std::nullopt);
+    }
+
+    TEST_F(StreamOriginExchangeTest, AStreamMayHaveBegunAtARunThatNoEntryTellsOf)
+    {
+        startNodes(usualNodes, old, { old });
+        auto& table = m_nodes[2]->m_board.m_upstreams;
+        table.m_upstreams.begin()->second->m_unlistedSoftware = newer;
+        ++table.m_softwareChanges;
+        EXPECT_EQ(findAt(1), std::nullopt);
+    }
+
     // Of twelve nodes all but one were started anew, and the one that remembers is not among the first asked.
     TEST_F(StreamOriginExchangeTest, AStreamIsKnownAsLongAsAnyNodeThatKeepsItIsLeft)
     {
@@ -248,10 +278,13 @@
         notice.origins.emplace_back(stream, old);
         auto builder = flatbuffers::FlatBufferBuilder();
         builder.Finish(messages::OriginNotice::Pack(builder, &notice));
-        const auto last = originKeepers(m_nodes[0]->m_board.m_fleet, stream, nodes, std::chrono::steady_clock::now()).back();
+        const auto last
+            = originKeepers(m_nodes[0]->m_board.m_fleet, stream, nodes, std::chrono::steady_clock::now())
+                  .back();
         for (auto& node : m_nodes) {
             if (node->m_address == last)
-                node->m_origins.handle(*flatbuffers::GetRoot<messages::OriginNotice>(builder.GetBufferPointer()));
+                node->m_origins.handle(
+                    *flatbuffers::GetRoot<messages::OriginNotice>(builder.GetBufferPointer()));
         }
         EXPECT_EQ(findAt(0), old);
     }
