--- a/src/relay/software_watch.cc
+++ b/src/relay/software_watch.cc
@@ -73,6 +73,7 @@
     if (!m_watchedSince && m_board.m_upstreams.m_known)
         m_watchedSince = now;
     m_lastWatchAt = now;
+    recordRoutes(m_routes, m_board.m_configuration, now);
 }
 
 auto SoftwareWatch::stoodStill(MonotonicTime now) const -> bool
