--- a/test/platform/fake_upstream.cc
+++ b/test/platform/fake_upstream.cc
@@ -60,6 +60,12 @@
 {
     auto error = ErrorCode();
     m_acceptor.close(error);
+    resetConnections();
+}
+
+auto FakeUpstream::resetConnections() -> void
+{
+    auto error = ErrorCode(); // Of connections that have ended.
     for (const auto& entry : m_connections) {
         const auto connection = entry.lock();
         if (!connection)
--- a/test/platform/fake_upstream.h
+++ b/test/platform/fake_upstream.h
@@ -56,6 +56,9 @@
     auto address() const -> Address;
     auto requests() const -> const std::vector<UpstreamRequest>& { return m_requests; }
 
+    // Resets all its connections, as the end of its process does. On the event loop.
+    auto resetConnections() -> void;
+
 private:
     auto serve(boost::asio::ip::tcp::socket) -> relay::Awaitable<void>;
     auto answer(relay::tcp_stream&, const UpstreamReply&) -> relay::Awaitable<relay::ErrorCode>;
--- a/test/soak/relay_site_upstreams.cc
+++ b/test/soak/relay_site_upstreams.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <memory>
-#include <thread>
 
 namespace marigoldladder::soak {
 
@@ -16,7 +15,6 @@
 
     constexpr auto slots = 16;
     constexpr auto firstStart = std::uint64_t { 1'700'000'000'000 }; // Unix milliseconds.
-    constexpr auto deliveryTime = std::chrono::milliseconds(30); // Of what is on its way through the proxy.
     constexpr auto upstreamKind = "servers";
 
     auto startProxy(const Address& target) -> harness::ChildProcess
@@ -86,15 +84,12 @@
 
 auto RelaySite::beginRun(std::size_t number, const std::string& name, const std::string& software) -> void
 {
-    const auto nothing = nlohmann::json::object();
     const auto& upstream = m_upstreams[number];
     // A process that ends takes its connections with it: none of them reaches the next one.
-    orderProxy(upstream.m_proxy, "/fault", { { "mode", "hang" } });
-    orderProxy(upstream.m_proxy, "/reset", nothing);
-    std::this_thread::sleep_for(deliveryTime);
-    onLoop([&] { *upstream.m_run = UpstreamRun { name, firstStart + ++m_runs * 1'000, software }; });
-    orderProxy(upstream.m_proxy, "/fault", { { "mode", "pass" } });
-    orderProxy(upstream.m_proxy, "/reset", nothing);
+    onLoop([&] {
+        *upstream.m_run = UpstreamRun { name, firstStart + ++m_runs * 1'000, software };
+        upstream.m_upstream->resetConnections();
+    });
 }
 
 auto RelaySite::restartUpstream(
