--- a/test/soak/relay_site.cc
+++ b/test/soak/relay_site.cc
@@ -305,6 +305,18 @@
     onLoop([&] { m_store.discardHistory(); });
 }
 
+auto RelaySite::setStorePageSize(std::size_t objects) -> void
+{
+    onLoop([&] { m_store.setPageSize(objects); });
+}
+
+auto RelaySite::storeListCalls() -> int
+{
+    auto calls = 0;
+    onLoop([&] { calls = m_store.listCalls(); });
+    return calls;
+}
+
 auto RelaySite::allReady(std::chrono::milliseconds time) -> bool
 {
     const auto until = std::chrono::steady_clock::now() + time;
--- a/test/soak/relay_site.h
+++ b/test/soak/relay_site.h
@@ -151,6 +151,16 @@
     auto announceVersion(const std::string& adapter) -> void;
     auto discardStoreHistory() -> void;
 
+    // Writes an entry as another writer would: like an upstream's, under any name and with an address at
+    // which nobody answers.
+    auto writeForeignEntry(const std::string& name) -> void;
+    // Writes an object without content.
+    auto writeEmptyObject(const std::string& kind, const std::string& name) -> void;
+    // From now on a page of the store's listings has this many objects at most.
+    auto setStorePageSize(std::size_t objects) -> void;
+    // Returns the listing calls that the store has received so far.
+    auto storeListCalls() -> int;
+
     // Whether every relay says within the time that it is ready.
     auto allReady(std::chrono::milliseconds) -> bool;
 
--- a/test/soak/relay_site_upstreams.cc
+++ b/test/soak/relay_site_upstreams.cc
@@ -76,6 +76,20 @@
             { "models", isEngine(number) ? upstream.m_engine->models() : nlohmann::json::array() } });
 }
 
+auto RelaySite::writeForeignEntry(const std::string& name) -> void
+{
+    constexpr auto deadAddress = "127.0.0.1:9";
+    const auto entry = nlohmann::json { { "service", "pool" }, { "address", deadAddress }, { "zone", "here" },
+        { "version", "v1" }, { "slots", slots }, { "state", "ready" }, { "cold_left_ms", 0 },
+        { "sequence", 0 }, { "born", firstStart }, { "models", nlohmann::json::array() } };
+    onLoop([&] { m_store.put(upstreamKind, name, entry); });
+}
+
+auto RelaySite::writeEmptyObject(const std::string& kind, const std::string& name) -> void
+{
+    onLoop([&] { m_store.put(kind, name, nullptr); });
+}
+
 auto RelaySite::writeEntryAfter(std::chrono::milliseconds time, std::size_t number) -> void
 {
     auto timer = std::make_shared<net::steady_timer>(m_context, time);
