Keep what a listing has read where a page can't be continued

What callers saw: the same as with a name that a target reserves, where the last name of a page was empty or no text: no node ready after a restart. Seen to fail on the code of before in ForeignEntryTest, one entry a page: bytes that aren't UTF-8, no name at all.

Cause: a page that could not be continued failed the whole listing, so that all that earlier pages held was dropped; a name counted as missing when a part of it was no text; and a listing moved forward as long as two names in a row differed, so that names could lead round in a circle without an end.

Now a listing goes on after a name's bytes, whatever they are; after a text that sorts right behind a name that can't be sent (empty, overlong, half of a surrogate pair), which passes over only names like it; and after an earlier name of the page where the store rejects the last one, or where no new name follows. Each call brings a new name or counts against a bound. If nothing leads on, the listing ends as incomplete: what was read holds, nothing is removed, the node is ready, its peers lose nothing by what it lacks, one line listing_incomplete names kind and name, and the kind is listed again after 10 s. A failure that may pass (429, 503, no answer) still fails the listing, as a part would then be taken for all. An answer without a list of items is none: it took every object out.

Ruled out: dropping names with unusual characters, which would turn away replicas that serve.

--- a/src/core/bounded_json.cc
+++ b/src/core/bounded_json.cc
@@ -1,6 +1,7 @@
 #include "core/bounded_json.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace marigoldladder {
 
@@ -112,8 +113,72 @@
         return true;
     }
 
+    // Returns the text that an escape stands for; nothing if that is no character.
+    auto readEscape(std::string_view escape) -> std::optional<std::string>
+    {
+        const auto json = nlohmann::json::parse('"' + std::string(escape) + '"', nullptr, false);
+        return json.is_string() ? std::optional(json.get<std::string>()) : std::nullopt;
+    }
+
+    // Returns the bytes of half of a surrogate pair, encoded like a character; of any other escape itself.
+    auto encodeHalf(std::string_view escape) -> std::string
+    {
+        constexpr auto hexadecimal = 16;
+        constexpr auto digitsAt = std::size_t { 2 };
+        constexpr auto digitCount = std::size_t { 4 };
+        auto unit = 0U;
+        const auto digits = escape.substr(std::min(digitsAt, escape.size()));
+        const auto [end, error]
+            = std::from_chars(digits.data(), digits.data() + digits.size(), unit, hexadecimal);
+        if (digits.size() != digitCount || error != std::errc() || end != digits.data() + digitCount)
+            return std::string(escape);
+        return { static_cast<char>(0xe0U | (unit >> 12U)), static_cast<char>(0x80U | ((unit >> 6U) & 0x3fU)),
+            static_cast<char>(0x80U | (unit & 0x3fU)) };
+    }
+
+    // Appends what the escape at the beginning of the text stands for; returns its length.
+    auto appendEscape(std::string_view text, std::string& bytes) -> std::size_t
+    {
+        constexpr auto shortLength = std::size_t { 2 };
+        constexpr auto unitLength = std::size_t { 6 };
+        const auto isUnit = text.substr(0, shortLength) == "\\u";
+        for (const auto length : { 2 * unitLength, unitLength, shortLength }) {
+            const auto escape = text.substr(0, length);
+            if (isUnit == (length == shortLength) || escape.size() < length)
+                continue;
+            // Two units are read together only if both are escapes.
+            if (length > unitLength && escape.substr(unitLength, shortLength) != "\\u")
+                continue;
+            if (const auto character = readEscape(escape)) {
+                bytes += *character;
+                return length;
+            }
+        }
+        const auto length = std::min(isUnit ? unitLength : shortLength, text.size());
+        bytes += isUnit ? encodeHalf(text.substr(0, length)) : std::string(text.substr(0, length));
+        return length;
+    }
+
 } // namespace
 
+auto readJsonText(std::string_view text) -> std::optional<JsonText>
+{
+    if (text.empty() || text.front() != '"' || endOfString(text, 0) != text.size())
+        return std::nullopt;
+    const auto whole = readBoundedJson(text);
+    if (whole)
+        return JsonText { whole->get<std::string>(), true };
+    const auto quoted = text.substr(1, text.size() - 2);
+    auto bytes = std::string();
+    for (auto at = std::size_t { 0 }; at < quoted.size();) {
+        if (quoted[at] == '\\')
+            at += appendEscape(quoted.substr(at), bytes);
+        else
+            bytes += quoted[at++];
+    }
+    return JsonText { std::move(bytes), false };
+}
+
 auto readBoundedJson(std::string_view text, const JsonBounds& bounds) -> std::optional<nlohmann::json>
 {
     if (!isWithin(text, bounds))
--- a/src/core/bounded_json.h
+++ b/src/core/bounded_json.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -20,6 +21,12 @@
     std::size_t m_bytes = std::size_t { 16 } << 20; // Of the text.
 };
 
+// A string that may have bytes that aren't UTF-8, or escapes that stand for no character.
+struct JsonText {
+    std::string m_bytes; // Half of a surrogate pair is encoded like a character.
+    bool m_isUnicode = false; // All of it is text.
+};
+
 // One member of an object, as text.
 struct JsonMember {
     std::string_view m_name; // Without its quotes; escapes aren't decoded.
@@ -30,6 +37,9 @@
 // double holds, or is beyond the bounds.
 auto readBoundedJson(std::string_view text, const JsonBounds& = {}) -> std::optional<nlohmann::json>;
 
+// Reads a string that other programs may compare byte by byte. Returns nothing if the text isn't a string.
+auto readJsonText(std::string_view text) -> std::optional<JsonText>;
+
 // Returns the elements of an array, as text, without reading them; nothing if the text isn't an array.
 auto splitJsonArray(std::string_view text) -> std::optional<std::vector<std::string_view>>;
 
--- a/src/relay/object_cache.cc
+++ b/src/relay/object_cache.cc
@@ -66,9 +66,9 @@
         }
     }
 
-    // Merges a list of all objects.
+    // Merges a list of all objects, or of a part of them, which removes none.
     auto mergeAll(KindCache& cache, const std::vector<const StoredObject*>& objects, StoreRevision revision,
-        const KindRules& rules) -> std::vector<ObjectChange>
+        bool isComplete, const KindRules& rules) -> std::vector<ObjectChange>
     {
         auto changes = std::vector<ObjectChange>();
         auto present = std::set<std::string>();
@@ -80,7 +80,9 @@
         const auto isNewEra = !wasEmpty && revision.m_era != cache.m_revision.m_era;
         if (isNewEra)
             cache.m_removals.clear();
-        removeOthers(cache, present, revision, rules, changes);
+        if (isComplete)
+            removeOthers(cache, present, revision, rules, changes);
+        cache.m_isPartial = !isComplete;
         if (wasEmpty || isNewEra)
             cache.m_removalsKeptSince = revision;
         cache.m_revision = revision;
@@ -97,7 +99,7 @@
     auto objects = std::vector<const StoredObject*>();
     for (const auto& object : listing.m_objects)
         objects.push_back(&object);
-    return mergeAll(cache, objects, listing.m_revision, rules);
+    return mergeAll(cache, objects, listing.m_revision, listing.m_complete, rules);
 }
 
 auto mergeChanges(KindCache& cache, const CacheChanges& update, const KindRules& rules)
@@ -109,7 +111,7 @@
         auto objects = std::vector<const StoredObject*>();
         for (const auto& change : update.m_changes)
             objects.push_back(&change.m_object);
-        return mergeAll(cache, objects, update.m_revision, rules);
+        return mergeAll(cache, objects, update.m_revision, true, rules);
     }
     // Changes since a state of another era say nothing about what this cache lacks.
     if (!isEmpty(cache) && update.m_revision.m_era != cache.m_revision.m_era)
@@ -133,10 +135,10 @@
 {
     auto changes = CacheChanges();
     changes.m_revision = cache.m_revision;
-    changes.m_complete = revision.m_era != cache.m_revision.m_era || revision < cache.m_removalsKeptSince;
+    const auto needsAll = revision.m_era != cache.m_revision.m_era || revision < cache.m_removalsKeptSince;
+    changes.m_complete = needsAll && !cache.m_isPartial;
     for (const auto& removal : cache.m_removals) {
-        if (removal.m_revision > revision && !changes.m_complete
-            && !cache.m_objects.contains(removal.m_name)) {
+        if (removal.m_revision > revision && !needsAll && !cache.m_objects.contains(removal.m_name)) {
             auto object = StoredObject();
             object.m_name = removal.m_name;
             object.m_revision = removal.m_revision;
@@ -144,7 +146,7 @@
         }
     }
     for (const auto& [name, object] : cache.m_objects) {
-        if (changes.m_complete || object.m_revision > revision)
+        if (needsAll || object.m_revision > revision)
             changes.m_changes.push_back({ object, false });
     }
     return changes;
--- a/src/relay/object_cache.h
+++ b/src/relay/object_cache.h
@@ -50,6 +50,7 @@
     std::deque<Removal> m_removals; // Oldest first.
     StoreRevision m_revision; // Of this state; zero: none was received yet.
     StoreRevision m_removalsKeptSince; // m_removals holds all removals after this revision.
+    bool m_isPartial = false; // The store may have objects that the last listing didn't reach.
 };
 
 // The changes between two revisions.
@@ -62,13 +63,14 @@
 using ObjectCache = std::map<ObjectKind, KindCache>;
 
 // Merges a listing into the cache. Returns the resulting changes; none if the listing is older than the
-// cache.
+// cache. One that isn't complete removes nothing.
 auto mergeListing(KindCache&, const ObjectListing&, const KindRules&) -> std::vector<ObjectChange>;
 
 // Merges changes into the cache. Returns those that were new to it.
 auto mergeChanges(KindCache&, const CacheChanges&, const KindRules&) -> std::vector<ObjectChange>;
 
-// Returns the changes that a node at `revision` lacks: all objects if that is of another era.
+// Returns the changes that a node at `revision` lacks: all objects if that is of another era. They are never
+// complete if the cache is partial, so that they remove nothing of what the other node has.
 auto changesSince(const KindCache&, StoreRevision) -> CacheChanges;
 
 } // namespace marigoldladder::relay
--- a/src/relay/object_store.h
+++ b/src/relay/object_store.h
@@ -22,6 +22,7 @@
 enum class StoreFailureType {
     Unavailable, // No answer; the call may or may not have been carried out.
     Refused, // The call was not carried out.
+    Rejected, // The same, and the store would not carry it out later either.
     Conflict, // The object changed meanwhile, exists already or doesn't exist.
     HistoryLost, // The requested changes are no longer kept, or are of an earlier era; a new listing is
                  // needed.
@@ -32,6 +33,12 @@
     std::string m_message;
 };
 
+// Whether a call certainly changed nothing, and says nothing of the object either.
+inline auto wasNotCarriedOut(const StoreFailure& failure) -> bool
+{
+    return failure.m_type == StoreFailureType::Refused || failure.m_type == StoreFailureType::Rejected;
+}
+
 template <typename T>
 using StoreResult = boost::outcome_v2::basic_result<T, StoreFailure, boost::outcome_v2::policy::all_narrow>;
 
@@ -49,9 +56,9 @@
     auto operator<=>(const StoreRevision&) const = default; // NOLINT(modernize-use-nullptr): false positive.
 };
 
-// One object. Content that can't be read is null.
+// One object. Content that can't be read is null, and so is that of an object whose name can't be.
 struct StoredObject {
-    std::string m_name;
+    std::string m_name; // Any bytes; empty if the object has none.
     StoreRevision m_revision; // Of the object's last change.
     bool m_deleting = false;
     nlohmann::json m_content;
@@ -60,6 +67,8 @@
 struct ObjectListing {
     std::vector<StoredObject> m_objects;
     StoreRevision m_revision; // A watch that follows the listing starts here.
+    bool m_complete = true; // False: the store may have objects that aren't listed.
+    std::string m_readUpTo {}; // The name of the last object read, unless the listing is complete.
 };
 
 struct ObjectChange {
--- a/src/relay/order_controller_lease.cc
+++ b/src/relay/order_controller_lease.cc
@@ -152,7 +152,7 @@
         markLeaseHeld(record, sentAt);
         co_return;
     }
-    if (!written && written.error().m_type == StoreFailureType::Refused)
+    if (!written && wasNotCarriedOut(written.error()))
         co_return;
     // Another node has written the object, the answer to this node's own write was lost, or the store
     // returned from an older copy and the write replaced an object that this node hasn't read.
--- a/src/relay/peer_exchange.cc
+++ b/src/relay/peer_exchange.cc
@@ -281,6 +281,7 @@
             co_await sleepFor(storeRetryInterval);
             continue;
         }
+        m_incompleteListings.note(memberKind, listing.value());
         co_await applyMemberList(listing.value());
         const auto readAt = Clock::now();
         while (Clock::now() < readAt + memberReadInterval(m_board.m_fleet, Clock::now()))
--- a/src/relay/peer_exchange.h
+++ b/src/relay/peer_exchange.h
@@ -3,6 +3,7 @@
 
 #include "relay/adapter_demand.h"
 #include "relay/object_store.h"
+#include "relay/paged_listing.h"
 #include "relay/peer_socket.h"
 #include "relay/relay_board.h"
 #include "relay/relay_settings.h"
@@ -102,6 +103,7 @@
     std::size_t m_round = 0; // Of the periodic summaries.
     bool m_sendPending = false;
     bool m_holderSendPending = false;
+    IncompleteListingLog m_incompleteListings;
     std::mt19937 m_random;
 };
 
--- a/src/relay/store_sync.cc
+++ b/src/relay/store_sync.cc
@@ -172,13 +172,31 @@
     }
 }
 
+auto StoreSync::isListingDue(ObjectKind kind) const -> bool
+{
+    const auto due = m_nextListingAt.find(kind);
+    return due != m_nextListingAt.end() && Clock::now() >= due->second;
+}
+
+// A watch ends when the kind is to be listed again.
+auto StoreSync::watchTimeoutOf(ObjectKind kind) const -> Milliseconds
+{
+    const auto timeout = kind == ObjectKind::Upstreams ? upstreamWatchTimeout : watchTimeout;
+    const auto due = m_nextListingAt.find(kind);
+    if (due == m_nextListingAt.end())
+        return timeout;
+    return std::min(timeout, std::chrono::ceil<Milliseconds>(due->second - Clock::now()));
+}
+
 auto StoreSync::watchWhileAssigned(ObjectKind kind) -> Awaitable<bool>
 {
     auto& cache = m_board.m_objects[kind];
     while (Clock::now() < m_startedAt + peerDiscoveryTime && !isKnownSmallFleet())
         co_await sleepFor(peerPollInterval);
     while (mustWatchStore(kind)) {
-        const auto timeout = kind == ObjectKind::Upstreams ? upstreamWatchTimeout : watchTimeout;
+        if (isListingDue(kind))
+            co_return true;
+        const auto timeout = watchTimeoutOf(kind);
         const auto begun = Clock::now();
         auto changes = co_await m_store.m_watch(kindName(m_schema, kind), cache.m_revision, timeout);
         if (!changes) {
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -4,6 +4,7 @@
 #include "relay/blackboard_updates.h"
 #include "relay/cache_exchange.h"
 #include "relay/object_schema.h"
+#include "relay/paged_listing.h"
 #include "relay/relay_settings.h"
 
 #include <map>
@@ -25,7 +26,8 @@
 
 private:
     auto follow(ObjectKind) -> Awaitable<void>;
-    // Watches until a watch fails (returns true) or only other nodes should watch (returns false).
+    // Watches until a watch fails or the kind is to be listed again (returns true), or only other nodes
+    // should watch (returns false).
     auto watchWhileAssigned(ObjectKind) -> Awaitable<bool>;
     auto followPeers(ObjectKind) -> Awaitable<void>;
     auto mustWatchStore(ObjectKind) const -> bool;
@@ -58,6 +60,8 @@
     auto removeUpstreamAfterRecovery(const std::string& name) -> void;
     auto endEvacuation(const std::string& name) -> void;
     auto contains(ObjectKind, const std::string& name) -> bool;
+    auto isListingDue(ObjectKind) const -> bool;
+    auto watchTimeoutOf(ObjectKind) const -> Milliseconds;
     auto recordReachability(bool) -> void;
     auto markStoreUnreachable() -> void;
     auto beginProbeIfDue(ObjectKind) -> bool;
@@ -75,6 +79,9 @@
     MonotonicTime m_nextVersionFetchAt {}; // Earliest fetch of a newer configuration at no later revision.
     std::map<ObjectKind, MonotonicTime>
         m_historyLostAt; // When the latest watch began whose history was lost.
+    // When a kind is listed again whose last listing ended before its end.
+    std::map<ObjectKind, MonotonicTime> m_nextListingAt;
+    IncompleteListingLog m_incompleteListings;
     bool m_wasUnreachable = false;
     std::mt19937 m_random;
 };
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -15,6 +15,9 @@
     // Within this time the store removes the entry of an upstream that doesn't renew it: three heartbeats.
     constexpr auto entryExpiryTime = Milliseconds(5'000);
 
+    // Between two listings of a kind that end before their end.
+    constexpr auto incompleteListingInterval = Milliseconds(10'000);
+
     // Upstreams whose entries expired while the store was unreachable write them again within this time of
     // its recovery.
     constexpr auto recoveryTime = Milliseconds(2'300);
@@ -25,6 +28,11 @@
 {
     auto& cache = m_board.m_objects[kind];
     const auto before = cache.m_revision;
+    m_incompleteListings.note(kindName(m_schema, kind), listing);
+    if (listing.m_complete)
+        m_nextListingAt.erase(kind);
+    else
+        m_nextListingAt[kind] = Clock::now() + incompleteListingInterval;
     applyChanges(kind, before, mergeListing(cache, listing, m_rules[kind]));
 }
 
--- a/test/core/bounded_json_test.cc
+++ b/test/core/bounded_json_test.cc
@@ -87,5 +87,44 @@
         RC_ASSERT(readBoundedJson(elements->back()) == nlohmann::json({ { "name", "c" } }));
     }
 
+    TEST(BoundedJsonTest, ReadsTheTextOfAString)
+    {
+        const auto text = readJsonText(R"("a\"\\\u00e9\ud83d\ude00\n")");
+        ASSERT_TRUE(text);
+        EXPECT_TRUE(text->m_isUnicode);
+        EXPECT_EQ(text->m_bytes, "a\"\\\xc3\xa9\xf0\x9f\x98\x80\n");
+    }
+
+    TEST(BoundedJsonTest, ReadsTheBytesOfAStringThatIsNoText)
+    {
+        const auto bytesOf = [](std::string_view text) {
+            const auto read = readJsonText(text);
+            EXPECT_TRUE(read && !read->m_isUnicode) << text;
+            return read ? read->m_bytes : "";
+        };
+        EXPECT_EQ(bytesOf("\"a\xff\\n\xc3\xa9\""), "a\xff\n\xc3\xa9");
+        EXPECT_EQ(bytesOf(R"("a\ud800b")"),
+            "a\xed\xa0\x80"
+            "b");
+        EXPECT_EQ(bytesOf(R"("\udc00\ud83d\ude00")"), "\xed\xb0\x80\xf0\x9f\x98\x80");
+        EXPECT_EQ(bytesOf("\"a\nb\""), "a\nb");
+        EXPECT_EQ(bytesOf(R"("\q\u12")"), "\\q\\u12");
+    }
+
+    TEST(BoundedJsonTest, ReadsNoStringWhereThereIsNone)
+    {
+        for (const auto* text : { "", "5", "null", "\"", "\"a", "\"a\"b", "{}" })
+            EXPECT_FALSE(readJsonText(text)) << text;
+    }
+
+    RC_GTEST_PROP(BoundedJsonTest, ReadsTheBytesOfAnyString, (const std::string& text))
+    {
+        const auto quoted = '"' + text + '"';
+        const auto read = readJsonText(quoted);
+        const auto json = nlohmann::json::parse(quoted, nullptr, false);
+        if (json.is_string())
+            RC_ASSERT(read && read->m_isUnicode && read->m_bytes == json.get<std::string>());
+    }
+
 } // namespace
 } // namespace marigoldladder
--- a/test/core/percent_encoding_test.cc
+++ b/test/core/percent_encoding_test.cc
@@ -5,8 +5,6 @@
 namespace marigoldladder {
 namespace {
 
-    using std::string_literals::operator""s;
-
     TEST(PercentEncodingTest, LeavesUnreservedCharacters)
     {
         EXPECT_EQ(percentEncoded("azAZ09-._~"), "azAZ09-._~");
@@ -20,7 +18,7 @@
 
     TEST(PercentEncodingTest, EncodesControlsAndBytesThatAreNotUtf8)
     {
-        EXPECT_EQ(percentEncoded("\r\n\0\x7f\xff\xc3\xa9"s), "%0D%0A%00%7F%FF%C3%A9");
+        EXPECT_EQ(percentEncoded(std::string_view("\r\n\0\x7f\xff\xc3\xa9", 7)), "%0D%0A%00%7F%FF%C3%A9");
     }
 
 } // namespace
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -13,14 +13,14 @@
 namespace {
 
     using namespace relay;
-    using std::string_literals::operator""s;
 
     constexpr auto kind = "servers";
 
     auto oddNames() -> std::vector<std::string>
     {
         return { "i-1&x", "i-1+x", "i-1#x", "i-1%x", "i-1%41", "i-1 x", " ", "i-1\"x", "i-1\r\nx: y",
-            "i-1\0x"s, "i-1\xc3\xa9", "i-1\\x", "i-1\tx", "i-1/../x", "i-1=x", "i-1?x", "..", "&", "~&" };
+            std::string("i-1\0x", 5), "i-1\xc3\xa9", "i-1\\x", "i-1\tx", "i-1/../x", "i-1=x", "i-1?x", "..",
+            "&", "~&" };
     }
 
     class StoreClientTest : public testing::Test {
@@ -68,6 +68,76 @@
         }
     }
 
+    // What a store may state as a name, and the name by which it sorts the object.
+    TEST_F(StoreClientTest, ListsPastANameThatCannotBeRead)
+    {
+        const auto names
+            = std::vector<std::pair<std::string, std::string>> { { "\"i-1\xff\xfe\"", "i-1\xff\xfe" },
+                  { R"("i-1\ud800x")", "i-1\xed\xa0\x80x" }, { "\"\"", "" } };
+        for (const auto& [text, name] : names) {
+            m_store.putNamed(kind, name, text, "1");
+            for (const auto pageSize : { 1, 2, 3 }) {
+                m_store.setPageSize(static_cast<std::size_t>(pageSize));
+                const auto listing = listed();
+                ASSERT_TRUE(listing) << text;
+                EXPECT_TRUE(listing->m_complete) << text;
+                EXPECT_EQ(
+                    namesOf(*listing), (std::set<std::string> { "i-0", "i-1", "i-2", "i-3", "i-4", name }));
+            }
+            m_store.remove(kind, name);
+        }
+    }
+
+    TEST_F(StoreClientTest, ListsPastAnObjectWithoutAName)
+    {
+        m_store.putNamed(kind, "i-1x", "5", "1");
+        for (const auto pageSize : { 2, 3 }) {
+            m_store.setPageSize(static_cast<std::size_t>(pageSize));
+            const auto listing = listed();
+            ASSERT_TRUE(listing);
+            EXPECT_TRUE(listing->m_complete);
+            EXPECT_EQ(listing->m_objects.size(), 6U);
+        }
+        m_store.setPageSize(1);
+        const auto listing = listed();
+        ASSERT_TRUE(listing);
+        EXPECT_FALSE(listing->m_complete);
+        EXPECT_EQ(namesOf(*listing), (std::set<std::string> { "i-0", "i-1", "" }));
+    }
+
+    TEST_F(StoreClientTest, ReadsNoContentUnderANameThatCannotBeRead)
+    {
+        m_store.putNamed(kind, "i-1x", "\"i-1\xff\"", "1");
+        const auto listing = listed();
+        ASSERT_TRUE(listing);
+        for (const auto& object : listing->m_objects)
+            EXPECT_EQ(object.m_content.is_null(), object.m_name == "i-1\xff") << object.m_name;
+    }
+
+    TEST_F(StoreClientTest, KeepsTheRestWhereTheStoreDoesNotTakeAName)
+    {
+        m_store.readAfterBy(
+            [](const std::string& after) { return after == "i-1" ? std::nullopt : std::optional(after); });
+        m_store.setPageSize(2);
+        EXPECT_TRUE(listed()->m_complete);
+        m_store.setPageSize(1);
+        const auto listing = listed();
+        ASSERT_TRUE(listing);
+        EXPECT_FALSE(listing->m_complete);
+        EXPECT_EQ(namesOf(*listing), (std::set<std::string> { "i-0", "i-1" }));
+    }
+
+    TEST_F(StoreClientTest, EndsWhereTheStoreTakesANameForAnEarlierOne)
+    {
+        m_store.readAfterBy([](const std::string& after) { return after == "i-3" ? "i-0" : after; });
+        m_store.setPageSize(1);
+        const auto listing = listed();
+        ASSERT_TRUE(listing);
+        EXPECT_FALSE(listing->m_complete);
+        EXPECT_EQ(namesOf(*listing), (std::set<std::string> { "i-0", "i-1", "i-2", "i-3" }));
+        EXPECT_LT(m_store.listCalls(), 10);
+    }
+
     TEST_F(StoreClientTest, GetsAndReplacesAnObjectOfThatName)
     {
         for (const auto& name : oddNames()) {
--- a/test/relay/object_cache_test.cc
+++ b/test/relay/object_cache_test.cc
@@ -47,6 +47,36 @@
         EXPECT_EQ(follower.m_revision, at(12));
     }
 
+    auto incomplete(ObjectListing listing) -> ObjectListing
+    {
+        listing.m_complete = false;
+        return listing;
+    }
+
+    TEST(ObjectCacheTest, AListingThatEndsTooSoonRemovesNothing)
+    {
+        auto cache = KindCache();
+        (void)mergeListing(cache, listing(10, { object("a", 3), object("b", 7) }), noRules);
+        (void)mergeListing(cache, incomplete(listing(20, { object("a", 15) })), noRules);
+        EXPECT_EQ(cache.m_objects.at("a").m_revision, at(15));
+        EXPECT_TRUE(cache.m_objects.contains("b"));
+        EXPECT_EQ(cache.m_revision, at(20));
+    }
+
+    TEST(ObjectCacheTest, ANodeThatReadAPartOfAListingTakesNothingFromItsPeers)
+    {
+        auto partial = KindCache();
+        auto whole = KindCache();
+        (void)mergeListing(whole, listing(10, { object("a", 3), object("b", 7) }), noRules);
+        (void)mergeListing(partial, incomplete(listing(20, { object("a", 15) })), noRules);
+        (void)mergeChanges(whole, changesSince(partial, whole.m_revision), noRules);
+        EXPECT_EQ(whole.m_objects.at("a").m_revision, at(15));
+        EXPECT_TRUE(whole.m_objects.contains("b"));
+        (void)mergeListing(partial, listing(30, { object("a", 15) }), noRules);
+        (void)mergeChanges(whole, changesSince(partial, at(10)), noRules);
+        EXPECT_FALSE(whole.m_objects.contains("b")) << "expected a whole listing to count";
+    }
+
     TEST(ObjectCacheTest, IgnoresOlderListingsChangesAndObjects)
     {
         auto cache = KindCache();
--- a/test/relay/store_sync_test.cc
+++ b/test/relay/store_sync_test.cc
@@ -49,8 +49,10 @@
             if (++m_lists <= m_failingLists)
                 throw std::runtime_error("broken");
             auto listing = ObjectListing { {}, { firstEra, 2 } };
-            if (kind == "upstreams")
+            if (kind == "upstreams") {
                 listing.m_objects = { upstreamObject("i-1"), upstreamObject("i-2"), upstreamObject("i-3") };
+                listing.m_complete = !m_isCutShort;
+            }
             co_return listing;
         }
 
@@ -74,6 +76,7 @@
         RelayBoard m_board;
         ObjectStore m_store;
         std::string m_brokenName;
+        bool m_isCutShort = false; // The listing of upstreams.
         int m_lists = 0;
         int m_failingLists = 0;
         ObjectSchema m_schema = schema();
@@ -101,6 +104,16 @@
         EXPECT_GE(m_node.m_board.m_metrics.value(Counter::InternalFailures), 1U);
     }
 
+    TEST_F(StoreSyncTest, AListingThatEndsTooSoonKeepsNoNodeFromTheRest)
+    {
+        m_node.m_isCutShort = true;
+        EXPECT_TRUE(m_node.runUntilKnown("i-3"));
+        const auto until = Clock::now() + maxTime;
+        while (!m_node.m_sync.hasAllKinds() && Clock::now() < until)
+            m_node.m_context.run_one_for(maxTime);
+        EXPECT_TRUE(m_node.m_sync.hasAllKinds());
+    }
+
     TEST_F(StoreSyncTest, TheStoreIsFollowedOnAfterACallThatThrows)
     {
         m_node.m_failingLists = static_cast<int>(objectKinds.size());
--- a/test/soak/foreign_entry_test.cc
+++ b/test/soak/foreign_entry_test.cc
@@ -32,13 +32,13 @@
 
     auto entryNames() -> std::vector<EntryName>
     {
-        using std::string_literals::operator""s;
         return { { "AnAmpersand", "i-1&x" }, { "APlusSign", "i-1+x" }, { "ANumberSign", "i-1#x" },
             { "APercentSign", "i-1%x" }, { "ABlank", "i-1 x" }, { "AQuotationMark", "i-1\"x" },
-            { "ALineBreak", "i-1\r\nx: y" }, { "ANullByte", "i-1\0x"s },
-            { "AnAccentedLetter", "i-1\xc3\xa9" }, { "ABackslash", "i-1\\x" }, { "ASlash", "i-1/../x" },
+            { "ALineBreak", "i-1\r\nx: y" }, { "ANullByte", std::string("i-1\0x", 5) },
+            { "AnAccentedLetter", "i-1\xc3\xa9" }, { "ABackslash", "i-1\\x" },
+            { "BytesThatAreNotUtf8", "i-1\xff\xfe" }, { "ASlash", "i-1/../x" },
             { "AnEncodedLetter", "i-1%41" }, { "ThousandsOfBytes", "i-1" + std::string(5'000, 'x') },
-            { "ABlankAlone", " " } };
+            { "ABlankAlone", " " }, { "NothingAtAll", "" } };
     }
 
     class ForeignObjectsTest : public testing::Test {
