--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -172,5 +172,16 @@
             decodeAdapterVersion(nlohmann::json::parse(R"({"model":"m","adapter":"a1","version":"x"})")));
     }
 
+    TEST(ObjectDecoderTest, RejectsANameThatNoHeaderCarries)
+    {
+        for (const auto& name : { std::string(""), std::string(" "), std::string("i-1 "),
+                 std::string("\ti-1"), std::string("i-1\r\nx: y"), std::string("i-1\nx"),
+                 std::string("i-1\0x", 5), std::string("i-1\x7f") })
+            EXPECT_FALSE(decodeUpstream(name, entry())) << name;
+        for (const auto& name : { std::string("i-1 x"), std::string("i-1+&#%x"), std::string("i-1\xc3\xa9"),
+                 std::string("i-1/..\"\\") })
+            EXPECT_TRUE(decodeUpstream(name, entry())) << name;
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
--- a/test/platform/relay_harness.cc
+++ b/test/platform/relay_harness.cc
@@ -194,6 +194,12 @@
     awaitUpstreamEntries();
 }
 
+auto RelayHarness::putUpstreamCopy(const std::string& name, const std::string& otherName) -> void
+{
+    put("servers", otherName, m_parts->m_entries.at(name));
+    awaitUpstreamEntries();
+}
+
 auto RelayHarness::stateRun(const std::string& name, std::uint64_t startedAt) -> void
 {
     onLoop([&] { *m_parts->m_runs.at(name) = startedAt; });
--- a/test/platform/relay_harness.h
+++ b/test/platform/relay_harness.h
@@ -46,6 +46,9 @@
     // received it.
     auto rewriteUpstream(const std::string& name, const nlohmann::json& changes) -> void;
 
+    // Writes an upstream's entry under another name as well, and waits until the node has received it.
+    auto putUpstreamCopy(const std::string& name, const std::string& otherName) -> void;
+
     // From now on the upstream states that its run started then, in Unix milliseconds, whatever its entry
     // says.
     auto stateRun(const std::string& name, std::uint64_t startedAt) -> void;
--- a/test/platform/unreadable_entry_test.cc
+++ b/test/platform/unreadable_entry_test.cc
@@ -72,5 +72,18 @@
         expectReplacementBeside(entryWith("slots", objects + "]"));
     }
 
+    // Issue 64: a line break in an entry's name was another header of each request sent there.
+    TEST_F(UnreadableEntryTest, ANameWithALineBreakAddsNoHeader)
+    {
+        addUpstream("i-1", answerWith("ok"));
+        configure();
+        m_relay.putUpstreamCopy("i-1", "i-2\r\nx-other: y");
+        for (auto number = 0; number < 40; ++number)
+            EXPECT_EQ(m_relay.send(callerRequest("GET", "/plain/a")).m_status, 200);
+        for (const auto& request : m_relay.requestsAt("i-1"))
+            EXPECT_TRUE(request["x-other"].empty());
+        EXPECT_EQ(m_relay.counter(Counter::ObjectsUnreadable), 1U);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
