Leave out an organisation under a name that no header carries

Found by looking where else text of the store goes into a header: the upstream is told the organisation's name. A name with a line break in a configuration added a field to each of its requests.

--- a/test/platform/object_decoder_test.cc
+++ b/test/platform/object_decoder_test.cc
@@ -183,5 +183,16 @@
             EXPECT_TRUE(decodeUpstream(name, entry())) << name;
     }
 
+    TEST(ObjectDecoderTest, LeavesOutAnOrganisationWhoseNameNoHeaderCarries)
+    {
+        const auto configuration = decodeConfiguration(nlohmann::json::parse(R"({"version":7,"tenants":[
+            {"name":"acme\r\nx: y","api_keys":["key-1"]},{"name":"beta","api_keys":["key-2"]}]})"));
+        ASSERT_TRUE(configuration);
+        ASSERT_EQ(configuration->m_organisations.size(), 1U);
+        EXPECT_EQ(configuration->m_organisations[0].m_name, OrganisationName("beta"));
+        EXPECT_EQ(configuration->m_keys.size(), 1U);
+        EXPECT_EQ(configuration->m_keys.at(relay::digestOf("key-2")), 0U);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
