Take the configuration from its own object only

Found by looking what an entry of another writer does in each kind: any object beside config/main that looked like a configuration with a later version was put in force, and the routes of the real one were gone. AnObjectBesideTheConfigurationIsNone failed before (404 in place of 200) and passes: such an object is logged and counted as unreadable once.

--- a/src/relay/object_schema.h
+++ b/src/relay/object_schema.h
@@ -24,6 +24,7 @@
     std::function<std::optional<UpstreamRecord>(const std::string& name, const nlohmann::json&)>
         m_readUpstream;
     std::function<std::optional<ListedAdapter>(const nlohmann::json&)> m_readVersion;
+    std::string m_configurationName {}; // Of the only object that holds a configuration; empty: any does.
 };
 
 // Returns the store's name of a kind.
--- a/src/relay/store_sync.h
+++ b/src/relay/store_sync.h
@@ -50,6 +50,7 @@
     auto recordEra(ObjectKind, StoreRevision before) -> void;
     auto recordUnreadable(ObjectKind, const StoredObject&) -> void;
     auto applyObject(ObjectKind, const StoredObject&, ChangeOrigin) -> void;
+    auto applyConfigurationObject(const StoredObject&) -> void;
     auto announceAdapterVersion(const ListedAdapter&, ChangeOrigin) -> void;
     auto applyUpstream(const StoredObject&, ChangeOrigin) -> void;
     auto applyCopiedUpstream(const UpstreamRecord&) -> void;
--- a/src/relay/store_sync_changes.cc
+++ b/src/relay/store_sync_changes.cc
@@ -96,14 +96,9 @@
 auto StoreSync::applyObject(ObjectKind kind, const StoredObject& object, ChangeOrigin origin) -> void
 {
     switch (kind) {
-    case ObjectKind::Configuration: {
-        auto configuration = m_schema.m_readConfiguration(object.m_content);
-        if (configuration)
-            applyConfiguration(m_board, std::move(*configuration));
-        else
-            recordUnreadable(kind, object);
+    case ObjectKind::Configuration:
+        applyConfigurationObject(object);
         break;
-    }
     case ObjectKind::Upstreams:
         applyUpstream(object, origin);
         break;
@@ -120,6 +115,18 @@
     }
 }
 
+auto StoreSync::applyConfigurationObject(const StoredObject& object) -> void
+{
+    const auto& name = m_schema.m_configurationName;
+    auto configuration = name.empty() || object.m_name == name
+        ? m_schema.m_readConfiguration(object.m_content)
+        : std::nullopt;
+    if (configuration)
+        applyConfiguration(m_board, std::move(*configuration));
+    else
+        recordUnreadable(ObjectKind::Configuration, object);
+}
+
 // A version that was there when this node started may have been announced long before.
 auto StoreSync::announceAdapterVersion(const ListedAdapter& adapter, ChangeOrigin origin) -> void
 {
--- a/test/platform/unreadable_entry_test.cc
+++ b/test/platform/unreadable_entry_test.cc
@@ -85,5 +85,18 @@
         EXPECT_EQ(m_relay.counter(Counter::ObjectsUnreadable), 1U);
     }
 
+    // Only one object holds the configuration, whatever else stands beside it.
+    TEST_F(UnreadableEntryTest, AnObjectBesideTheConfigurationIsNone)
+    {
+        addUpstream("i-1", answerWith("ok"));
+        configure();
+        auto other = testConfiguration(99);
+        other["routes"] = nlohmann::json::array();
+        m_relay.put("config", "main ", other);
+        const auto isSeen = [&] { return m_relay.counter(Counter::ObjectsUnreadable) == 1; };
+        EXPECT_TRUE(m_relay.eventually(isSeen));
+        EXPECT_EQ(m_relay.send(callerRequest("GET", "/plain/a")).m_status, 200);
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
