Order an adapter whose name is no text like any other

A caller names an adapter in a header, in any bytes. The body of an order for one that wasn't UTF-8 could not be written, and the exception left the call. EngineClientTest.AnAdapterWhoseNameIsNoTextIsOrderedLikeAnyOther failed before: no order was sent.

--- a/test/platform/engine_client_test.cc
+++ b/test/platform/engine_client_test.cc
@@ -37,9 +37,9 @@
         }
 
         // Starts to send an order.
-        auto send() -> void
+        auto send(const std::string& adapter = "m/a1") -> void
         {
-            auto order = AdapterOrder { AdapterOrderKind::Load, upstream(), "m", "m/a1", 0, false, {} };
+            auto order = AdapterOrder { AdapterOrderKind::Load, upstream(), "m", adapter, 0, false, {} };
             net::co_spawn(m_context, m_calls.m_order(order, OrderSender { VmName("node-1"), 1 }, {}),
                 [this](const std::exception_ptr&, const EngineOrderAnswer& answer) {
                     m_answers.push_back(answer.m_answer);
@@ -70,5 +70,16 @@
         EXPECT_EQ(m_engines[1]->requests().size(), 1U);
     }
 
+    // Callers name adapters in any bytes.
+    TEST_F(EngineClientTest, AnAdapterWhoseNameIsNoTextIsOrderedLikeAnyOther)
+    {
+        startEngine();
+        send("m/\xff\xfe");
+        runUntilAnswered();
+        ASSERT_EQ(m_engines[0]->requests().size(), 1U);
+        EXPECT_TRUE(nlohmann::json::accept(m_engines[0]->requests()[0].body()));
+        EXPECT_EQ(m_answers, std::vector { OrderAnswer::Accepted });
+    }
+
 } // namespace
 } // namespace marigoldladder::platform
