Bound what one field adds to a log line

Names in the store may have value_bytes, a megabyte, and go into lines as they are: one such line is more than what waits for a slow reader, so that it and others are dropped. LogTest.CutsTextOfAnyLength failed before (a line of a megabyte) and passes with fields of 8 KiB at most. Already held before: controls, quotes and bytes that aren't UTF-8 stay within one line (LogTest.KeepsAnyTextInOneLine).

--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -28,11 +28,14 @@
         return flag;
     }
 
+    // Others write names and reasons of any length, which would crowd out the other lines.
+    constexpr auto maxFieldBytes = std::size_t { 8'192 };
+
     template <typename Fields> auto formatLine(std::string_view event, const Fields& fields) -> std::string
     {
         auto json = nlohmann::ordered_json { { "event", event }, { "vm", vmName() } };
         for (const auto& field : fields)
-            json[std::string(field.m_name)] = field.m_value;
+            json[std::string(field.m_name)] = field.m_value.substr(0, maxFieldBytes);
         return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     }
 
