Encode names in the paths of the object API

The daemon's client of the platform built its paths like the relay's store client: a name of the platform's list, such as that of a VM that left, went into the path of the call that removes its record as it was, so the call was another one or none. PlatformClientTest.FindsAndRemovesAnObjectOfAnyName failed before and passes, with the encoding that the store client has.

--- a/src/objects/platform_client.cc
+++ b/src/objects/platform_client.cc
@@ -1,5 +1,6 @@
 #include "objects/platform_client.h"
 
+#include "core/percent_encoding.h"
 #include "objects/bounded_client.h"
 
 #include <utility>
@@ -21,12 +22,12 @@
 
     auto pathOf(const std::string& kind) -> std::string
     {
-        return "/api/v1/" + kind;
+        return "/api/v1/" + percentEncoded(kind);
     }
 
     auto pathOf(const std::string& kind, const std::string& name) -> std::string
     {
-        return pathOf(kind) + "/" + name;
+        return pathOf(kind) + "/" + percentEncoded(name);
     }
 
     auto readObject(const nlohmann::json& json) -> PlatformObject
