Let an object that can't be read cost itself alone in the object API

One element of a list without a name or version that can be read made the whole list fail, and one in a watch threw out of the thread that watches, which ends the process, again at each start. Both tests failed before (no list; an exception out of the watch) and pass: such an object is left out and named in a line platform_object_unreadable.

--- a/src/core/json_fields.cc
+++ b/src/core/json_fields.cc
@@ -45,6 +45,13 @@
     return value && value->is_boolean() ? value->get<bool>() : other;
 }
 
+auto objectIn(const nlohmann::json& object, std::string_view field) -> const nlohmann::json&
+{
+    static const auto empty = nlohmann::json(nlohmann::json::object());
+    const auto* value = member(object, field);
+    return value && value->is_object() ? *value : empty;
+}
+
 auto elements(const nlohmann::json& object, std::string_view field) -> const std::vector<nlohmann::json>&
 {
     static const auto none = std::vector<nlohmann::json>();
--- a/src/core/json_fields.h
+++ b/src/core/json_fields.h
@@ -22,6 +22,9 @@
 auto countOr(const nlohmann::json&, std::string_view field, std::uint64_t other) -> std::uint64_t;
 auto flagOr(const nlohmann::json&, std::string_view field, bool other) -> bool;
 
+// Returns the field's value if it is an object, else an empty one.
+auto objectIn(const nlohmann::json&, std::string_view field) -> const nlohmann::json&;
+
 // Returns the elements of an array; none if the field is missing or not an array.
 auto elements(const nlohmann::json&, std::string_view field) -> const std::vector<nlohmann::json>&;
 
--- a/src/objects/platform_client.cc
+++ b/src/objects/platform_client.cc
@@ -1,8 +1,11 @@
 #include "objects/platform_client.h"
 
+#include "core/json_fields.h"
+#include "core/log.h"
 #include "core/percent_encoding.h"
 #include "objects/bounded_client.h"
 
+#include <charconv>
 #include <utility>
 
 namespace marigoldladder {
@@ -30,14 +33,25 @@
         return pathOf(kind) + "/" + percentEncoded(name);
     }
 
-    auto readObject(const nlohmann::json& json) -> PlatformObject
+    // Returns a version, which the platform states as text; nothing if there is none.
+    auto readVersion(const nlohmann::json& metadata) -> std::optional<ObjectVersion>
     {
-        const auto& metadata = json.at("metadata");
-        auto object = PlatformObject();
-        object.m_name = metadata.at("name").get<std::string>();
-        object.m_version = std::stoull(metadata.at("resourceVersion").get<std::string>());
-        object.m_spec = json.value("spec", nlohmann::json::object());
-        return object;
+        const auto text = textOr(metadata, "resourceVersion", "");
+        auto version = ObjectVersion { 0 };
+        const auto* const end = text.data() + text.size();
+        const auto [read, error] = std::from_chars(text.data(), end, version);
+        return error == std::errc() && read == end ? std::optional(version) : std::nullopt;
+    }
+
+    // Returns an object whose spec is empty if it has none; nothing if its name or version can't be read.
+    auto readObject(const nlohmann::json& json) -> std::optional<PlatformObject>
+    {
+        const auto& metadata = objectIn(json, "metadata");
+        auto name = textOr(metadata, "name", "");
+        const auto version = readVersion(metadata);
+        if (name.empty() || !version)
+            return std::nullopt;
+        return PlatformObject { std::move(name), *version, objectIn(json, "spec") };
     }
 
     auto writeObject(const PlatformObject& object) -> std::string
@@ -62,11 +76,10 @@
         const auto json = parsePlatformJson(body);
         if (!json)
             return json.error();
-        try {
-            return readObject(json.value());
-        } catch (const std::exception&) {
+        auto object = readObject(json.value());
+        if (!object)
             return mayHaveRun(FailureType::Unavailable, "the platform's answer is no object");
-        }
+        return std::move(*object);
     }
 
     // Returns the failure that an answer stands for, or nothing when its status is a success.
@@ -169,13 +182,16 @@
     const auto json = parsePlatformJson(answer->body);
     if (!json)
         return json.error();
-    auto list = ObjectList();
-    try {
-        list.m_version = std::stoull(json.value().at("metadata").at("resourceVersion").get<std::string>());
-        for (const auto& item : json.value().at("items"))
-            list.m_objects.push_back(readObject(item));
-    } catch (const std::exception&) {
+    const auto version = readVersion(objectIn(json.value(), "metadata"));
+    const auto* items = member(json.value(), "items");
+    if (!version || !items || !items->is_array())
         return notRun(FailureType::Unavailable, "the platform's answer is no list");
+    auto list = ObjectList { *version, {} };
+    for (const auto& item : *items) {
+        if (auto object = readObject(item))
+            list.m_objects.push_back(std::move(*object));
+        else
+            logWarning("platform_object_unreadable", { { "kind", kind } });
     }
     return list;
 }
@@ -228,10 +244,15 @@
     auto ended = false;
     const auto takeLine = [&](const std::string& line) {
         const auto json = nlohmann::json::parse(line, nullptr, false);
-        if (json.is_discarded() || !json.contains("object"))
+        const auto type = valueNamed(watchEventTypeNames, textOr(json, "type", ""));
+        if (!type)
             return false;
-        const auto type = valueNamed(watchEventTypeNames, json.value("type", ""));
-        return type && handler({ *type, readObject(json["object"]) });
+        auto object = readObject(objectIn(json, "object"));
+        if (!object) {
+            logWarning("platform_object_unreadable", { { "kind", kind } });
+            return true;
+        }
+        return handler({ *type, std::move(*object) });
     };
     const auto answer = client.Get(path, [&](const char* data, std::size_t size) {
         pending.append(data, size);
--- a/test/objects/platform_client_test.cc
+++ b/test/objects/platform_client_test.cc
@@ -1,13 +1,66 @@
-// Objects under names of any characters.
+// Names of any characters, and objects that can't be read beside sound ones.
 #include "objects/platform_client.h"
 
 #include "harness/child_process.h"
+#include "harness/one_answer_server.h"
 
 #include <gtest/gtest.h>
 
 namespace marigoldladder {
 namespace {
 
+    auto answerOf(const std::string& body) -> OneAnswer
+    {
+        return { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+    }
+
+    // What stands in a list or a change between two sound objects.
+    auto oddObjects() -> std::vector<std::string>
+    {
+        return { "5", "null", "{}", R"({"metadata":7})", R"({"metadata":{"name":"b"}})",
+            R"({"metadata":{"name":"b","resourceVersion":"x"}})",
+            R"({"metadata":{"name":"b","resourceVersion":2}})",
+            R"({"metadata":{"name":null,"resourceVersion":"2"}})" };
+    }
+
+    auto sound(const std::string& name) -> std::string
+    {
+        return R"({"metadata":{"name":")" + name + R"(","resourceVersion":"3"},"spec":{"role":"x"}})";
+    }
+
+    TEST(PlatformClientTest, AnObjectThatCannotBeReadHidesNoOtherOneInAList)
+    {
+        for (const auto& odd : oddObjects()) {
+            const auto server = OneAnswerServer(answerOf(R"({"metadata":{"resourceVersion":"9"},"items":[)"
+                + sound("a") + "," + odd + "," + sound("c") + "]}"));
+            auto metrics = Metrics();
+            const auto list = PlatformClient({ "127.0.0.1", server.port() }, metrics).list("vms");
+            ASSERT_TRUE(list) << odd;
+            ASSERT_EQ(list.value().m_objects.size(), 2U) << odd;
+            EXPECT_EQ(list.value().m_objects[1].m_name, "c") << odd;
+        }
+    }
+
+    TEST(PlatformClientTest, AnObjectThatCannotBeReadEndsNoWatch)
+    {
+        for (const auto& odd : oddObjects()) {
+            const auto line = [](const std::string& object) {
+                return R"({"type":"MODIFIED","object":)" + object + "}\n";
+            };
+            const auto server = OneAnswerServer(answerOf(line(sound("a")) + line(odd) + line(sound("c"))));
+            auto metrics = Metrics();
+            auto names = std::vector<std::string>();
+            const auto watched
+                = PlatformClient({ "127.0.0.1", server.port() }, metrics)
+                      .watch("vms", 1, std::chrono::milliseconds(500), [&](const WatchEvent& event) {
+                          names.push_back(event.m_object.m_name);
+                          return true;
+                      });
+            EXPECT_TRUE(watched) << odd;
+            EXPECT_EQ(names, (std::vector<std::string> { "a", "c" })) << odd;
+        }
+    }
+
     TEST(PlatformClientTest, FindsAndRemovesAnObjectOfAnyName)
     {
         const auto process = harness::ChildProcess("fakes/fake-platform", {});
