Read the platform's and engines' fields whatever their types are

A field of another type in one object, such as a number as a VM's role, threw out of the thread that reads the list, which ends the process, again at each start; in an engine's list of adapters it did the same. The fields of VMs, nodes, owners, leases, claims, shards, heads of the log, engines' lists and answers are now read like those of the relay's store: one that is missing or of another type has its default.

--- a/src/fleet/discovery_controller.cc
+++ b/src/fleet/discovery_controller.cc
@@ -1,5 +1,6 @@
 #include "fleet/discovery_controller.h"
 
+#include "core/json_fields.h"
 #include "fleet/member_merge.h"
 
 #include <algorithm>
@@ -19,20 +20,20 @@
     auto readUpstream(const PlatformObject& object) -> std::optional<Upstream>
     {
         const auto& spec = object.m_spec;
-        if (spec.value("role", "") != "upstream")
+        if (textOr(spec, "role", "") != "upstream")
             return std::nullopt;
-        const auto address = parseAddress(spec.value("address", ""));
-        const auto kind = valueNamed(upstreamKindNames, spec.value("kind", ""));
+        const auto address = parseAddress(textOr(spec, "address", ""));
+        const auto kind = valueNamed(upstreamKindNames, textOr(spec, "kind", ""));
         if (!address || !kind)
             return std::nullopt;
         auto upstream = Upstream();
         upstream.m_name = UpstreamName(object.m_name);
-        upstream.m_pool = PoolName(spec.value("pool", ""));
-        upstream.m_dataCentre = DataCentreName(spec.value("data_centre", ""));
+        upstream.m_pool = PoolName(textOr(spec, "pool", ""));
+        upstream.m_dataCentre = DataCentreName(textOr(spec, "data_centre", ""));
         upstream.m_address = *address;
         upstream.m_kind = *kind;
-        upstream.m_leaving = spec.value("state", "live") == "leaving";
-        upstream.m_checksFencing = spec.value("checks_fencing", false);
+        upstream.m_leaving = textOr(spec, "state", "live") == "leaving";
+        upstream.m_checksFencing = flagOr(spec, "checks_fencing", false);
         upstream.m_version = object.m_version;
         return upstream;
     }
@@ -60,7 +61,7 @@
 
     auto isNodeVm(const PlatformObject& object) -> bool
     {
-        return object.m_spec.value("role", "") != "upstream";
+        return textOr(object.m_spec, "role", "") != "upstream";
     }
 
     // Marks nodes gone whose VMs were listed once and are not any more, and removes their records.
--- a/src/fleet/membership_controller.cc
+++ b/src/fleet/membership_controller.cc
@@ -1,5 +1,6 @@
 #include "fleet/membership_controller.h"
 
+#include "core/json_fields.h"
 #include "fleet/member_merge.h"
 
 #include <algorithm>
@@ -29,11 +30,11 @@
         const auto& spec = object.m_spec;
         auto member = Member();
         member.m_vm = VmName(object.m_name);
-        member.m_dataCentre = DataCentreName(spec.value("data_centre", ""));
-        member.m_incarnation = spec.value("incarnation", Incarnation { 0 });
-        member.m_callerAddress = parseAddress(spec.value("caller_address", "")).value_or(Address {});
-        member.m_peerAddress = parseAddress(spec.value("peer_address", "")).value_or(Address {});
-        member.m_state = valueNamed(memberStateNames, spec.value("state", "")).value_or(MemberState::Alive);
+        member.m_dataCentre = DataCentreName(textOr(spec, "data_centre", ""));
+        member.m_incarnation = countOr(spec, "incarnation", 0);
+        member.m_callerAddress = parseAddress(textOr(spec, "caller_address", "")).value_or(Address {});
+        member.m_peerAddress = parseAddress(textOr(spec, "peer_address", "")).value_or(Address {});
+        member.m_state = valueNamed(memberStateNames, textOr(spec, "state", "")).value_or(MemberState::Alive);
         return member;
     }
 
--- a/src/objects/release_log.cc
+++ b/src/objects/release_log.cc
@@ -1,5 +1,6 @@
 #include "objects/release_log.h"
 
+#include "core/json_fields.h"
 #include "core/secret_digest.h"
 #include "objects/snapshot.h"
 
@@ -49,12 +50,11 @@
     {
         auto head = LogHead();
         head.m_version = object.m_version;
-        head.m_snapshotRevision = object.m_spec.value("snapshot_revision", Revision { 0 });
-        head.m_firstKept = object.m_spec.value("first_kept", Revision { 1 });
-        head.m_removedBelow = object.m_spec.value("removed_below", Revision { 1 });
-        head.m_snapshot = parseShardedText(object.m_spec.value("snapshot", nlohmann::json::object()));
-        head.m_previousSnapshot
-            = parseShardedText(object.m_spec.value("previous_snapshot", nlohmann::json::object()));
+        head.m_snapshotRevision = countOr(object.m_spec, "snapshot_revision", 0);
+        head.m_firstKept = countOr(object.m_spec, "first_kept", 1);
+        head.m_removedBelow = countOr(object.m_spec, "removed_below", 1);
+        head.m_snapshot = parseShardedText(objectIn(object.m_spec, "snapshot"));
+        head.m_previousSnapshot = parseShardedText(objectIn(object.m_spec, "previous_snapshot"));
         return head;
     }
 
@@ -120,7 +120,7 @@
     const auto found = m_platform.get(noteKind, noteName(revision));
     if (!found || !found.value()) // A write without a reply may still be on its way.
         return created.error();
-    if (found.value()->m_spec.value("note_id", "") == note.m_id.value())
+    if (textOr(found.value()->m_spec, "note_id", "") == note.m_id.value())
         return boost::outcome_v2::success();
     return notRun(FailureType::Conflict, "revision " + std::to_string(revision) + " is another note's");
 }
--- a/src/objects/snapshot_shards.cc
+++ b/src/objects/snapshot_shards.cc
@@ -1,5 +1,7 @@
 #include "objects/snapshot_shards.h"
 
+#include "core/json_fields.h"
+
 #include <algorithm>
 
 namespace marigoldladder {
@@ -52,7 +54,7 @@
             return shard.error();
         if (!shard.value())
             return notRun(FailureType::NotFound, shardName(where.m_prefix, i) + " is gone");
-        text += shard.value()->m_spec.value("text", "");
+        text += textOr(shard.value()->m_spec, "text", "");
     }
     return text;
 }
@@ -74,7 +76,7 @@
 
 auto parseShardedText(const nlohmann::json& json) -> ShardedText
 {
-    return { json.value("prefix", ""), json.value("count", std::size_t { 0 }) };
+    return { textOr(json, "prefix", ""), countOr(json, "count", 0) };
 }
 
 } // namespace marigoldladder
--- a/src/routing/engine_orders.cc
+++ b/src/routing/engine_orders.cc
@@ -1,5 +1,6 @@
 #include "routing/engine_orders.h"
 
+#include "core/json_fields.h"
 #include "objects/bounded_client.h"
 
 #include <nlohmann/json.hpp>
@@ -106,8 +107,8 @@
         return notRun(FailureType::UpstreamFailed, "the engine's list of models can't be read");
     auto adapters = std::vector<LoadedAdapter>();
     for (const auto& model : json["data"]) {
-        if (auto ref = parseAdapterRef(model.value("id", "")))
-            adapters.push_back({ std::move(*ref), model.value("root", "") });
+        if (auto ref = parseAdapterRef(textOr(model, "id", "")))
+            adapters.push_back({ std::move(*ref), textOr(model, "root", "") });
     }
     return adapters;
 }
--- a/src/routing/ownership_store.cc
+++ b/src/routing/ownership_store.cc
@@ -1,5 +1,7 @@
 #include "routing/ownership_store.h"
 
+#include "core/json_fields.h"
+
 #include <utility>
 
 namespace marigoldladder {
@@ -16,7 +18,7 @@
 
     auto readStart(const nlohmann::json& json) -> NodeStart
     {
-        return { VmName(json.value("vm", "")), json.value("incarnation", Incarnation { 0 }) };
+        return { VmName(textOr(json, "vm", "")), countOr(json, "incarnation", 0) };
     }
 
     auto writeRecord(const OwnershipRecord& record) -> nlohmann::json
@@ -31,9 +33,9 @@
     auto readRecord(const nlohmann::json& json) -> OwnershipRecord
     {
         auto record = OwnershipRecord();
-        record.m_owner = readStart(json.value("owner", nlohmann::json::object()));
-        record.m_fencing = json.value("fencing", FencingNumber { 0 });
-        for (const auto& start : json.value("earlier_owners", nlohmann::json::array()))
+        record.m_owner = readStart(objectIn(json, "owner"));
+        record.m_fencing = countOr(json, "fencing", 0);
+        for (const auto& start : elements(json, "earlier_owners"))
             record.m_earlierOwners.push_back(readStart(start));
         return record;
     }
@@ -47,10 +49,10 @@
     auto readLease(const PlatformObject& object) -> LeaseRecord
     {
         auto lease = LeaseRecord();
-        lease.m_holder = { VmName(object.m_name), object.m_spec.value("incarnation", Incarnation { 0 }) };
-        lease.m_duration = std::chrono::milliseconds(object.m_spec.value("duration_ms", std::int64_t { 0 }));
+        lease.m_holder = { VmName(object.m_name), countOr(object.m_spec, "incarnation", 0) };
+        lease.m_duration = std::chrono::milliseconds(countOr(object.m_spec, "duration_ms", 0));
         lease.m_version = object.m_version;
-        lease.m_ended = object.m_spec.value("ended", false);
+        lease.m_ended = flagOr(object.m_spec, "ended", false);
         return lease;
     }
 
@@ -65,8 +67,7 @@
     for (const auto& object : list.value().m_objects) {
         auto& read = objects[DataCentreName(object.m_name)];
         read.m_version = object.m_version;
-        const auto upstreams = object.m_spec.value("upstreams", nlohmann::json::object());
-        for (const auto& [name, json] : upstreams.items())
+        for (const auto& [name, json] : objectIn(object.m_spec, "upstreams").items())
             read.m_records.emplace(UpstreamName(name), readRecord(json));
     }
     return objects;
--- a/src/routing/upstream_client.cc
+++ b/src/routing/upstream_client.cc
@@ -1,6 +1,7 @@
 #include "routing/upstream_client.h"
 
 #include "core/http_status.h"
+#include "core/json_fields.h"
 #include "objects/bounded_client.h"
 
 #include <algorithm>
@@ -65,8 +66,8 @@
     // Checks that an answer's JSON is for this request: engines repeat adapter and request id.
     auto belongsTo(const ServeCall& call, const nlohmann::json& answer) -> bool
     {
-        return answer.value("model", "") == formatAdapterRef(call.m_adapter)
-            && answer.value("id", "") == call.m_requestId.value();
+        return textOr(answer, "model", "") == formatAdapterRef(call.m_adapter)
+            && textOr(answer, "id", "") == call.m_requestId.value();
     }
 
     // Receives one answer and passes it on, event by event when it is a stream.
@@ -175,7 +176,7 @@
             }
             const auto json = nlohmann::json::parse(payload, nullptr, false);
             const auto ours = json.is_object() && belongsTo(m_call, json);
-            const auto offset = ours ? json.value("offset", m_offset) : m_offset;
+            const auto offset = ours ? countOr(json, "offset", m_offset) : m_offset;
             m_gap = offset > m_offset;
             if (!ours || offset != m_offset) {
                 m_metrics.add(Counter::AnswersDropped);
@@ -198,9 +199,9 @@
                         mayHaveRun(FailureType::UpstreamFailed, "the engine gave another request's answer")),
                     m_bootId, false };
             }
-            const auto usage = json.value("usage", nlohmann::json::object());
-            return { ExchangeOutcome::Answered, passWhole(usage.value("total_tokens", m_call.m_costTokens)),
-                m_bootId, false };
+            const auto& usage = objectIn(json, "usage");
+            return { ExchangeOutcome::Answered,
+                passWhole(numberOr(usage, "total_tokens", m_call.m_costTokens)), m_bootId, false };
         }
 
         auto refusal() const -> ExchangeEnd
--- a/src/serving/keyed_claims.cc
+++ b/src/serving/keyed_claims.cc
@@ -1,5 +1,6 @@
 #include "serving/keyed_claims.h"
 
+#include "core/json_fields.h"
 #include "core/random_bytes.h"
 
 #include <algorithm>
@@ -98,9 +99,8 @@
     if (!found || !found.value())
         return unclaimed();
     const auto& spec = found.value()->m_spec;
-    const auto holder
-        = ClaimHolder { VmName(spec.value("vm", "")), spec.value("incarnation", Incarnation { 0 }) };
-    return ClaimOutcome { holder, spec.value("claim_id", "") == claimId };
+    const auto holder = ClaimHolder { VmName(textOr(spec, "vm", "")), countOr(spec, "incarnation", 0) };
+    return ClaimOutcome { holder, textOr(spec, "claim_id", "") == claimId };
 }
 
 auto KeyedClaims::isCleaner() const -> bool
@@ -121,10 +121,10 @@
     const auto list = m_platform.list(kind);
     if (!list)
         return;
-    const auto now = secondsOf(m_clock());
+    const auto now = static_cast<double>(secondsOf(m_clock()));
     auto deletions = std::size_t { 0 };
     for (const auto& object : list.value().m_objects) {
-        if (object.m_spec.value("expires_at", now) >= now)
+        if (numberOr(object.m_spec, "expires_at", now) >= now)
             continue;
         if (++deletions > maxDeletionsAtOnce || !m_platform.remove(kind, object.m_name))
             return;
--- a/test/fleet/discovery_test.cc
+++ b/test/fleet/discovery_test.cc
@@ -84,5 +84,21 @@
             << "expected an old record not to bring a removed upstream back";
     }
 
+    // Issue 64: a field of another type ended the process, again at each start.
+    TEST(DiscoveryTest, AnObjectWithFieldsOfOtherTypesHidesNoOtherOne)
+    {
+        for (const auto* field : { "role", "pool", "data_centre", "address", "kind", "state" }) {
+            auto table = UpstreamTable();
+            auto list = makeList(3);
+            list.m_objects[1].m_spec[field] = 5;
+            applyVmList(table, list);
+            EXPECT_TRUE(table.m_upstreams.contains(UpstreamName("triage-0"))) << field;
+            EXPECT_TRUE(table.m_upstreams.contains(UpstreamName("triage-2"))) << field;
+        }
+        auto table = UpstreamTable();
+        applyVmEvent(table, { WatchEventType::Modified, { "triage-1", 7, nlohmann::json::array() } });
+        EXPECT_TRUE(table.m_upstreams.empty());
+    }
+
 } // namespace
 } // namespace marigoldladder
