--- a/src/objects/release_log.cc
+++ b/src/objects/release_log.cc
@@ -46,6 +46,17 @@
         return std::move(note.value());
     }
 
+    // Whether the head's counts are such, where it states them. A default in place of another would bring
+    // notes back that were removed.
+    auto isHead(const nlohmann::json& spec) -> bool
+    {
+        const auto isCount = [&spec](const char* field) {
+            const auto* value = member(spec, field);
+            return !value || value->is_number_unsigned();
+        };
+        return isCount("snapshot_revision") && isCount("first_kept") && isCount("removed_below");
+    }
+
     auto readHeadObject(const PlatformObject& object) -> LogHead
     {
         auto head = LogHead();
@@ -130,7 +141,11 @@
     const auto object = m_platform.get(headKind, headName);
     if (!object)
         return object.error();
-    return object.value() ? readHeadObject(*object.value()) : LogHead();
+    if (!object.value())
+        return LogHead();
+    if (!isHead(object.value()->m_spec))
+        return notRun(FailureType::Internal, "the head of the release log can't be read");
+    return readHeadObject(*object.value());
 }
 
 auto ReleaseLog::readSnapshot() -> Result<std::optional<Configuration>>
--- a/test/objects/release_log_test.cc
+++ b/test/objects/release_log_test.cc
@@ -146,5 +146,12 @@
         EXPECT_GE(m_log.readSnapshot().value()->m_adapters.size(), std::size_t { 16'000 });
     }
 
+    TEST_F(ReleaseLogTest, ReadsNoHeadWhoseCountsAreNone)
+    {
+        ASSERT_TRUE(m_platform.create("releaseheads", "head", { { "snapshot_revision", "12" } }));
+        EXPECT_FALSE(m_log.readHead());
+        EXPECT_FALSE(m_log.readSnapshot());
+    }
+
 } // namespace
 } // namespace marigoldladder
