--- a/test/harness/one_answer_server.h
+++ b/test/harness/one_answer_server.h
@@ -21,6 +21,12 @@
     std::chrono::milliseconds m_pause { 0 }; // Before each repetition.
 };
 
+// Returns a whole answer of status 200 with this body.
+inline auto answerWithBody(const std::string& body) -> OneAnswer
+{
+    return { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+}
+
 // Takes one connection, reads once and sends the answer.
 class OneAnswerServer {
 public:
--- a/test/objects/platform_client_test.cc
+++ b/test/objects/platform_client_test.cc
@@ -9,11 +9,6 @@
 namespace marigoldladder {
 namespace {
 
-    auto answerOf(const std::string& body) -> OneAnswer
-    {
-        return { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
-    }
-
     // What stands in a list or a change between two sound objects.
     auto oddObjects() -> std::vector<std::string>
     {
@@ -31,8 +26,9 @@
     TEST(PlatformClientTest, AnObjectThatCannotBeReadHidesNoOtherOneInAList)
     {
         for (const auto& odd : oddObjects()) {
-            const auto server = OneAnswerServer(answerOf(R"({"metadata":{"resourceVersion":"9"},"items":[)"
-                + sound("a") + "," + odd + "," + sound("c") + "]}"));
+            const auto server
+                = OneAnswerServer(answerWithBody(R"({"metadata":{"resourceVersion":"9"},"items":[)"
+                    + sound("a") + "," + odd + "," + sound("c") + "]}"));
             auto metrics = Metrics();
             const auto list = PlatformClient({ "127.0.0.1", server.port() }, metrics).list("vms");
             ASSERT_TRUE(list) << odd;
@@ -47,7 +43,8 @@
             const auto line = [](const std::string& object) {
                 return R"({"type":"MODIFIED","object":)" + object + "}\n";
             };
-            const auto server = OneAnswerServer(answerOf(line(sound("a")) + line(odd) + line(sound("c"))));
+            const auto server
+                = OneAnswerServer(answerWithBody(line(sound("a")) + line(odd) + line(sound("c"))));
             auto metrics = Metrics();
             auto names = std::vector<std::string>();
             const auto watched
--- a/test/routing/odd_element_test.cc
+++ b/test/routing/odd_element_test.cc
@@ -9,15 +9,10 @@
 namespace marigoldladder {
 namespace {
 
-    auto answerOf(const std::string& body) -> OneAnswer
-    {
-        return { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
-    }
-
     TEST(OddElementTest, HidesNoOtherAdapterOfAnEngine)
     {
         for (const auto* odd : { "5", "null", "{}", R"({"id":5})", R"({"id":null,"root":1})" }) {
-            const auto server = OneAnswerServer(answerOf(
+            const auto server = OneAnswerServer(answerWithBody(
                 R"({"data":[{"id":"a@1","root":"r"},)" + std::string(odd) + R"(,{"id":"c@1","root":5}]})"));
             auto upstream = Upstream();
             upstream.m_address = { "127.0.0.1", server.port() };
@@ -32,8 +27,8 @@
         for (const auto* odd :
             { "5", "null", "{}", R"({"owner":5,"fencing":"x"})", R"({"earlier_owners":[7]})" }) {
             const auto server = OneAnswerServer(
-                answerOf(R"({"metadata":{"resourceVersion":"9"},"items":[{"metadata":)"
-                         R"({"name":"bern","resourceVersion":"3"},"spec":{"upstreams":{"a":)"
+                answerWithBody(R"({"metadata":{"resourceVersion":"9"},"items":[{"metadata":)"
+                               R"({"name":"bern","resourceVersion":"3"},"spec":{"upstreams":{"a":)"
                     + std::string(odd) + R"(,"c":{"owner":{"vm":"n","incarnation":4},"fencing":8}}}}]})"));
             auto metrics = Metrics();
             auto platform = PlatformClient({ "127.0.0.1", server.port() }, metrics);
